--- /dev/null
+++ b/sesamemodel/job.go
@@ -0,0 +1,208 @@
+package sesamemodel
+
+import "time"
+
+// JobID names a job. It is derived from the team and the caller's idempotency
+// key, so the same request always has the same name.
+type JobID string
+
+// State is a step in a job's life.
+//
+//	queued -> placed -> running -> done | failed | unknown
+//	   |         \         \-> stopping -> queued | cancelled | failed | unknown
+//	   |          \-> stopping
+//	   \-> refused | cancelled
+type State string
+
+// The states. Placed and running jobs hold an allocation in every cell that
+// their assignments name.
+const (
+	Queued    State = "queued"
+	Placed    State = "placed"
+	Running   State = "running"
+	Stopping  State = "stopping"
+	Done      State = "done"
+	Failed    State = "failed"
+	Refused   State = "refused"
+	Cancelled State = "cancelled"
+	Unknown   State = "unknown"
+)
+
+// Ended reports whether no further attempt follows without an operator.
+func (s State) Ended() bool {
+	switch s {
+	case Done, Failed, Refused, Cancelled, Unknown:
+		return true
+	}
+	return false
+}
+
+// Active reports whether the state holds allocations.
+func (s State) Active() bool {
+	return s == Placed || s == Running || s == Stopping
+}
+
+// Kind names what does the work.
+type Kind string
+
+// The kinds of target.
+const (
+	Worker   Kind = "worker"
+	Executor Kind = "executor"
+)
+
+// Spec is what a caller asks for.
+type Spec struct {
+	Team  TeamID `json:"team"`
+	Class string `json:"class"`
+	Kind  Kind   `json:"kind"`
+	// Tasks is the size of the gang, 1 or more.
+	Tasks int `json:"tasks"`
+	// Task is what each task needs.
+	Task Resources `json:"task"`
+	// Span is what all tasks must share; empty means no constraint beyond
+	// the region.
+	Span Span `json:"span,omitempty"`
+	// Once marks a job that must run at most once. It is set when the caller
+	// or the class of the contract says so.
+	Once bool `json:"once,omitempty"`
+	// Checkpoints is true when the work can be stopped and continued later.
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	// RunTime is the declared run time; 0 means unknown.
+	RunTime time.Duration `json:"runtime,omitempty"`
+	// Payload names the object with the caller's input; empty without input.
+	Payload string `json:"payload,omitempty"`
+}
+
+// Need returns the resources of all tasks together.
+func (s Spec) Need() Resources {
+	return s.Task.Times(s.Tasks)
+}
+
+// Assignment is the part of a gang that one target runs.
+type Assignment struct {
+	Target TargetID `json:"target"`
+	Cell   CellID   `json:"cell"`
+	// Address is where the target's agent listens, as host:port.
+	Address string `json:"address"`
+	// Incarnation is the start of the agent that the assignment is bound to.
+	Incarnation string `json:"incarnation"`
+	// First is the rank of the first task here; ranks are consecutive.
+	First int `json:"first"`
+	Tasks int `json:"tasks"`
+	// Accelerators has one bit for each accelerator of the target in use.
+	Accelerators uint64 `json:"accelerators,omitempty"`
+}
+
+// Result names the output of one task in the object store.
+type Result struct {
+	Rank   int    `json:"rank"`
+	Object string `json:"object"`
+	// Length is in bytes.
+	Length int64 `json:"length"`
+	// Digest is the SHA-256 of the output, in hex.
+	Digest string `json:"digest"`
+}
+
+// Event is one step of a job's history, kept for explanations.
+type Event struct {
+	Time    time.Time `json:"time"`
+	State   State     `json:"state"`
+	Attempt uint32    `json:"attempt,omitempty"`
+	Reason  string    `json:"reason,omitempty"`
+}
+
+// MaxEvents is the most events that a job's row keeps; older ones are dropped.
+const MaxEvents = 16
+
+// Job is one request and all that is known about it.
+type Job struct {
+	ID   JobID `json:"id"`
+	Spec Spec  `json:"spec"`
+	// Request is the SHA-256 of the caller's request body, in hex.
+	Request string  `json:"request"`
+	Region  string  `json:"region"`
+	Urgency Urgency `json:"urgency"`
+	State   State   `json:"state"`
+	// Attempt counts from 1; 0 means never placed.
+	Attempt     uint32       `json:"attempt"`
+	Assignments []Assignment `json:"assignments,omitempty"`
+	// Owed is true while the attempt uses the team's own guarantee.
+	Owed bool `json:"owed,omitempty"`
+	// Next is the state that follows Stopping.
+	Next State `json:"next,omitempty"`
+	// Reason says in a sentence why the job is in its state.
+	Reason string `json:"reason,omitempty"`
+	// Submitted is the accepting entry's wall clock, used for order and
+	// reports and never for a lease.
+	Submitted time.Time `json:"submitted"`
+	// Opened is the wall clock when the attempt was told to start.
+	Opened  time.Time `json:"opened,omitzero"`
+	Results []Result  `json:"results,omitempty"`
+	// Failures counts the attempts that failed by the job's own fault or an
+	// undecided one; Avoid lists the targets they ran on.
+	Failures int        `json:"failures,omitempty"`
+	Avoid    []TargetID `json:"avoid,omitempty"`
+	Events   []Event    `json:"events,omitempty"`
+}
+
+// WithEvent returns the job in that state, with the step added to its history.
+func (j Job) WithEvent(now time.Time, s State, reason string) Job {
+	j.State = s
+	j.Reason = reason
+	events := append([]Event{}, j.Events...)
+	events = append(events, Event{
+		Time:    now,
+		State:   s,
+		Attempt: j.Attempt,
+		Reason:  reason,
+	})
+	if len(events) > MaxEvents {
+		events = events[len(events)-MaxEvents:]
+	}
+	j.Events = events
+	return j
+}
+
+// WithPlacement returns the job placed at a new attempt.
+func (j Job) WithPlacement(now time.Time, assignments []Assignment, owed bool) Job {
+	j.Attempt++
+	j.Assignments = append([]Assignment{}, assignments...)
+	j.Owed = owed
+	return j.WithEvent(now, Placed, "")
+}
+
+// WithRequeue returns the job queued again, without assignments.
+func (j Job) WithRequeue(now time.Time, reason string) Job {
+	j.Assignments = nil
+	j.Owed = false
+	j.Next = ""
+	j.Opened = time.Time{}
+	return j.WithEvent(now, Queued, reason)
+}
+
+// WithStop returns the job stopping, to become next once every member of the
+// attempt has confirmed that it stopped.
+func (j Job) WithStop(now time.Time, next State, reason string) Job {
+	j.Next = next
+	return j.WithEvent(now, Stopping, reason)
+}
+
+// WithResults returns the job done with those results.
+func (j Job) WithResults(now time.Time, results []Result) Job {
+	j.Results = append([]Result{}, results...)
+	return j.WithEvent(now, Done, "")
+}
+
+// Cells returns the cells that the assignments name, each once, in order.
+func (j Job) Cells() []CellID {
+	seen := map[CellID]bool{}
+	var cells []CellID
+	for _, a := range j.Assignments {
+		if !seen[a.Cell] {
+			seen[a.Cell] = true
+			cells = append(cells, a.Cell)
+		}
+	}
+	return cells
+}
--- /dev/null
+++ b/sesamesettings/doc.go
@@ -0,0 +1,6 @@
+// Package sesamesettings reads and checks the YAML settings of every process.
+//
+// # Usage
+//
+//	entry, err := sesamesettings.LoadEntry("entry.yaml")
+package sesamesettings
--- /dev/null
+++ b/sesamestore/contracts.go
@@ -0,0 +1,164 @@
+package sesamestore
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+// head is the row that orders all accepted changes of contracts.
+type head struct {
+	Number uint64 `json:"number"`
+}
+
+// ContractNumber returns the number of the newest accepted change; 0 before
+// the first.
+func (s *Store) ContractNumber(ctx context.Context) (uint64, error) {
+	h, err := s.head(ctx)
+	return h.Value.Number, err
+}
+
+func (s *Store) head(ctx context.Context) (Versioned[head], error) {
+	h, err := get[head](ctx, s.table, headKey)
+	if isNotFound(err) {
+		return Versioned[head]{}, nil
+	}
+	return h, err
+}
+
+// Contracts returns the contracts in force and the number of the newest
+// change that they surely hold. The number is read first, so the contracts are
+// never older than it says.
+func (s *Store) Contracts(ctx context.Context) ([]sesamemodel.Contract, uint64, error) {
+	number, err := s.ContractNumber(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	rows, err := scan[sesamemodel.Contract](ctx, s.table, teamPrefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	contracts := make([]sesamemodel.Contract, 0, len(rows))
+	for _, row := range rows {
+		contracts = append(contracts, row.Value)
+	}
+	return contracts, number, nil
+}
+
+// ChangesSince returns the accepted changes after number, oldest first.
+func (s *Store) ChangesSince(ctx context.Context, number uint64) ([]sesamemodel.Change, error) {
+	var changes []sesamemodel.Change
+	after := logKey(number)
+	for {
+		rows, err := s.table.Scan(ctx, logPrefix, after, sesametable.MaxScanRows)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			change, err := decode[sesamemodel.Change](row)
+			if err != nil {
+				return nil, err
+			}
+			changes = append(changes, change.Value)
+			after = row.Key
+		}
+		if len(rows) < sesametable.MaxScanRows {
+			return changes, nil
+		}
+	}
+}
+
+func logKey(number uint64) string {
+	return fmt.Sprintf("%s%012d", logPrefix, number)
+}
+
+// StaleNumberError says that other changes were accepted since the operator
+// read the contracts.
+type StaleNumberError struct {
+	// Base is the number that the operator's change started from.
+	Base uint64
+	// Found is the number in force now.
+	Found uint64
+}
+
+// Error names both numbers.
+func (e *StaleNumberError) Error() string {
+	return fmt.Sprintf("contracts changed: change %d is in force, expected %d", e.Found, e.Base)
+}
+
+// Accept records changes of contracts that follow the change numbered base,
+// with the cells whose guarantees they alter, in one transaction, and returns
+// the number of the last one. Errors are *StaleNumberError when base is not
+// the newest number, and those of sesametable.Table.Commit.
+func (s *Store) Accept(ctx context.Context, base uint64, changes []sesamemodel.Change, cells []Versioned[sesamemodel.Cell]) (uint64, error) {
+	h, err := s.head(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if h.Value.Number != base {
+		return 0, &StaleNumberError{
+			Base:  base,
+			Found: h.Value.Number,
+		}
+	}
+	t, number, err := s.acceptance(ctx, base, changes)
+	if err != nil {
+		return 0, err
+	}
+	put, err := encode(headKey, h.With(head{
+		Number: number,
+	}))
+	if err != nil {
+		return 0, err
+	}
+	t.Puts = append(t.Puts, put)
+	for _, cell := range cells {
+		put, err := encode(CellKey(cell.Value.ID), cell)
+		if err != nil {
+			return 0, err
+		}
+		t.Puts = append(t.Puts, put)
+	}
+	return number, s.table.Commit(ctx, t)
+}
+
+func (s *Store) acceptance(ctx context.Context, base uint64, changes []sesamemodel.Change) (sesametable.Transaction, uint64, error) {
+	var t sesametable.Transaction
+	number := base
+	for _, change := range changes {
+		number++
+		change.Number = number
+		change.Contract = change.Contract.WithNumber(number)
+		put, err := encode(logKey(number), Versioned[sesamemodel.Change]{
+			Value: change,
+		})
+		if err != nil {
+			return t, 0, err
+		}
+		t.Puts = append(t.Puts, put)
+		if err := s.addContract(ctx, &t, change); err != nil {
+			return t, 0, err
+		}
+	}
+	return t, number, nil
+}
+
+func (s *Store) addContract(ctx context.Context, t *sesametable.Transaction, change sesamemodel.Change) error {
+	key := teamPrefix + string(change.Team)
+	current, err := get[sesamemodel.Contract](ctx, s.table, key)
+	if err != nil && !isNotFound(err) {
+		return err
+	}
+	if change.Removed {
+		t.Deletes = append(t.Deletes, sesametable.Delete{
+			Key:     key,
+			Version: current.Version,
+		})
+		return nil
+	}
+	put, err := encode(key, current.With(change.Contract))
+	t.Puts = append(t.Puts, put)
+	return err
+}
--- /dev/null
+++ b/sesamestore/doc.go
@@ -0,0 +1,22 @@
+// Package sesamestore keeps the model's values in rows of the platform's
+// table: it fixes the keys, the encoding and which rows change together.
+//
+//	open/<region>/<job>       a job that has not ended
+//	done/<job>                a job that has ended
+//	cell/<region>/<cell>      a cell with its allocations and guarantees
+//	contract/head             the number of the newest accepted change
+//	contract/team/<team>      the contract in force
+//	contract/log/<number>     every accepted change, zero-padded
+//	member/<entry>            an entry, renewed while it lives
+//	payload/<job>             object: the caller's input
+//	result/<job>/<attempt>/<rank>  object: the output of one task
+//
+// # Usage
+//
+//	store := sesamestore.New(table, objects)
+//	job, err := store.Job(ctx, id)
+//	err = store.Update(ctx, sesamestore.Batch{
+//		Jobs:  []sesamestore.Versioned[sesamemodel.Job]{job.With(changed)},
+//		Cells: cells,
+//	})
+package sesamestore
--- /dev/null
+++ b/sesamestore/store.go
@@ -0,0 +1,288 @@
+package sesamestore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+// Versioned is a value with the version of the row that it was read from.
+// Version 0 means that the row does not exist yet.
+type Versioned[T any] struct {
+	Value   T
+	Version uint64
+}
+
+// With returns the changed value, still expected at the version read.
+func (v Versioned[T]) With(value T) Versioned[T] {
+	v.Value = value
+	return v
+}
+
+// Store reads and writes the model's values.
+type Store struct {
+	table   sesametable.Table
+	objects sesametable.Objects
+}
+
+// New returns a store on the platform's table and objects.
+func New(table sesametable.Table, objects sesametable.Objects) *Store {
+	return &Store{
+		table:   table,
+		objects: objects,
+	}
+}
+
+// Objects returns the object store for payloads and results.
+func (s *Store) Objects() sesametable.Objects {
+	return s.objects
+}
+
+// DecodeError says that a row holds something other than what its key tells.
+type DecodeError struct {
+	Key   string
+	Cause error
+}
+
+// Error names the row and the cause.
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("row %q cannot be decoded: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error {
+	return e.Cause
+}
+
+const (
+	openPrefix   = "open/"
+	donePrefix   = "done/"
+	cellPrefix   = "cell/"
+	memberPrefix = "member/"
+	headKey      = "contract/head"
+	teamPrefix   = "contract/team/"
+	logPrefix    = "contract/log/"
+)
+
+// PayloadKey names the object with a job's input.
+func PayloadKey(id sesamemodel.JobID) string {
+	return "payload/" + string(id)
+}
+
+// ResultKey names the object with the output of one task.
+func ResultKey(id sesamemodel.JobID, attempt uint32, rank int) string {
+	return fmt.Sprintf("result/%s/%d/%d", id, attempt, rank)
+}
+
+// regionSeparator splits a job's region from the rest of its name.
+const regionSeparator = "."
+
+// RegionOf returns the region that a job's name starts with.
+func RegionOf(id sesamemodel.JobID) string {
+	region, _, _ := strings.Cut(string(id), regionSeparator)
+	return region
+}
+
+// NewJobID names the job of a region with that digest of team and key.
+func NewJobID(region, digest string) sesamemodel.JobID {
+	return sesamemodel.JobID(region + regionSeparator + digest)
+}
+
+// OpenKey names the row of a job that has not ended.
+func OpenKey(id sesamemodel.JobID) string {
+	return openPrefix + RegionOf(id) + "/" + string(id)
+}
+
+// DoneKey names the row of a job that has ended.
+func DoneKey(id sesamemodel.JobID) string {
+	return donePrefix + string(id)
+}
+
+// CellKey names the row of a cell.
+func CellKey(id sesamemodel.CellID) string {
+	return cellPrefix + string(id)
+}
+
+func decode[T any](row sesametable.Row) (Versioned[T], error) {
+	var value T
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return Versioned[T]{}, &DecodeError{
+			Key:   row.Key,
+			Cause: err,
+		}
+	}
+	return Versioned[T]{
+		Value:   value,
+		Version: row.Version,
+	}, nil
+}
+
+func get[T any](ctx context.Context, t sesametable.Table, key string) (Versioned[T], error) {
+	row, err := t.Get(ctx, key)
+	if err != nil {
+		return Versioned[T]{}, err
+	}
+	return decode[T](row)
+}
+
+func scan[T any](ctx context.Context, t sesametable.Table, prefix string) ([]Versioned[T], error) {
+	rows, err := sesametable.ScanAll(ctx, t, prefix)
+	if err != nil {
+		return nil, err
+	}
+	values := make([]Versioned[T], 0, len(rows))
+	for _, row := range rows {
+		value, err := decode[T](row)
+		if err != nil {
+			return nil, err
+		}
+		values = append(values, value)
+	}
+	return values, nil
+}
+
+func isNotFound(err error) bool {
+	var missing *sesametable.NotFoundError
+	return errors.As(err, &missing)
+}
+
+// Job returns the job, open or ended, or a *sesametable.NotFoundError. The
+// open row is read first: a job moves only from open to ended, or back when
+// an operator resolves it, so one more read of the open row settles a race.
+func (s *Store) Job(ctx context.Context, id sesamemodel.JobID) (Versioned[sesamemodel.Job], error) {
+	for _, key := range []string{OpenKey(id), DoneKey(id)} {
+		job, err := get[sesamemodel.Job](ctx, s.table, key)
+		if err == nil || !isNotFound(err) {
+			return job, err
+		}
+	}
+	return get[sesamemodel.Job](ctx, s.table, OpenKey(id))
+}
+
+// OpenJobs returns all jobs of the region that have not ended.
+func (s *Store) OpenJobs(ctx context.Context, region string) ([]Versioned[sesamemodel.Job], error) {
+	return scan[sesamemodel.Job](ctx, s.table, openPrefix+region+"/")
+}
+
+// Cells returns all cells of the region.
+func (s *Store) Cells(ctx context.Context, region string) ([]Versioned[sesamemodel.Cell], error) {
+	return scan[sesamemodel.Cell](ctx, s.table, cellPrefix+region+"/")
+}
+
+// Cell returns one cell, or a *sesametable.NotFoundError.
+func (s *Store) Cell(ctx context.Context, id sesamemodel.CellID) (Versioned[sesamemodel.Cell], error) {
+	return get[sesamemodel.Cell](ctx, s.table, CellKey(id))
+}
+
+// Members returns all entries that ever announced themselves and were not
+// removed since.
+func (s *Store) Members(ctx context.Context) ([]Versioned[sesamemodel.Member], error) {
+	return scan[sesamemodel.Member](ctx, s.table, memberPrefix)
+}
+
+// PutMember writes an entry's own row.
+func (s *Store) PutMember(ctx context.Context, m Versioned[sesamemodel.Member]) error {
+	put, err := encode(memberPrefix+m.Value.ID, m)
+	if err != nil {
+		return err
+	}
+	return s.table.Commit(ctx, sesametable.Transaction{
+		Puts: []sesametable.Put{put},
+	})
+}
+
+// Submit creates the job unless it exists, open or ended; then it returns a
+// *sesametable.ConflictError.
+func (s *Store) Submit(ctx context.Context, job sesamemodel.Job) error {
+	put, err := encode(OpenKey(job.ID), Versioned[sesamemodel.Job]{
+		Value: job,
+	})
+	if err != nil {
+		return err
+	}
+	return s.table.Commit(ctx, sesametable.Transaction{
+		Checks: []sesametable.Check{
+			{
+				Key: DoneKey(job.ID),
+			},
+		},
+		Puts: []sesametable.Put{put},
+	})
+}
+
+// Batch is a set of changes that take effect together. Each value is
+// expected at the version it was read at.
+type Batch struct {
+	// Jobs are moved to the ended rows when their new state has ended. They
+	// must have been open when read.
+	Jobs  []Versioned[sesamemodel.Job]
+	Cells []Versioned[sesamemodel.Cell]
+}
+
+// Update commits the batch; errors are those of sesametable.Table.Commit.
+func (s *Store) Update(ctx context.Context, b Batch) error {
+	var t sesametable.Transaction
+	for _, job := range b.Jobs {
+		if err := addJob(&t, job); err != nil {
+			return err
+		}
+	}
+	for _, cell := range b.Cells {
+		put, err := encode(CellKey(cell.Value.ID), cell)
+		if err != nil {
+			return err
+		}
+		t.Puts = append(t.Puts, put)
+	}
+	return s.table.Commit(ctx, t)
+}
+
+func addJob(t *sesametable.Transaction, job Versioned[sesamemodel.Job]) error {
+	id := job.Value.ID
+	if !job.Value.State.Ended() {
+		put, err := encode(OpenKey(id), job)
+		t.Puts = append(t.Puts, put)
+		return err
+	}
+	put, err := encode(DoneKey(id), Versioned[sesamemodel.Job]{
+		Value: job.Value,
+	})
+	t.Puts = append(t.Puts, put)
+	t.Deletes = append(t.Deletes, sesametable.Delete{
+		Key:     OpenKey(id),
+		Version: job.Version,
+	})
+	return err
+}
+
+// Resolve replaces a job that has ended by the outcome an operator states.
+func (s *Store) Resolve(ctx context.Context, job Versioned[sesamemodel.Job]) error {
+	put, err := encode(DoneKey(job.Value.ID), job)
+	if err != nil {
+		return err
+	}
+	return s.table.Commit(ctx, sesametable.Transaction{
+		Puts: []sesametable.Put{put},
+	})
+}
+
+func encode[T any](key string, v Versioned[T]) (sesametable.Put, error) {
+	value, err := json.Marshal(v.Value)
+	if err != nil {
+		return sesametable.Put{}, &DecodeError{
+			Key:   key,
+			Cause: err,
+		}
+	}
+	return sesametable.Put{
+		Key:     key,
+		Version: v.Version,
+		Value:   value,
+	}, nil
+}
