--- /dev/null
+++ b/sesameplanner/decision.go
@@ -0,0 +1,30 @@
+package sesameplanner
+
+import "github.com/sesamestack/sesamestack/sesamemodel"
+
+// Verdict says what a decision does with its job.
+type Verdict string
+
+// The verdicts.
+const (
+	// Place gives the job a new attempt, stopping the victims.
+	Place Verdict = "place"
+	// Refuse ends a job that can never run.
+	Refuse Verdict = "refuse"
+	// Move stops a job that can checkpoint, to form a shape; Job is the moved
+	// job in state stopping.
+	Move Verdict = "move"
+)
+
+// Decision is one change that must take effect whole.
+type Decision struct {
+	Verdict Verdict
+	// Job is the job as it becomes.
+	Job sesamemodel.Job
+	// Victims are other jobs as they become: stopping, to be queued again.
+	// Their allocations are gone from the cells where the job takes their
+	// place, and stay elsewhere until they have stopped.
+	Victims []sesamemodel.Job
+	// Cells are the touched cells as they become.
+	Cells []sesamemodel.Cell
+}
