Decide what becomes of an attempt from its members' reports

A once job is queued again, or called not run, only when every member promised that it never started.

--- /dev/null
+++ b/sesamegang/conclude.go
@@ -0,0 +1,148 @@
+package sesamegang
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// MaxFailures is how many attempts of a repeatable job may fail by an error of
+// its tasks before the job fails.
+const MaxFailures = 3
+
+// Report is what is known of one member of an attempt.
+type Report struct {
+	Progress sesamewire.Progress
+	Detail   string
+	Results  []sesamemodel.Result
+	// Gone is true when the member's target was lost, and its lease has ended.
+	Gone bool
+}
+
+// settled reports whether the member runs no more and never will. A member
+// that is gone has settled, though how is not known.
+func (r Report) settled() bool {
+	switch r.Progress {
+	case sesamewire.Progress_PROGRESS_NEVER,
+		sesamewire.Progress_PROGRESS_DONE,
+		sesamewire.Progress_PROGRESS_FAILED,
+		sesamewire.Progress_PROGRESS_STOPPED:
+		return true
+	}
+	return r.Gone
+}
+
+// undecided reports whether nobody can tell if the member ran to its end.
+func (r Report) undecided() bool {
+	return r.Gone && r.Progress != sesamewire.Progress_PROGRESS_NEVER &&
+		r.Progress != sesamewire.Progress_PROGRESS_DONE &&
+		r.Progress != sesamewire.Progress_PROGRESS_FAILED &&
+		r.Progress != sesamewire.Progress_PROGRESS_STOPPED
+}
+
+// tally counts the reports of one attempt.
+type tally struct {
+	members   int
+	settled   int
+	never     int
+	done      int
+	failed    int
+	undecided int
+	detail    string
+	blamed    []sesamemodel.TargetID
+	results   []sesamemodel.Result
+}
+
+func count(job sesamemodel.Job, reports []Report) tally {
+	t := tally{
+		members: len(job.Assignments),
+	}
+	for i, r := range reports {
+		if r.settled() {
+			t.settled++
+		}
+		if r.undecided() {
+			t.undecided++
+		}
+		switch r.Progress {
+		case sesamewire.Progress_PROGRESS_NEVER:
+			t.never++
+		case sesamewire.Progress_PROGRESS_DONE:
+			t.done++
+			t.results = append(t.results, r.Results...)
+		case sesamewire.Progress_PROGRESS_FAILED:
+			t.failed++
+			t.blamed = append(t.blamed, job.Assignments[i].Target)
+			if t.detail == "" {
+				t.detail = r.Detail
+			}
+		}
+	}
+	return t
+}
+
+// Conclude decides what becomes of an attempt from its members' reports, one
+// for each assignment and in their order. While a member has not settled it
+// returns the job unchanged and false.
+func Conclude(now time.Time, job sesamemodel.Job, reports []Report) (sesamemodel.Job, bool) {
+	if !job.Started {
+		return concludeUnstarted(now, job), true
+	}
+	t := count(job, reports)
+	if t.settled < t.members {
+		return job, false
+	}
+	if t.done == t.members {
+		return job.WithResults(now, t.results), true
+	}
+	if t.never == t.members {
+		job.Started = false
+		return concludeUnstarted(now, job), true
+	}
+	if job.Spec.Once {
+		return concludeOnce(now, job, t), true
+	}
+	return concludeRepeatable(now, job, t), true
+}
+
+// concludeUnstarted ends an attempt of which no member was ever started.
+func concludeUnstarted(now time.Time, job sesamemodel.Job) sesamemodel.Job {
+	if job.Next == sesamemodel.Cancelled || job.Next == sesamemodel.Failed {
+		return job.WithEvent(now, job.Next, job.Reason)
+	}
+	return job.WithRequeue(now, job.Reason)
+}
+
+// concludeOnce ends an attempt that started and must not be repeated.
+func concludeOnce(now time.Time, job sesamemodel.Job, t tally) sesamemodel.Job {
+	switch {
+	case t.undecided > 0:
+		reason := fmt.Sprintf("%d of %d targets were lost after the start; the outcome is not known", t.undecided, t.members)
+		return job.WithEvent(now, sesamemodel.Unknown, reason)
+	case t.failed > 0:
+		return job.WithEvent(now, sesamemodel.Failed, t.detail)
+	case job.Next == sesamemodel.Cancelled:
+		return job.WithEvent(now, sesamemodel.Cancelled, "stopped after it had started")
+	}
+	reason := fmt.Sprintf("stopped after it had started (%s); the outcome is not known", job.Reason)
+	return job.WithEvent(now, sesamemodel.Unknown, reason)
+}
+
+// concludeRepeatable ends an attempt that may be followed by another.
+func concludeRepeatable(now time.Time, job sesamemodel.Job, t tally) sesamemodel.Job {
+	if job.Next == sesamemodel.Cancelled {
+		return job.WithEvent(now, sesamemodel.Cancelled, "stopped after it had started")
+	}
+	if t.failed == 0 {
+		return job.WithRequeue(now, job.Reason)
+	}
+	job.Failures++
+	job.Avoid = append(append([]sesamemodel.TargetID{}, job.Avoid...), t.blamed...)
+	if job.Failures < MaxFailures {
+		return job.WithRequeue(now, t.detail)
+	}
+	reason := fmt.Sprintf("failed on %d attempts, last: %s", job.Failures, t.detail)
+	return job.WithEvent(now, sesamemodel.Failed, reason)
+}
--- /dev/null
+++ b/sesamegang/conclude_test.go
@@ -0,0 +1,104 @@
+package sesamegang
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+var settledProgress = []sesamewire.Progress{
+	sesamewire.Progress_PROGRESS_NEVER,
+	sesamewire.Progress_PROGRESS_DONE,
+	sesamewire.Progress_PROGRESS_FAILED,
+	sesamewire.Progress_PROGRESS_STOPPED,
+}
+
+func drawReports(t *rapid.T, n int) []Report {
+	reports := make([]Report, n)
+	for i := range reports {
+		reports[i].Gone = rapid.Bool().Draw(t, "gone")
+		reports[i].Progress = rapid.SampledFrom(append([]sesamewire.Progress{
+			sesamewire.Progress_PROGRESS_UNSPECIFIED,
+			sesamewire.Progress_PROGRESS_RUNNING,
+			sesamewire.Progress_PROGRESS_UNKNOWN,
+		}, settledProgress...)).Draw(t, "progress")
+	}
+	return reports
+}
+
+func allNever(reports []Report) bool {
+	for _, r := range reports {
+		if r.Progress != sesamewire.Progress_PROGRESS_NEVER {
+			return false
+		}
+	}
+	return true
+}
+
+func TestConclude(t *testing.T) {
+	now := time.Unix(1000, 0)
+	t.Run("a once job that may have started never runs again", rapid.MakeCheck(func(t *rapid.T) {
+		is := is.New(t)
+		n := rapid.IntRange(1, 4).Draw(t, "members")
+		job := sesamemodel.Job{
+			Spec: sesamemodel.Spec{
+				Once: true,
+			},
+			State:       sesamemodel.Stopping,
+			Attempt:     1,
+			Started:     true,
+			Next:        rapid.SampledFrom([]sesamemodel.State{sesamemodel.Queued, sesamemodel.Cancelled}).Draw(t, "next"),
+			Assignments: make([]sesamemodel.Assignment, n),
+		}
+		reports := drawReports(t, n)
+		after, settled := Conclude(now, job, reports)
+		if !settled {
+			is.Equal(after.State, sesamemodel.Stopping)
+			return
+		}
+		if after.State == sesamemodel.Queued || !after.Started {
+			is.True(allNever(reports)) // queued again or called not run only when no member started
+		}
+	}))
+	t.Run("an attempt ends done only when every member is done", rapid.MakeCheck(func(t *rapid.T) {
+		is := is.New(t)
+		n := rapid.IntRange(1, 4).Draw(t, "members")
+		job := sesamemodel.Job{
+			Spec: sesamemodel.Spec{
+				Once: rapid.Bool().Draw(t, "once"),
+			},
+			State:       sesamemodel.Running,
+			Started:     true,
+			Assignments: make([]sesamemodel.Assignment, n),
+		}
+		reports := drawReports(t, n)
+		after, _ := Conclude(now, job, reports)
+		done := true
+		for _, r := range reports {
+			done = done && r.Progress == sesamewire.Progress_PROGRESS_DONE
+		}
+		is.Equal(after.State == sesamemodel.Done, done)
+	}))
+	t.Run("a repeatable job fails after its last attempt", func(t *testing.T) {
+		is := is.New(t)
+		job := sesamemodel.Job{
+			State:       sesamemodel.Running,
+			Started:     true,
+			Failures:    MaxFailures - 1,
+			Assignments: make([]sesamemodel.Assignment, 1),
+		}
+		after, settled := Conclude(now, job, []Report{
+			{
+				Progress: sesamewire.Progress_PROGRESS_FAILED,
+				Detail:   "exit 1",
+			},
+		})
+		is.True(settled)
+		is.Equal(after.State, sesamemodel.Failed)
+	})
+}
--- a/sesamemodel/job.go
+++ b/sesamemodel/job.go
@@ -129,6 +129,11 @@
 	Assignments []Assignment `json:"assignments,omitempty"`
 	// Owed is true while the attempt uses the team's own guarantee.
 	Owed bool `json:"owed,omitempty"`
+	// Started is true once a member of this attempt may have been told to
+	// start, and false again when every member promised that it never did.
+	Started bool `json:"started,omitempty"`
+	// Ran is true when a member of an earlier attempt may have started.
+	Ran bool `json:"ran,omitempty"`
 	// Next is the state that follows Stopping.
 	Next State `json:"next,omitempty"`
 	// Reason says in a sentence why the job is in its state.
@@ -172,10 +177,19 @@
 	return j.WithEvent(now, Placed, "")
 }
 
+// WithStart returns the job running: from now on its members may be started.
+func (j Job) WithStart(now time.Time) Job {
+	j.Started = true
+	j.Opened = now
+	return j.WithEvent(now, Running, "")
+}
+
 // WithRequeue returns the job queued again, without assignments.
 func (j Job) WithRequeue(now time.Time, reason string) Job {
 	j.Assignments = nil
 	j.Owed = false
+	j.Ran = j.Ran || j.Started
+	j.Started = false
 	j.Next = ""
 	j.Opened = time.Time{}
 	return j.WithEvent(now, Queued, reason)
@@ -194,6 +208,11 @@
 	return j.WithEvent(now, Done, "")
 }
 
+// NotRun reports whether the job has ended and no part of it ever ran.
+func (j Job) NotRun() bool {
+	return j.State.Ended() && !j.Started && !j.Ran
+}
+
 // Cells returns the cells that the assignments name, each once, in order.
 func (j Job) Cells() []CellID {
 	seen := map[CellID]bool{}
