Dial and serve the processes' own calls

Entries and agents call each other by drpc. A dialer reuses connections by address, dials again after a break and bounds each call; a server closes its listener first and lets the calls in progress finish, so that a replaced process cuts none.

Weighed: one connection of our own per address with a queue of calls (a slow call delays heartbeats behind it) against drpc's pool, which dials another connection for parallel calls and keeps two. Taken: the pool.

Tests: go test -race ./sesamewire, all pass.

--- /dev/null
+++ b/sesamewire/dial.go
@@ -0,0 +1,131 @@
+package sesamewire
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+)
+
+const (
+	defaultCallTimeout = 2 * time.Second
+	defaultExpiration  = time.Minute
+	// maxIdleConns bounds the unused connections to one address. A connection
+	// carries one call at a time, so parallel calls dial more.
+	maxIdleConns = 2
+	network      = "tcp"
+)
+
+// DialError says that an address could not be reached.
+type DialError struct {
+	Address string
+	Cause   error
+}
+
+// Error names the address and the cause.
+func (e *DialError) Error() string {
+	return fmt.Sprintf("process at %q cannot be reached: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error {
+	return e.Cause
+}
+
+// DialFunc opens one transport connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DialOptions configures a Dialer; zero values mean defaults.
+type DialOptions struct {
+	// Timeout bounds each call, the dial included.
+	Timeout time.Duration
+	// Expiration closes a connection that was unused for so long.
+	Expiration time.Duration
+	// Dial opens a connection; net.Dialer by default.
+	Dial DialFunc
+}
+
+// Dialer makes clients of other processes. Connections are reused, and dialled
+// again after they break. It is safe for concurrent use.
+type Dialer struct {
+	timeout time.Duration
+	dial    DialFunc
+	pool    *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewDialer returns a dialer without connections.
+func NewDialer(o DialOptions) *Dialer {
+	if o.Timeout == 0 {
+		o.Timeout = defaultCallTimeout
+	}
+	if o.Expiration == 0 {
+		o.Expiration = defaultExpiration
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	return &Dialer{
+		timeout: o.Timeout,
+		dial:    o.Dial,
+		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+			Expiration:  o.Expiration,
+			KeyCapacity: maxIdleConns,
+		}),
+	}
+}
+
+// Agent returns a client of the agent at that address. Nothing is dialled
+// before the first call; a failed dial is a *DialError.
+func (d *Dialer) Agent(address string) DRPCAgentClient {
+	return NewDRPCAgentClient(d.conn(address))
+}
+
+// Keeper returns a client of the entry at that address, in its keeper's role.
+func (d *Dialer) Keeper(address string) DRPCKeeperClient {
+	return NewDRPCKeeperClient(d.conn(address))
+}
+
+// Peer returns a client of the entry at that address, in its peer's role.
+func (d *Dialer) Peer(address string) DRPCPeerClient {
+	return NewDRPCPeerClient(d.conn(address))
+}
+
+// Close closes the unused connections.
+func (d *Dialer) Close() error {
+	return d.pool.Close()
+}
+
+func (d *Dialer) conn(address string) drpc.Conn {
+	return &timedConn{
+		Conn:    d.pool.Get(context.Background(), address, d.open),
+		timeout: d.timeout,
+	}
+}
+
+func (d *Dialer) open(ctx context.Context, address string) (drpcpool.Conn, error) {
+	transport, err := d.dial(ctx, network, address)
+	if err != nil {
+		return nil, &DialError{
+			Address: address,
+			Cause:   err,
+		}
+	}
+	return drpcconn.New(transport), nil
+}
+
+// timedConn gives every call a deadline.
+type timedConn struct {
+	drpc.Conn
+	timeout time.Duration
+}
+
+// Invoke makes one call within the timeout.
+func (c *timedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.Conn.Invoke(ctx, rpc, enc, in, out)
+}
--- /dev/null
+++ b/sesamewire/dial_test.go
@@ -0,0 +1,132 @@
+package sesamewire_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+type keeper struct {
+	sesamewire.DRPCKeeperUnimplementedServer
+	entered chan struct{}
+	release chan struct{}
+}
+
+func (k *keeper) Heartbeat(_ context.Context, in *sesamewire.HeartbeatRequest) (*sesamewire.HeartbeatReply, error) {
+	return &sesamewire.HeartbeatReply{
+		Epoch: in.Epoch + 1,
+	}, nil
+}
+
+func (k *keeper) Finish(ctx context.Context, _ *sesamewire.FinishRequest) (*sesamewire.FinishReply, error) {
+	k.entered <- struct{}{}
+	select {
+	case <-k.release:
+		return &sesamewire.FinishReply{
+			Recorded: true,
+		}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type running struct {
+	address string
+	stop    context.CancelFunc
+	group   errgroup.Group
+}
+
+func serve(t *testing.T, k *keeper, address string) *running {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.Listen("tcp", address)
+	is.NoErr(err)
+	server := sesamewire.NewServer(10 * time.Second)
+	is.NoErr(sesamewire.DRPCRegisterKeeper(server.Mux(), k))
+	ctx, cancel := context.WithCancel(t.Context())
+	r := &running{
+		address: listener.Addr().String(),
+		stop:    cancel,
+	}
+	r.group.Go(func() error {
+		return server.Serve(ctx, listener)
+	})
+	return r
+}
+
+func newKeeper() *keeper {
+	return &keeper{
+		entered: make(chan struct{}, 1),
+		release: make(chan struct{}),
+	}
+}
+
+func assertBeat(t *testing.T, client sesamewire.DRPCKeeperClient) {
+	t.Helper()
+	is := is.New(t)
+	reply, err := client.Heartbeat(t.Context(), &sesamewire.HeartbeatRequest{
+		Epoch: 6,
+	})
+	is.NoErr(err)
+	is.Equal(reply.Epoch, uint64(7))
+}
+
+func TestDialer(t *testing.T) {
+	t.Run("calls again after the server was replaced", func(t *testing.T) {
+		dialer := sesamewire.NewDialer(sesamewire.DialOptions{})
+		defer dialer.Close()
+		first := serve(t, newKeeper(), "127.0.0.1:0")
+		client := dialer.Keeper(first.address)
+		assertBeat(t, client)
+		first.stop()
+		is.New(t).NoErr(first.group.Wait())
+		second := serve(t, newKeeper(), first.address)
+		defer second.stop()
+		assertBeat(t, client)
+	})
+	t.Run("names an address that cannot be reached", func(t *testing.T) {
+		dialer := sesamewire.NewDialer(sesamewire.DialOptions{})
+		_, err := dialer.Keeper("127.0.0.1:1").Heartbeat(t.Context(), &sesamewire.HeartbeatRequest{})
+		var dial *sesamewire.DialError
+		is.New(t).True(errors.As(err, &dial))
+	})
+	t.Run("bounds a call", func(t *testing.T) {
+		k := newKeeper()
+		r := serve(t, k, "127.0.0.1:0")
+		defer r.stop()
+		dialer := sesamewire.NewDialer(sesamewire.DialOptions{
+			Timeout: 20 * time.Millisecond,
+		})
+		_, err := dialer.Keeper(r.address).Finish(t.Context(), &sesamewire.FinishRequest{})
+		is.New(t).True(errors.Is(err, context.DeadlineExceeded))
+	})
+}
+
+func TestServerFinishesCalls(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper()
+	r := serve(t, k, "127.0.0.1:0")
+	dialer := sesamewire.NewDialer(sesamewire.DialOptions{
+		Timeout: 10 * time.Second,
+	})
+	var call errgroup.Group
+	var reply *sesamewire.FinishReply
+	call.Go(func() error {
+		var err error
+		reply, err = dialer.Keeper(r.address).Finish(t.Context(), &sesamewire.FinishRequest{})
+		return err
+	})
+	<-k.entered
+	r.stop()
+	close(k.release)
+	is.NoErr(call.Wait())
+	is.True(reply.Recorded)
+	is.NoErr(r.group.Wait())
+}
