--- /dev/null
+++ b/sesameentry/driving.go
@@ -0,0 +1,314 @@
+package sesameentry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamegang"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+const (
+	// maxDrives bounds the attempts that are driven at the same time.
+	maxDrives = 512
+	// minDriveWait and maxDriveWait bound the jittered wait after a failed
+	// step.
+	minDriveWait = 50 * time.Millisecond
+	maxDriveWait = time.Second
+)
+
+// driving moves attempts on: it prepares, records and opens them, and stops
+// those that are to end. Any entry may drive any attempt at any time: each
+// step is either idempotent at the agent or a conditional write of the row.
+type driving struct {
+	ledger *ledger
+	calls  *calls
+	clock  clockwork.Clock
+	log    *sesamelog.Logger
+	scope  tally.Scope
+	// changed tells the planning duty of rows that this duty wrote.
+	changed func(hint)
+
+	ctx   context.Context
+	group *errgroup.Group
+
+	mu sync.Mutex
+	// moving has true for a job whose drive must look again before it ends.
+	moving map[sesamemodel.JobID]bool
+	// opened has the attempts that all members confirmed to have opened.
+	opened map[sesamemodel.JobID]uint32
+}
+
+// begin makes the drives run in the group until ctx ends.
+func (d *driving) begin(ctx context.Context, group *errgroup.Group) {
+	d.ctx = ctx
+	d.group = group
+	d.moving = map[sesamemodel.JobID]bool{}
+	d.opened = map[sesamemodel.JobID]uint32{}
+}
+
+// Drive moves the job's attempt on until the job is queued or has ended, or
+// runs with every member opened.
+func (d *driving) Drive(id sesamemodel.JobID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.moving[id]; ok {
+		d.moving[id] = true
+		return
+	}
+	if len(d.moving) >= maxDrives {
+		return // the next reconciliation asks again
+	}
+	d.moving[id] = false
+	d.group.Go(func() error {
+		d.run(id)
+		return nil
+	})
+}
+
+// Broken stops an attempt that has lost a target.
+func (d *driving) Broken(id sesamemodel.JobID, attempt uint32, reason string) {
+	if job, ok := d.ledger.known(id); ok && job.State == sesamemodel.Stopping {
+		d.Drive(id)
+		return
+	}
+	d.group.Go(func() error {
+		d.breakAttempt(id, attempt, reason)
+		return nil
+	})
+}
+
+func (d *driving) breakAttempt(id sesamemodel.JobID, attempt uint32, reason string) {
+	job, err := d.ledger.change(d.ctx, id, func(job sesamemodel.Job) (sesamemodel.Job, bool) {
+		if job.Attempt != attempt || !job.State.Active() || job.State == sesamemodel.Stopping {
+			return job, false
+		}
+		return job.WithStop(d.clock.Now(), sesamemodel.Queued, reason), true
+	})
+	if err != nil {
+		d.delayed(id, err)
+		return
+	}
+	d.changed(hintOf(job))
+	if job.State == sesamemodel.Stopping {
+		d.Drive(id)
+	}
+}
+
+func (d *driving) delayed(id sesamemodel.JobID, err error) {
+	d.log.Emit(eventAttemptDelayed, sesamelog.Fields{
+		"job":   id,
+		"error": err,
+	})
+}
+
+// run repeats steps until the attempt needs no more.
+func (d *driving) run(id sesamemodel.JobID) {
+	wait := driveBackOff()
+	for {
+		more, err := d.step(id)
+		var missing *sesametable.NotFoundError
+		switch {
+		case d.ctx.Err() != nil || errors.As(err, &missing):
+			d.ended(id)
+			return
+		case err != nil:
+			d.delayed(id, err)
+			if sleep(d.ctx, d.clock, wait.NextBackOff()) != nil {
+				d.ended(id)
+				return
+			}
+		case more:
+			wait.Reset()
+		case d.rests(id):
+			return
+		}
+	}
+}
+
+// rests ends the drive unless it was asked for again meanwhile.
+func (d *driving) rests(id sesamemodel.JobID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.moving[id] {
+		d.moving[id] = false
+		return false
+	}
+	delete(d.moving, id)
+	return true
+}
+
+func (d *driving) ended(id sesamemodel.JobID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.moving, id)
+}
+
+// step moves the attempt on by one state; false means that it needs no more.
+func (d *driving) step(id sesamemodel.JobID) (bool, error) {
+	row, err := d.ledger.job(d.ctx, id)
+	if err != nil {
+		return false, err
+	}
+	job := row.Value
+	switch job.State {
+	case sesamemodel.Placed:
+		return true, d.start(job)
+	case sesamemodel.Running:
+		if d.isOpened(job) {
+			return false, nil
+		}
+		return true, d.open(job)
+	case sesamemodel.Stopping:
+		return true, d.stop(job)
+	}
+	d.forget(id)
+	return false, nil
+}
+
+func (d *driving) isOpened(job sesamemodel.Job) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.opened[job.ID] == job.Attempt
+}
+
+func (d *driving) forget(id sesamemodel.JobID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.opened, id)
+}
+
+// start prepares every member, records the start, and opens the members.
+func (d *driving) start(job sesamemodel.Job) error {
+	for i, a := range d.calls.prepare(d.ctx, job) {
+		if !a.accepted() {
+			reason := fmt.Sprintf("target %q was not prepared: %s", job.Assignments[i].Target, a.reason())
+			return d.revoke(job, reason)
+		}
+	}
+	recorded, err := d.changeAttempt(job, func(j sesamemodel.Job) (sesamemodel.Job, bool) {
+		return j.WithStart(d.clock.Now()), j.State == sesamemodel.Placed
+	})
+	if err != nil || recorded.State != sesamemodel.Running || recorded.Attempt != job.Attempt {
+		return err
+	}
+	return d.open(recorded)
+}
+
+// changeAttempt decides on the job while it is still at the same attempt.
+func (d *driving) changeAttempt(job sesamemodel.Job, decide decision) (sesamemodel.Job, error) {
+	after, err := d.ledger.change(d.ctx, job.ID, func(j sesamemodel.Job) (sesamemodel.Job, bool) {
+		if j.Attempt != job.Attempt {
+			return j, false
+		}
+		return decide(j)
+	})
+	if err != nil {
+		return after, err
+	}
+	d.log.Emit(eventAttempt, sesamelog.Fields{
+		"job":     after.ID,
+		"attempt": after.Attempt,
+		"state":   after.State,
+		"reason":  after.Reason,
+	})
+	h := hintOf(job, after)
+	d.changed(h)
+	return after, nil
+}
+
+// revoke stops an attempt that cannot start or go on.
+func (d *driving) revoke(job sesamemodel.Job, reason string) error {
+	_, err := d.changeAttempt(job, func(j sesamemodel.Job) (sesamemodel.Job, bool) {
+		live := j.State == sesamemodel.Placed || j.State == sesamemodel.Running
+		return j.WithStop(d.clock.Now(), sesamemodel.Queued, reason), live
+	})
+	return err
+}
+
+// open tells every member to start. A member that refuses breaks the attempt;
+// one that does not answer is told again.
+func (d *driving) open(job sesamemodel.Job) error {
+	for i, a := range d.calls.open(d.ctx, job) {
+		if a.err != nil {
+			return a.err
+		}
+		if !a.accepted() {
+			reason := fmt.Sprintf("target %q did not open: %s", job.Assignments[i].Target, a.reason())
+			return d.revoke(job, reason)
+		}
+	}
+	d.mu.Lock()
+	d.opened[job.ID] = job.Attempt
+	d.mu.Unlock()
+	tagged(d.scope, job).Timer("submit_to_open").Record(d.clock.Since(job.Submitted))
+	return nil
+}
+
+// stop ends the attempt on every member, and concludes it once all have
+// settled.
+func (d *driving) stop(job sesamemodel.Job) error {
+	reports := d.calls.stop(d.ctx, job)
+	for i, a := range job.Assignments {
+		gone, err := d.gone(a)
+		if err != nil {
+			return err
+		}
+		reports[i].Gone = gone
+	}
+	settled := false
+	after, err := d.changeAttempt(job, func(j sesamemodel.Job) (sesamemodel.Job, bool) {
+		if j.State != sesamemodel.Stopping {
+			return j, false
+		}
+		var next sesamemodel.Job
+		next, settled = sesamegang.Conclude(d.clock.Now(), j, reports)
+		return next, settled
+	})
+	if err != nil {
+		return err
+	}
+	if after.State == sesamemodel.Stopping && !settled {
+		return &UnsettledError{
+			Job:     job.ID,
+			Attempt: job.Attempt,
+		}
+	}
+	return nil
+}
+
+// gone reports whether the assignment's target was lost or its agent started
+// anew, so that what it ran for the attempt has ended with its lease.
+func (d *driving) gone(a sesamemodel.Assignment) (bool, error) {
+	cell, err := d.ledger.Cell(d.ctx, a.Cell)
+	if err != nil {
+		return false, err
+	}
+	target, ok := cell.Value.Target(a.Target)
+	return !ok || target.Health == sesamemodel.Lost || target.Incarnation != a.Incarnation, nil
+}
+
+func driveBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = minDriveWait
+	b.MaxInterval = maxDriveWait
+	return b
+}
+
+// tagged returns the scope of the job's team and class.
+func tagged(scope tally.Scope, job sesamemodel.Job) tally.Scope {
+	return scope.Tagged(map[string]string{
+		"team":  string(job.Spec.Team),
+		"class": job.Spec.Class,
+	})
+}
--- /dev/null
+++ b/sesameentry/finishing.go
@@ -0,0 +1,113 @@
+package sesameentry
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/sesamegang"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesametable"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// finishing records the outcomes of attempts that agents report.
+type finishing struct {
+	ledger  *ledger
+	clock   clockwork.Clock
+	log     *sesamelog.Logger
+	scope   tally.Scope
+	changed func(hint)
+}
+
+// finish records one report. After an error the agent repeats it; a report
+// for an attempt that is over is answered as recorded.
+func (f *finishing) finish(ctx context.Context, req *sesamewire.FinishRequest) (*sesamewire.FinishReply, error) {
+	id := sesamemodel.JobID(req.GetId().GetJob())
+	var before sesamemodel.Job
+	after, err := f.ledger.change(ctx, id, func(job sesamemodel.Job) (sesamemodel.Job, bool) {
+		before = job
+		return f.conclude(job, req)
+	})
+	var missing *sesametable.NotFoundError
+	if errors.As(err, &missing) {
+		return &sesamewire.FinishReply{
+			Recorded: true,
+		}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	f.changed(hintOf(before, after))
+	f.record(after)
+	return &sesamewire.FinishReply{
+		Recorded: true,
+	}, nil
+}
+
+// conclude decides what the report makes of the job. An unknown outcome is
+// replaced by what the agent turns out to know.
+func (f *finishing) conclude(job sesamemodel.Job, req *sesamewire.FinishRequest) (sesamemodel.Job, bool) {
+	if job.Attempt != req.GetId().GetAttempt() || !job.Started {
+		return job, false
+	}
+	if !job.State.Active() && job.State != sesamemodel.Unknown {
+		return job, false
+	}
+	reports := memberReports(job, req)
+	now := f.clock.Now()
+	next, settled := sesamegang.Conclude(now, job, reports)
+	if job.State == sesamemodel.Unknown {
+		known := next.State == sesamemodel.Done || next.State == sesamemodel.Failed
+		return next, settled && known
+	}
+	if settled {
+		return next, true
+	}
+	if job.State == sesamemodel.Stopping {
+		return job, false
+	}
+	return job.WithStop(now, sesamemodel.Queued, brokenReason(req)), true
+}
+
+// memberReports orders the reports by the job's assignments. A member without
+// a report is still running for all that is known.
+func memberReports(job sesamemodel.Job, req *sesamewire.FinishRequest) []sesamegang.Report {
+	reports := make([]sesamegang.Report, len(job.Assignments))
+	for _, r := range req.GetReports() {
+		i := int(r.GetMember())
+		if i < 0 || i >= len(reports) {
+			continue
+		}
+		reports[i] = sesamegang.Report{
+			Progress: r.GetProgress(),
+			Detail:   r.GetDetail(),
+			Results:  results(r.GetResults()),
+		}
+	}
+	return reports
+}
+
+func brokenReason(req *sesamewire.FinishRequest) string {
+	for _, r := range req.GetReports() {
+		if r.GetDetail() != "" {
+			return r.GetDetail()
+		}
+	}
+	return "a member of the gang was lost"
+}
+
+func (f *finishing) record(job sesamemodel.Job) {
+	f.log.Emit(eventFinished, sesamelog.Fields{
+		"job":     job.ID,
+		"attempt": job.Attempt,
+		"state":   job.State,
+		"reason":  job.Reason,
+	})
+	if job.State == sesamemodel.Done {
+		tagged(f.scope, job).Timer("submit_to_done").Record(f.clock.Since(job.Submitted))
+	}
+}
--- /dev/null
+++ b/sesameentry/membership.go
@@ -0,0 +1,78 @@
+package sesameentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestore"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+const (
+	// renewInterval is how often an entry renews its row and reads the others.
+	renewInterval = 2 * time.Second
+	// renewalsMissed is how many renewals a live entry may miss.
+	renewalsMissed = 3
+)
+
+// memberStore is what membership needs of the store.
+type memberStore interface {
+	Members(ctx context.Context) ([]sesamestore.Versioned[sesamemodel.Member], error)
+	PutMember(ctx context.Context, m sesamestore.Versioned[sesamemodel.Member]) error
+}
+
+// membership renews this entry's row and follows those of the others.
+type membership struct {
+	store  memberStore
+	roster *roster
+	clock  clockwork.Clock
+	log    *sesamelog.Logger
+	row    sesamestore.Versioned[sesamemodel.Member]
+}
+
+// run renews until ctx ends.
+func (m *membership) run(ctx context.Context) error {
+	ticker := m.clock.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		if err := m.renew(ctx); err != nil && ctx.Err() == nil {
+			m.log.Emit(eventRenewal, sesamelog.Fields{
+				"error": err,
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// renew reads all members and writes this entry's row with the next beat.
+func (m *membership) renew(ctx context.Context) error {
+	rows, err := m.store.Members(ctx)
+	if err != nil {
+		return err
+	}
+	members := make([]sesamemodel.Member, 0, len(rows))
+	for _, row := range rows {
+		members = append(members, row.Value)
+		if row.Value.ID == m.roster.self.ID {
+			m.row = row
+		}
+	}
+	m.roster.observe(members)
+	next := m.roster.self
+	next.Beat = m.row.Value.Beat + 1
+	err = m.store.PutMember(ctx, m.row.With(next))
+	var conflict *sesametable.ConflictError
+	if errors.As(err, &conflict) {
+		return nil // the next renewal reads the row again
+	}
+	return err
+}
--- /dev/null
+++ b/sesameentry/noticing.go
@@ -0,0 +1,112 @@
+package sesameentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamering"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// noticeTimeout bounds one call to a peer. It is short, so that an urgent job
+// whose preferred planner died reaches the next one in time.
+const noticeTimeout = 300 * time.Millisecond
+
+// peerDialer reaches other entries.
+type peerDialer interface {
+	Peer(address string) sesamewire.DRPCPeerClient
+}
+
+// noticing is the duty that brings hints to the entry that plans.
+type noticing struct {
+	region string
+	self   string
+	roster *roster
+	dialer peerDialer
+	ring   *sesamering.Ring
+	log    *sesamelog.Logger
+	// wake tells this entry's waiting callers of changed rows.
+	wake func(keys []string)
+}
+
+// changed is called by the duties of this entry after they wrote rows.
+func (n *noticing) changed(h hint) {
+	n.wake(h.keys())
+	n.send(topicNotice, h)
+}
+
+func (n *noticing) send(topic string, h hint) {
+	if err := sesamering.Send(n.ring, topic, h); err != nil {
+		n.log.Emit(eventHintLost, sesamelog.Fields{
+			"topic": topic,
+			"error": err,
+		})
+	}
+}
+
+// handle brings one hint to the most preferred planner that answers.
+func (n *noticing) handle(m *message.Message) error {
+	h, err := sesamering.Receive[hint](m)
+	if err != nil {
+		return err
+	}
+	for _, member := range n.roster.Preferred(n.region) {
+		if member.ID == n.self {
+			n.send(topicPlan, h)
+			return nil
+		}
+		if n.call(m.Context(), member, h) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// call reports whether the peer took the hint.
+func (n *noticing) call(ctx context.Context, member sesamemodel.Member, h hint) bool {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	_, err := n.dialer.Peer(member.Address).Notice(ctx, &sesamewire.NoticeRequest{
+		Keys: h.keys(),
+		From: n.self,
+	})
+	if err == nil {
+		return true
+	}
+	n.log.Emit(eventPeerSuspect, sesamelog.Fields{
+		"entry": member.ID,
+		"error": err,
+	})
+	n.roster.suspect(member.ID)
+	return false
+}
+
+// noticed takes in a hint from a peer.
+func (n *noticing) noticed(keys []string) {
+	n.wake(keys)
+	h := hintOfKeys(keys)
+	h.Stale = true
+	h.Asked = true
+	n.send(topicPlan, h)
+}
+
+// why asks the entry that plans for the region.
+func (n *noticing) why(ctx context.Context, id sesamemodel.JobID) string {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	member := n.roster.Preferred(n.region)[0]
+	if member.ID == n.self {
+		return ""
+	}
+	reply, err := n.dialer.Peer(member.Address).Why(ctx, &sesamewire.WhyRequest{
+		Job: string(id),
+	})
+	if err != nil {
+		return ""
+	}
+	return reply.GetReason()
+}
--- /dev/null
+++ b/sesameentry/planning.go
@@ -0,0 +1,502 @@
+package sesameentry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesameplanner"
+	"github.com/sesamestack/sesamestack/sesamering"
+	"github.com/sesamestack/sesamestack/sesamestore"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+const (
+	// reconcileInterval is how often the planner reads all its rows, in case
+	// a hint was lost.
+	reconcileInterval = 5 * time.Second
+	// askedFor is how long an entry plans after a peer asked it to.
+	askedFor = 10 * time.Second
+	// maxDecisions is how many decisions one round takes.
+	maxDecisions = 64
+	// maxGroup is how many decisions share one transaction.
+	maxGroup = 16
+	// maxUnplanned is how many hints are taken in before a round is held
+	// although more are waiting.
+	maxUnplanned = 64
+)
+
+// regionStore is what the planning duty reads in bulk.
+type regionStore interface {
+	OpenJobs(ctx context.Context, region string) ([]sesamestore.Versioned[sesamemodel.Job], error)
+	Cells(ctx context.Context, region string) ([]sesamestore.Versioned[sesamemodel.Cell], error)
+}
+
+// contracts is the newest set of contracts that the entry has.
+type contracts interface {
+	// Current returns the contracts and their number; false before the first
+	// read of the store.
+	Current() (set []sesamemodel.Contract, number uint64, ready bool)
+}
+
+// attempts drives the attempts of jobs.
+type attempts interface {
+	// Drive moves the job's attempt on until the job is queued or ended, or
+	// runs with every member opened.
+	Drive(id sesamemodel.JobID)
+	// Broken stops an attempt that has lost a target.
+	Broken(id sesamemodel.JobID, attempt uint32, reason string)
+}
+
+// leadership says whether this entry plans for its region.
+type leadership interface {
+	leads(key string) bool
+}
+
+// planning is the duty that decides which job runs where. It owns the planner.
+type planning struct {
+	region    string
+	packing   float64
+	store     regionStore
+	ledger    *ledger
+	contracts contracts
+	attempts  attempts
+	leader    leadership
+	ring      *sesamering.Ring
+	clock     clockwork.Clock
+	log       *sesamelog.Logger
+	scope     tally.Scope
+
+	mu         sync.Mutex
+	planner    *sesameplanner.Planner
+	number     uint64
+	jobs       map[sesamemodel.JobID]uint64
+	cells      map[sesamemodel.CellID]uint64
+	loaded     time.Time
+	askedUntil time.Time
+	unplanned  int
+}
+
+// handle takes in one hint and holds a round when no more are waiting. It
+// always acknowledges: what it could not read, the next reconciliation reads.
+func (p *planning) handle(m *message.Message) error {
+	h, err := sesamering.Receive[hint](m)
+	if err != nil {
+		return err
+	}
+	ctx := m.Context()
+	if err := p.take(ctx, h); err != nil {
+		p.log.Emit(eventPlanningPaused, sesamelog.Fields{
+			"error": err,
+		})
+		p.reset()
+		return nil
+	}
+	p.unplanned++
+	if p.ring.Len(topicPlan) == 0 || p.unplanned >= maxUnplanned {
+		p.unplanned = 0
+		p.round(ctx)
+	}
+	return nil
+}
+
+// reset forgets everything; the next hint loads it anew.
+func (p *planning) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.planner = nil
+}
+
+// active reports whether this entry plans now.
+func (p *planning) active() bool {
+	return p.leader.leads(p.region) || p.clock.Now().Before(p.askedUntil)
+}
+
+func (p *planning) take(ctx context.Context, h hint) error {
+	now := p.clock.Now()
+	if h.Asked {
+		p.askedUntil = now.Add(askedFor)
+	}
+	if !p.active() {
+		p.reset()
+		return nil
+	}
+	if p.planner == nil || now.Sub(p.loaded) >= reconcileInterval {
+		if err := p.load(ctx); err != nil {
+			return err
+		}
+	}
+	if h.Stale {
+		p.forget(h)
+	}
+	for _, id := range h.Jobs {
+		if err := p.takeJob(ctx, id); err != nil {
+			return err
+		}
+	}
+	for _, id := range h.Cells {
+		if err := p.takeCell(ctx, id); err != nil {
+			return err
+		}
+	}
+	return p.takeContracts()
+}
+
+// forget drops the rows that changed elsewhere from the ledger.
+func (p *planning) forget(h hint) {
+	for _, id := range h.Jobs {
+		p.ledger.dropJob(id)
+	}
+	for _, id := range h.Cells {
+		p.ledger.dropCell(id)
+	}
+}
+
+// load reads all rows of the region, and gives the planner those that are new
+// to it.
+func (p *planning) load(ctx context.Context) error {
+	cells, err := p.store.Cells(ctx, p.region)
+	if err != nil {
+		return err
+	}
+	jobs, err := p.store.OpenJobs(ctx, p.region)
+	if err != nil {
+		return err
+	}
+	if p.planner == nil {
+		p.fresh()
+	}
+	if err := p.takeContracts(); err != nil {
+		return err
+	}
+	for _, job := range jobs {
+		p.ledger.noteJob(job)
+	}
+	for _, cell := range cells {
+		p.ledger.noteCell(cell)
+		p.setCell(cell)
+	}
+	p.setJobs(jobs)
+	p.loaded = p.clock.Now()
+	return nil
+}
+
+func (p *planning) fresh() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.planner = sesameplanner.New(sesameplanner.Options{
+		Region:  p.region,
+		Packing: p.packing,
+	})
+	p.number = 0
+	p.jobs = map[sesamemodel.JobID]uint64{}
+	p.cells = map[sesamemodel.CellID]uint64{}
+}
+
+// setJobs takes in the open jobs as listed; one that is listed no more is
+// looked up, since it may have been submitted after the listing.
+func (p *planning) setJobs(jobs []sesamestore.Versioned[sesamemodel.Job]) {
+	listed := map[sesamemodel.JobID]bool{}
+	for _, job := range jobs {
+		listed[job.Value.ID] = true
+		p.setJob(job)
+	}
+	var missing hint
+	for id := range p.jobs {
+		if !listed[id] {
+			missing.Jobs = append(missing.Jobs, id)
+		}
+	}
+	if len(missing.Jobs) > 0 {
+		missing.Stale = true
+		p.post(missing)
+	}
+}
+
+func (p *planning) post(h hint) {
+	if err := sesamering.Send(p.ring, topicPlan, h); err != nil {
+		p.log.Emit(eventHintLost, sesamelog.Fields{
+			"error": err,
+		})
+	}
+}
+
+func (p *planning) takeContracts() error {
+	set, number, ready := p.contracts.Current()
+	if !ready {
+		return &NotReadyError{
+			Missing: "contracts",
+		}
+	}
+	if number == p.number {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.planner.SetContracts(set)
+	p.number = number
+	return nil
+}
+
+func (p *planning) takeJob(ctx context.Context, id sesamemodel.JobID) error {
+	job, err := p.ledger.job(ctx, id)
+	var missing *sesametable.NotFoundError
+	if errors.As(err, &missing) {
+		p.removeJob(id)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	p.setJob(job)
+	return nil
+}
+
+func (p *planning) takeCell(ctx context.Context, id sesamemodel.CellID) error {
+	cell, err := p.ledger.Cell(ctx, id)
+	var missing *sesametable.NotFoundError
+	if errors.As(err, &missing) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	p.setCell(cell)
+	return nil
+}
+
+func (p *planning) removeJob(id sesamemodel.JobID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.planner.RemoveJob(id)
+	delete(p.jobs, id)
+}
+
+// setJob gives the planner a newer job, and has a moving attempt driven.
+func (p *planning) setJob(job sesamestore.Versioned[sesamemodel.Job]) {
+	id := job.Value.ID
+	if job.Value.State.Ended() {
+		p.removeJob(id)
+		return
+	}
+	p.mu.Lock()
+	known, ok := p.jobs[id]
+	if !ok || known < job.Version {
+		p.planner.SetJob(job.Value)
+		p.jobs[id] = job.Version
+	}
+	p.mu.Unlock()
+	if job.Value.State.Active() {
+		p.attempts.Drive(id)
+	}
+}
+
+// setCell gives the planner a newer cell, and has the attempts stopped that
+// lost a target of it.
+func (p *planning) setCell(cell sesamestore.Versioned[sesamemodel.Cell]) {
+	id := cell.Value.ID
+	p.mu.Lock()
+	known, ok := p.cells[id]
+	newer := !ok || known < cell.Version
+	if newer {
+		p.planner.SetCell(cell.Value)
+		p.cells[id] = cell.Version
+	}
+	p.mu.Unlock()
+	if !newer {
+		return
+	}
+	for _, a := range cell.Value.Allocations {
+		if reason, broken := p.broken(cell.Value, a); broken {
+			p.attempts.Broken(a.Job, a.Attempt, reason)
+		}
+	}
+}
+
+// broken reports whether the allocation's target was lost, or its agent has
+// started anew since the attempt was placed.
+func (p *planning) broken(cell sesamemodel.Cell, a sesamemodel.Allocation) (string, bool) {
+	target, ok := cell.Target(a.Target)
+	if !ok || target.Health == sesamemodel.Lost {
+		return fmt.Sprintf("target %q was lost", a.Target), true
+	}
+	job, ok := p.ledger.known(a.Job)
+	if !ok || job.Attempt != a.Attempt {
+		return "", false
+	}
+	for _, member := range job.Assignments {
+		if member.Target == a.Target && member.Incarnation != target.Incarnation {
+			return fmt.Sprintf("agent of target %q was restarted", a.Target), true
+		}
+	}
+	return "", false
+}
+
+// round asks the planner for decisions and commits them in groups.
+func (p *planning) round(ctx context.Context) {
+	for {
+		p.mu.Lock()
+		if p.planner == nil {
+			p.mu.Unlock()
+			return
+		}
+		watch := p.scope.Timer("plan_round").Start()
+		decisions := p.planner.Plan(p.clock.Now(), maxDecisions)
+		watch.Stop()
+		p.mu.Unlock()
+		for start := 0; start < len(decisions); start += maxGroup {
+			group := decisions[start:min(start+maxGroup, len(decisions))]
+			if err := p.commit(ctx, group); err != nil {
+				p.conflicted(ctx, decisions[start:], err)
+				return
+			}
+		}
+		if len(decisions) < maxDecisions {
+			return
+		}
+	}
+}
+
+// commit writes a group of decisions in one transaction.
+func (p *planning) commit(ctx context.Context, group []sesameplanner.Decision) error {
+	b, err := p.batch(ctx, group)
+	if err != nil {
+		return err
+	}
+	if err := p.ledger.commit(ctx, b); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	for _, job := range b.Jobs {
+		if job.Value.State.Ended() {
+			delete(p.jobs, job.Value.ID)
+			continue
+		}
+		p.jobs[job.Value.ID] = job.Version + 1
+	}
+	for _, cell := range b.Cells {
+		p.cells[cell.Value.ID] = cell.Version + 1
+	}
+	p.mu.Unlock()
+	p.started(b)
+	return nil
+}
+
+// started has the attempts of the committed jobs driven.
+func (p *planning) started(b sesamestore.Batch) {
+	for _, job := range b.Jobs {
+		p.log.Emit(eventDecided, sesamelog.Fields{
+			"job":     job.Value.ID,
+			"state":   job.Value.State,
+			"attempt": job.Value.Attempt,
+			"reason":  job.Value.Reason,
+		})
+		if job.Value.State == sesamemodel.Placed {
+			wait := p.clock.Since(job.Value.Submitted)
+			tagged(p.scope, job.Value).Timer("submit_to_placed").Record(wait)
+		}
+		if job.Value.State.Active() {
+			p.attempts.Drive(job.Value.ID)
+		}
+	}
+}
+
+// batch gathers the last value of every job and cell in the group, at the
+// versions that the planner started from.
+func (p *planning) batch(ctx context.Context, group []sesameplanner.Decision) (sesamestore.Batch, error) {
+	jobs := map[sesamemodel.JobID]sesamemodel.Job{}
+	cells := map[sesamemodel.CellID]sesamemodel.Cell{}
+	for _, d := range group {
+		job := d.Job
+		if d.Verdict == sesameplanner.Place {
+			job = job.WithEvicts(d.Victims)
+		}
+		jobs[job.ID] = job
+		for _, v := range d.Victims {
+			jobs[v.ID] = v
+		}
+		for _, c := range d.Cells {
+			cells[c.ID] = c
+		}
+	}
+	var b sesamestore.Batch
+	for id, job := range jobs {
+		row, err := p.ledger.job(ctx, id)
+		if err != nil {
+			return b, err
+		}
+		if row.Version != p.jobs[id] {
+			return b, staleError(sesamestore.OpenKey(id), p.jobs[id], row.Version)
+		}
+		b.Jobs = append(b.Jobs, row.With(job))
+	}
+	for id, cell := range cells {
+		row, err := p.ledger.Cell(ctx, id)
+		if err != nil {
+			return b, err
+		}
+		if row.Version != p.cells[id] {
+			return b, staleError(sesamestore.CellKey(id), p.cells[id], row.Version)
+		}
+		b.Cells = append(b.Cells, row.With(cell))
+	}
+	return b, nil
+}
+
+func staleError(key string, expected, found uint64) error {
+	return &sesametable.ConflictError{
+		Key:      key,
+		Expected: expected,
+		Found:    found,
+	}
+}
+
+// conflicted gives the planner the rows of the decisions that did not take
+// effect as they really are, and asks for another round.
+func (p *planning) conflicted(ctx context.Context, undone []sesameplanner.Decision, cause error) {
+	p.scope.Counter("plan_conflicts").Inc(1)
+	p.log.Emit(eventConflict, sesamelog.Fields{
+		"error": cause,
+	})
+	var h hint
+	for _, d := range undone {
+		h.Jobs = append(h.Jobs, d.Job.ID)
+		for _, v := range d.Victims {
+			h.Jobs = append(h.Jobs, v.ID)
+		}
+		for _, c := range d.Cells {
+			h.Cells = append(h.Cells, c.ID)
+		}
+	}
+	p.mu.Lock()
+	for _, id := range h.Jobs {
+		p.jobs[id] = 0
+	}
+	for _, id := range h.Cells {
+		p.cells[id] = 0
+	}
+	p.mu.Unlock()
+	if err := p.take(ctx, h); err != nil {
+		p.reset()
+		return
+	}
+	p.post(hint{})
+}
+
+// why says why a queued job waits; empty when this entry does not plan for it.
+func (p *planning) why(id sesamemodel.JobID) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.planner == nil {
+		return ""
+	}
+	return p.planner.Why(id)
+}
--- /dev/null
+++ b/sesameentry/wire.go
@@ -0,0 +1,51 @@
+package sesameentry
+
+import (
+	"context"
+
+	"github.com/sesamestack/sesamestack/sesamekeeper"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// wire answers agents and other entries.
+type wire struct {
+	keeper    *sesamekeeper.Service
+	finishing *finishing
+	noticing  *noticing
+	planning  *planning
+	contracts func(number uint64)
+}
+
+var (
+	_ sesamewire.DRPCKeeperServer = (*wire)(nil)
+	_ sesamewire.DRPCPeerServer   = (*wire)(nil)
+)
+
+// Heartbeat answers an agent's heartbeat.
+func (w *wire) Heartbeat(_ context.Context, req *sesamewire.HeartbeatRequest) (*sesamewire.HeartbeatReply, error) {
+	return w.keeper.Heartbeat(req), nil
+}
+
+// Finish records the outcome of an attempt.
+func (w *wire) Finish(ctx context.Context, req *sesamewire.FinishRequest) (*sesamewire.FinishReply, error) {
+	return w.finishing.finish(ctx, req)
+}
+
+// Notice takes in a hint of changed rows.
+func (w *wire) Notice(_ context.Context, req *sesamewire.NoticeRequest) (*sesamewire.NoticeReply, error) {
+	if req.GetContracts() > 0 {
+		w.contracts(req.GetContracts())
+	}
+	if len(req.GetKeys()) > 0 {
+		w.noticing.noticed(req.GetKeys())
+	}
+	return &sesamewire.NoticeReply{}, nil
+}
+
+// Why says why a job waits that this entry plans for.
+func (w *wire) Why(_ context.Context, req *sesamewire.WhyRequest) (*sesamewire.WhyReply, error) {
+	return &sesamewire.WhyReply{
+		Reason: w.planning.why(sesamemodel.JobID(req.GetJob())),
+	}, nil
+}
--- /dev/null
+++ b/sesamekeeper/book.go
@@ -0,0 +1,281 @@
+package sesamekeeper
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// forgetAfter is how long a lost target stays in its cell's row.
+const forgetAfter = 10 * time.Minute
+
+// Beat is one heartbeat of a target.
+type Beat struct {
+	Cell        sesamemodel.CellID
+	Target      sesamemodel.TargetID
+	Incarnation string
+	Leaving     bool
+	// Announce is the full description; its ID is empty when the agent did
+	// not send one.
+	Announce sesamemodel.Target
+}
+
+// Grant answers a heartbeat.
+type Grant struct {
+	// Lease is counted from when the agent sent the heartbeat; 0 grants
+	// nothing.
+	Lease time.Duration
+	Epoch uint64
+	// Known is true when the cell's row holds the target as announced.
+	Known bool
+}
+
+// pulse is when a registered target was last heard.
+type pulse struct {
+	target sesamemodel.Target
+	heard  time.Time
+}
+
+// keep is what the book holds of one cell.
+type keep struct {
+	owned   bool
+	epoch   uint64
+	targets map[sesamemodel.TargetID]*pulse
+	changes map[sesamemodel.TargetID]sesamemodel.Target
+	removed map[sesamemodel.TargetID]bool
+}
+
+// Book holds the heartbeats of the cells that one entry keeps. It is not safe
+// for concurrent use. All times are readings of the entry's own clock.
+type Book struct {
+	self   string
+	lease  time.Duration
+	margin time.Duration
+	cells  map[sesamemodel.CellID]*keep
+}
+
+// NewBook returns an empty book. The lease is what the book grants; it waits
+// longer by margin before it calls a target lost.
+func NewBook(self string, lease, margin time.Duration) *Book {
+	return &Book{
+		self:   self,
+		lease:  lease,
+		margin: margin,
+		cells:  map[sesamemodel.CellID]*keep{},
+	}
+}
+
+// Want makes the entry take over the cell at the next flush.
+func (b *Book) Want(cell sesamemodel.CellID) {
+	b.keep(cell)
+}
+
+// Yield forgets the cell, which another entry keeps.
+func (b *Book) Yield(cell sesamemodel.CellID) {
+	delete(b.cells, cell)
+}
+
+// Owns reports whether the entry's last write made it the cell's keeper.
+func (b *Book) Owns(cell sesamemodel.CellID) bool {
+	k, ok := b.cells[cell]
+	return ok && k.owned
+}
+
+func (b *Book) keep(cell sesamemodel.CellID) *keep {
+	k, ok := b.cells[cell]
+	if !ok {
+		k = &keep{
+			targets: map[sesamemodel.TargetID]*pulse{},
+			changes: map[sesamemodel.TargetID]sesamemodel.Target{},
+			removed: map[sesamemodel.TargetID]bool{},
+		}
+		b.cells[cell] = k
+	}
+	return k
+}
+
+// Heartbeat records a heartbeat and says what the agent may rely on.
+func (b *Book) Heartbeat(now time.Time, beat Beat) Grant {
+	k := b.keep(beat.Cell)
+	grant := Grant{
+		Epoch: k.epoch,
+	}
+	p, ok := k.targets[beat.Target]
+	current := ok && p.target.Incarnation == beat.Incarnation && p.target.Health != sesamemodel.Lost
+	if !current {
+		k.register(beat)
+		return grant
+	}
+	if !k.owned {
+		return grant
+	}
+	p.heard = now
+	if beat.Leaving && p.target.Health != sesamemodel.Leaving {
+		left := p.target
+		left.Health = sesamemodel.Leaving
+		k.changes[beat.Target] = left
+	}
+	grant.Known = true
+	grant.Lease = b.lease
+	return grant
+}
+
+// register notes the announced target for the next write of the row.
+func (k *keep) register(beat Beat) {
+	if beat.Announce.ID == "" {
+		return
+	}
+	target := beat.Announce
+	target.Health = sesamemodel.Ready
+	if beat.Leaving {
+		target.Health = sesamemodel.Leaving
+	}
+	if p, ok := k.targets[beat.Target]; ok {
+		target.Strikes = p.target.Strikes
+		target.Blames = p.target.Blames
+		if p.target.Health == sesamemodel.Quarantined {
+			target.Health = sesamemodel.Quarantined
+		}
+	}
+	k.changes[beat.Target] = target
+}
+
+// Sweep marks the targets that have been silent for longer than a lease and
+// the margin, and forgets those that have been lost for longer than
+// forgetAfter.
+func (b *Book) Sweep(now time.Time) {
+	for _, k := range b.cells {
+		if !k.owned {
+			continue
+		}
+		for id, p := range k.targets {
+			silence := now.Sub(p.heard)
+			if p.target.Health == sesamemodel.Lost {
+				k.removed[id] = silence > forgetAfter
+				continue
+			}
+			if silence <= b.lease+b.margin {
+				continue
+			}
+			if pending, ok := k.changes[id]; ok && pending.Incarnation != p.target.Incarnation {
+				continue
+			}
+			lost := p.target
+			lost.Health = sesamemodel.Lost
+			k.changes[id] = lost
+		}
+	}
+}
+
+// Pending returns the cells whose rows have to be written, in order.
+func (b *Book) Pending() []sesamemodel.CellID {
+	var cells []sesamemodel.CellID
+	for id, k := range b.cells {
+		if !k.owned || len(k.changes) > 0 || k.forgets() {
+			cells = append(cells, id)
+		}
+	}
+	sort.Slice(cells, func(i, j int) bool {
+		return cells[i] < cells[j]
+	})
+	return cells
+}
+
+// Next returns the row with the book's pending changes, and whether it differs
+// from the row as read. Counts of blames and strikes stay as the row has them.
+func (b *Book) Next(row sesamemodel.Cell) (sesamemodel.Cell, bool) {
+	k := b.keep(row.ID)
+	next := row
+	if row.Keeper != b.self {
+		next = next.WithKeeper(b.self)
+	}
+	for _, id := range sortedTargets(k.changes) {
+		target := k.changes[id]
+		if present, ok := row.Target(id); ok {
+			target.Strikes = present.Strikes
+			target.Blames = present.Blames
+			if present.Health == sesamemodel.Quarantined && target.Health == sesamemodel.Ready {
+				target.Health = sesamemodel.Quarantined
+			}
+			if present == target {
+				continue
+			}
+		}
+		next = next.WithTarget(target)
+	}
+	if next.Zone == "" && len(next.Targets) > 0 {
+		next.Zone = next.Targets[0].Zone
+	}
+	for id, remove := range k.removed {
+		if remove && !holds(row, id) {
+			next = next.WithoutTarget(id)
+		}
+	}
+	return next, row.Keeper != b.self || !slices.Equal(next.Targets, row.Targets)
+}
+
+// forgets reports whether a target is to be removed from the row.
+func (k *keep) forgets() bool {
+	for _, remove := range k.removed {
+		if remove {
+			return true
+		}
+	}
+	return false
+}
+
+// holds reports whether an allocation on the target is still in the row.
+func holds(row sesamemodel.Cell, target sesamemodel.TargetID) bool {
+	return slices.ContainsFunc(row.Allocations, func(a sesamemodel.Allocation) bool {
+		return a.Target == target
+	})
+}
+
+// Committed records that the row now reads as given. Targets that the book did
+// not know yet, as after a take-over, count as heard at now.
+func (b *Book) Committed(now time.Time, row sesamemodel.Cell) {
+	k := b.keep(row.ID)
+	k.owned = row.Keeper == b.self
+	k.epoch = row.Epoch
+	known := k.targets
+	k.removed = map[sesamemodel.TargetID]bool{}
+	k.targets = map[sesamemodel.TargetID]*pulse{}
+	for _, target := range row.Targets {
+		p, ok := known[target.ID]
+		if !ok || p.target.Incarnation != target.Incarnation || p.target.Health == sesamemodel.Lost {
+			p = &pulse{
+				heard: now,
+			}
+		}
+		p.target = target
+		k.targets[target.ID] = p
+		if pending, ok := k.changes[target.ID]; ok && sameRegistration(pending, target) {
+			delete(k.changes, target.ID)
+		}
+	}
+}
+
+// sameRegistration reports whether the row holds what the change asked for;
+// a quarantined target stays so when it announces itself as ready.
+func sameRegistration(change, row sesamemodel.Target) bool {
+	if change.Incarnation != row.Incarnation {
+		return false
+	}
+	if change.Health == sesamemodel.Ready && row.Health == sesamemodel.Quarantined {
+		return true
+	}
+	return change.Health == row.Health
+}
+
+func sortedTargets(changes map[sesamemodel.TargetID]sesamemodel.Target) []sesamemodel.TargetID {
+	ids := make([]sesamemodel.TargetID, 0, len(changes))
+	for id := range changes {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool {
+		return ids[i] < ids[j]
+	})
+	return ids
+}
--- /dev/null
+++ b/sesamekeeper/service.go
@@ -0,0 +1,265 @@
+package sesamekeeper
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestore"
+	"github.com/sesamestack/sesamestack/sesametable"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+const (
+	// flushInterval is how often pending changes are written. Targets that
+	// announce themselves within one interval share one write.
+	flushInterval = 100 * time.Millisecond
+	// adoptFanout bounds the parallel calls after a take-over.
+	adoptFanout = 16
+	// adoptTimeout bounds them all, since other cells wait to be written.
+	adoptTimeout = 500 * time.Millisecond
+)
+
+// Cells reads and writes the rows of cells.
+type Cells interface {
+	// Cell returns the row as last known, or a *sesametable.NotFoundError.
+	Cell(ctx context.Context, id sesamemodel.CellID) (sesamestore.Versioned[sesamemodel.Cell], error)
+	// CommitCell writes the row; a failed write is followed by a fresh read.
+	CommitCell(ctx context.Context, cell sesamestore.Versioned[sesamemodel.Cell]) error
+}
+
+// Roster says which entry should keep a cell.
+type Roster interface {
+	// Preferred returns the live entries, the most preferred for key first.
+	Preferred(key string) []sesamemodel.Member
+}
+
+// Dialer reaches agents.
+type Dialer interface {
+	Agent(address string) sesamewire.DRPCAgentClient
+}
+
+// Options is what a service is made of.
+type Options struct {
+	Self   sesamemodel.Member
+	Lease  time.Duration
+	Margin time.Duration
+	Cells  Cells
+	Roster Roster
+	Dialer Dialer
+	Clock  clockwork.Clock
+	Log    *sesamelog.Logger
+	// Contracts returns the number of the newest contracts that the entry has.
+	Contracts func() uint64
+}
+
+// Service answers heartbeats and writes what follows from them.
+type Service struct {
+	options Options
+	mu      sync.Mutex
+	book    *Book
+}
+
+// NewService returns a service that keeps no cell yet.
+func NewService(o Options) *Service {
+	return &Service{
+		options: o,
+		book:    NewBook(o.Self.ID, o.Lease, o.Margin),
+	}
+}
+
+// Heartbeat answers one agent. It does no input or output.
+func (s *Service) Heartbeat(req *sesamewire.HeartbeatRequest) *sesamewire.HeartbeatReply {
+	reply := &sesamewire.HeartbeatReply{
+		Contracts: s.options.Contracts(),
+	}
+	preferred := s.options.Roster.Preferred(req.GetCell())
+	elsewhere := len(preferred) > 0 && preferred[0].ID != s.options.Self.ID
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if elsewhere {
+		reply.Keeper = preferred[0].Address
+		return reply
+	}
+	grant := s.book.Heartbeat(s.options.Clock.Now(), beatOf(req))
+	reply.LeaseMs = grant.Lease.Milliseconds()
+	reply.Epoch = grant.Epoch
+	reply.Known = grant.Known
+	return reply
+}
+
+func beatOf(req *sesamewire.HeartbeatRequest) Beat {
+	beat := Beat{
+		Cell:        sesamemodel.CellID(req.GetCell()),
+		Target:      sesamemodel.TargetID(req.GetTarget()),
+		Incarnation: req.GetIncarnation(),
+		Leaving:     req.GetLeaving(),
+	}
+	a := req.GetAnnounce()
+	if a == nil {
+		return beat
+	}
+	beat.Announce = sesamemodel.Target{
+		ID:          sesamemodel.TargetID(a.GetId()),
+		Kind:        sesamemodel.Kind(a.GetKind()),
+		Zone:        a.GetZone(),
+		Rack:        a.GetRack(),
+		Address:     a.GetAddress(),
+		Incarnation: a.GetIncarnation(),
+		Capacity: sesamemodel.Resources{
+			Cores:        int(a.GetCapacity().GetCores()),
+			Memory:       int(a.GetCapacity().GetMemory()),
+			Accelerators: int(a.GetCapacity().GetAccelerators()),
+			Slots:        int(a.GetCapacity().GetSlots()),
+		},
+	}
+	return beat
+}
+
+// Consider takes over the cell if this entry is the preferred keeper and the
+// row names another, and yields it when another entry has taken it.
+func (s *Service) Consider(cell sesamemodel.Cell) {
+	preferred := s.options.Roster.Preferred(string(cell.ID))
+	mine := len(preferred) > 0 && preferred[0].ID == s.options.Self.ID
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case mine:
+		s.book.Want(cell.ID)
+	case cell.Keeper != s.options.Self.ID:
+		s.book.Yield(cell.ID)
+	}
+}
+
+// Run judges silent targets and writes pending changes until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	ticker := s.options.Clock.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			s.Flush(ctx)
+		}
+	}
+}
+
+// Flush judges silent targets and writes the pending changes once.
+func (s *Service) Flush(ctx context.Context) {
+	s.mu.Lock()
+	s.book.Sweep(s.options.Clock.Now())
+	pending := s.book.Pending()
+	s.mu.Unlock()
+	for _, id := range pending {
+		if err := s.flushCell(ctx, id); err != nil {
+			s.options.Log.Emit(eventFlush, sesamelog.Fields{
+				"cell":  id,
+				"error": err,
+			})
+		}
+	}
+}
+
+func (s *Service) flushCell(ctx context.Context, id sesamemodel.CellID) error {
+	row, err := s.options.Cells.Cell(ctx, id)
+	var missing *sesametable.NotFoundError
+	if errors.As(err, &missing) {
+		row, err = s.newCell(id), nil
+	}
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	next, changed := s.book.Next(row.Value)
+	s.mu.Unlock()
+	if changed {
+		if err := s.options.Cells.CommitCell(ctx, row.With(next)); err != nil {
+			return err
+		}
+		s.logChanges(row.Value, next)
+	}
+	s.mu.Lock()
+	s.book.Committed(s.options.Clock.Now(), next)
+	s.mu.Unlock()
+	if next.Epoch != row.Value.Epoch {
+		s.adopt(ctx, next)
+	}
+	return nil
+}
+
+// newCell returns the row of a cell that no target has announced before.
+func (s *Service) newCell(id sesamemodel.CellID) sesamestore.Versioned[sesamemodel.Cell] {
+	region, _, _ := strings.Cut(string(id), "/")
+	cell := sesamemodel.Cell{
+		ID:     id,
+		Region: region,
+	}
+	return sesamestore.Versioned[sesamemodel.Cell]{
+		Value: cell,
+	}
+}
+
+// adopt tells the cell's agents where to send heartbeats from now on, so that
+// those which still reach the former keeper are not taken for lost.
+func (s *Service) adopt(ctx context.Context, cell sesamemodel.Cell) {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(adoptFanout)
+	for _, target := range cell.Targets {
+		if target.Health == sesamemodel.Lost {
+			continue
+		}
+		group.Go(func() error {
+			_, err := s.options.Dialer.Agent(target.Address).Adopt(ctx, &sesamewire.AdoptRequest{
+				Cell:    string(cell.ID),
+				Entry:   s.options.Self.ID,
+				Address: s.options.Self.Address,
+				Epoch:   cell.Epoch,
+			})
+			if err != nil {
+				s.options.Log.Emit(eventAdopt, sesamelog.Fields{
+					"target": target.ID,
+					"error":  err,
+				})
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // the calls report their failures themselves
+}
+
+func (s *Service) logChanges(before, after sesamemodel.Cell) {
+	if before.Epoch != after.Epoch {
+		s.options.Log.Emit(eventTakeOver, sesamelog.Fields{
+			"cell":  after.ID,
+			"epoch": after.Epoch,
+			"from":  before.Keeper,
+		})
+	}
+	for _, target := range after.Targets {
+		present, ok := before.Target(target.ID)
+		if ok && present.Health == target.Health && present.Incarnation == target.Incarnation {
+			continue
+		}
+		event := eventRegistered
+		switch target.Health {
+		case sesamemodel.Lost:
+			event = eventLost
+		case sesamemodel.Leaving:
+			event = eventLeaving
+		}
+		s.options.Log.Emit(event, sesamelog.Fields{
+			"cell":   after.ID,
+			"target": target.ID,
+		})
+	}
+}
--- a/sesamemodel/job.go
+++ b/sesamemodel/job.go
@@ -115,6 +115,12 @@
 // MaxEvents is the most events that a job's row keeps; older ones are dropped.
 const MaxEvents = 16
 
+// AttemptRef names one attempt of a job.
+type AttemptRef struct {
+	Job     JobID  `json:"job"`
+	Attempt uint32 `json:"attempt"`
+}
+
 // Job is one request and all that is known about it.
 type Job struct {
 	ID   JobID `json:"id"`
@@ -127,6 +133,8 @@
 	// Attempt counts from 1; 0 means never placed.
 	Attempt     uint32       `json:"attempt"`
 	Assignments []Assignment `json:"assignments,omitempty"`
+	// Evicts are the attempts of other jobs that make room for this one.
+	Evicts []AttemptRef `json:"evicts,omitempty"`
 	// Owed is true while the attempt uses the team's own guarantee.
 	Owed bool `json:"owed,omitempty"`
 	// Started is true once a member of this attempt may have been told to
@@ -177,6 +185,19 @@
 	return j.WithEvent(now, Placed, "")
 }
 
+// WithEvicts returns the job with the attempts that make room for it: those
+// of the victims, which are stopping.
+func (j Job) WithEvicts(victims []Job) Job {
+	j.Evicts = nil
+	for _, v := range victims {
+		j.Evicts = append(j.Evicts, AttemptRef{
+			Job:     v.ID,
+			Attempt: v.Attempt,
+		})
+	}
+	return j
+}
+
 // WithStart returns the job running: from now on its members may be started.
 func (j Job) WithStart(now time.Time) Job {
 	j.Started = true
@@ -187,6 +208,7 @@
 // WithRequeue returns the job queued again, without assignments.
 func (j Job) WithRequeue(now time.Time, reason string) Job {
 	j.Assignments = nil
+	j.Evicts = nil
 	j.Owed = false
 	j.Ran = j.Ran || j.Started
 	j.Started = false
--- a/sesamestore/store.go
+++ b/sesamestore/store.go
@@ -109,6 +109,22 @@
 	return cellPrefix + string(id)
 }
 
+// JobOfKey returns the job whose open row the key names.
+func JobOfKey(key string) (sesamemodel.JobID, bool) {
+	rest, ok := strings.CutPrefix(key, openPrefix)
+	if !ok {
+		return "", false
+	}
+	_, id, ok := strings.Cut(rest, "/")
+	return sesamemodel.JobID(id), ok
+}
+
+// CellOfKey returns the cell whose row the key names.
+func CellOfKey(key string) (sesamemodel.CellID, bool) {
+	id, ok := strings.CutPrefix(key, cellPrefix)
+	return sesamemodel.CellID(id), ok
+}
+
 func decode[T any](row sesametable.Row) (Versioned[T], error) {
 	var value T
 	if err := json.Unmarshal(row.Value, &value); err != nil {
