Judge silence only under the epoch in which it was observed

Cause: a keeper that had lost a cell and took it over again wrote, in the same write, that a target was lost which the other keeper had heard meanwhile. Change: a take-over drops what was judged from silence and counts every target as heard.

--- a/sesamekeeper/book.go
+++ b/sesamekeeper/book.go
@@ -188,8 +188,9 @@
 func (b *Book) Next(row sesamemodel.Cell) (sesamemodel.Cell, bool) {
 	k := b.keep(row.ID)
 	next := row
-	if row.Keeper != b.self {
+	if !b.current(row) {
 		next = next.WithKeeper(b.self)
+		k.forgiveAll()
 	}
 	for _, id := range sortedTargets(k.changes) {
 		target := k.changes[id]
@@ -213,7 +214,25 @@
 			next = next.WithoutTarget(id)
 		}
 	}
-	return next, row.Keeper != b.self || !slices.Equal(next.Targets, row.Targets)
+	return next, !b.current(row) || !slices.Equal(next.Targets, row.Targets)
+}
+
+// current reports whether the row still has the epoch in which this entry kept
+// the cell, so that the book's judgements count.
+func (b *Book) current(row sesamemodel.Cell) bool {
+	k := b.keep(row.ID)
+	return row.Keeper == b.self && k.owned && row.Epoch == k.epoch
+}
+
+// forgiveAll drops what was judged from silence: another keeper may have heard
+// the targets meanwhile.
+func (k *keep) forgiveAll() {
+	for id, target := range k.changes {
+		if target.Health == sesamemodel.Lost {
+			delete(k.changes, id)
+		}
+	}
+	k.removed = map[sesamemodel.TargetID]bool{}
 }
 
 // forgets reports whether a target is to be removed from the row.
@@ -233,13 +252,16 @@
 	})
 }
 
-// Committed records that the row now reads as given. Targets that the book did
-// not know yet, as after a take-over, count as heard at now.
+// Committed records that the row now reads as given. After a take-over every
+// target counts as heard at now, and so does one that was not known yet.
 func (b *Book) Committed(now time.Time, row sesamemodel.Cell) {
 	k := b.keep(row.ID)
+	known := k.targets
+	if row.Epoch != k.epoch {
+		known = nil
+	}
 	k.owned = row.Keeper == b.self
 	k.epoch = row.Epoch
-	known := k.targets
 	k.removed = map[sesamemodel.TargetID]bool{}
 	k.targets = map[sesamemodel.TargetID]*pulse{}
 	for _, target := range row.Targets {
