Place, refuse and reclaim by guarantee and weighted share

Cause: the planner had only its interface. Change: owed work is placed inside the packing of its team's guaranteed shapes, the rest by weighted dominant share; what can never fit is refused with its numbers; Admit assigns, splits and moves guaranteed shapes. Checked: go test ./sesameplanner passes.

--- /dev/null
+++ b/sesameplanner/admit.go
@@ -0,0 +1,316 @@
+package sesameplanner
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// Admit assigns the guaranteed shapes of all contracts to cells, keeping the
+// present assignment where it still holds. It returns the cells that change,
+// or a *NoRoomError for the first new shape that does not pack. A shape that
+// was assigned before and that lost workers keep from being formed moves to
+// another cell; without one it stays where it is, and is at risk.
+func Admit(contracts []sesamemodel.Contract, cells []sesamemodel.Cell) ([]sesamemodel.Cell, error) {
+	a := newAdmission(cells)
+	pending := a.keep(contracts)
+	pending = append(a.takeBroken(), pending...)
+	for _, w := range pending {
+		if a.assign(w) {
+			continue
+		}
+		if !w.restore(a) {
+			return nil, a.noRoom(w)
+		}
+	}
+	return a.changed(), nil
+}
+
+// guaranteeKey names one shape of one contract.
+type guaranteeKey struct {
+	team  sesamemodel.TeamID
+	index int
+}
+
+// wanted is a guaranteed shape without cells.
+type wanted struct {
+	key   guaranteeKey
+	shape sesamemodel.Shape
+	// before holds the parts that the shape had and lost.
+	before map[sesamemodel.CellID]sesamemodel.Guarantee
+}
+
+// admission is the work of one Admit.
+type admission struct {
+	states  map[sesamemodel.CellID]*cellState
+	order   []sesamemodel.CellID
+	touched map[sesamemodel.CellID]bool
+}
+
+func newAdmission(cells []sesamemodel.Cell) *admission {
+	a := &admission{
+		states:  map[sesamemodel.CellID]*cellState{},
+		touched: map[sesamemodel.CellID]bool{},
+	}
+	for _, c := range cells {
+		a.states[c.ID] = newCellState(c)
+		a.order = append(a.order, c.ID)
+	}
+	slices.Sort(a.order)
+	return a
+}
+
+func (a *admission) set(id sesamemodel.CellID, g []sesamemodel.Guarantee) {
+	a.states[id] = newCellState(a.states[id].cell.WithGuarantees(g))
+	a.touched[id] = true
+}
+
+// keep drops the assignments that no contract asks for and returns the shapes
+// that have none.
+func (a *admission) keep(contracts []sesamemodel.Contract) []wanted {
+	asked := map[guaranteeKey]sesamemodel.Shape{}
+	for _, c := range contracts {
+		for i, s := range c.Guarantees {
+			asked[guaranteeKey{team: c.Team, index: i}] = s
+		}
+	}
+	assigned := a.assigned()
+	for _, id := range a.order {
+		present := a.states[id].cell.Guarantees
+		kept := slices.DeleteFunc(slices.Clone(present), func(g sesamemodel.Guarantee) bool {
+			key := keyOf(g)
+			return !sameShape(asked[key], g.Shape, assigned[key])
+		})
+		if len(kept) < len(present) {
+			a.set(id, kept)
+		}
+	}
+	var pending []wanted
+	for key, shape := range asked {
+		if !slices.ContainsFunc(a.order, func(id sesamemodel.CellID) bool {
+			return slices.ContainsFunc(a.states[id].cell.Guarantees, func(g sesamemodel.Guarantee) bool {
+				return keyOf(g) == key
+			})
+		}) {
+			pending = append(pending, wanted{
+				key:   key,
+				shape: shape,
+			})
+		}
+	}
+	slices.SortFunc(pending, compareWanted)
+	return pending
+}
+
+func keyOf(g sesamemodel.Guarantee) guaranteeKey {
+	return guaranteeKey{
+		team:  g.Team,
+		index: g.Index,
+	}
+}
+
+// assigned counts the workers of each shape over all cells.
+func (a *admission) assigned() map[guaranteeKey]int {
+	workers := map[guaranteeKey]int{}
+	for _, id := range a.order {
+		for _, g := range a.states[id].cell.Guarantees {
+			workers[keyOf(g)] += g.Shape.Workers
+		}
+	}
+	return workers
+}
+
+func sameShape(asked, part sesamemodel.Shape, workers int) bool {
+	return asked.Workers == workers && asked.Accelerators == part.Accelerators && asked.Span == part.Span
+}
+
+func compareWanted(a, b wanted) int {
+	return cmp.Or(
+		cmp.Compare(perWorker(b.shape), perWorker(a.shape)),
+		cmp.Compare(b.shape.Workers, a.shape.Workers),
+		cmp.Compare(a.key.team, b.key.team),
+		cmp.Compare(a.key.index, b.key.index),
+	)
+}
+
+// takeBroken removes the shapes that cannot be formed any more.
+func (a *admission) takeBroken() []wanted {
+	broken := map[guaranteeKey]*wanted{}
+	for _, id := range a.order {
+		s := a.states[id]
+		for _, g := range s.packing().failed {
+			guarantee := s.cell.Guarantees[g]
+			broken[keyOf(guarantee)] = &wanted{
+				key:    keyOf(guarantee),
+				before: map[sesamemodel.CellID]sesamemodel.Guarantee{},
+			}
+		}
+	}
+	if len(broken) == 0 {
+		return nil
+	}
+	for _, id := range a.order {
+		a.takeFrom(id, broken)
+	}
+	var pending []wanted
+	for _, w := range broken {
+		pending = append(pending, *w)
+	}
+	slices.SortFunc(pending, compareWanted)
+	return pending
+}
+
+func (a *admission) takeFrom(id sesamemodel.CellID, broken map[guaranteeKey]*wanted) {
+	var kept []sesamemodel.Guarantee
+	present := a.states[id].cell.Guarantees
+	for _, g := range present {
+		w, ok := broken[keyOf(g)]
+		if !ok {
+			kept = append(kept, g)
+			continue
+		}
+		w.before[id] = g
+		workers := w.shape.Workers + g.Shape.Workers
+		w.shape = g.Shape
+		w.shape.Workers = workers
+	}
+	if len(kept) < len(present) {
+		a.set(id, kept)
+	}
+}
+
+// restore puts a shape back where it was; it reports whether it was anywhere.
+func (w wanted) restore(a *admission) bool {
+	for id, g := range w.before {
+		a.set(id, append(slices.Clone(a.states[id].cell.Guarantees), g))
+	}
+	return len(w.before) > 0
+}
+
+// assign gives a shape to the cell that it fits most closely, or to several
+// cells of one zone when it is larger than each.
+func (a *admission) assign(w wanted) bool {
+	order := slices.Clone(a.order)
+	slices.SortStableFunc(order, func(i, k sesamemodel.CellID) int {
+		return cmp.Compare(a.spare(i), a.spare(k))
+	})
+	for _, id := range order {
+		if a.ableWorkers(id, w.shape) >= workersOf(w.shape) && a.try(id, w, w.shape.Workers) {
+			return true
+		}
+	}
+	if w.shape.Span != sesamemodel.SpanZone && w.shape.Span != sesamemodel.SpanRegion {
+		return false
+	}
+	return a.split(w)
+}
+
+// spare returns the accelerators of a cell outside all guarantees.
+func (a *admission) spare(id sesamemodel.CellID) int {
+	total := 0
+	for _, r := range a.states[id].packing().room {
+		total += r
+	}
+	return total
+}
+
+// ableWorkers counts the workers with room for their part of a shape.
+func (a *admission) ableWorkers(id sesamemodel.CellID, s sesamemodel.Shape) int {
+	able := 0
+	for _, r := range a.states[id].packing().room {
+		if r >= perWorker(s) {
+			able++
+		}
+	}
+	return able
+}
+
+// try adds a part of a shape to a cell if all its guarantees still pack.
+func (a *admission) try(id sesamemodel.CellID, w wanted, workers int) bool {
+	shape := w.shape
+	shape.Workers = workers
+	cell := a.states[id].cell
+	grown := newCellState(cell.WithGuarantees(append(slices.Clone(cell.Guarantees), sesamemodel.Guarantee{
+		Team:  w.key.team,
+		Index: w.key.index,
+		Shape: shape,
+	})))
+	if len(grown.packing().failed) > 0 {
+		return false
+	}
+	a.states[id] = grown
+	a.touched[id] = true
+	return true
+}
+
+// split spreads a shape over cells with the most room first.
+func (a *admission) split(w wanted) bool {
+	zones := map[string][]sesamemodel.CellID{}
+	var names []string
+	for _, id := range a.order {
+		name := a.states[id].cell.Zone
+		if w.shape.Span == sesamemodel.SpanRegion {
+			name = a.states[id].cell.Region
+		}
+		if zones[name] == nil {
+			names = append(names, name)
+		}
+		zones[name] = append(zones[name], id)
+	}
+	for _, name := range names {
+		if a.splitOver(zones[name], w) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *admission) splitOver(cells []sesamemodel.CellID, w wanted) bool {
+	slices.SortStableFunc(cells, func(i, k sesamemodel.CellID) int {
+		return cmp.Compare(a.ableWorkers(k, w.shape), a.ableWorkers(i, w.shape))
+	})
+	before := map[sesamemodel.CellID]*cellState{}
+	left := w.shape.Workers
+	for _, id := range cells {
+		n := min(left, a.ableWorkers(id, w.shape))
+		old := a.states[id]
+		if n > 0 && a.try(id, w, n) {
+			before[id] = old
+			left -= n
+		}
+	}
+	if left == 0 {
+		return true
+	}
+	for id, s := range before {
+		a.states[id] = s
+	}
+	return false
+}
+
+func (a *admission) noRoom(w wanted) error {
+	most := 0
+	for _, id := range a.order {
+		most = max(most, a.ableWorkers(id, w.shape))
+	}
+	return &NoRoomError{
+		Team:  w.key.team,
+		Index: w.key.index,
+		Shape: w.shape,
+		Reason: fmt.Sprintf("%d workers with %d accelerators within one %s are needed; no cell has more than %d workers with as many outside other guarantees",
+			workersOf(w.shape), perWorker(w.shape), w.shape.Span, most),
+	}
+}
+
+// changed returns the cells whose guarantees differ from before.
+func (a *admission) changed() []sesamemodel.Cell {
+	var cells []sesamemodel.Cell
+	for _, id := range a.order {
+		if a.touched[id] {
+			cells = append(cells, a.states[id].cell)
+		}
+	}
+	return cells
+}
--- /dev/null
+++ b/sesameplanner/borrow.go
@@ -0,0 +1,114 @@
+package sesameplanner
+
+import (
+	"container/heap"
+)
+
+// borrower is a team's place in the order of borrowing.
+type borrower struct {
+	team *team
+	// next is the position in the queue to try next.
+	next  int
+	share float64
+}
+
+// borrowers is a heap with the smallest share first.
+type borrowers []*borrower
+
+func (b borrowers) Len() int { return len(b) }
+
+func (b borrowers) Less(i, k int) bool {
+	if b[i].share != b[k].share {
+		return b[i].share < b[k].share
+	}
+	return b[i].team.id < b[k].team.id
+}
+
+func (b borrowers) Swap(i, k int) { b[i], b[k] = b[k], b[i] }
+
+// Push adds a borrower; it is called by package heap.
+func (b *borrowers) Push(x any) { *b = append(*b, x.(*borrower)) }
+
+// Pop removes the last borrower; it is called by package heap.
+func (b *borrowers) Pop() any {
+	last := len(*b) - 1
+	x := (*b)[last]
+	*b = (*b)[:last]
+	return x
+}
+
+// placeBorrowing gives free capacity to the team with the smallest weighted
+// share until no job fits.
+func (r *round) placeBorrowing() {
+	r.failed = map[int]bool{}
+	var queue borrowers
+	for _, t := range r.planner.teams {
+		if t.contract != nil && len(t.queue) > 0 {
+			queue = append(queue, &borrower{
+				team:  t,
+				share: r.planner.share(t),
+			})
+		}
+	}
+	heap.Init(&queue)
+	for len(queue) > 0 && !r.full() {
+		b := queue[0]
+		if !r.placeNext(b) {
+			heap.Pop(&queue)
+			continue
+		}
+		b.share = r.planner.share(b.team)
+		heap.Fix(&queue, 0)
+	}
+}
+
+// share returns the largest part of the platform that a team has borrowed,
+// over its weight.
+func (p *Planner) share(t *team) float64 {
+	total := p.cells.capacity
+	most := max(
+		fraction(t.borrowed.Cores, total.Cores),
+		fraction(t.borrowed.Memory, total.Memory),
+		fraction(t.borrowed.Accelerators, total.Accelerators),
+		fraction(t.borrowed.Slots, total.Slots),
+	)
+	return most / float64(max(t.contract.Weight, 1))
+}
+
+func fraction(amount, total int) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(amount) / float64(total)
+}
+
+// placeNext places the first job of the team that fits.
+func (r *round) placeNext(b *borrower) bool {
+	for b.next < len(b.team.queue) {
+		e := b.team.queue[b.next]
+		if r.failed[e.signature] || !r.borrow(e) {
+			r.failed[e.signature] = true
+			b.next++
+			continue
+		}
+		return true
+	}
+	return false
+}
+
+func (r *round) borrow(e *entry) bool {
+	t := r.planner.team(e.job.Spec.Team)
+	need := e.job.Spec.Need().Accelerators
+	if !t.mayBorrow(need) {
+		r.fail(e, "team %q uses %d accelerators; %d more exceed its guarantees of %d and its borrowing limit of %d",
+			t.id, t.used, need, t.contract.Guaranteed(), t.contract.Limits.Borrow)
+		return false
+	}
+	parts := r.planner.cells.find(borrowDemand(e.job))
+	if parts == nil {
+		r.fail(e, "no room: %s", sentence(e.job.Spec))
+		return false
+	}
+	r.place(e, parts, &victims{}, false)
+	return true
+}
--- /dev/null
+++ b/sesameplanner/helpers_test.go
@@ -0,0 +1,169 @@
+package sesameplanner
+
+import (
+	"fmt"
+	"math/bits"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var gpuWorker = sesamemodel.Resources{
+	Cores:        128,
+	Memory:       512000,
+	Accelerators: 8,
+}
+
+const workersPerRack = 3
+
+// newCell returns a cell of ready workers, three to a rack.
+func newCell(name, zone string, workers int, capacity sesamemodel.Resources) sesamemodel.Cell {
+	cell := sesamemodel.Cell{
+		ID:     sesamemodel.CellID("r/" + name),
+		Region: "r",
+		Zone:   zone,
+	}
+	for i := range workers {
+		cell.Targets = append(cell.Targets, sesamemodel.Target{
+			ID:          sesamemodel.TargetID(fmt.Sprintf("%s-w%02d", name, i)),
+			Kind:        sesamemodel.Worker,
+			Zone:        zone,
+			Rack:        fmt.Sprintf("%s-rack%d", name, i/workersPerRack),
+			Address:     fmt.Sprintf("10.0.0.%d:7000", i),
+			Incarnation: "first",
+			Capacity:    capacity,
+			Health:      sesamemodel.Ready,
+		})
+	}
+	return cell
+}
+
+func newContract(team string, weight, borrow int, shapes ...sesamemodel.Shape) sesamemodel.Contract {
+	return sesamemodel.Contract{
+		Team:       sesamemodel.TeamID(team),
+		Weight:     weight,
+		Guarantees: shapes,
+		Classes: []sesamemodel.Class{
+			{Name: "normal", Urgency: sesamemodel.Normal},
+		},
+		Limits: sesamemodel.Limits{
+			Open:    1000,
+			Retries: 100,
+			Borrow:  borrow,
+		},
+	}
+}
+
+func shape(workers, accelerators int, span sesamemodel.Span) sesamemodel.Shape {
+	return sesamemodel.Shape{
+		Workers:      workers,
+		Accelerators: accelerators,
+		Span:         span,
+	}
+}
+
+// newJob returns a queued job that can checkpoint.
+func newJob(id, team string, tasks, accelerators int, span sesamemodel.Span) sesamemodel.Job {
+	return sesamemodel.Job{
+		ID:     sesamemodel.JobID(id),
+		Region: "r",
+		Spec: sesamemodel.Spec{
+			Team:  sesamemodel.TeamID(team),
+			Class: "normal",
+			Kind:  sesamemodel.Worker,
+			Tasks: tasks,
+			Task: sesamemodel.Resources{
+				Cores:        accelerators,
+				Memory:       1000 * accelerators,
+				Accelerators: accelerators,
+			},
+			Span:        span,
+			Checkpoints: true,
+			RunTime:     time.Hour,
+		},
+		Urgency:   sesamemodel.Normal,
+		State:     sesamemodel.Queued,
+		Submitted: epoch,
+	}
+}
+
+func newPlanner(cells []sesamemodel.Cell, contracts []sesamemodel.Contract, jobs ...sesamemodel.Job) *Planner {
+	p := New(Options{
+		Packing: 0.5,
+	})
+	p.SetContracts(contracts)
+	for _, c := range cells {
+		p.SetCell(c)
+	}
+	for _, j := range jobs {
+		p.SetJob(j)
+	}
+	return p
+}
+
+func mustAdmit(t testing.TB, contracts []sesamemodel.Contract, cells []sesamemodel.Cell) []sesamemodel.Cell {
+	t.Helper()
+	changed, err := Admit(contracts, cells)
+	is.New(t).NoErr(err)
+	out := append([]sesamemodel.Cell{}, cells...)
+	for i := range out {
+		for _, c := range changed {
+			if c.ID == out[i].ID {
+				out[i] = c
+			}
+		}
+	}
+	return out
+}
+
+// assertSound checks that no accelerator has two holders, that no target is
+// given more than it has, and that each placed gang is whole.
+func assertSound(t testing.TB, p *Planner) {
+	t.Helper()
+	is := is.New(t)
+	tasks := map[sesamemodel.JobID]int{}
+	for _, s := range p.cells.byID {
+		busy := map[sesamemodel.TargetID]uint64{}
+		for _, a := range s.cell.Allocations {
+			is.Equal(busy[a.Target]&a.Accelerators, uint64(0))                    // one holder for each accelerator
+			is.Equal(bits.OnesCount64(a.Accelerators), a.Resources.Accelerators) // as many as counted
+			busy[a.Target] |= a.Accelerators
+			tasks[a.Job] += a.Tasks
+		}
+		for i := range s.nodes {
+			is.True(!s.nodes[i].free.Negative()) // within capacity
+		}
+	}
+	for id, e := range p.jobs {
+		if e.job.State == sesamemodel.Placed || e.job.State == sesamemodel.Running {
+			is.Equal(tasks[id], e.job.Spec.Tasks) // whole gang
+			assertRanks(t, e.job)
+		}
+	}
+}
+
+func assertRanks(t testing.TB, job sesamemodel.Job) {
+	t.Helper()
+	is := is.New(t)
+	next := 0
+	for _, a := range job.Assignments {
+		is.Equal(a.First, next) // consecutive ranks
+		next += a.Tasks
+	}
+	is.Equal(next, job.Spec.Tasks) // all ranks
+}
+
+// assertReclaimable checks that every guarantee can still be formed.
+func assertReclaimable(t testing.TB, p *Planner) {
+	t.Helper()
+	for id, s := range p.cells.byID {
+		if failed := s.findPacking().failed; len(failed) > 0 {
+			t.Fatalf("cell %s cannot form guarantee %v", id, s.cell.Guarantees[failed[0]])
+		}
+	}
+}
--- /dev/null
+++ b/sesameplanner/owed.go
@@ -0,0 +1,231 @@
+package sesameplanner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// reserved is what remains of a team's guarantees on one worker.
+type reserved struct {
+	part
+	// whole is true when none of it is in use.
+	whole bool
+}
+
+// placeOwed places work that fits the unused part of its team's guarantees,
+// by urgency and then by lateness.
+func (r *round) placeOwed() {
+	cursors := r.owedCursors()
+	failed := map[int]bool{}
+	for len(cursors) > 0 && !r.full() {
+		at := 0
+		for i := range cursors {
+			if compareEntries(cursors[i].head(), cursors[at].head()) < 0 {
+				at = i
+			}
+		}
+		c := cursors[at]
+		e := c.head()
+		if failed[e.signature] || !r.owe(e) {
+			failed[e.signature] = true
+			c.next++
+		}
+		if c.next >= len(c.team.queue) {
+			cursors = slices.Delete(cursors, at, at+1)
+		}
+	}
+}
+
+// cursor is a position in a team's queue.
+type cursor struct {
+	team *team
+	next int
+}
+
+func (c *cursor) head() *entry {
+	return c.team.queue[c.next]
+}
+
+func (r *round) owedCursors() []*cursor {
+	var cursors []*cursor
+	for _, t := range r.planner.teams {
+		if t.contract != nil && len(t.queue) > 0 && len(t.cells) > 0 {
+			cursors = append(cursors, &cursor{
+				team: t,
+			})
+		}
+	}
+	slices.SortFunc(cursors, func(a, b *cursor) int {
+		return cmp.Compare(a.team.id, b.team.id)
+	})
+	return cursors
+}
+
+// owe places a job inside its team's guarantees, stopping borrowers.
+func (r *round) owe(e *entry) bool {
+	if e.job.Spec.Kind != sesamemodel.Worker {
+		return false
+	}
+	parts := r.planner.owedParts(e.job)
+	if parts == nil {
+		return false
+	}
+	v := &victims{}
+	for _, part := range parts {
+		if !v.clear(r.planner, r.now, part, e.job) {
+			return false
+		}
+	}
+	r.place(e, parts, v, true)
+	return true
+}
+
+// owedParts returns the workers of the team's guarantees that take the job,
+// nil when it does not fit into what is unused.
+func (p *Planner) owedParts(job sesamemodel.Job) []part {
+	available := p.reservedFor(job)
+	domains := map[string][]reserved{}
+	for _, a := range available {
+		key := domain(job.Spec.Span, a.part)
+		domains[key] = append(domains[key], a)
+	}
+	var best []reserved
+	least, name := 0, ""
+	for key, parts := range domains {
+		total := 0
+		for _, a := range parts {
+			total += a.tasks
+		}
+		if total < job.Spec.Tasks {
+			continue
+		}
+		if best == nil || total < least || total == least && key < name {
+			best, least, name = parts, total, key
+		}
+	}
+	return choose(best, job.Spec.Tasks)
+}
+
+// domain names what members of a gang must share with the part.
+func domain(span sesamemodel.Span, at part) string {
+	t := at.target().target
+	switch span {
+	case sesamemodel.SpanWorker:
+		return string(t.ID)
+	case sesamemodel.SpanRack:
+		return string(at.state.cell.ID) + "/" + t.Rack
+	case sesamemodel.SpanZone:
+		return t.Zone
+	}
+	return ""
+}
+
+// reservedFor lists what the job could take of its team's guarantees.
+func (p *Planner) reservedFor(job sesamemodel.Job) []reserved {
+	team := p.team(job.Spec.Team)
+	var found []reserved
+	for _, id := range sortedCells(team.cells) {
+		s := p.cells.get(id)
+		if s == nil {
+			continue
+		}
+		for i, size := range s.reservedBy(team.id) {
+			if size == 0 || slices.Contains(job.Avoid, s.nodes[i].target.ID) {
+				continue
+			}
+			own := s.ownUse(team.id, i)
+			tasks := s.tasksWithin(i, size, own, job.Spec)
+			if tasks > 0 {
+				found = append(found, reserved{
+					part: part{
+						state: s,
+						node:  i,
+						tasks: tasks,
+					},
+					whole: own.IsZero(),
+				})
+			}
+		}
+	}
+	return found
+}
+
+func sortedCells(cells map[sesamemodel.CellID]int) []sesamemodel.CellID {
+	ids := make([]sesamemodel.CellID, 0, len(cells))
+	for id := range cells {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// reservedBy returns the accelerators that the team's shapes take on each node.
+func (s *cellState) reservedBy(team sesamemodel.TeamID) []int {
+	sizes := make([]int, len(s.nodes))
+	for _, slot := range s.packing().slots {
+		if s.cell.Guarantees[slot.guarantee].Team == team {
+			sizes[slot.node] += slot.accelerators
+		}
+	}
+	return sizes
+}
+
+// ownUse returns what the team's owed work holds on a node.
+func (s *cellState) ownUse(team sesamemodel.TeamID, i int) sesamemodel.Resources {
+	var own sesamemodel.Resources
+	for _, h := range s.nodes[i].held {
+		a := &s.cell.Allocations[h]
+		if a.Owed && a.Team == team {
+			own = own.Plus(a.Resources)
+		}
+	}
+	return own
+}
+
+// tasksWithin returns how many tasks fit into size accelerators of a node and
+// the cores and memory that go with them, beside what the team uses already.
+func (s *cellState) tasksWithin(i, size int, own sesamemodel.Resources, spec sesamemodel.Spec) int {
+	capacity := s.nodes[i].target.Capacity
+	share := sesamemodel.Resources{
+		Cores:        capacity.Cores * size / capacity.Accelerators,
+		Memory:       capacity.Memory * size / capacity.Accelerators,
+		Accelerators: size,
+	}
+	return times(share.Minus(own), spec.Task, spec.Tasks)
+}
+
+// choose takes as few workers as the tasks need, those in use first.
+func choose(from []reserved, tasks int) []part {
+	slices.SortStableFunc(from, func(a, b reserved) int {
+		if a.whole != b.whole {
+			if a.whole {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(b.tasks, a.tasks)
+	})
+	var parts []part
+	for _, a := range from {
+		if a.tasks >= tasks {
+			return append(parts, closest(from, a, tasks))
+		}
+		tasks -= a.tasks
+		parts = append(parts, a.part)
+	}
+	return nil
+}
+
+// closest returns the smallest part beside first that takes all tasks.
+func closest(from []reserved, first reserved, tasks int) part {
+	best := first
+	for _, a := range from {
+		if a.whole == first.whole && a.tasks >= tasks && a.tasks < best.tasks {
+			best = a
+		}
+	}
+	best.tasks = tasks
+	return best.part
+}
--- /dev/null
+++ b/sesameplanner/pack.go
@@ -0,0 +1,285 @@
+package sesameplanner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// slot is the part of a guaranteed shape that one worker can be reclaimed for.
+type slot struct {
+	// guarantee is a position in the cell's guarantees.
+	guarantee int
+	// node is a position in the cell's nodes.
+	node         int
+	accelerators int
+}
+
+// packing shows that all guarantees of a cell fit together into its ready
+// workers, less what cannot be reclaimed.
+type packing struct {
+	slots []slot
+	// room is what remains of each worker outside all slots, in accelerators.
+	room []int
+	// failed are the guarantees that found no place.
+	failed []int
+}
+
+// equivalent returns the accelerators of a target that go with an amount. Each
+// accelerator comes with its even part of the target's cores and memory, so
+// an amount rich in cores counts for more accelerators than it names.
+func equivalent(r, capacity sesamemodel.Resources) int {
+	a := capacity.Accelerators
+	n := r.Accelerators
+	if capacity.Cores > 0 {
+		n = max(n, ceil(r.Cores*a, capacity.Cores))
+	}
+	if capacity.Memory > 0 {
+		n = max(n, ceil(r.Memory*a, capacity.Memory))
+	}
+	return n
+}
+
+func ceil(n, d int) int {
+	return (n + d - 1) / d
+}
+
+// packer looks for a packing of one cell.
+type packer struct {
+	state *cellState
+	// room is what is left of each worker, in accelerators.
+	room []int
+	// own is what each team's owed work holds on each worker and no slot
+	// covers yet.
+	own map[sesamemodel.TeamID][]int
+	// loss is what each worker's reclaimable work holds, in accelerators.
+	loss  []int
+	slots []slot
+}
+
+// packing returns how the cell's guarantees pack, worked out on first use.
+func (s *cellState) packing() *packing {
+	if s.pack == nil {
+		s.pack = s.findPacking()
+	}
+	return s.pack
+}
+
+// findPacking packs greedily; a guarantee that finds no place is tried first
+// in the next pass, until all fit or the passes are used up.
+func (s *cellState) findPacking() *packing {
+	order := s.guaranteeOrder()
+	var best *packing
+	for range len(order) + 1 {
+		found := newPacker(s).run(order)
+		if best == nil || len(found.failed) < len(best.failed) {
+			best = found
+		}
+		if len(found.failed) == 0 {
+			break
+		}
+		order = moveFirst(order, found.failed[0])
+	}
+	return best
+}
+
+func moveFirst(order []int, first int) []int {
+	moved := append(make([]int, 0, len(order)), first)
+	for _, g := range order {
+		if g != first {
+			moved = append(moved, g)
+		}
+	}
+	return moved
+}
+
+// guaranteeOrder puts the shapes that are hardest to place first.
+func (s *cellState) guaranteeOrder() []int {
+	order := make([]int, len(s.cell.Guarantees))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(i, k int) int {
+		a, b := s.cell.Guarantees[i].Shape, s.cell.Guarantees[k].Shape
+		return cmp.Or(
+			cmp.Compare(perWorker(b), perWorker(a)),
+			cmp.Compare(difficulty(b), difficulty(a)),
+		)
+	})
+	return order
+}
+
+func difficulty(s sesamemodel.Shape) int {
+	if s.Span == sesamemodel.SpanRack {
+		return s.Workers
+	}
+	return 0
+}
+
+// perWorker returns the accelerators that a shape needs on each worker.
+func perWorker(s sesamemodel.Shape) int {
+	if s.Span == sesamemodel.SpanWorker {
+		return s.Total()
+	}
+	return s.Accelerators
+}
+
+// workersOf returns the number of workers that a shape needs.
+func workersOf(s sesamemodel.Shape) int {
+	if s.Span == sesamemodel.SpanWorker {
+		return 1
+	}
+	return s.Workers
+}
+
+func newPacker(s *cellState) *packer {
+	p := &packer{
+		state: s,
+		room:  make([]int, len(s.nodes)),
+		own:   map[sesamemodel.TeamID][]int{},
+		loss:  make([]int, len(s.nodes)),
+	}
+	for i := range s.nodes {
+		p.addNode(i)
+	}
+	return p
+}
+
+func (p *packer) addNode(i int) {
+	n := &p.state.nodes[i]
+	capacity := n.target.Capacity
+	if !n.ready() || capacity.Accelerators == 0 {
+		return
+	}
+	var fixed sesamemodel.Resources
+	owed := map[sesamemodel.TeamID]sesamemodel.Resources{}
+	for _, h := range n.held {
+		a := &p.state.cell.Allocations[h]
+		switch {
+		case a.Owed:
+			owed[a.Team] = owed[a.Team].Plus(a.Resources)
+		case a.Fixed:
+			fixed = fixed.Plus(a.Resources)
+		default:
+			p.loss[i] += max(1, equivalent(a.Resources, capacity))
+		}
+	}
+	p.room[i] = capacity.Accelerators - equivalent(fixed, capacity)
+	for team, r := range owed {
+		held := equivalent(r, capacity)
+		p.room[i] -= held
+		if p.own[team] == nil {
+			p.own[team] = make([]int, len(p.state.nodes))
+		}
+		p.own[team][i] = held
+	}
+}
+
+func (p *packer) run(order []int) *packing {
+	var failed []int
+	for _, g := range order {
+		if !p.place(g) {
+			failed = append(failed, g)
+		}
+	}
+	return &packing{
+		slots:  p.slots,
+		room:   p.room,
+		failed: failed,
+	}
+}
+
+// covered returns the part of count accelerators that the team's owed work
+// holds on a worker already.
+func (p *packer) covered(team sesamemodel.TeamID, node, count int) int {
+	own := p.own[team]
+	if own == nil {
+		return 0
+	}
+	return min(own[node], count)
+}
+
+func (p *packer) place(guarantee int) bool {
+	g := p.state.cell.Guarantees[guarantee]
+	chosen := p.choose(g)
+	if chosen == nil {
+		return false
+	}
+	count := perWorker(g.Shape)
+	for _, i := range chosen {
+		covered := p.covered(g.Team, i, count)
+		if covered > 0 {
+			p.own[g.Team][i] -= covered
+		}
+		p.room[i] -= count - covered
+		p.slots = append(p.slots, slot{
+			guarantee:    guarantee,
+			node:         i,
+			accelerators: count,
+		})
+	}
+	return true
+}
+
+// choose returns the workers for one shape, nil when there are too few.
+func (p *packer) choose(g sesamemodel.Guarantee) []int {
+	if g.Shape.Span != sesamemodel.SpanRack {
+		return p.best(g, p.state.order)
+	}
+	var chosen []int
+	var least int
+	for _, r := range p.state.racks {
+		found := p.best(g, p.state.order[r.first:r.end])
+		if found == nil {
+			continue
+		}
+		cost := p.cost(g, found)
+		if chosen == nil || cost < least {
+			chosen, least = found, cost
+		}
+	}
+	return chosen
+}
+
+// ownWeight ranks workers that hold the team's owed work before others.
+const ownWeight = 1 << 20
+
+// lossWeight ranks workers with less reclaimable work before closer fits.
+const lossWeight = 1 << 8
+
+func (p *packer) cost(g sesamemodel.Guarantee, nodes []int) int {
+	total := 0
+	for _, i := range nodes {
+		total += p.nodeCost(g, i)
+	}
+	return total
+}
+
+func (p *packer) nodeCost(g sesamemodel.Guarantee, i int) int {
+	covered := p.covered(g.Team, i, perWorker(g.Shape))
+	return p.loss[i]*lossWeight + p.room[i] - covered*ownWeight
+}
+
+// best returns the cheapest workers for a shape among those given.
+func (p *packer) best(g sesamemodel.Guarantee, among []int) []int {
+	count := perWorker(g.Shape)
+	wanted := workersOf(g.Shape)
+	var able []int
+	for _, i := range among {
+		n := &p.state.nodes[i]
+		if !n.ready() || n.target.Capacity.Accelerators < count {
+			continue
+		}
+		if p.room[i] >= count-p.covered(g.Team, i, count) {
+			able = append(able, i)
+		}
+	}
+	if len(able) < wanted {
+		return nil
+	}
+	slices.SortStableFunc(able, func(i, k int) int {
+		return cmp.Compare(p.nodeCost(g, i), p.nodeCost(g, k))
+	})
+	return able[:wanted]
+}
--- a/sesameplanner/planner.go
+++ b/sesameplanner/planner.go
@@ -8,6 +8,7 @@
 
 // Options are the planner's fixed settings.
 type Options struct {
+	// Region is the only region that the planner decides for; empty means all.
 	Region string
 	// Packing is the weight of low fragmentation against completion time,
 	// from 0 (time only) to 1 (packing only).
@@ -17,42 +18,165 @@
 // Planner decides which job runs where. It is owned by one goroutine.
 type Planner struct {
 	options Options
+	// configured is true once contracts have been set.
+	configured bool
+	teams      map[sesamemodel.TeamID]*team
+	jobs       map[sesamemodel.JobID]*entry
+	cells      *index
+	signatures map[signature]int
+	// unchecked are queued jobs that may turn out never to fit.
+	unchecked map[sesamemodel.JobID]*entry
+	// possible remembers, by signature, what fits the present targets.
+	possible map[int]bool
 }
 
 // New returns a planner that knows no contracts, cells or jobs.
 func New(o Options) *Planner {
 	return &Planner{
-		options: o,
+		options:    o,
+		teams:      map[sesamemodel.TeamID]*team{},
+		jobs:       map[sesamemodel.JobID]*entry{},
+		cells:      newIndex(),
+		signatures: map[signature]int{},
+		unchecked:  map[sesamemodel.JobID]*entry{},
+		possible:   map[int]bool{},
 	}
 }
 
 // SetContracts replaces the contracts in force.
-func (p *Planner) SetContracts(contracts []sesamemodel.Contract) {}
+func (p *Planner) SetContracts(contracts []sesamemodel.Contract) {
+	p.configured = true
+	for _, t := range p.teams {
+		t.contract = nil
+	}
+	for i := range contracts {
+		t := p.team(contracts[i].Team)
+		t.contract = &contracts[i]
+	}
+	for id, e := range p.jobs {
+		if e.job.State == sesamemodel.Queued {
+			p.unchecked[id] = e
+		}
+	}
+}
 
 // SetCell adds or replaces one cell.
-func (p *Planner) SetCell(cell sesamemodel.Cell) {}
+func (p *Planner) SetCell(cell sesamemodel.Cell) {
+	if p.options.Region != "" && cell.Region != p.options.Region {
+		return
+	}
+	p.setState(newCellState(cell))
+}
+
+func (p *Planner) setState(s *cellState) {
+	old := p.cells.get(s.cell.ID)
+	if old != nil {
+		p.charge(old, -1)
+	}
+	p.charge(s, 1)
+	if old == nil || !sameTargets(old.cell.Targets, s.cell.Targets) {
+		p.recheck()
+	}
+	p.cells.set(s)
+}
+
+// sameTargets reports whether the same targets offer the same capacity.
+func sameTargets(a, b []sesamemodel.Target) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].ID != b[i].ID || a[i].Capacity != b[i].Capacity {
+			return false
+		}
+	}
+	return true
+}
+
+// recheck forgets what fits the targets that were known before.
+func (p *Planner) recheck() {
+	clear(p.possible)
+	for _, t := range p.teams {
+		for _, e := range t.queue {
+			p.unchecked[e.job.ID] = e
+		}
+	}
+}
+
+// charge adds the cell's allocations and guarantees to the teams' sums, sign
+// times.
+func (p *Planner) charge(s *cellState, sign int) {
+	for i := range s.cell.Allocations {
+		a := &s.cell.Allocations[i]
+		t := p.team(a.Team)
+		t.used += sign * a.Resources.Accelerators
+		if !a.Owed {
+			t.borrowed = t.borrowed.Plus(a.Resources.Times(sign))
+		}
+	}
+	for _, g := range s.cell.Guarantees {
+		t := p.team(g.Team)
+		t.cells[s.cell.ID] += sign
+		if t.cells[s.cell.ID] == 0 {
+			delete(t.cells, s.cell.ID)
+		}
+	}
+}
 
 // SetJob adds or replaces an open job; a job that has ended is removed.
-func (p *Planner) SetJob(job sesamemodel.Job) {}
+func (p *Planner) SetJob(job sesamemodel.Job) {
+	p.RemoveJob(job.ID)
+	if job.State.Ended() || p.options.Region != "" && job.Region != p.options.Region {
+		return
+	}
+	e := p.newEntry(job)
+	p.jobs[job.ID] = e
+	if job.State == sesamemodel.Queued {
+		p.team(job.Spec.Team).enqueue(e)
+		p.unchecked[job.ID] = e
+	}
+}
 
 // RemoveJob forgets a job.
-func (p *Planner) RemoveJob(id sesamemodel.JobID) {}
+func (p *Planner) RemoveJob(id sesamemodel.JobID) {
+	e, ok := p.jobs[id]
+	if !ok {
+		return
+	}
+	delete(p.jobs, id)
+	delete(p.unchecked, id)
+	if e.job.State == sesamemodel.Queued {
+		p.team(e.job.Spec.Team).dequeue(e)
+	}
+}
 
 // Plan returns at most limit decisions, in the order in which they must take
 // effect. The planner goes on as if they had; a caller whose commit failed
 // sets the cells and jobs again as they really are.
 func (p *Planner) Plan(now time.Time, limit int) []Decision {
-	return nil
+	if !p.configured {
+		return nil
+	}
+	r := &round{
+		planner: p,
+		now:     now,
+		limit:   limit,
+	}
+	r.refuse()
+	r.placeOwed()
+	r.placeBorrowing()
+	return r.decisions
 }
 
-// Why says in a sentence why a queued job waits.
+// Why says in a sentence why a queued job waits; it is empty for a job that
+// the planner does not know or that does not wait.
 func (p *Planner) Why(id sesamemodel.JobID) string {
-	return ""
-}
-
-// Admit assigns the guaranteed shapes of all contracts to cells, keeping the
-// present assignment where it still holds. It returns the cells that change,
-// or a *NoRoomError for the first shape that does not pack.
-func Admit(contracts []sesamemodel.Contract, cells []sesamemodel.Cell) ([]sesamemodel.Cell, error) {
-	return nil, nil
+	e, ok := p.jobs[id]
+	if !ok || e.job.State != sesamemodel.Queued {
+		return ""
+	}
+	if e.why != "" {
+		return e.why
+	}
+	return p.waitsForTurn(e)
 }
--- /dev/null
+++ b/sesameplanner/possible.go
@@ -0,0 +1,73 @@
+package sesameplanner
+
+import (
+	"fmt"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// impossible says why a job can never run; it is empty when it can.
+func (p *Planner) impossible(e *entry) string {
+	spec := e.job.Spec
+	t := p.team(spec.Team)
+	if t.contract == nil {
+		return fmt.Sprintf("team %q has no contract", spec.Team)
+	}
+	if _, ok := t.contract.Class(spec.Class); !ok {
+		return fmt.Sprintf("team %q has no class %q", spec.Team, spec.Class)
+	}
+	if need := spec.Need().Accelerators; need > t.contract.Guaranteed()+t.contract.Limits.Borrow {
+		return fmt.Sprintf("%d accelerators asked, %d guaranteed and %d to borrow in the contract of team %q",
+			need, t.contract.Guaranteed(), t.contract.Limits.Borrow, spec.Team)
+	}
+	fits, known := p.possible[e.signature]
+	if !known {
+		fits = p.cells.couldFit(spec)
+		p.possible[e.signature] = fits
+	}
+	if fits {
+		return ""
+	}
+	return fmt.Sprintf("%s fits no part of the platform, whatever is free", sentence(spec))
+}
+
+// sentence says what a job asks for.
+func sentence(s sesamemodel.Spec) string {
+	span := string(s.Span)
+	if span == "" {
+		span = string(sesamemodel.SpanRegion)
+	}
+	if s.Kind == sesamemodel.Executor {
+		return fmt.Sprintf("%d tasks of %d slots within one %s", s.Tasks, s.Task.Slots, span)
+	}
+	return fmt.Sprintf("%d tasks of %d accelerators, %d cores and %d MiB within one %s",
+		s.Tasks, s.Task.Accelerators, s.Task.Cores, s.Task.Memory, span)
+}
+
+// couldFit reports whether idle targets, healthy or not, could take the job.
+// It is true while no target of the kind is known.
+func (x *index) couldFit(spec sesamemodel.Spec) bool {
+	known := false
+	totals := map[string]int{}
+	for _, z := range x.zones {
+		for _, s := range z.cells {
+			for i := range s.nodes {
+				t := &s.nodes[i].target
+				if t.Kind != spec.Kind {
+					continue
+				}
+				known = true
+				tasks := times(t.Capacity, spec.Task, spec.Tasks)
+				if tasks == 0 {
+					continue
+				}
+				key := domain(spec.Span, part{state: s, node: i})
+				totals[key] += tasks
+				if totals[key] >= spec.Tasks {
+					return true
+				}
+			}
+		}
+	}
+	return !known
+}
