Reach the platform's table by HTTP, and stand in for platform and targets

A circuit breaker, rate limits and a slow start bound what one process asks of the platform.

The stand-in store can be down, slow, refuse above a rate, and lose or delay answers; the stand-in target fences leases on its own clock, and counts starts and doubly wanted accelerators.

--- /dev/null
+++ b/sesamestandin/platform.go
@@ -0,0 +1,197 @@
+package sesamestandin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+const (
+	// maxCommitBody and maxObjectBody bound request bodies, in bytes.
+	maxCommitBody = 16 << 20
+	maxObjectBody = 256 << 20
+)
+
+type platform struct {
+	store *Store
+	log   *sesamelog.Logger
+}
+
+// NewPlatform serves the store over HTTP:
+//
+//	GET  /v1/rows/{key}       one row
+//	GET  /v1/rows             rows by the query's prefix, after and limit
+//	POST /v1/commit           a transaction; 409 with a sesametable.Conflict
+//	PUT  /v1/objects/{key}    stores the body
+//	GET  /v1/objects/{key}    an object's bytes
+//	GET  /v1/counters         Counters
+//	POST /v1/faults           a FaultsRequest replaces the faults
+//
+// A refused call answers 503, one above the rate 429, both without effect; a
+// lost answer cuts the connection.
+func NewPlatform(store *Store, log *sesamelog.Logger) http.Handler {
+	p := &platform{
+		store: store,
+		log:   log,
+	}
+	r := chi.NewRouter()
+	r.Get(sesametable.RowsPath, p.scan)
+	r.Get(sesametable.RowsPath+"/*", p.row)
+	r.Post(sesametable.CommitPath, p.commit)
+	r.Put(sesametable.ObjectsPath+"/*", p.putObject)
+	r.Get(sesametable.ObjectsPath+"/*", p.object)
+	r.Get("/v1/counters", p.counters)
+	r.Post("/v1/faults", p.faults)
+	return r
+}
+
+// keyOf returns the key at the end of the path.
+func keyOf(r *http.Request) string {
+	key := chi.URLParam(r, "*")
+	if r.URL.RawPath == "" {
+		return key
+	}
+	plain, err := url.PathUnescape(key)
+	if err != nil {
+		return key
+	}
+	return plain
+}
+
+func (p *platform) row(w http.ResponseWriter, r *http.Request) {
+	row, err := p.store.Get(r.Context(), keyOf(r))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, row)
+}
+
+func (p *platform) scan(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit, _ := strconv.Atoi(query.Get("limit"))
+	found, err := p.store.Scan(r.Context(), query.Get("prefix"), query.Get("after"), limit)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, found)
+}
+
+func (p *platform) commit(w http.ResponseWriter, r *http.Request) {
+	var t sesametable.Transaction
+	if !decode(w, r, maxCommitBody, &t) {
+		return
+	}
+	if err := p.store.Commit(r.Context(), t); err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
+
+func (p *platform) putObject(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBody))
+	if err != nil {
+		refuse(w, http.StatusRequestEntityTooLarge, err.Error())
+		return
+	}
+	if err := p.store.PutObject(r.Context(), keyOf(r), body); err != nil {
+		fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *platform) object(w http.ResponseWriter, r *http.Request) {
+	body, length, err := p.store.GetObject(r.Context(), keyOf(r))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	_, _ = io.Copy(w, body)
+	_ = body.Close()
+}
+
+func (p *platform) counters(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, p.store.Counters())
+}
+
+func (p *platform) faults(w http.ResponseWriter, r *http.Request) {
+	var request FaultsRequest
+	if !decode(w, r, maxCommitBody, &request) {
+		return
+	}
+	p.store.SetFaults(request.Faults())
+	p.log.Emit(eventFaults, sesamelog.Fields{
+		"faults": request,
+	})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// fail answers with the status that the error stands for.
+func fail(w http.ResponseWriter, err error) {
+	var conflict *sesametable.ConflictError
+	var missing *sesametable.NotFoundError
+	var malformed *sesametable.InvalidError
+	var unavailable *sesametable.UnavailableError
+	switch {
+	case errors.As(err, &conflict):
+		answer(w, http.StatusConflict, sesametable.Conflict{
+			Key:      conflict.Key,
+			Expected: conflict.Expected,
+			Found:    conflict.Found,
+		})
+	case errors.As(err, &missing):
+		refuse(w, http.StatusNotFound, err.Error())
+	case errors.As(err, &malformed):
+		refuse(w, http.StatusBadRequest, err.Error())
+	case errors.As(err, &unavailable):
+		refuseFor(w, unavailable)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func refuseFor(w http.ResponseWriter, err *sesametable.UnavailableError) {
+	status := http.StatusServiceUnavailable
+	var throttled *sesametable.ThrottledError
+	if errors.As(err, &throttled) {
+		status = http.StatusTooManyRequests
+	}
+	if err.After > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(err.After/time.Second)))
+	}
+	refuse(w, status, err.Error())
+}
+
+func refuse(w http.ResponseWriter, status int, detail string) {
+	http.Error(w, detail, status)
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// decode reads a JSON body of at most limit bytes; false means that it has
+// answered with the fault.
+func decode(w http.ResponseWriter, r *http.Request, limit int64, value any) bool {
+	body := http.MaxBytesReader(w, r.Body, limit)
+	if err := json.NewDecoder(body).Decode(value); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/sesamestandin/rows.go
@@ -0,0 +1,144 @@
+package sesamestandin
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+// rows is the content of the table.
+type rows struct {
+	live map[string]sesametable.Row
+	// gone holds the last version of deleted keys, so that none returns.
+	gone map[string]uint64
+	// keys are those of the live rows, in order.
+	keys []string
+}
+
+func newRows() rows {
+	return rows{
+		live: map[string]sesametable.Row{},
+		gone: map[string]uint64{},
+	}
+}
+
+func (r *rows) scan(prefix, after string, limit int) []sesametable.Row {
+	start, found := slices.BinarySearch(r.keys, max(prefix, after))
+	if found && r.keys[start] == after {
+		start++
+	}
+	var page []sesametable.Row
+	for _, key := range r.keys[start:] {
+		if !strings.HasPrefix(key, prefix) || len(page) == limit {
+			break
+		}
+		page = append(page, copyOf(r.live[key]))
+	}
+	return page
+}
+
+func copyOf(row sesametable.Row) sesametable.Row {
+	row.Value = bytes.Clone(row.Value)
+	return row
+}
+
+// apply changes all rows of the transaction, or none and returns a
+// *sesametable.ConflictError.
+func (r *rows) apply(t sesametable.Transaction) error {
+	if err := r.check(t); err != nil {
+		return err
+	}
+	for _, p := range t.Puts {
+		r.put(p)
+	}
+	for _, d := range t.Deletes {
+		r.remove(d.Key)
+	}
+	return nil
+}
+
+func (r *rows) check(t sesametable.Transaction) error {
+	for _, c := range t.Checks {
+		if err := r.expect(c.Key, c.Version); err != nil {
+			return err
+		}
+	}
+	for _, p := range t.Puts {
+		if err := r.expect(p.Key, p.Version); err != nil {
+			return err
+		}
+	}
+	for _, d := range t.Deletes {
+		if err := r.expect(d.Key, d.Version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *rows) expect(key string, version uint64) error {
+	found := r.live[key].Version
+	if found == version {
+		return nil
+	}
+	return &sesametable.ConflictError{
+		Key:      key,
+		Expected: version,
+		Found:    found,
+	}
+}
+
+func (r *rows) put(p sesametable.Put) {
+	row, exists := r.live[p.Key]
+	if !exists {
+		row.Key = p.Key
+		row.Version = r.gone[p.Key]
+		at, _ := slices.BinarySearch(r.keys, p.Key)
+		r.keys = slices.Insert(r.keys, at, p.Key)
+	}
+	row.Version++
+	row.Value = bytes.Clone(p.Value)
+	r.live[p.Key] = row
+}
+
+func (r *rows) remove(key string) {
+	row, exists := r.live[key]
+	if !exists {
+		return
+	}
+	r.gone[key] = row.Version + 1
+	delete(r.live, key)
+	at, _ := slices.BinarySearch(r.keys, key)
+	r.keys = slices.Delete(r.keys, at, at+1)
+}
+
+// validate returns a *sesametable.InvalidError for a transaction that writes
+// nothing or names a row twice.
+func validate(t sesametable.Transaction) error {
+	if len(t.Puts)+len(t.Deletes) == 0 {
+		return invalid("transaction changes no row")
+	}
+	seen := map[string]bool{}
+	for _, p := range t.Puts {
+		if seen[p.Key] {
+			return invalid("transaction writes row \"" + p.Key + "\" twice")
+		}
+		seen[p.Key] = true
+	}
+	for _, d := range t.Deletes {
+		if seen[d.Key] || d.Version == 0 {
+			return invalid("transaction cannot delete row \"" + d.Key + "\"")
+		}
+		seen[d.Key] = true
+	}
+	return nil
+}
+
+func invalid(detail string) error {
+	return &sesametable.InvalidError{
+		Operation: "commit",
+		Detail:    detail,
+	}
+}
--- /dev/null
+++ b/sesamestandin/target.go
@@ -0,0 +1,274 @@
+package sesamestandin
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/sesamestack/sesamestack/sesametarget"
+)
+
+const (
+	// maxTargetConnections bounds the open calls of one target.
+	maxTargetConnections = 60
+	// maxTaskBody bounds the body of a call, in bytes.
+	maxTaskBody = 8 << 20
+)
+
+// Violations is the body of GET /v1/violations.
+type Violations struct {
+	Count   int      `json:"count"`
+	Details []string `json:"details,omitempty"`
+}
+
+// Pause is the body of POST /v1/pause.
+type Pause struct {
+	// Length is in milliseconds from the receipt of the call.
+	Length int64 `json:"ms"`
+}
+
+type target struct {
+	clock clockwork.Clock
+
+	mu     sync.Mutex
+	tasks  *tasks
+	paused time.Time
+}
+
+// NewTarget serves a target that offers what the description says; an empty
+// incarnation is replaced by a new one. Beside the interface of package
+// sesametarget it serves:
+//
+//	GET  /v1/violations  tasks that wanted accelerators in use
+//	GET  /v1/starts      how often each task was started
+//	GET  /v1/used        what the running tasks take
+//	POST /v1/pause       holds all other calls for a while
+//
+// Time passes for leases and tasks while the calls are held.
+func NewTarget(clock clockwork.Clock, d sesametarget.Description) http.Handler {
+	if d.Incarnation == "" {
+		d.Incarnation = uuid.NewString()
+	}
+	t := &target{
+		clock: clock,
+		tasks: newTasks(d),
+	}
+	r := chi.NewRouter()
+	r.Get("/v1/violations", t.violations)
+	r.Get("/v1/starts", t.starts)
+	r.Get("/v1/used", t.used)
+	r.Post("/v1/pause", t.pause)
+	r.Group(func(r chi.Router) {
+		r.Use(middleware.Throttle(maxTargetConnections))
+		r.Use(t.hold)
+		r.Get(sesametarget.TargetPath, t.describe)
+		r.Put(sesametarget.LeasePath, t.renew)
+		r.Get(sesametarget.TasksPath, t.list)
+		r.Put(sesametarget.TasksPath+"/{id}", t.start)
+		r.Get(sesametarget.TasksPath+"/{id}/output", t.output)
+		r.Post(sesametarget.TasksPath+"/{id}/stop", t.stop)
+	})
+	return r
+}
+
+// hold delays a call until the pause is over.
+func (t *target) hold(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t.mu.Lock()
+		left := t.paused.Sub(t.clock.Now())
+		t.mu.Unlock()
+		if !t.sleep(r.Context(), left) {
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// sleep waits for d; false means that the caller went away.
+func (t *target) sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.clock.After(d):
+		return true
+	}
+}
+
+func (t *target) pause(w http.ResponseWriter, r *http.Request) {
+	var p Pause
+	if !decode(w, r, maxTaskBody, &p) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.paused = t.clock.Now().Add(milliseconds(p.Length))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (t *target) describe(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, t.tasks.description)
+}
+
+func (t *target) renew(w http.ResponseWriter, r *http.Request) {
+	var l sesametarget.Lease
+	if !decode(w, r, maxTaskBody, &l) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.tasks.renew(l, t.clock.Now()); err != nil {
+		failTask(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func taskOf(r *http.Request) sesametarget.TaskID {
+	id := chi.URLParam(r, "id")
+	if plain, err := url.PathUnescape(id); err == nil {
+		id = plain
+	}
+	return sesametarget.TaskID(id)
+}
+
+func (t *target) start(w http.ResponseWriter, r *http.Request) {
+	var task sesametarget.Task
+	if !decode(w, r, maxTaskBody, &task) {
+		return
+	}
+	if task.ID != taskOf(r) {
+		refuse(w, http.StatusBadRequest, "task in body and path differ")
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	created, err := t.tasks.start(task, t.clock.Now())
+	if err != nil {
+		failTask(w, err)
+		return
+	}
+	status := http.StatusOK
+	if created {
+		status = http.StatusCreated
+	}
+	w.WriteHeader(status)
+}
+
+func (t *target) list(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer(w, http.StatusOK, t.tasks.list(t.clock.Now()))
+}
+
+func (t *target) output(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	output, err := t.tasks.output(taskOf(r), t.clock.Now())
+	t.mu.Unlock()
+	if err != nil {
+		failTask(w, err)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(output)))
+	_, _ = w.Write(output)
+}
+
+func (t *target) stop(w http.ResponseWriter, r *http.Request) {
+	var s sesametarget.Stop
+	if !decode(w, r, maxTaskBody, &s) {
+		return
+	}
+	task, err := t.stopping(taskOf(r), milliseconds(s.Grace))
+	if err != nil {
+		failTask(w, err)
+		return
+	}
+	for {
+		status, next := t.statusOf(task)
+		if status.Phase != sesametarget.PhaseRunning {
+			answer(w, http.StatusOK, status)
+			return
+		}
+		if !t.sleep(r.Context(), next.Sub(t.clock.Now())) {
+			return
+		}
+	}
+}
+
+func (t *target) stopping(id sesametarget.TaskID, grace time.Duration) (*task, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	found, err := t.tasks.find(id, now)
+	if err != nil {
+		return nil, err
+	}
+	found.stop(now, grace)
+	return found, nil
+}
+
+// statusOf returns the status and when it may change next.
+func (t *target) statusOf(k *task) (sesametarget.Status, time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k.settle(t.clock.Now())
+	return k.status, k.next()
+}
+
+func (t *target) violations(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer(w, http.StatusOK, Violations{
+		Count:   len(t.tasks.violations),
+		Details: t.tasks.violations,
+	})
+}
+
+func (t *target) starts(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer(w, http.StatusOK, t.tasks.starts)
+}
+
+func (t *target) used(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tasks.settle(t.clock.Now())
+	answer(w, http.StatusOK, t.tasks.used())
+}
+
+// failTask answers with the refusal that the error stands for.
+func failTask(w http.ResponseWriter, err error) {
+	var lease *sesametarget.LeaseError
+	var full *sesametarget.BusyError
+	var running *sesametarget.NotDoneError
+	var missing *sesametarget.NotFoundError
+	refusal := sesametarget.Refusal{
+		Detail: err.Error(),
+	}
+	status := http.StatusConflict
+	switch {
+	case errors.As(err, &lease):
+		refusal.Reason = sesametarget.ReasonLease
+	case errors.As(err, &full):
+		refusal.Reason = sesametarget.ReasonBusy
+	case errors.As(err, &running):
+		refusal.Reason = sesametarget.ReasonNotDone
+	case errors.As(err, &missing):
+		status = http.StatusNotFound
+	default:
+		status = http.StatusInternalServerError
+	}
+	answer(w, status, refusal)
+}
--- a/sesametable/errors.go
+++ b/sesametable/errors.go
@@ -63,3 +63,63 @@
 func (e *OutcomeUnknownError) Unwrap() error {
 	return e.Cause
 }
+
+// InvalidError says that a call was malformed and certainly had no effect.
+type InvalidError struct {
+	Operation string
+	Detail    string
+}
+
+// Error names the operation and what is wrong.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("invalid %s: %s", e.Operation, e.Detail)
+}
+
+// BreakerOpenError is the cause of an *UnavailableError while the circuit
+// breaker lets no call through.
+type BreakerOpenError struct {
+	Service string
+}
+
+// Error names the service.
+func (e *BreakerOpenError) Error() string {
+	return fmt.Sprintf("circuit breaker of %s is open", e.Service)
+}
+
+// ThrottledError is the cause of an *UnavailableError when a rate limit, of
+// this process or of the platform, holds the call back.
+type ThrottledError struct {
+	Limiter string
+}
+
+// Error names who limits.
+func (e *ThrottledError) Error() string {
+	return fmt.Sprintf("rate limit of %s reached", e.Limiter)
+}
+
+// StatusError is an HTTP answer that the client did not expect.
+type StatusError struct {
+	Code int
+	Body string
+}
+
+// Error names the code and the start of the body.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.Code, e.Body)
+}
+
+// EnvelopeError says that a row does not hold what this client writes.
+type EnvelopeError struct {
+	Key   string
+	Cause error
+}
+
+// Error names the row and the cause.
+func (e *EnvelopeError) Error() string {
+	return fmt.Sprintf("row %q holds no envelope: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *EnvelopeError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/sesametable/guard.go
@@ -0,0 +1,236 @@
+package sesametable
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sony/gobreaker/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+)
+
+const (
+	// breakerFailures in a row open the breaker.
+	breakerFailures = 5
+	// breakerPause is how long the breaker stays open before one call may
+	// try the platform again; up to as much again is added at random.
+	breakerPause = time.Second
+)
+
+// Guard bounds what one process asks of the platform: a circuit breaker, rate
+// limits, a deadline for each attempt, and metrics.
+type Guard struct {
+	table   Table
+	objects Objects
+	timeout time.Duration
+	clock   clockwork.Clock
+	scope   tally.Scope
+	log     *sesamelog.Logger
+	reads   *pace
+	writes  *pace
+	breaker *gobreaker.CircuitBreaker[struct{}]
+}
+
+var (
+	_ Table   = (*Guard)(nil)
+	_ Objects = (*Guard)(nil)
+)
+
+// NewGuard guards table and objects by those settings.
+func NewGuard(table Table, objects Objects, p sesamesettings.Platform, clock clockwork.Clock, scope tally.Scope, log *sesamelog.Logger) *Guard {
+	g := &Guard{
+		table:   table,
+		objects: objects,
+		timeout: p.Timeout,
+		clock:   clock,
+		scope:   scope.SubScope("platform"),
+		log:     log,
+		reads:   newPace(p.Reads, clock),
+		writes:  newPace(p.Writes, clock),
+	}
+	g.breaker = gobreaker.NewCircuitBreaker[struct{}](gobreaker.Settings{
+		Name:    "platform",
+		Timeout: breakerPause + rand.N(breakerPause),
+		ReadyToTrip: func(c gobreaker.Counts) bool {
+			return c.ConsecutiveFailures >= breakerFailures
+		},
+		OnStateChange: g.changed,
+		IsSuccessful:  isServed,
+		IsExcluded:    isExcluded,
+	})
+	return g
+}
+
+func (g *Guard) changed(_ string, from, to gobreaker.State) {
+	if to == gobreaker.StateClosed {
+		g.reads.restart()
+		g.writes.restart()
+	}
+	g.log.Emit(eventBreaker, sesamelog.Fields{
+		"from": from.String(),
+		"to":   to.String(),
+	})
+	g.scope.Gauge("breaker").Update(float64(to))
+}
+
+// isServed reports whether the platform answered, whatever the answer.
+func isServed(err error) bool {
+	return err == nil || isDefinite(err)
+}
+
+// isExcluded reports whether an error says nothing about the platform.
+func isExcluded(err error) bool {
+	return isThrottled(err) || errors.Is(err, context.Canceled)
+}
+
+func isThrottled(err error) bool {
+	var throttled *ThrottledError
+	return errors.As(err, &throttled)
+}
+
+// Get reads one row; see Table.
+func (g *Guard) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := g.call(ctx, "get", g.reads, 1, func(ctx context.Context) error {
+		var err error
+		row, err = g.table.Get(ctx, key)
+		return err
+	})
+	return row, err
+}
+
+// Scan reads rows; see Table. It counts as one read for each started
+// RowsPerRead rows that it may return.
+func (g *Guard) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	var rows []Row
+	err := g.call(ctx, "scan", g.reads, 1, func(ctx context.Context) error {
+		var err error
+		rows, err = g.table.Scan(ctx, prefix, after, limit)
+		return err
+	})
+	if more := readsOf(len(rows)) - 1; more > 0 {
+		g.reads.charge(more)
+	}
+	return rows, err
+}
+
+// RowsPerRead is how many rows of a scan count as one read.
+const RowsPerRead = 100
+
+// readsOf returns what a scan of that many rows counts.
+func readsOf(rows int) int {
+	return max(1, (rows+RowsPerRead-1)/RowsPerRead)
+}
+
+// Commit tries the transaction once; see Table.
+func (g *Guard) Commit(ctx context.Context, t Transaction) error {
+	return g.call(ctx, "commit", g.writes, len(t.Puts)+len(t.Deletes), func(ctx context.Context) error {
+		return g.table.Commit(ctx, t)
+	})
+}
+
+// PutObject stores an object; see Objects.
+func (g *Guard) PutObject(ctx context.Context, key string, body []byte) error {
+	return g.call(ctx, "putobject", g.writes, 1, func(ctx context.Context) error {
+		return g.objects.PutObject(ctx, key, body)
+	})
+}
+
+// GetObject opens an object; see Objects. The deadline bounds the time until
+// the object is open, not the reading of it.
+func (g *Guard) GetObject(ctx context.Context, key string) (io.ReadCloser, int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var body io.ReadCloser
+	var length int64
+	err := g.call(ctx, "getobject", g.reads, 1, func(context.Context) error {
+		var err error
+		deadline := g.clock.AfterFunc(g.timeout, cancel)
+		defer deadline.Stop()
+		body, length, err = g.objects.GetObject(ctx, key)
+		return err
+	})
+	if err != nil {
+		cancel()
+		return nil, 0, err
+	}
+	return &openObject{
+		ReadCloser: body,
+		cancel:     cancel,
+	}, length, nil
+}
+
+// openObject ends its call when it is closed.
+type openObject struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the object.
+func (o *openObject) Close() error {
+	defer o.cancel()
+	return o.ReadCloser.Close()
+}
+
+// call makes one attempt that counts as cost reads or writes.
+func (g *Guard) call(ctx context.Context, operation string, p *pace, cost int, attempt func(context.Context) error) error {
+	if g.breaker.State() == gobreaker.StateOpen {
+		return g.refused(operation)
+	}
+	if err := p.wait(ctx, operation, cost); err != nil {
+		return err
+	}
+	_, err := g.breaker.Execute(func() (struct{}, error) {
+		return struct{}{}, g.measured(ctx, operation, attempt)
+	})
+	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
+		return g.refused(operation)
+	}
+	if isThrottled(err) {
+		g.slowDown(operation, p)
+	}
+	return err
+}
+
+func (g *Guard) slowDown(operation string, p *pace) {
+	p.restart()
+	g.log.Emit(eventThrottle, sesamelog.Fields{
+		"operation": operation,
+	})
+}
+
+func (g *Guard) refused(operation string) error {
+	g.scope.Tagged(map[string]string{
+		"operation": operation,
+	}).Counter("refused").Inc(1)
+	return &UnavailableError{
+		Operation: operation,
+		After:     breakerPause,
+		Cause: &BreakerOpenError{
+			Service: "platform",
+		},
+	}
+}
+
+func (g *Guard) measured(ctx context.Context, operation string, attempt func(context.Context) error) error {
+	ctx, cancel := clockwork.WithTimeout(ctx, g.clock, g.timeout)
+	defer cancel()
+	scope := g.scope.Tagged(map[string]string{
+		"operation": operation,
+	})
+	started := g.clock.Now()
+	err := attempt(ctx)
+	scope.Histogram("latency", latencyBuckets).RecordDuration(g.clock.Since(started))
+	if !isServed(err) {
+		scope.Counter("failed").Inc(1)
+	}
+	return err
+}
+
+// latencyBuckets run from 1 ms to about 8 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
--- a/sesametable/table.go
+++ b/sesametable/table.go
@@ -7,40 +7,43 @@
 
 // Row is one row of the table.
 type Row struct {
-	Key string
-	// Version is 1 for a new row and grows by one with each write.
-	Version uint64
-	Value   []byte
+	Key string `json:"key"`
+	// Version is 1 for a new key and grows by one with each write. A delete
+	// counts as a write, so a version of a key is never used twice, also not
+	// when the row is created again.
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
 }
 
 // Put writes a row if its version is still the expected one.
 type Put struct {
-	Key string
+	Key string `json:"key"`
 	// Version is what the row must have now; 0 means that it must be absent.
-	Version uint64
-	Value   []byte
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
 }
 
 // Check fails the transaction when the row no longer has this version.
 type Check struct {
-	Key string
+	Key string `json:"key"`
 	// Version 0 means that the row must be absent.
-	Version uint64
+	Version uint64 `json:"version"`
 }
 
 // Delete removes a row if its version is still the expected one.
 type Delete struct {
-	Key     string
-	Version uint64
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
 }
 
-// Transaction takes effect whole or not at all. At least one put or delete is
-// needed; a transaction of deletes alone needs a put too, so that its outcome
-// can be read back.
+// Transaction takes effect whole or not at all. It needs at least one put, so
+// that its outcome can be read back. One that only creates rows should put or
+// check a row that nobody deletes soon: with every condition on rows that are
+// absent again, a repetition cannot be told from the first.
 type Transaction struct {
-	Checks  []Check
-	Puts    []Put
-	Deletes []Delete
+	Checks  []Check  `json:"checks,omitempty"`
+	Puts    []Put    `json:"puts"`
+	Deletes []Delete `json:"deletes,omitempty"`
 }
 
 // Table is the platform's transactional table service.
@@ -63,7 +66,8 @@
 
 // Objects is the platform's object store.
 type Objects interface {
-	// PutObject stores all of body under key, replacing what was there.
+	// PutObject stores all of body under key, replacing what was there. After
+	// an error the object may have been stored, or be stored later.
 	PutObject(ctx context.Context, key string, body []byte) error
 	// GetObject opens the object, or returns a *NotFoundError. The caller
 	// closes the reader. The length is in bytes.
--- /dev/null
+++ b/sesametarget/client.go
@@ -0,0 +1,262 @@
+package sesametarget
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Paths of the target's interface.
+const (
+	TargetPath = "/v1/target"
+	LeasePath  = "/v1/lease"
+	TasksPath  = "/v1/tasks"
+)
+
+// Reason tells apart the refusals that share one status.
+type Reason string
+
+// The reasons.
+const (
+	ReasonLease   Reason = "lease"
+	ReasonBusy    Reason = "busy"
+	ReasonNotDone Reason = "notdone"
+)
+
+// Refusal is the body of an answer that refuses a call.
+type Refusal struct {
+	Reason Reason `json:"reason,omitempty"`
+	Detail string `json:"detail"`
+}
+
+// MaxOutput bounds the output of one task, in bytes.
+const MaxOutput = 64 << 20
+
+// Client talks to one target. Every method takes its deadline from its
+// context; errors are the types of this package.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the target at that base address, such as
+// http://127.0.0.1:7100.
+func NewClient(baseURL string, hc *http.Client) *Client {
+	return &Client{
+		base: strings.TrimSuffix(baseURL, "/"),
+		http: hc,
+	}
+}
+
+// Describe returns what the target offers.
+func (c *Client) Describe(ctx context.Context) (Description, error) {
+	var d Description
+	err := c.exchange(ctx, call{
+		operation: "describe",
+		method:    http.MethodGet,
+		path:      TargetPath,
+	}, &d)
+	return d, err
+}
+
+// Renew extends the holder's lease, or returns a *LeaseError while another
+// holder's lease lives.
+func (c *Client) Renew(ctx context.Context, l Lease) error {
+	return c.exchange(ctx, call{
+		operation: "renew",
+		method:    http.MethodPut,
+		path:      LeasePath,
+		holder:    l.Holder,
+		body:      l,
+	}, nil)
+}
+
+// Start starts the task; a task that exists already is left as it is. Errors
+// are a *LeaseError or a *BusyError when it did not start, and an
+// *UnreachableError when it may have.
+func (c *Client) Start(ctx context.Context, t Task) error {
+	return c.exchange(ctx, call{
+		operation: "start",
+		method:    http.MethodPut,
+		path:      taskPath(t.ID),
+		task:      t.ID,
+		holder:    t.Holder,
+		body:      t,
+	}, nil)
+}
+
+// Tasks returns all tasks that the target knows, also those that ended.
+func (c *Client) Tasks(ctx context.Context) ([]Status, error) {
+	var tasks []Status
+	err := c.exchange(ctx, call{
+		operation: "tasks",
+		method:    http.MethodGet,
+		path:      TasksPath,
+	}, &tasks)
+	return tasks, err
+}
+
+// Output returns the whole output of a task that is done.
+func (c *Client) Output(ctx context.Context, id TaskID) ([]byte, error) {
+	k := call{
+		operation: "output",
+		method:    http.MethodGet,
+		path:      taskPath(id) + "/output",
+		task:      id,
+	}
+	response, err := c.do(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	defer closeBody(response)
+	if response.ContentLength > MaxOutput {
+		return nil, &RefusedError{
+			Operation: k.operation,
+			Status:    response.StatusCode,
+			Detail:    "output of " + strconv.FormatInt(response.ContentLength, 10) + " bytes is too long",
+		}
+	}
+	output, err := io.ReadAll(io.LimitReader(response.Body, MaxOutput))
+	if err != nil {
+		return nil, k.unreachable(err)
+	}
+	return output, nil
+}
+
+// Stop ends the task within grace and returns its status after it ended.
+func (c *Client) Stop(ctx context.Context, id TaskID, grace time.Duration) (Status, error) {
+	var status Status
+	err := c.exchange(ctx, call{
+		operation: "stop",
+		method:    http.MethodPost,
+		path:      taskPath(id) + "/stop",
+		task:      id,
+		body: Stop{
+			Grace: grace.Milliseconds(),
+		},
+	}, &status)
+	return status, err
+}
+
+func taskPath(id TaskID) string {
+	return TasksPath + "/" + url.PathEscape(string(id))
+}
+
+// call is one request and what its errors name.
+type call struct {
+	operation string
+	method    string
+	path      string
+	task      TaskID
+	holder    string
+	body      any
+}
+
+// exchange makes the call and decodes the answer into value, unless nil.
+func (c *Client) exchange(ctx context.Context, k call, value any) error {
+	response, err := c.do(ctx, k)
+	if err != nil {
+		return err
+	}
+	defer closeBody(response)
+	if value == nil {
+		return nil
+	}
+	if err := json.NewDecoder(response.Body).Decode(value); err != nil {
+		return k.unreachable(err)
+	}
+	return nil
+}
+
+// do returns the answer of a call that succeeded.
+func (c *Client) do(ctx context.Context, k call) (*http.Response, error) {
+	var body io.Reader
+	if k.body != nil {
+		encoded, err := json.Marshal(k.body)
+		if err != nil {
+			return nil, k.unreachable(err)
+		}
+		body = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, body)
+	if err != nil {
+		return nil, k.unreachable(err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, k.unreachable(err)
+	}
+	if response.StatusCode/100 == 2 {
+		return response, nil
+	}
+	defer closeBody(response)
+	return nil, k.refused(response)
+}
+
+func (k call) unreachable(err error) error {
+	return &UnreachableError{
+		Operation: k.operation,
+		Cause:     err,
+	}
+}
+
+// maxRefusal bounds what is read of a refusal, in bytes.
+const maxRefusal = 4 << 10
+
+func (k call) refused(response *http.Response) error {
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusal))
+	refusal := Refusal{
+		Detail: strings.TrimSpace(string(body)),
+	}
+	_ = json.Unmarshal(body, &refusal)
+	switch {
+	case response.StatusCode == http.StatusConflict && refusal.Reason == ReasonLease:
+		return &LeaseError{
+			Holder: k.holder,
+			Detail: refusal.Detail,
+		}
+	case response.StatusCode == http.StatusConflict && refusal.Reason == ReasonNotDone:
+		return &NotDoneError{
+			Task:   k.task,
+			Detail: refusal.Detail,
+		}
+	case isBusy(response.StatusCode, refusal):
+		return k.busy(response, refusal)
+	case response.StatusCode == http.StatusNotFound:
+		return &NotFoundError{
+			Task: k.task,
+		}
+	}
+	return &RefusedError{
+		Operation: k.operation,
+		Status:    response.StatusCode,
+		Detail:    refusal.Detail,
+	}
+}
+
+func isBusy(status int, refusal Refusal) bool {
+	return status == http.StatusTooManyRequests ||
+		status == http.StatusServiceUnavailable ||
+		status == http.StatusConflict && refusal.Reason == ReasonBusy
+}
+
+func (k call) busy(response *http.Response, refusal Refusal) error {
+	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+	return &BusyError{
+		Task:   k.task,
+		After:  time.Duration(seconds) * time.Second,
+		Detail: refusal.Detail,
+	}
+}
+
+// closeBody reads the rest so that the connection can be used again.
+func closeBody(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusal))
+	_ = response.Body.Close()
+}
