Prove that a reported outcome of a write is the true one

Random writers run over a store that is down, slow, drops, loses and delays writes, on fake time (testing/synctest); each reported outcome is compared with what took effect.

--- /dev/null
+++ b/sesametable/exactly_test.go
@@ -0,0 +1,310 @@
+package sesametable_test
+
+import (
+	"context"
+	"fmt"
+	"regexp"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+// bubbled hides the deadline of a test, which a synctest bubble has not.
+type bubbled struct {
+	rapid.TB
+}
+
+// longest is the latest that a late write takes effect.
+const longest = 90 * time.Second
+
+// newTable stacks a client on an in-memory store. In a synctest bubble the
+// system's clock is a fake one.
+func newTable(store *sesamestandin.Store, p sesamesettings.Platform) *sesametable.Retrying {
+	clock := clockwork.NewRealClock()
+	guard := sesametable.NewGuard(store, store, p, clock, tally.NoopScope, sesamelog.Discard())
+	return sesametable.NewRetrying(guard, sesametable.RetryOptions{
+		Clock: clock,
+		Log:   sesamelog.Discard(),
+	})
+}
+
+// bench is one run of concurrent writers over a faulty store.
+type bench struct {
+	store   *sesamestandin.Store
+	writers []*sesametable.Retrying
+	group   errgroup.Group
+	fates   []sesamestandin.Fate
+
+	mu       sync.Mutex
+	applied  map[string]int
+	outcomes map[string]error
+	begun    int
+}
+
+func newBench(writers int) *bench {
+	b := &bench{
+		store:    sesamestandin.NewStore(clockwork.NewRealClock()),
+		applied:  map[string]int{},
+		outcomes: map[string]error{},
+	}
+	b.store.Observe(b.observe)
+	for range writers {
+		b.writers = append(b.writers, newTable(b.store, sesamesettings.Platform{
+			Timeout: 2 * time.Second,
+			Reads:   400,
+			Writes:  60,
+		}))
+	}
+	return b
+}
+
+var mark = regexp.MustCompile(`op-\d+;`)
+
+func (b *bench) observe(t sesametable.Transaction) {
+	b.applied[mark.FindString(string(t.Puts[0].Value))]++
+}
+
+// intent is one transaction before the versions are read.
+type intent struct {
+	writer int
+	puts   []string
+	checks []string
+	delete string
+	stale  bool
+	limit  time.Duration
+}
+
+// begin commits in the background and records the outcome.
+func (b *bench) begin(n intent) {
+	name := fmt.Sprintf("op-%d;", b.begun)
+	b.begun++
+	b.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), n.limit)
+		defer cancel()
+		t, err := n.build(ctx, b.writers[n.writer], name)
+		if err != nil {
+			return nil
+		}
+		err = b.writers[n.writer].Commit(ctx, t)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.outcomes[name] = err
+		return nil
+	})
+}
+
+func (n intent) build(ctx context.Context, table sesametable.Table, value string) (sesametable.Transaction, error) {
+	var t sesametable.Transaction
+	for _, key := range n.puts {
+		version, err := versionOf(ctx, table, key)
+		if err != nil {
+			return t, err
+		}
+		if n.stale && version > 0 {
+			version--
+		}
+		t.Puts = append(t.Puts, sesametable.Put{
+			Key:     key,
+			Version: version,
+			Value:   []byte(value),
+		})
+	}
+	for _, key := range n.checks {
+		version, err := versionOf(ctx, table, key)
+		if err != nil {
+			return t, err
+		}
+		t.Checks = append(t.Checks, sesametable.Check{
+			Key:     key,
+			Version: version,
+		})
+	}
+	version, err := versionOf(ctx, table, n.delete)
+	if err == nil && version > 0 {
+		t.Deletes = append(t.Deletes, sesametable.Delete{
+			Key:     n.delete,
+			Version: version,
+		})
+	}
+	return t, err
+}
+
+func versionOf(ctx context.Context, table sesametable.Table, key string) (uint64, error) {
+	row, err := table.Get(ctx, key)
+	var missing *sesametable.NotFoundError
+	if errors.As(err, &missing) {
+		return 0, nil
+	}
+	return row.Version, err
+}
+
+// finish heals the store and lets all that is under way end.
+func (b *bench) finish() {
+	b.store.SetFaults(sesamestandin.Faults{})
+	_ = b.group.Wait()
+	pass(2 * longest)
+	_, _ = b.store.Get(context.Background(), "a")
+}
+
+// pass lets fake time pass.
+func pass(d time.Duration) {
+	<-time.After(d)
+}
+
+// assertOutcomes checks each reported outcome against what took effect, and
+// counts them by kind.
+func (b *bench) assertOutcomes(t *rapid.T, seen map[string]int) {
+	for name, err := range b.outcomes {
+		kind := kindOf(err)
+		seen[kind]++
+		effects := b.applied[name]
+		switch {
+		case effects > 1:
+			t.Fatalf("%s took effect %d times", name, effects)
+		case kind == "done" && effects != 1:
+			t.Fatalf("%s is reported done and took no effect", name)
+		case kind == "failed" && effects != 0:
+			t.Fatalf("%s is reported failed (%v) and took effect", name, err)
+		}
+	}
+}
+
+func kindOf(err error) string {
+	var unknown *sesametable.OutcomeUnknownError
+	switch {
+	case err == nil:
+		return "done"
+	case errors.As(err, &unknown):
+		return "unknown"
+	default:
+		return "failed"
+	}
+}
+
+func drawFates(t *rapid.T, fates ...sesamestandin.Fate) func(int) sesamestandin.Fate {
+	plan := rapid.SliceOfN(rapid.SampledFrom(fates), 1, 12).Draw(t, "fates")
+	return func(number int) sesamestandin.Fate {
+		return plan[number%len(plan)]
+	}
+}
+
+func drawFaults(t *rapid.T) sesamestandin.Faults {
+	return sesamestandin.Faults{
+		Down:    rapid.IntRange(0, 3).Draw(t, "down") == 0,
+		Latency: time.Duration(rapid.IntRange(0, 3000).Draw(t, "latency")) * time.Millisecond,
+		Delay:   time.Duration(rapid.IntRange(0, int(longest/time.Millisecond)).Draw(t, "delay")) * time.Millisecond,
+		LoseAnswers: drawFates(t, sesamestandin.Answered, sesamestandin.Lost,
+			sesamestandin.Late, sesamestandin.Dropped),
+	}
+}
+
+// drawIntent draws a transaction. Rows a to c are never deleted, and each
+// transaction puts one of them, as sesametable.Transaction asks.
+func drawIntent(t *rapid.T, writers int) intent {
+	n := intent{
+		writer: rapid.IntRange(0, writers-1).Draw(t, "writer"),
+		puts: rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 2,
+			rapid.ID[string]).Draw(t, "puts"),
+		stale: rapid.IntRange(0, 9).Draw(t, "stale") == 0,
+		limit: time.Duration(rapid.IntRange(1, 60).Draw(t, "limit")) * time.Second,
+	}
+	switch rapid.IntRange(0, 3).Draw(t, "extra") {
+	case 0:
+		n.delete = "d"
+	case 1:
+		n.puts = append(n.puts, "d")
+	case 2:
+		n.checks = []string{"d", "e"}
+	}
+	return n
+}
+
+// TestOutcomes runs writers over a store that is down, slow, loses answers
+// and applies writes late: what is reported done took effect once, what is
+// reported failed never does.
+func TestOutcomes(t *testing.T) {
+	const writers = 3
+	seen := map[string]int{}
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbled{t}, func(t *rapid.T) {
+			b := newBench(writers)
+			t.Repeat(map[string]func(*rapid.T){
+				"commit": func(t *rapid.T) {
+					b.begin(drawIntent(t, writers))
+				},
+				"faults": func(t *rapid.T) {
+					b.store.SetFaults(drawFaults(t))
+				},
+				"heal": func(*rapid.T) {
+					b.store.SetFaults(sesamestandin.Faults{})
+				},
+				"pass": func(t *rapid.T) {
+					pass(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+				},
+			})
+			b.finish()
+			b.assertOutcomes(t, seen)
+		})
+	})
+	t.Logf("outcomes %v", seen)
+}
+
+// TestOutcomesDecidable runs so few writers that the rows still tell: a store
+// that answers every third attempt leaves no outcome unknown.
+func TestOutcomesDecidable(t *testing.T) {
+	const commits = 7 // one row remembers 8 writes
+	seen := map[string]int{}
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbled{t}, func(t *rapid.T) {
+			b := newBench(commits)
+			setUp(t, b)
+			fates := drawFates(t, sesamestandin.Lost, sesamestandin.Late, sesamestandin.Dropped)
+			b.store.SetFaults(sesamestandin.Faults{
+				Delay: time.Duration(rapid.IntRange(0, 5000).Draw(t, "delay")) * time.Millisecond,
+				LoseAnswers: func(number int) sesamestandin.Fate {
+					if number%3 == 0 {
+						return sesamestandin.Answered
+					}
+					return fates(number)
+				},
+			})
+			for writer := range commits {
+				b.begin(intent{
+					writer: writer,
+					puts:   []string{"a"},
+					limit:  time.Minute,
+				})
+				pass(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			}
+			b.finish()
+			b.assertOutcomes(t, seen)
+			if seen["unknown"] > 0 {
+				t.Fatalf("an outcome stays unknown that the row tells")
+			}
+		})
+	})
+	t.Logf("outcomes %v", seen)
+}
+
+// setUp creates the row a, so that later writes expect a version.
+func setUp(t *rapid.T, b *bench) {
+	b.begin(intent{
+		puts:  []string{"a"},
+		limit: time.Minute,
+	})
+	if err := b.group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/sesametable/retry.go
+++ b/sesametable/retry.go
@@ -49,6 +49,9 @@
 // NewRetrying wraps raw, whose Commit may return an *OutcomeUnknownError for
 // a single attempt.
 func NewRetrying(raw Table, o RetryOptions) *Retrying {
+	if o.Log == nil {
+		o.Log = sesamelog.Discard()
+	}
 	if o.Patience == 0 {
 		o.Patience = DefaultPatience
 	}
