--- /dev/null
+++ b/sesamesettings/errors.go
@@ -0,0 +1,60 @@
+package sesamesettings
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// FaultError is one fault of a file.
+type FaultError struct {
+	File string
+	// Line counts from 1; 0 means that the fault concerns the whole file.
+	Line int
+	// Key is the path of the value, such as leases.heartbeat or tokens[0].
+	Key     string
+	Problem string
+}
+
+// Error returns the fault as file:line: key: problem.
+func (e *FaultError) Error() string {
+	place := e.File
+	if e.Line > 0 {
+		place = fmt.Sprintf("%s:%d", e.File, e.Line)
+	}
+	if e.Key == "" {
+		return fmt.Sprintf("%s: %s", place, e.Problem)
+	}
+	return fmt.Sprintf("%s: %s: %s", place, e.Key, e.Problem)
+}
+
+// FaultsError holds every fault found in one pass, ordered by file and line.
+type FaultsError struct {
+	Faults []*FaultError
+}
+
+// Error returns the faults, one a line.
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		lines = append(lines, f.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// faultsOrNil returns the faults as one error in a stable order.
+func faultsOrNil(faults []*FaultError) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	sort.SliceStable(faults, func(i, k int) bool {
+		a, b := faults[i], faults[k]
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		return a.Line < b.Line
+	})
+	return &FaultsError{
+		Faults: faults,
+	}
+}
