--- a/sesamesettings/document.go
+++ b/sesamesettings/document.go
@@ -68,7 +68,7 @@
 // syntaxFault turns the YAML library's message into a fault.
 func syntaxFault(file string, err error) error {
 	parts := lineInMessage.FindStringSubmatch(err.Error())
-	line, _ := strconv.Atoi(parts[1]) //nolint:errcheck // no number means no line
+	line, _ := strconv.Atoi(parts[1])
 	return fileFault(file, line, parts[2])
 }
 
