--- a/sesameentry/calls.go
+++ b/sesameattempt/calls.go
@@ -1,4 +1,4 @@
-package sesameentry
+package sesameattempt
 
 import (
 	"context"
@@ -19,14 +19,14 @@
 	holdTime = 5 * time.Second
 )
 
-// agentDialer reaches agents.
-type agentDialer interface {
+// Dialer reaches agents.
+type Dialer interface {
 	Agent(address string) sesamewire.DRPCAgentClient
 }
 
 // calls speaks to the agents of one attempt's members.
 type calls struct {
-	dialer agentDialer
+	dialer Dialer
 	grace  time.Duration
 }
 
--- a/sesameentry/driving.go
+++ b/sesameattempt/driver.go
@@ -1,4 +1,4 @@
-package sesameentry
+package sesameattempt
 
 import (
 	"context"
@@ -27,17 +27,26 @@
 	maxDriveWait = time.Second
 )
 
-// driving moves attempts on: it prepares, records and opens them, and stops
+// Options is what a driver or a finisher is made of.
+type Options struct {
+	Ledger *Ledger
+	Dialer Dialer
+	// Grace is the time that a stopped task has for a checkpoint.
+	Grace time.Duration
+	Clock clockwork.Clock
+	Log   *sesamelog.Logger
+	Scope tally.Scope
+	// Changed is told of the jobs that were written: as they were, and as
+	// they are.
+	Changed func(jobs ...sesamemodel.Job)
+}
+
+// Driver moves attempts on: it prepares, records and opens them, and stops
 // those that are to end. Any entry may drive any attempt at any time: each
 // step is either idempotent at the agent or a conditional write of the row.
-type driving struct {
-	ledger *ledger
-	calls  *calls
-	clock  clockwork.Clock
-	log    *sesamelog.Logger
-	scope  tally.Scope
-	// changed tells the planning duty of rows that this duty wrote.
-	changed func(hint)
+type Driver struct {
+	options Options
+	calls   *calls
 
 	ctx   context.Context
 	group *errgroup.Group
@@ -49,17 +58,28 @@
 	opened map[sesamemodel.JobID]uint32
 }
 
-// begin makes the drives run in the group until ctx ends.
-func (d *driving) begin(ctx context.Context, group *errgroup.Group) {
+// NewDriver returns a driver that drives nothing before Begin.
+func NewDriver(o Options) *Driver {
+	return &Driver{
+		options: o,
+		calls: &calls{
+			dialer: o.Dialer,
+			grace:  o.Grace,
+		},
+		moving: map[sesamemodel.JobID]bool{},
+		opened: map[sesamemodel.JobID]uint32{},
+	}
+}
+
+// Begin makes the drives run in the group until ctx ends.
+func (d *Driver) Begin(ctx context.Context, group *errgroup.Group) {
 	d.ctx = ctx
 	d.group = group
-	d.moving = map[sesamemodel.JobID]bool{}
-	d.opened = map[sesamemodel.JobID]uint32{}
 }
 
 // Drive moves the job's attempt on until the job is queued or has ended, or
 // runs with every member opened.
-func (d *driving) Drive(id sesamemodel.JobID) {
+func (d *Driver) Drive(id sesamemodel.JobID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.moving[id]; ok {
@@ -77,8 +97,8 @@
 }
 
 // Broken stops an attempt that has lost a target.
-func (d *driving) Broken(id sesamemodel.JobID, attempt uint32, reason string) {
-	if job, ok := d.ledger.known(id); ok && job.State == sesamemodel.Stopping {
+func (d *Driver) Broken(id sesamemodel.JobID, attempt uint32, reason string) {
+	if job, ok := d.options.Ledger.Known(id); ok && job.State == sesamemodel.Stopping {
 		d.Drive(id)
 		return
 	}
@@ -88,32 +108,32 @@
 	})
 }
 
-func (d *driving) breakAttempt(id sesamemodel.JobID, attempt uint32, reason string) {
-	job, err := d.ledger.change(d.ctx, id, func(job sesamemodel.Job) (sesamemodel.Job, bool) {
+func (d *Driver) breakAttempt(id sesamemodel.JobID, attempt uint32, reason string) {
+	job, err := d.options.Ledger.Change(d.ctx, id, func(job sesamemodel.Job) (sesamemodel.Job, bool) {
 		if job.Attempt != attempt || !job.State.Active() || job.State == sesamemodel.Stopping {
 			return job, false
 		}
-		return job.WithStop(d.clock.Now(), sesamemodel.Queued, reason), true
+		return job.WithStop(d.options.Clock.Now(), sesamemodel.Queued, reason), true
 	})
 	if err != nil {
 		d.delayed(id, err)
 		return
 	}
-	d.changed(hintOf(job))
+	d.options.Changed(job)
 	if job.State == sesamemodel.Stopping {
 		d.Drive(id)
 	}
 }
 
-func (d *driving) delayed(id sesamemodel.JobID, err error) {
-	d.log.Emit(eventAttemptDelayed, sesamelog.Fields{
+func (d *Driver) delayed(id sesamemodel.JobID, err error) {
+	d.options.Log.Emit(eventAttemptDelayed, sesamelog.Fields{
 		"job":   id,
 		"error": err,
 	})
 }
 
 // run repeats steps until the attempt needs no more.
-func (d *driving) run(id sesamemodel.JobID) {
+func (d *Driver) run(id sesamemodel.JobID) {
 	wait := driveBackOff()
 	for {
 		more, err := d.step(id)
@@ -124,7 +144,7 @@
 			return
 		case err != nil:
 			d.delayed(id, err)
-			if sleep(d.ctx, d.clock, wait.NextBackOff()) != nil {
+			if sleep(d.ctx, d.options.Clock, wait.NextBackOff()) != nil {
 				d.ended(id)
 				return
 			}
@@ -137,7 +157,7 @@
 }
 
 // rests ends the drive unless it was asked for again meanwhile.
-func (d *driving) rests(id sesamemodel.JobID) bool {
+func (d *Driver) rests(id sesamemodel.JobID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.moving[id] {
@@ -148,15 +168,15 @@
 	return true
 }
 
-func (d *driving) ended(id sesamemodel.JobID) {
+func (d *Driver) ended(id sesamemodel.JobID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.moving, id)
 }
 
 // step moves the attempt on by one state; false means that it needs no more.
-func (d *driving) step(id sesamemodel.JobID) (bool, error) {
-	row, err := d.ledger.job(d.ctx, id)
+func (d *Driver) step(id sesamemodel.JobID) (bool, error) {
+	row, err := d.options.Ledger.Job(d.ctx, id)
 	if err != nil {
 		return false, err
 	}
@@ -176,20 +196,20 @@
 	return false, nil
 }
 
-func (d *driving) isOpened(job sesamemodel.Job) bool {
+func (d *Driver) isOpened(job sesamemodel.Job) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.opened[job.ID] == job.Attempt
 }
 
-func (d *driving) forget(id sesamemodel.JobID) {
+func (d *Driver) forget(id sesamemodel.JobID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.opened, id)
 }
 
 // start prepares every member, records the start, and opens the members.
-func (d *driving) start(job sesamemodel.Job) error {
+func (d *Driver) start(job sesamemodel.Job) error {
 	for i, a := range d.calls.prepare(d.ctx, job) {
 		if !a.accepted() {
 			reason := fmt.Sprintf("target %q was not prepared: %s", job.Assignments[i].Target, a.reason())
@@ -197,7 +217,7 @@
 		}
 	}
 	recorded, err := d.changeAttempt(job, func(j sesamemodel.Job) (sesamemodel.Job, bool) {
-		return j.WithStart(d.clock.Now()), j.State == sesamemodel.Placed
+		return j.WithStart(d.options.Clock.Now()), j.State == sesamemodel.Placed
 	})
 	if err != nil || recorded.State != sesamemodel.Running || recorded.Attempt != job.Attempt {
 		return err
@@ -206,8 +226,8 @@
 }
 
 // changeAttempt decides on the job while it is still at the same attempt.
-func (d *driving) changeAttempt(job sesamemodel.Job, decide decision) (sesamemodel.Job, error) {
-	after, err := d.ledger.change(d.ctx, job.ID, func(j sesamemodel.Job) (sesamemodel.Job, bool) {
+func (d *Driver) changeAttempt(job sesamemodel.Job, decide Decision) (sesamemodel.Job, error) {
+	after, err := d.options.Ledger.Change(d.ctx, job.ID, func(j sesamemodel.Job) (sesamemodel.Job, bool) {
 		if j.Attempt != job.Attempt {
 			return j, false
 		}
@@ -216,29 +236,28 @@
 	if err != nil {
 		return after, err
 	}
-	d.log.Emit(eventAttempt, sesamelog.Fields{
+	d.options.Log.Emit(eventAttempt, sesamelog.Fields{
 		"job":     after.ID,
 		"attempt": after.Attempt,
 		"state":   after.State,
 		"reason":  after.Reason,
 	})
-	h := hintOf(job, after)
-	d.changed(h)
+	d.options.Changed(job, after)
 	return after, nil
 }
 
 // revoke stops an attempt that cannot start or go on.
-func (d *driving) revoke(job sesamemodel.Job, reason string) error {
+func (d *Driver) revoke(job sesamemodel.Job, reason string) error {
 	_, err := d.changeAttempt(job, func(j sesamemodel.Job) (sesamemodel.Job, bool) {
 		live := j.State == sesamemodel.Placed || j.State == sesamemodel.Running
-		return j.WithStop(d.clock.Now(), sesamemodel.Queued, reason), live
+		return j.WithStop(d.options.Clock.Now(), sesamemodel.Queued, reason), live
 	})
 	return err
 }
 
 // open tells every member to start. A member that refuses breaks the attempt;
 // one that does not answer is told again.
-func (d *driving) open(job sesamemodel.Job) error {
+func (d *Driver) open(job sesamemodel.Job) error {
 	for i, a := range d.calls.open(d.ctx, job) {
 		if a.err != nil {
 			return a.err
@@ -251,13 +270,13 @@
 	d.mu.Lock()
 	d.opened[job.ID] = job.Attempt
 	d.mu.Unlock()
-	tagged(d.scope, job).Timer("submit_to_open").Record(d.clock.Since(job.Submitted))
+	Tagged(d.options.Scope, job).Timer("submit_to_open").Record(d.options.Clock.Since(job.Submitted))
 	return nil
 }
 
 // stop ends the attempt on every member, and concludes it once all have
 // settled.
-func (d *driving) stop(job sesamemodel.Job) error {
+func (d *Driver) stop(job sesamemodel.Job) error {
 	reports := d.calls.stop(d.ctx, job)
 	for i, a := range job.Assignments {
 		gone, err := d.gone(a)
@@ -272,7 +291,7 @@
 			return j, false
 		}
 		var next sesamemodel.Job
-		next, settled = sesamegang.Conclude(d.clock.Now(), j, reports)
+		next, settled = sesamegang.Conclude(d.options.Clock.Now(), j, reports)
 		return next, settled
 	})
 	if err != nil {
@@ -289,8 +308,8 @@
 
 // gone reports whether the assignment's target was lost or its agent started
 // anew, so that what it ran for the attempt has ended with its lease.
-func (d *driving) gone(a sesamemodel.Assignment) (bool, error) {
-	cell, err := d.ledger.Cell(d.ctx, a.Cell)
+func (d *Driver) gone(a sesamemodel.Assignment) (bool, error) {
+	cell, err := d.options.Ledger.Cell(d.ctx, a.Cell)
 	if err != nil {
 		return false, err
 	}
@@ -304,11 +323,3 @@
 	b.MaxInterval = maxDriveWait
 	return b
 }
-
-// tagged returns the scope of the job's team and class.
-func tagged(scope tally.Scope, job sesamemodel.Job) tally.Scope {
-	return scope.Tagged(map[string]string{
-		"team":  string(job.Spec.Team),
-		"class": job.Spec.Class,
-	})
-}
--- a/sesameentry/finishing.go
+++ b/sesameattempt/finisher.go
@@ -1,11 +1,9 @@
-package sesameentry
+package sesameattempt
 
 import (
 	"context"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/sesamestack/sesamestack/sesamegang"
 	"github.com/sesamestack/sesamestack/sesamelog"
@@ -14,21 +12,24 @@
 	"github.com/sesamestack/sesamestack/sesamewire"
 )
 
-// finishing records the outcomes of attempts that agents report.
-type finishing struct {
-	ledger  *ledger
-	clock   clockwork.Clock
-	log     *sesamelog.Logger
-	scope   tally.Scope
-	changed func(hint)
+// Finisher records the outcomes of attempts that agents report.
+type Finisher struct {
+	options Options
 }
 
-// finish records one report. After an error the agent repeats it; a report
+// NewFinisher returns a finisher; it uses neither the dialer nor the grace.
+func NewFinisher(o Options) *Finisher {
+	return &Finisher{
+		options: o,
+	}
+}
+
+// Finish records one report. After an error the agent repeats it; a report
 // for an attempt that is over is answered as recorded.
-func (f *finishing) finish(ctx context.Context, req *sesamewire.FinishRequest) (*sesamewire.FinishReply, error) {
+func (f *Finisher) Finish(ctx context.Context, req *sesamewire.FinishRequest) (*sesamewire.FinishReply, error) {
 	id := sesamemodel.JobID(req.GetId().GetJob())
 	var before sesamemodel.Job
-	after, err := f.ledger.change(ctx, id, func(job sesamemodel.Job) (sesamemodel.Job, bool) {
+	after, err := f.options.Ledger.Change(ctx, id, func(job sesamemodel.Job) (sesamemodel.Job, bool) {
 		before = job
 		return f.conclude(job, req)
 	})
@@ -41,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f.changed(hintOf(before, after))
+	f.options.Changed(before, after)
 	f.record(after)
 	return &sesamewire.FinishReply{
 		Recorded: true,
@@ -50,7 +51,7 @@
 
 // conclude decides what the report makes of the job. An unknown outcome is
 // replaced by what the agent turns out to know.
-func (f *finishing) conclude(job sesamemodel.Job, req *sesamewire.FinishRequest) (sesamemodel.Job, bool) {
+func (f *Finisher) conclude(job sesamemodel.Job, req *sesamewire.FinishRequest) (sesamemodel.Job, bool) {
 	if job.Attempt != req.GetId().GetAttempt() || !job.Started {
 		return job, false
 	}
@@ -58,7 +59,7 @@
 		return job, false
 	}
 	reports := memberReports(job, req)
-	now := f.clock.Now()
+	now := f.options.Clock.Now()
 	next, settled := sesamegang.Conclude(now, job, reports)
 	if job.State == sesamemodel.Unknown {
 		known := next.State == sesamemodel.Done || next.State == sesamemodel.Failed
@@ -100,14 +101,14 @@
 	return "a member of the gang was lost"
 }
 
-func (f *finishing) record(job sesamemodel.Job) {
-	f.log.Emit(eventFinished, sesamelog.Fields{
+func (f *Finisher) record(job sesamemodel.Job) {
+	f.options.Log.Emit(eventFinished, sesamelog.Fields{
 		"job":     job.ID,
 		"attempt": job.Attempt,
 		"state":   job.State,
 		"reason":  job.Reason,
 	})
 	if job.State == sesamemodel.Done {
-		tagged(f.scope, job).Timer("submit_to_done").Record(f.clock.Since(job.Submitted))
+		Tagged(f.options.Scope, job).Timer("submit_to_done").Record(f.options.Clock.Since(job.Submitted))
 	}
 }
--- a/sesameentry/ledger.go
+++ b/sesameattempt/ledger.go
@@ -1,4 +1,4 @@
-package sesameentry
+package sesameattempt
 
 import (
 	"context"
@@ -22,19 +22,19 @@
 	maxConflictWait = 100 * time.Millisecond
 )
 
-// jobStore is what the ledger needs of the store.
-type jobStore interface {
+// Store is what the ledger needs of the store.
+type Store interface {
 	Job(ctx context.Context, id sesamemodel.JobID) (sesamestore.Versioned[sesamemodel.Job], error)
 	Cell(ctx context.Context, id sesamemodel.CellID) (sesamestore.Versioned[sesamemodel.Cell], error)
 	Update(ctx context.Context, b sesamestore.Batch) error
 	Resolve(ctx context.Context, job sesamestore.Versioned[sesamemodel.Job]) error
 }
 
-// ledger keeps the newest versions of jobs and cells that this entry has seen
+// Ledger keeps the newest versions of jobs and cells that this entry has seen
 // and commits changes of them. The rows in the table decide: a change that
 // started from an old version conflicts, and is decided anew from fresh rows.
-type ledger struct {
-	store jobStore
+type Ledger struct {
+	store Store
 	clock clockwork.Clock
 
 	mu    sync.Mutex
@@ -42,8 +42,8 @@
 	cells map[sesamemodel.CellID]sesamestore.Versioned[sesamemodel.Cell]
 }
 
-func newLedger(store jobStore, clock clockwork.Clock) *ledger {
-	return &ledger{
+func NewLedger(store Store, clock clockwork.Clock) *Ledger {
+	return &Ledger{
 		store: store,
 		clock: clock,
 		jobs:  map[sesamemodel.JobID]sesamestore.Versioned[sesamemodel.Job]{},
@@ -51,8 +51,8 @@
 	}
 }
 
-// noteJob keeps the job if it is newer than what is known.
-func (l *ledger) noteJob(job sesamestore.Versioned[sesamemodel.Job]) {
+// NoteJob keeps the job if it is newer than what is known.
+func (l *Ledger) NoteJob(job sesamestore.Versioned[sesamemodel.Job]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	id := job.Value.ID
@@ -65,8 +65,8 @@
 	}
 }
 
-// noteCell keeps the cell if it is newer than what is known.
-func (l *ledger) noteCell(cell sesamestore.Versioned[sesamemodel.Cell]) {
+// NoteCell keeps the cell if it is newer than what is known.
+func (l *Ledger) NoteCell(cell sesamestore.Versioned[sesamemodel.Cell]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	id := cell.Value.ID
@@ -75,30 +75,30 @@
 	}
 }
 
-func (l *ledger) dropJob(id sesamemodel.JobID) {
+func (l *Ledger) DropJob(id sesamemodel.JobID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.jobs, id)
 }
 
-func (l *ledger) dropCell(id sesamemodel.CellID) {
+func (l *Ledger) DropCell(id sesamemodel.CellID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.cells, id)
 }
 
 // drop forgets every row that the batch touches.
-func (l *ledger) drop(b sesamestore.Batch) {
+func (l *Ledger) drop(b sesamestore.Batch) {
 	for _, j := range b.Jobs {
-		l.dropJob(j.Value.ID)
+		l.DropJob(j.Value.ID)
 	}
 	for _, c := range b.Cells {
-		l.dropCell(c.Value.ID)
+		l.DropCell(c.Value.ID)
 	}
 }
 
-// job returns the job as known, or reads it.
-func (l *ledger) job(ctx context.Context, id sesamemodel.JobID) (sesamestore.Versioned[sesamemodel.Job], error) {
+// Job returns the job as known, or reads it.
+func (l *Ledger) Job(ctx context.Context, id sesamemodel.JobID) (sesamestore.Versioned[sesamemodel.Job], error) {
 	l.mu.Lock()
 	known, ok := l.jobs[id]
 	l.mu.Unlock()
@@ -107,13 +107,13 @@
 	}
 	job, err := l.store.Job(ctx, id)
 	if err == nil {
-		l.noteJob(job)
+		l.NoteJob(job)
 	}
 	return job, err
 }
 
-// known returns the job as last seen, without reading it.
-func (l *ledger) known(id sesamemodel.JobID) (sesamemodel.Job, bool) {
+// Known returns the job as last seen, without reading it.
+func (l *Ledger) Known(id sesamemodel.JobID) (sesamemodel.Job, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	job, ok := l.jobs[id]
@@ -121,7 +121,7 @@
 }
 
 // Cell returns the cell as known, or reads it.
-func (l *ledger) Cell(ctx context.Context, id sesamemodel.CellID) (sesamestore.Versioned[sesamemodel.Cell], error) {
+func (l *Ledger) Cell(ctx context.Context, id sesamemodel.CellID) (sesamestore.Versioned[sesamemodel.Cell], error) {
 	l.mu.Lock()
 	known, ok := l.cells[id]
 	l.mu.Unlock()
@@ -130,43 +130,43 @@
 	}
 	cell, err := l.store.Cell(ctx, id)
 	if err == nil {
-		l.noteCell(cell)
+		l.NoteCell(cell)
 	}
 	return cell, err
 }
 
-// commit writes the batch and keeps what it wrote. After any error but one
+// Commit writes the batch and keeps what it wrote. After any error but one
 // that says that nothing took effect, the rows are forgotten, to be read anew.
-func (l *ledger) commit(ctx context.Context, b sesamestore.Batch) error {
+func (l *Ledger) Commit(ctx context.Context, b sesamestore.Batch) error {
 	if err := l.store.Update(ctx, b); err != nil {
 		l.drop(b)
 		return err
 	}
 	for _, job := range b.Jobs {
 		job.Version++
-		l.noteJob(job)
+		l.NoteJob(job)
 	}
 	for _, cell := range b.Cells {
 		cell.Version++
-		l.noteCell(cell)
+		l.NoteCell(cell)
 	}
 	return nil
 }
 
-// CommitCell writes one cell; see commit.
-func (l *ledger) CommitCell(ctx context.Context, cell sesamestore.Versioned[sesamemodel.Cell]) error {
-	return l.commit(ctx, sesamestore.Batch{
+// CommitCell writes one cell; see Commit.
+func (l *Ledger) CommitCell(ctx context.Context, cell sesamestore.Versioned[sesamemodel.Cell]) error {
+	return l.Commit(ctx, sesamestore.Batch{
 		Cells: []sesamestore.Versioned[sesamemodel.Cell]{cell},
 	})
 }
 
-// decision computes a job's next value; false means that nothing changes.
-type decision func(job sesamemodel.Job) (sesamemodel.Job, bool)
+// Decision computes a job's next value; false means that nothing changes.
+type Decision func(job sesamemodel.Job) (sesamemodel.Job, bool)
 
-// change decides on one job and commits the result together with the cells
+// Change decides on one job and commits the result together with the cells
 // that lose the allocations of an attempt which is over. It returns the job as
 // it then is. Errors are those of sesametable.Table.
-func (l *ledger) change(ctx context.Context, id sesamemodel.JobID, decide decision) (sesamemodel.Job, error) {
+func (l *Ledger) Change(ctx context.Context, id sesamemodel.JobID, decide Decision) (sesamemodel.Job, error) {
 	wait := conflictBackOff()
 	for try := 0; ; try++ {
 		job, err := l.tryChange(ctx, id, decide)
@@ -180,8 +180,8 @@
 	}
 }
 
-func (l *ledger) tryChange(ctx context.Context, id sesamemodel.JobID, decide decision) (sesamemodel.Job, error) {
-	before, err := l.job(ctx, id)
+func (l *Ledger) tryChange(ctx context.Context, id sesamemodel.JobID, decide Decision) (sesamemodel.Job, error) {
+	before, err := l.Job(ctx, id)
 	if err != nil {
 		return sesamemodel.Job{}, err
 	}
@@ -201,7 +201,7 @@
 			return before.Value, err
 		}
 	}
-	if err := l.commit(ctx, b); err != nil {
+	if err := l.Commit(ctx, b); err != nil {
 		return before.Value, err
 	}
 	return after, nil
@@ -209,14 +209,14 @@
 
 // confirm reads the row when the decision that nothing changes may rest on an
 // old version of it.
-func (l *ledger) confirm(ctx context.Context, seen sesamestore.Versioned[sesamemodel.Job], decide decision) (sesamemodel.Job, error) {
+func (l *Ledger) confirm(ctx context.Context, seen sesamestore.Versioned[sesamemodel.Job], decide Decision) (sesamemodel.Job, error) {
 	id := seen.Value.ID
 	fresh, err := l.store.Job(ctx, id)
 	if err != nil {
 		return seen.Value, err
 	}
-	l.dropJob(id)
-	l.noteJob(fresh)
+	l.DropJob(id)
+	l.NoteJob(fresh)
 	if _, changed := decide(fresh.Value); changed {
 		return fresh.Value, &sesametable.ConflictError{
 			Key:      sesamestore.OpenKey(id),
@@ -228,7 +228,7 @@
 }
 
 // release returns the cells of the job without what its attempt held.
-func (l *ledger) release(ctx context.Context, job sesamemodel.Job) ([]sesamestore.Versioned[sesamemodel.Cell], error) {
+func (l *Ledger) release(ctx context.Context, job sesamemodel.Job) ([]sesamestore.Versioned[sesamemodel.Cell], error) {
 	var cells []sesamestore.Versioned[sesamemodel.Cell]
 	for _, id := range job.Cells() {
 		cell, err := l.Cell(ctx, id)
--- /dev/null
+++ b/sesameattempt/metrics.go
@@ -0,0 +1,15 @@
+package sesameattempt
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// Tagged returns the scope of the job's team and class.
+func Tagged(scope tally.Scope, job sesamemodel.Job) tally.Scope {
+	return scope.Tagged(map[string]string{
+		"team":  string(job.Spec.Team),
+		"class": job.Spec.Class,
+	})
+}
--- a/sesameentry/errors.go
+++ b/sesameentry/errors.go
@@ -1,31 +1,6 @@
 package sesameentry
 
-import (
-	"fmt"
-
-	"github.com/sesamestack/sesamestack/sesamemodel"
-)
-
-// NotReadyError says that the entry lacks something to work with.
-type NotReadyError struct {
-	Missing string
-}
-
-// Error names what is missing.
-func (e *NotReadyError) Error() string {
-	return fmt.Sprintf("entry is not ready: %s were not read yet", e.Missing)
-}
-
-// UnsettledError says that members of a stopping attempt have not confirmed.
-type UnsettledError struct {
-	Job     sesamemodel.JobID
-	Attempt uint32
-}
-
-// Error names the attempt.
-func (e *UnsettledError) Error() string {
-	return fmt.Sprintf("attempt %d of job %q has members that did not confirm their stop", e.Attempt, e.Job)
-}
+import "fmt"
 
 // ListenError says that an address cannot be served.
 type ListenError struct {
--- a/sesameentry/membership.go
+++ b/sesameentry/membership.go
@@ -67,12 +67,31 @@
 		}
 	}
 	m.roster.observe(members)
-	next := m.roster.self
+	return m.write(ctx, m.roster.self)
+}
+
+// leave tells the other entries of a graceful stop.
+func (m *membership) leave(ctx context.Context) {
+	left := m.roster.self
+	left.Left = true
+	if err := m.write(ctx, left); err != nil {
+		m.log.Emit(eventRenewal, sesamelog.Fields{
+			"error": err,
+		})
+	}
+}
+
+func (m *membership) write(ctx context.Context, next sesamemodel.Member) error {
 	next.Beat = m.row.Value.Beat + 1
-	err = m.store.PutMember(ctx, m.row.With(next))
+	row := m.row.With(next)
+	err := m.store.PutMember(ctx, row)
 	var conflict *sesametable.ConflictError
 	if errors.As(err, &conflict) {
 		return nil // the next renewal reads the row again
 	}
+	if err == nil {
+		row.Version++
+		m.row = row
+	}
 	return err
 }
--- a/sesameentry/noticing.go
+++ b/sesameentry/noticing.go
@@ -48,31 +48,39 @@
 	}
 }
 
-// handle brings one hint to the most preferred planner that answers.
+// handle brings one hint to the most preferred planner that answers, and tells
+// the other entries, whose callers may wait for the rows.
 func (n *noticing) handle(m *message.Message) error {
 	h, err := sesamering.Receive[hint](m)
 	if err != nil {
-		return err
+		n.log.Emit(eventHintLost, sesamelog.Fields{
+			"error": err,
+		})
+		return nil
 	}
+	planned := false
 	for _, member := range n.roster.Preferred(n.region) {
-		if member.ID == n.self {
-			n.send(topicPlan, h)
-			return nil
+		if member.ID != n.self {
+			told := n.call(m.Context(), member, h, !planned)
+			planned = planned || told
+			continue
 		}
-		if n.call(m.Context(), member, h) {
-			return nil
+		if !planned {
+			n.send(topicPlan, h)
+			planned = true
 		}
 	}
 	return nil
 }
 
 // call reports whether the peer took the hint.
-func (n *noticing) call(ctx context.Context, member sesamemodel.Member, h hint) bool {
+func (n *noticing) call(ctx context.Context, member sesamemodel.Member, h hint, plan bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	_, err := n.dialer.Peer(member.Address).Notice(ctx, &sesamewire.NoticeRequest{
 		Keys: h.keys(),
 		From: n.self,
+		Plan: plan,
 	})
 	if err == nil {
 		return true
@@ -86,8 +94,11 @@
 }
 
 // noticed takes in a hint from a peer.
-func (n *noticing) noticed(keys []string) {
+func (n *noticing) noticed(keys []string, plan bool) {
 	n.wake(keys)
+	if !plan {
+		return
+	}
 	h := hintOfKeys(keys)
 	h.Stale = true
 	h.Asked = true
--- a/sesameentry/planning.go
+++ b/sesameentry/planning.go
@@ -11,6 +11,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/sesamestack/sesamestack/sesameattempt"
+	"github.com/sesamestack/sesamestack/sesamecontract"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamemodel"
 	"github.com/sesamestack/sesamestack/sesameplanner"
@@ -42,9 +44,8 @@
 
 // contracts is the newest set of contracts that the entry has.
 type contracts interface {
-	// Current returns the contracts and their number; false before the first
-	// read of the store.
-	Current() (set []sesamemodel.Contract, number uint64, ready bool)
+	// Set returns the contracts, or an error before the store was read.
+	Set() (*sesamecontract.Set, error)
 }
 
 // attempts drives the attempts of jobs.
@@ -66,7 +67,7 @@
 	region    string
 	packing   float64
 	store     regionStore
-	ledger    *ledger
+	ledger    *sesameattempt.Ledger
 	contracts contracts
 	attempts  attempts
 	leader    leadership
@@ -90,7 +91,10 @@
 func (p *planning) handle(m *message.Message) error {
 	h, err := sesamering.Receive[hint](m)
 	if err != nil {
-		return err
+		p.log.Emit(eventHintLost, sesamelog.Fields{
+			"error": err,
+		})
+		return nil
 	}
 	ctx := m.Context()
 	if err := p.take(ctx, h); err != nil {
@@ -153,10 +157,10 @@
 // forget drops the rows that changed elsewhere from the ledger.
 func (p *planning) forget(h hint) {
 	for _, id := range h.Jobs {
-		p.ledger.dropJob(id)
+		p.ledger.DropJob(id)
 	}
 	for _, id := range h.Cells {
-		p.ledger.dropCell(id)
+		p.ledger.DropCell(id)
 	}
 }
 
@@ -178,10 +182,10 @@
 		return err
 	}
 	for _, job := range jobs {
-		p.ledger.noteJob(job)
+		p.ledger.NoteJob(job)
 	}
 	for _, cell := range cells {
-		p.ledger.noteCell(cell)
+		p.ledger.NoteCell(cell)
 		p.setCell(cell)
 	}
 	p.setJobs(jobs)
@@ -230,24 +234,22 @@
 }
 
 func (p *planning) takeContracts() error {
-	set, number, ready := p.contracts.Current()
-	if !ready {
-		return &NotReadyError{
-			Missing: "contracts",
-		}
+	set, err := p.contracts.Set()
+	if err != nil {
+		return err
 	}
-	if number == p.number {
+	if set.Number() == p.number {
 		return nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.planner.SetContracts(set)
-	p.number = number
+	p.planner.SetContracts(set.Contracts())
+	p.number = set.Number()
 	return nil
 }
 
 func (p *planning) takeJob(ctx context.Context, id sesamemodel.JobID) error {
-	job, err := p.ledger.job(ctx, id)
+	job, err := p.ledger.Job(ctx, id)
 	var missing *sesametable.NotFoundError
 	if errors.As(err, &missing) {
 		p.removeJob(id)
@@ -328,7 +330,7 @@
 	if !ok || target.Health == sesamemodel.Lost {
 		return fmt.Sprintf("target %q was lost", a.Target), true
 	}
-	job, ok := p.ledger.known(a.Job)
+	job, ok := p.ledger.Known(a.Job)
 	if !ok || job.Attempt != a.Attempt {
 		return "", false
 	}
@@ -371,7 +373,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.ledger.commit(ctx, b); err != nil {
+	if err := p.ledger.Commit(ctx, b); err != nil {
 		return err
 	}
 	p.mu.Lock()
@@ -401,7 +403,7 @@
 		})
 		if job.Value.State == sesamemodel.Placed {
 			wait := p.clock.Since(job.Value.Submitted)
-			tagged(p.scope, job.Value).Timer("submit_to_placed").Record(wait)
+			sesameattempt.Tagged(p.scope, job.Value).Timer("submit_to_placed").Record(wait)
 		}
 		if job.Value.State.Active() {
 			p.attempts.Drive(job.Value.ID)
@@ -429,7 +431,7 @@
 	}
 	var b sesamestore.Batch
 	for id, job := range jobs {
-		row, err := p.ledger.job(ctx, id)
+		row, err := p.ledger.Job(ctx, id)
 		if err != nil {
 			return b, err
 		}
--- a/sesameentry/roster.go
+++ b/sesameentry/roster.go
@@ -78,7 +78,8 @@
 	members := []sesamemodel.Member{r.self}
 	for id, s := range r.seen {
 		silent := now.Sub(s.since) > r.window
-		if id == r.self.ID || silent || s.suspect || s.member.Region != r.self.Region {
+		out := silent || s.suspect || s.member.Left
+		if id == r.self.ID || out || s.member.Region != r.self.Region {
 			continue
 		}
 		members = append(members, s.member)
--- a/sesameentry/wire.go
+++ b/sesameentry/wire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/sesamestack/sesamestack/sesameattempt"
 	"github.com/sesamestack/sesamestack/sesamekeeper"
 	"github.com/sesamestack/sesamestack/sesamemodel"
 	"github.com/sesamestack/sesamestack/sesamewire"
@@ -11,7 +12,7 @@
 // wire answers agents and other entries.
 type wire struct {
 	keeper    *sesamekeeper.Service
-	finishing *finishing
+	finisher  *sesameattempt.Finisher
 	noticing  *noticing
 	planning  *planning
 	contracts func(number uint64)
@@ -29,7 +30,7 @@
 
 // Finish records the outcome of an attempt.
 func (w *wire) Finish(ctx context.Context, req *sesamewire.FinishRequest) (*sesamewire.FinishReply, error) {
-	return w.finishing.finish(ctx, req)
+	return w.finisher.Finish(ctx, req)
 }
 
 // Notice takes in a hint of changed rows.
@@ -38,7 +39,7 @@
 		w.contracts(req.GetContracts())
 	}
 	if len(req.GetKeys()) > 0 {
-		w.noticing.noticed(req.GetKeys())
+		w.noticing.noticed(req.GetKeys(), req.GetPlan())
 	}
 	return &sesamewire.NoticeReply{}, nil
 }
--- a/sesamelog/log.go
+++ b/sesamelog/log.go
@@ -10,6 +10,7 @@
 //	3000-3099  sesamekeeper
 //	4000-4099  sesameentry
 //	4100-4199  sesameplanner
+//	4200-4299  sesameattempt
 //	5000-5099  sesameapi
 //	6000-6099  sesamecommand
 //
--- a/sesamemodel/cell.go
+++ b/sesamemodel/cell.go
@@ -159,4 +159,6 @@
 	// Beat grows with each renewal; a beat that stands still for longer than
 	// a lease on the reader's own clock means the member is gone.
 	Beat uint64 `json:"beat"`
+	// Left is true after a graceful stop, until the entry starts again.
+	Left bool `json:"left,omitempty"`
 }
