--- /dev/null
+++ b/sesameapi/auth.go
@@ -0,0 +1,87 @@
+package sesameapi
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/sesamestack/sesamestack/sesamecontract"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+const maxTokenLength = 512
+
+// digestOf returns the digest of the request's access token.
+func digestOf(r *http.Request) (string, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" || len(token) > maxTokenLength {
+		return "", newProblem(Unauthenticated, "")
+	}
+	return sesamecontract.Digest(token), nil
+}
+
+// caller returns the contract of the team that the request's token belongs to.
+// Contracts are fresh, so a token that was taken out of a contract ends within
+// the same bound as any other change.
+func (h *Handler) caller(r *http.Request) (sesamemodel.Contract, error) {
+	digest, err := digestOf(r)
+	if err != nil {
+		return sesamemodel.Contract{}, err
+	}
+	set, err := h.options.Contracts.Fresh(r.Context())
+	if err != nil {
+		return sesamemodel.Contract{}, err
+	}
+	if contract, ok := set.Token(digest); ok {
+		return contract, nil
+	}
+	if h.operatorName(digest) != "" {
+		return sesamemodel.Contract{}, newProblem(Forbidden, "this needs the token of a team")
+	}
+	return sesamemodel.Contract{}, newProblem(Unauthenticated, "")
+}
+
+// operator returns the name of the operator that the request's token belongs
+// to. It needs no contracts, so operators are served before the first.
+func (h *Handler) operator(r *http.Request) (string, error) {
+	digest, err := digestOf(r)
+	if err != nil {
+		return "", err
+	}
+	if name := h.operatorName(digest); name != "" {
+		return name, nil
+	}
+	if set, err := h.options.Contracts.Set(); err == nil {
+		if _, ok := set.Token(digest); ok {
+			return "", newProblem(Forbidden, "this needs the token of an operator")
+		}
+	}
+	return "", newProblem(Unauthenticated, "")
+}
+
+// operatorName compares digests, so the time it takes tells nothing of a token.
+func (h *Handler) operatorName(digest string) string {
+	for name, known := range h.options.Operators {
+		if strings.EqualFold(known, digest) {
+			return name
+		}
+	}
+	return ""
+}
+
+// reader may see a job: its team, or any operator.
+type reader struct {
+	team     sesamemodel.TeamID
+	operator bool
+}
+
+func (h *Handler) reader(r *http.Request) (reader, error) {
+	if _, err := h.operator(r); err == nil {
+		return reader{
+			operator: true,
+		}, nil
+	}
+	contract, err := h.caller(r)
+	return reader{
+		team: contract.Team,
+	}, err
+}
--- /dev/null
+++ b/sesameapi/clientcontracts.go
@@ -0,0 +1,99 @@
+package sesameapi
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// Contracts returns the contracts in force.
+func (c *Client) Contracts(ctx context.Context) (ContractList, error) {
+	list, _, _, err := fetch[ContractList](ctx, c, call{
+		method: http.MethodGet,
+		path:   "/v1/contracts",
+	})
+	return list, err
+}
+
+// Apply asks for changes that follow the base; a *ProblemError of type
+// ContractsChanged shows what others changed since. Repeating it is safe.
+func (c *Client) Apply(ctx context.Context, q ChangeRequest) (ChangeResult, error) {
+	return c.post(ctx, "/v1/contracts", nil, q)
+}
+
+// Diff returns what Apply would change, and fails where it would fail.
+func (c *Client) Diff(ctx context.Context, q ChangeRequest) (ChangeResult, error) {
+	return c.post(ctx, "/v1/contracts", dryRun(), q)
+}
+
+// Rollback returns to the contracts after an earlier change, as a new change.
+func (c *Client) Rollback(ctx context.Context, q RollbackRequest, dry bool) (ChangeResult, error) {
+	var query url.Values
+	if dry {
+		query = dryRun()
+	}
+	return c.post(ctx, "/v1/contracts/rollback", query, q)
+}
+
+func dryRun() url.Values {
+	return url.Values{
+		"dry-run": []string{"true"},
+	}
+}
+
+func (c *Client) post(ctx context.Context, path string, query url.Values, q any) (ChangeResult, error) {
+	body, err := marshal(q)
+	if err != nil {
+		return ChangeResult{}, err
+	}
+	result, _, _, err := fetch[ChangeResult](ctx, c, call{
+		method: http.MethodPost,
+		path:   path,
+		query:  query,
+		body:   body,
+	})
+	return result, err
+}
+
+// History returns all accepted changes after a number, oldest first.
+func (c *Client) History(ctx context.Context, since uint64) ([]sesamemodel.Change, error) {
+	var changes []sesamemodel.Change
+	for {
+		page, _, _, err := fetch[ChangeHistory](ctx, c, call{
+			method: http.MethodGet,
+			path:   "/v1/contracts/history",
+			query: url.Values{
+				"since": []string{strconv.FormatUint(since, 10)},
+			},
+		})
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, page.Changes...)
+		if page.Next == 0 {
+			return changes, nil
+		}
+		since = page.Next
+	}
+}
+
+// Targets returns all targets of the entry's region.
+func (c *Client) Targets(ctx context.Context) ([]TargetStatus, error) {
+	list, _, _, err := fetch[TargetList](ctx, c, call{
+		method: http.MethodGet,
+		path:   "/v1/targets",
+	})
+	return list.Targets, err
+}
+
+// Release ends a target's quarantine.
+func (c *Client) Release(ctx context.Context, id sesamemodel.TargetID) (TargetStatus, error) {
+	target, _, _, err := fetch[TargetStatus](ctx, c, call{
+		method: http.MethodPost,
+		path:   "/v1/targets/" + url.PathEscape(string(id)) + "/release",
+	})
+	return target, err
+}
--- /dev/null
+++ b/sesameapi/digest.go
@@ -0,0 +1,44 @@
+package sesameapi
+
+import (
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+const (
+	digestPrefix = "sha-256=:"
+	digestSuffix = ":"
+)
+
+// DigestError says that a Repr-Digest header has no SHA-256 digest.
+type DigestError struct {
+	Header string
+}
+
+// Error names the header's value.
+func (e *DigestError) Error() string {
+	return fmt.Sprintf("%s header %q has no sha-256 digest", digestHeader, e.Header)
+}
+
+// formatDigest returns the header's value for a digest in hex.
+func formatDigest(digest string) (string, error) {
+	sum, err := hex.DecodeString(digest)
+	if err != nil {
+		return "", err
+	}
+	return digestPrefix + base64.StdEncoding.EncodeToString(sum) + digestSuffix, nil
+}
+
+// parseDigest returns the digest of a header's value in hex.
+func parseDigest(header string) (string, error) {
+	text, ok := strings.CutPrefix(header, digestPrefix)
+	sum, err := base64.StdEncoding.DecodeString(strings.TrimSuffix(text, digestSuffix))
+	if !ok || err != nil {
+		return "", &DigestError{
+			Header: header,
+		}
+	}
+	return hex.EncodeToString(sum), nil
+}
--- /dev/null
+++ b/sesameapi/events.go
@@ -0,0 +1,16 @@
+package sesameapi
+
+import "github.com/sesamestack/sesamestack/sesamelog"
+
+var (
+	eventSubmitted = sesamelog.Define(5000, sesamelog.Info, "job submitted")
+	eventCancelled = sesamelog.Define(5001, sesamelog.Info, "job cancelled")
+	eventResolved  = sesamelog.Define(5002, sesamelog.Warn, "unknown outcome resolved")
+	eventAccepted  = sesamelog.Define(5003, sesamelog.Info, "contracts changed")
+	eventReleased  = sesamelog.Define(5004, sesamelog.Info, "target released from quarantine")
+	eventHintLost  = sesamelog.Define(5005, sesamelog.Warn, "hint lost, the next poll follows")
+	eventFailed    = sesamelog.Define(5006, sesamelog.Error, "request failed")
+	eventDamaged   = sesamelog.Define(5007, sesamelog.Error, "result is damaged")
+	eventUnsure    = sesamelog.Define(5008, sesamelog.Warn, "outcome of a write is unknown")
+	eventRefused   = sesamelog.Define(5009, sesamelog.Debug, "request refused")
+)
--- /dev/null
+++ b/sesameapi/failure.go
@@ -0,0 +1,58 @@
+package sesameapi
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sesamestack/sesamestack/sesamecontract"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+// problemOf returns the problem that tells the caller of a failure. Messages
+// of unexpected failures stay on the entry.
+func problemOf(err error) *ProblemError {
+	var problem *ProblemError
+	if errors.As(err, &problem) {
+		return problem
+	}
+	return classify(err).withCause(err)
+}
+
+func classify(err error) *ProblemError {
+	var (
+		missing     *sesametable.NotFoundError
+		conflict    *sesametable.ConflictError
+		unavailable *sesametable.UnavailableError
+		unsure      *sesametable.OutcomeUnknownError
+		notRead     *sesamecontract.NotReadError
+		stale       *sesamecontract.StaleReadError
+		tooLarge    *http.MaxBytesError
+	)
+	switch {
+	case errors.As(err, &unsure):
+		return newProblem(OutcomeUnknown, "the platform's store did not confirm the write; repeating the request is safe")
+	case errors.As(err, &unavailable):
+		return unavailableProblem(unavailable)
+	case errors.As(err, &missing):
+		return newProblem(NotFound, "")
+	case errors.As(err, &conflict):
+		return newProblem(Contended, "")
+	case errors.As(err, &notRead), errors.As(err, &stale):
+		return newProblem(Unavailable, "the contracts in force have not been confirmed")
+	case errors.As(err, &tooLarge):
+		return newProblem(TooLarge, tooLarge.Error())
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return newProblem(TimedOut, "")
+	}
+	return newProblem(Internal, "")
+}
+
+func unavailableProblem(err *sesametable.UnavailableError) *ProblemError {
+	problem := newProblem(Unavailable, "the platform's store does not answer")
+	if err.After > 0 {
+		return problem.withRetry(err.After)
+	}
+	return problem
+}
--- /dev/null
+++ b/sesameapi/metrics.go
@@ -0,0 +1,61 @@
+package sesameapi
+
+import (
+	"strings"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// latencyBuckets reach from 1 ms to 65 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 17)
+
+// completionBuckets reach from 100 ms to 9 days.
+var completionBuckets = tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 3, 15)
+
+// metrics are the handler's measurements, by team where one is known.
+type metrics struct {
+	scope tally.Scope
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	return &metrics{
+		scope: scope.SubScope("api"),
+	}
+}
+
+func (m *metrics) team(team sesamemodel.TeamID) tally.Scope {
+	return m.scope.Tagged(map[string]string{
+		"team": string(team),
+	})
+}
+
+// submitted records how long the entry took to accept a job.
+func (m *metrics) submitted(team sesamemodel.TeamID, d time.Duration) {
+	m.team(team).Histogram("submission_latency", latencyBuckets).RecordDuration(d)
+}
+
+// ended records the time from a job's submission to its end, once for each
+// long poll that saw the end.
+func (m *metrics) ended(job sesamemodel.Job) {
+	if len(job.Events) == 0 {
+		return
+	}
+	last := job.Events[len(job.Events)-1].Time
+	m.team(job.Spec.Team).Histogram("wait_to_end", completionBuckets).RecordDuration(last.Sub(job.Submitted))
+}
+
+func (m *metrics) problem(t ProblemType) {
+	m.scope.Tagged(map[string]string{
+		"type": strings.TrimPrefix(string(t), problemPrefix),
+	}).Counter("problems").Inc(1)
+}
+
+func (m *metrics) refused(team sesamemodel.TeamID, t ProblemType) {
+	m.scope.Tagged(map[string]string{
+		"team": string(team),
+		"type": strings.TrimPrefix(string(t), problemPrefix),
+	}).Counter("refusals").Inc(1)
+}
--- /dev/null
+++ b/sesameapi/operators.go
@@ -0,0 +1,225 @@
+package sesameapi
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestore"
+)
+
+// ResolveRequest settles the outcome of a job whose state is unknown.
+type ResolveRequest struct {
+	// State is done or failed.
+	State sesamemodel.State `json:"state"`
+	// Ran is true when the work ran, wholly or in part.
+	Ran bool `json:"ran"`
+	// Note says how the operator knows; it is kept with the job.
+	Note string `json:"note"`
+}
+
+const maxNoteLength = 1024
+
+// Validate returns the invalid fields.
+func (q ResolveRequest) Validate() []Fault {
+	var f faults
+	switch q.State {
+	case sesamemodel.Done:
+		if !q.Ran {
+			f.add("ran", "must be true for a job that is done")
+		}
+	case sesamemodel.Failed:
+	default:
+		f.add("state", "is %q, must be done or failed", q.State)
+	}
+	if q.Note == "" || len(q.Note) > maxNoteLength {
+		f.add("note", "must have 1 to %d bytes", maxNoteLength)
+	}
+	return f
+}
+
+func (h *Handler) resolve(w http.ResponseWriter, r *http.Request) error {
+	name, err := h.operator(r)
+	if err != nil {
+		return err
+	}
+	request, err := readValid[ResolveRequest](h, w, r)
+	if err != nil {
+		return err
+	}
+	var job sesamemodel.Job
+	err = retried(func() error {
+		var err error
+		job, err = h.resolveOnce(r.Context(), jobID(r), name, request)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, jsonType, statusOf(job))
+	return nil
+}
+
+func (h *Handler) resolveOnce(ctx context.Context, id sesamemodel.JobID, name string, q ResolveRequest) (sesamemodel.Job, error) {
+	job, err := h.job(ctx, id, reader{
+		operator: true,
+	})
+	if err != nil {
+		return sesamemodel.Job{}, err
+	}
+	if resolvedSo(job.Value, name, q) {
+		return job.Value, nil
+	}
+	if job.Value.State != sesamemodel.Unknown {
+		return sesamemodel.Job{}, newProblem(JobEnded, fmt.Sprintf("the job is %s, only an unknown outcome can be resolved", job.Value.State))
+	}
+	resolved := job.Value.WithResolution(q.State, sesamemodel.Resolution{
+		Operator: name,
+		Time:     h.options.Clock.Now(),
+		Ran:      q.Ran,
+		Note:     q.Note,
+	})
+	if err := h.options.Store.Resolve(ctx, job.With(resolved)); err != nil {
+		return sesamemodel.Job{}, err
+	}
+	h.notify(Resolved, resolved)
+	h.options.Log.Emit(eventResolved, sesamelog.Fields{
+		"job":      string(id),
+		"operator": name,
+		"state":    string(q.State),
+		"ran":      q.Ran,
+	})
+	return resolved, nil
+}
+
+// resolvedSo reports whether the same operator resolved the job in the same
+// way before, as when the answer to that was lost.
+func resolvedSo(job sesamemodel.Job, name string, q ResolveRequest) bool {
+	was := job.Resolution
+	return job.State == q.State && was.Operator == name && was.Ran == q.Ran && was.Note == q.Note
+}
+
+// validated is a request body that can tell its invalid fields.
+type validated interface {
+	Validate() []Fault
+}
+
+func readValid[T validated](h *Handler, w http.ResponseWriter, r *http.Request) (T, error) {
+	var value T
+	body, err := h.body(w, r)
+	if err != nil {
+		return value, err
+	}
+	value, err = decode[T](body)
+	if err != nil {
+		return value, err
+	}
+	if f := value.Validate(); len(f) > 0 {
+		return value, invalid(f)
+	}
+	return value, nil
+}
+
+// TargetStatus is a target with the cell that it belongs to.
+type TargetStatus struct {
+	sesamemodel.Target
+	Cell   sesamemodel.CellID `json:"cell"`
+	Keeper string             `json:"keeper"`
+	// Used is what attempts hold on the target.
+	Used sesamemodel.Resources `json:"used"`
+}
+
+// TargetList is the answer to a request for all targets.
+type TargetList struct {
+	Targets []TargetStatus `json:"targets"`
+}
+
+func (h *Handler) targets(w http.ResponseWriter, r *http.Request) error {
+	if _, err := h.operator(r); err != nil {
+		return err
+	}
+	cells, err := h.options.Store.Cells(r.Context(), h.options.Region)
+	if err != nil {
+		return err
+	}
+	list := TargetList{
+		Targets: []TargetStatus{},
+	}
+	for _, cell := range cells {
+		for _, target := range cell.Value.Targets {
+			list.Targets = append(list.Targets, targetStatus(cell.Value, target))
+		}
+	}
+	writeJSON(w, http.StatusOK, jsonType, list)
+	return nil
+}
+
+func targetStatus(cell sesamemodel.Cell, target sesamemodel.Target) TargetStatus {
+	var used sesamemodel.Resources
+	for _, a := range cell.Allocations {
+		if a.Target == target.ID {
+			used = used.Plus(a.Resources)
+		}
+	}
+	return TargetStatus{
+		Target: target,
+		Cell:   cell.ID,
+		Keeper: cell.Keeper,
+		Used:   used,
+	}
+}
+
+func (h *Handler) release(w http.ResponseWriter, r *http.Request) error {
+	name, err := h.operator(r)
+	if err != nil {
+		return err
+	}
+	id := sesamemodel.TargetID(chi.URLParam(r, "id"))
+	var released TargetStatus
+	err = retried(func() error {
+		var err error
+		released, err = h.releaseOnce(r.Context(), id)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	h.options.Log.Emit(eventReleased, sesamelog.Fields{
+		"target":   string(id),
+		"operator": name,
+	})
+	writeJSON(w, http.StatusOK, jsonType, released)
+	return nil
+}
+
+// releaseOnce makes a quarantined target ready, with a clean record. A target
+// in another state is left as it is.
+func (h *Handler) releaseOnce(ctx context.Context, id sesamemodel.TargetID) (TargetStatus, error) {
+	cells, err := h.options.Store.Cells(ctx, h.options.Region)
+	if err != nil {
+		return TargetStatus{}, err
+	}
+	for _, cell := range cells {
+		target, ok := cell.Value.Target(id)
+		if !ok {
+			continue
+		}
+		if target.Health != sesamemodel.Quarantined {
+			return targetStatus(cell.Value, target), nil
+		}
+		target.Health = sesamemodel.Ready
+		target.Strikes = 0
+		target.Blames = 0
+		changed := cell.Value.WithTarget(target)
+		return targetStatus(changed, target), h.options.Store.Update(ctx, sesamestore.Batch{
+			Cells: []sesamestore.Versioned[sesamemodel.Cell]{
+				cell.With(changed),
+			},
+		})
+	}
+	return TargetStatus{}, newProblem(NotFound, fmt.Sprintf("there is no target %q", id))
+}
--- /dev/null
+++ b/sesameapi/request.go
@@ -0,0 +1,222 @@
+package sesameapi
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// JobRequest is the body of a submission.
+type JobRequest struct {
+	Class string           `json:"class"`
+	Kind  sesamemodel.Kind `json:"kind"`
+	// Tasks is the size of the gang.
+	Tasks int `json:"tasks"`
+	// Task is what each task needs.
+	Task sesamemodel.Resources `json:"task"`
+	Span sesamemodel.Span      `json:"span,omitempty"`
+	// Once marks work that must run at most once; a class may set it too.
+	Once        bool `json:"once,omitempty"`
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	// Runtime is the declared run time as a Go duration, such as 90m; empty
+	// means unknown.
+	Runtime string `json:"runtime,omitempty"`
+	// Payload is the input of every task, in base64.
+	Payload []byte `json:"payload,omitempty"`
+}
+
+// The bounds of a request.
+const (
+	MaxTasks     = 1024
+	MaxCores     = 4096
+	MaxMemory    = 64 << 20
+	MaxSlots     = 4096
+	MaxRuntime   = 90 * 24 * time.Hour
+	maxKeyLength = 128
+)
+
+// decode reads one JSON value and nothing after it; unknown fields are errors.
+func decode[T any](body []byte) (T, error) {
+	var value T
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&value); err != nil {
+		return value, decodeProblem(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return value, newProblem(Malformed, "the body goes on after its JSON value")
+	}
+	return value, nil
+}
+
+func decodeProblem(err error) *ProblemError {
+	var (
+		wrongType *json.UnmarshalTypeError
+		syntax    *json.SyntaxError
+		encoding  base64.CorruptInputError
+	)
+	switch {
+	case errors.As(err, &wrongType):
+		return invalid([]Fault{
+			{
+				Field:  wrongType.Field,
+				Detail: fmt.Sprintf("must be a %s, not a %s", wrongType.Type, wrongType.Value),
+			},
+		})
+	case errors.As(err, &encoding):
+		return invalid([]Fault{
+			{
+				Field:  "payload",
+				Detail: "must be base64",
+			},
+		})
+	case errors.As(err, &syntax):
+		return newProblem(Malformed, fmt.Sprintf("the body is not JSON at byte %d", syntax.Offset))
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return newProblem(Malformed, "the body ends within its JSON value")
+	}
+	if field, ok := unknownField(err); ok {
+		return invalid([]Fault{
+			{
+				Field:  field,
+				Detail: "is unknown",
+			},
+		})
+	}
+	return newProblem(Malformed, "the body is not the expected JSON")
+}
+
+// unknownField reads the name out of the message of encoding/json, which has
+// no type for this error.
+func unknownField(err error) (string, bool) {
+	name, ok := strings.CutPrefix(err.Error(), "json: unknown field ")
+	return strings.Trim(name, `"`), ok
+}
+
+// faults collects the invalid fields of one request.
+type faults []Fault
+
+func (f *faults) add(field, format string, values ...any) {
+	*f = append(*f, Fault{
+		Field:  field,
+		Detail: fmt.Sprintf(format, values...),
+	})
+}
+
+func (f *faults) between(field string, value, least, most int) {
+	if value < least || value > most {
+		f.add(field, "is %d, must be %d to %d", value, least, most)
+	}
+}
+
+// Validate returns the invalid fields that can be told without a contract.
+func (q JobRequest) Validate() []Fault {
+	var f faults
+	if q.Class == "" {
+		f.add("class", "is missing")
+	}
+	f.between("tasks", q.Tasks, 1, MaxTasks)
+	f.between("task.cores", q.Task.Cores, 0, MaxCores)
+	f.between("task.memory", q.Task.Memory, 0, MaxMemory)
+	f.between("task.accelerators", q.Task.Accelerators, 0, sesamemodel.MaxTargetAccelerators)
+	f.between("task.slots", q.Task.Slots, 0, MaxSlots)
+	if q.Span != "" && q.Span.Width() == 0 {
+		f.add("span", "is %q, must be worker, rack, zone or region", q.Span)
+	}
+	q.validateKind(&f)
+	if _, err := q.runTime(); err != nil {
+		f.add("runtime", "is %q, must be a duration from 0s to %s", q.Runtime, MaxRuntime)
+	}
+	return f
+}
+
+func (q JobRequest) validateKind(f *faults) {
+	switch q.Kind {
+	case sesamemodel.Worker:
+		if q.Task.Slots != 0 {
+			f.add("task.slots", "is for executors only")
+		}
+		if q.Task.Cores <= 0 && q.Task.Memory <= 0 && q.Task.Accelerators <= 0 {
+			f.add("task", "needs cores, memory or accelerators")
+		}
+	case sesamemodel.Executor:
+		if q.Task.Accelerators != 0 {
+			f.add("task.accelerators", "is for workers only")
+		}
+		if q.Task.Slots <= 0 {
+			f.add("task.slots", "must be 1 or more on an executor")
+		}
+	default:
+		f.add("kind", "is %q, must be worker or executor", q.Kind)
+	}
+}
+
+// RangeError says that a duration lies outside its bounds.
+type RangeError struct {
+	Value time.Duration
+	Most  time.Duration
+}
+
+// Error names the value and the bounds.
+func (e *RangeError) Error() string {
+	return fmt.Sprintf("duration %s is not from 0s to %s", e.Value, e.Most)
+}
+
+func (q JobRequest) runTime() (time.Duration, error) {
+	return parseDuration(q.Runtime, MaxRuntime)
+}
+
+func parseDuration(s string, most time.Duration) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		return 0, err
+	}
+	if d < 0 || d > most {
+		return 0, &RangeError{
+			Value: d,
+			Most:  most,
+		}
+	}
+	return d, nil
+}
+
+// spec returns what a valid request asks for under a class of the team.
+func (q JobRequest) spec(team sesamemodel.TeamID, class sesamemodel.Class) sesamemodel.Spec {
+	runTime, _ := q.runTime()
+	return sesamemodel.Spec{
+		Team:        team,
+		Class:       q.Class,
+		Kind:        q.Kind,
+		Tasks:       q.Tasks,
+		Task:        q.Task,
+		Span:        q.Span,
+		Once:        q.Once || class.Once,
+		Checkpoints: q.Checkpoints,
+		RunTime:     runTime,
+	}
+}
+
+// validKey reports whether an Idempotency-Key is 1 to 128 visible ASCII
+// characters.
+func validKey(key string) bool {
+	if key == "" || len(key) > maxKeyLength {
+		return false
+	}
+	for _, c := range []byte(key) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/sesameapi/status.go
@@ -0,0 +1,185 @@
+package sesameapi
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestore"
+)
+
+type versionedJob = sesamestore.Versioned[sesamemodel.Job]
+
+// job returns the job that the request names, if the reader may see it. A job
+// of another team is answered like one that does not exist.
+func (h *Handler) job(ctx context.Context, id sesamemodel.JobID, who reader) (versionedJob, error) {
+	if err := h.visible(id, who); err != nil {
+		return versionedJob{}, err
+	}
+	job, err := h.options.Store.Job(ctx, id)
+	if err != nil {
+		return job, err
+	}
+	return job, owns(job.Value, who)
+}
+
+// visible turns a name away that cannot be one of the reader's jobs, without
+// asking the store.
+func (h *Handler) visible(id sesamemodel.JobID, who reader) error {
+	if sesamestore.RegionOf(id) != h.options.Region {
+		return newProblem(NotFound, "")
+	}
+	if !who.operator && !sesamestore.OwnedBy(id, who.team) {
+		return newProblem(NotFound, "")
+	}
+	return nil
+}
+
+func owns(job sesamemodel.Job, who reader) error {
+	if who.operator || job.Spec.Team == who.team {
+		return nil
+	}
+	return newProblem(NotFound, "")
+}
+
+func jobID(r *http.Request) sesamemodel.JobID {
+	return sesamemodel.JobID(chi.URLParam(r, "id"))
+}
+
+func (h *Handler) status(w http.ResponseWriter, r *http.Request) error {
+	wait, err := h.wait(r)
+	if err != nil {
+		return err
+	}
+	who, err := h.reader(r)
+	if err != nil {
+		return err
+	}
+	job, err := h.await(r, who, wait)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, jsonType, statusOf(job))
+	return nil
+}
+
+func (h *Handler) wait(r *http.Request) (time.Duration, error) {
+	text := r.URL.Query().Get("wait")
+	wait, err := parseDuration(text, h.options.MaxWait)
+	if err != nil {
+		return 0, invalid([]Fault{
+			{
+				Field:  "wait",
+				Detail: fmt.Sprintf("is %q, must be a duration from 0s to %s", text, h.options.MaxWait),
+			},
+		})
+	}
+	return wait, nil
+}
+
+func (h *Handler) await(r *http.Request, who reader, wait time.Duration) (sesamemodel.Job, error) {
+	id := jobID(r)
+	if wait == 0 || h.draining() {
+		ctx, cancel := context.WithTimeout(r.Context(), h.options.Timeout)
+		defer cancel()
+		job, err := h.job(ctx, id, who)
+		return job.Value, err
+	}
+	if err := h.visible(id, who); err != nil {
+		return sesamemodel.Job{}, err
+	}
+	job, err := h.polls.await(r.Context(), id, wait)
+	if err != nil {
+		return sesamemodel.Job{}, err
+	}
+	if err := owns(job, who); err != nil {
+		return sesamemodel.Job{}, err
+	}
+	if job.State.Ended() {
+		h.metrics.ended(job)
+	}
+	return job, nil
+}
+
+func (h *Handler) list(w http.ResponseWriter, r *http.Request) error {
+	contract, err := h.caller(r)
+	if err != nil {
+		return err
+	}
+	jobs, err := h.options.Store.TeamJobs(r.Context(), h.options.Region, contract.Team)
+	if err != nil {
+		return err
+	}
+	list := JobList{
+		Jobs: []JobStatus{},
+	}
+	for _, job := range jobs {
+		if job.Value.Spec.Team == contract.Team {
+			list.Jobs = append(list.Jobs, statusOf(job.Value))
+		}
+	}
+	sort.SliceStable(list.Jobs, func(i, k int) bool {
+		return list.Jobs[i].Submitted.Before(list.Jobs[k].Submitted)
+	})
+	writeJSON(w, http.StatusOK, jsonType, list)
+	return nil
+}
+
+func (h *Handler) explain(w http.ResponseWriter, r *http.Request) error {
+	who, err := h.reader(r)
+	if err != nil {
+		return err
+	}
+	job, err := h.job(r.Context(), jobID(r), who)
+	if err != nil {
+		return err
+	}
+	reason, err := h.reason(r.Context(), job.Value)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, jsonType, Explanation{
+		Job:     job.Value.ID,
+		State:   job.Value.State,
+		Outcome: outcomeOf(job.Value),
+		Reason:  reason,
+		Events:  job.Value.Events,
+	})
+	return nil
+}
+
+// reason says why the job is in its state: what the planner knows of a queued
+// job, and what the row tells of any other.
+func (h *Handler) reason(ctx context.Context, job sesamemodel.Job) (string, error) {
+	if job.State == sesamemodel.Queued {
+		why, err := h.backend.Why(ctx, job.ID)
+		if err != nil || why != "" {
+			return why, err
+		}
+	}
+	if job.Reason != "" {
+		return job.Reason, nil
+	}
+	return stateReason(job), nil
+}
+
+func stateReason(job sesamemodel.Job) string {
+	switch job.State {
+	case sesamemodel.Queued:
+		return "waits for the planner to consider it"
+	case sesamemodel.Placed:
+		return fmt.Sprintf("attempt %d is being prepared on %d targets", job.Attempt, len(job.Assignments))
+	case sesamemodel.Running:
+		return fmt.Sprintf("attempt %d runs on %d targets", job.Attempt, len(job.Assignments))
+	case sesamemodel.Stopping:
+		return fmt.Sprintf("attempt %d is being stopped, to become %s", job.Attempt, job.Next)
+	case sesamemodel.Done:
+		return fmt.Sprintf("attempt %d finished with %d results", job.Attempt, len(job.Results))
+	}
+	return fmt.Sprintf("the job is %s", job.State)
+}
--- /dev/null
+++ b/sesameapi/submit.go
@@ -0,0 +1,244 @@
+package sesameapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestore"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+const keyHeader = "Idempotency-Key"
+
+// submission is one request to create a job.
+type submission struct {
+	contract sesamemodel.Contract
+	id       sesamemodel.JobID
+	// digest is the SHA-256 of the body, in hex.
+	digest  string
+	request JobRequest
+	class   sesamemodel.Class
+}
+
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request) error {
+	began := h.options.Clock.Now()
+	s, err := h.readSubmission(w, r)
+	if err != nil {
+		return h.refuse(s, err, Unchanged)
+	}
+	if err := h.admit(s); err != nil {
+		return h.refuse(s, err, Unchanged)
+	}
+	job, created, err := h.create(r, s)
+	if err != nil {
+		return h.refuse(s, err, outcomeOfWrite(err))
+	}
+	h.metrics.submitted(s.contract.Team, h.options.Clock.Since(began))
+	w.Header().Set("Location", "/v1/jobs/"+string(job.ID))
+	status := http.StatusOK
+	if created {
+		status = http.StatusCreated
+		h.notify(Submitted, job)
+	}
+	writeJSON(w, status, jsonType, statusOf(job))
+	return nil
+}
+
+// refuse adds to a failure what it means for the submission.
+func (h *Handler) refuse(s submission, err error, outcome Outcome) error {
+	problem := problemOf(err)
+	if s.contract.Team != "" {
+		h.metrics.refused(s.contract.Team, problem.Problem.Type)
+	}
+	return problem.withOutcome(outcome, s.id)
+}
+
+// unchanged says of a submission that failed before it was read that it
+// created nothing.
+func unchanged(e endpoint) endpoint {
+	return func(w http.ResponseWriter, r *http.Request) error {
+		err := e(w, r)
+		if err == nil {
+			return nil
+		}
+		problem := problemOf(err)
+		if problem.Problem.Outcome == Pending {
+			return problem.withOutcome(Unchanged, "")
+		}
+		return problem
+	}
+}
+
+// outcomeOfWrite tells the failures of create apart. Only those that are known
+// to leave no row behind are answered so.
+func outcomeOfWrite(err error) Outcome {
+	var (
+		problem     *ProblemError
+		unavailable *sesametable.UnavailableError
+		conflict    *sesametable.ConflictError
+	)
+	if errors.As(err, &problem) || errors.As(err, &unavailable) || errors.As(err, &conflict) {
+		return Unchanged
+	}
+	return Unsure
+}
+
+func (h *Handler) readSubmission(w http.ResponseWriter, r *http.Request) (submission, error) {
+	contract, err := h.caller(r)
+	if err != nil {
+		return submission{}, err
+	}
+	s := submission{
+		contract: contract,
+	}
+	key := r.Header.Get(keyHeader)
+	if !validKey(key) {
+		return s, invalid([]Fault{
+			{
+				Field:  keyHeader,
+				Detail: fmt.Sprintf("must be a header of 1 to %d visible ASCII characters", maxKeyLength),
+			},
+		})
+	}
+	s.id = sesamestore.JobIDFor(h.options.Region, contract.Team, key)
+	body, err := h.body(w, r)
+	if err != nil {
+		return s, err
+	}
+	sum := sha256.Sum256(body)
+	s.digest = hex.EncodeToString(sum[:])
+	s.request, err = decode[JobRequest](body)
+	if err != nil {
+		return s, err
+	}
+	s.class, err = validate(s.request, contract)
+	return s, err
+}
+
+func (h *Handler) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.options.MaxBody))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, newProblem(TooLarge, fmt.Sprintf("the body may have %d bytes", tooLarge.Limit))
+	}
+	return nil, newProblem(Malformed, "the body ended early").withCause(err)
+}
+
+func validate(q JobRequest, contract sesamemodel.Contract) (sesamemodel.Class, error) {
+	f := faults(q.Validate())
+	class, ok := contract.Class(q.Class)
+	if !ok && q.Class != "" {
+		f.add("class", "is %q, which the contract of team %q does not have", q.Class, contract.Team)
+	}
+	if len(f) > 0 {
+		return class, invalid(f)
+	}
+	return class, nil
+}
+
+// admit turns a submission away before it costs the store anything.
+func (h *Handler) admit(s submission) error {
+	if err := h.shed(s); err != nil {
+		return err
+	}
+	return h.limits.take(s.contract)
+}
+
+// create writes the job, or finds the one that the same key created before.
+func (h *Handler) create(r *http.Request, s submission) (sesamemodel.Job, bool, error) {
+	job := h.newJob(s)
+	if err := h.backend.Fits(job.Spec); err != nil {
+		return h.existing(r, s, newProblem(NeverFits, err.Error()))
+	}
+	place, err := h.limits.reserve(r.Context(), s.contract)
+	if err != nil {
+		return h.existing(r, s, err)
+	}
+	err = h.write(r.Context(), s, job)
+	place.release(err == nil)
+	var conflict *sesametable.ConflictError
+	if errors.As(err, &conflict) {
+		return h.existing(r, s, err)
+	}
+	return job, err == nil, err
+}
+
+// write stores the payload before the row, so that a job never lacks its input.
+func (h *Handler) write(ctx context.Context, s submission, job sesamemodel.Job) error {
+	if job.Spec.Payload != "" {
+		if err := h.options.Store.Objects().PutObject(ctx, job.Spec.Payload, s.request.Payload); err != nil {
+			return notWritten(err)
+		}
+	}
+	if err := h.options.Store.Submit(ctx, job); err != nil {
+		return err
+	}
+	h.options.Log.Emit(eventSubmitted, sesamelog.Fields{
+		"job":   string(job.ID),
+		"team":  string(job.Spec.Team),
+		"class": job.Spec.Class,
+	})
+	return nil
+}
+
+// notWritten reports a failure before the job's row was written: whatever
+// became of the payload, there is no job.
+func notWritten(err error) error {
+	return newProblem(Unavailable, "the payload could not be stored").withCause(err)
+}
+
+func (h *Handler) newJob(s submission) sesamemodel.Job {
+	spec := s.request.spec(s.contract.Team, s.class)
+	if len(s.request.Payload) > 0 {
+		spec.Payload = sesamestore.PayloadKey(s.id, s.digest)
+	}
+	now := h.options.Clock.Now()
+	job := sesamemodel.Job{
+		ID:        s.id,
+		Spec:      spec,
+		Request:   s.digest,
+		Region:    h.options.Region,
+		Urgency:   s.class.Urgency,
+		Submitted: now,
+	}
+	return job.WithEvent(now, sesamemodel.Queued, "")
+}
+
+// existing answers with the job that the key stands for already. Without one
+// the submission fails with the refusal.
+func (h *Handler) existing(r *http.Request, s submission, refusal error) (sesamemodel.Job, bool, error) {
+	job, err := h.options.Store.Job(r.Context(), s.id)
+	var missing *sesametable.NotFoundError
+	if errors.As(err, &missing) {
+		return sesamemodel.Job{}, false, refusal
+	}
+	if err != nil {
+		return sesamemodel.Job{}, false, err
+	}
+	if job.Value.Request != s.digest {
+		detail := fmt.Sprintf("job %q has another request", s.id)
+		return sesamemodel.Job{}, false, newProblem(KeyConflict, detail)
+	}
+	return job.Value, false, nil
+}
+
+// notify passes a hint on; the row is written, so a lost hint is no failure.
+func (h *Handler) notify(change Change, job sesamemodel.Job) {
+	if err := h.backend.Notify(change, job); err != nil {
+		h.options.Log.Emit(eventHintLost, sesamelog.Fields{
+			"job":   string(job.ID),
+			"error": err,
+		})
+	}
+}
--- /dev/null
+++ b/sesameapi/view.go
@@ -0,0 +1,151 @@
+package sesameapi
+
+import (
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// JobStatus is what callers see of a job.
+type JobStatus struct {
+	ID        sesamemodel.JobID      `json:"id"`
+	Team      sesamemodel.TeamID     `json:"team"`
+	Class     string                 `json:"class"`
+	Kind      sesamemodel.Kind       `json:"kind"`
+	Tasks     int                    `json:"tasks"`
+	Task      sesamemodel.Resources  `json:"task"`
+	Span      sesamemodel.Span       `json:"span,omitempty"`
+	Once      bool                   `json:"once,omitempty"`
+	Urgency   sesamemodel.Urgency    `json:"urgency"`
+	State     sesamemodel.State      `json:"state"`
+	Outcome   Outcome                `json:"outcome,omitempty"`
+	Reason    string                 `json:"reason,omitempty"`
+	Attempt   uint32                 `json:"attempt"`
+	Owed      bool                   `json:"owed,omitempty"`
+	Targets   []sesamemodel.TargetID `json:"targets,omitempty"`
+	Submitted time.Time              `json:"submitted"`
+	Opened    time.Time              `json:"opened,omitzero"`
+	Ended     time.Time              `json:"ended,omitzero"`
+	Results   []ResultStatus         `json:"results,omitempty"`
+	Events    []sesamemodel.Event    `json:"events,omitempty"`
+}
+
+// ResultStatus describes the output of one task.
+type ResultStatus struct {
+	Rank int `json:"rank"`
+	// Length is in bytes.
+	Length int64 `json:"length"`
+	// Digest is the SHA-256 of the output, in hex.
+	Digest string `json:"digest"`
+}
+
+// JobList is the answer to a request for the team's open jobs.
+type JobList struct {
+	Jobs []JobStatus `json:"jobs"`
+}
+
+// Explanation says why a job is in its state.
+type Explanation struct {
+	Job     sesamemodel.JobID   `json:"job"`
+	State   sesamemodel.State   `json:"state"`
+	Outcome Outcome             `json:"outcome,omitempty"`
+	Reason  string              `json:"reason"`
+	Events  []sesamemodel.Event `json:"events,omitempty"`
+}
+
+func statusOf(job sesamemodel.Job) JobStatus {
+	return JobStatus{
+		ID:        job.ID,
+		Team:      job.Spec.Team,
+		Class:     job.Spec.Class,
+		Kind:      job.Spec.Kind,
+		Tasks:     job.Spec.Tasks,
+		Task:      job.Spec.Task,
+		Span:      job.Spec.Span,
+		Once:      job.Spec.Once,
+		Urgency:   job.Urgency,
+		State:     job.State,
+		Outcome:   outcomeOf(job),
+		Reason:    job.Reason,
+		Attempt:   job.Attempt,
+		Owed:      job.Owed,
+		Targets:   targetsOf(job),
+		Submitted: job.Submitted,
+		Opened:    job.Opened,
+		Ended:     endOf(job),
+		Results:   resultsOf(job),
+		Events:    job.Events,
+	}
+}
+
+func targetsOf(job sesamemodel.Job) []sesamemodel.TargetID {
+	var targets []sesamemodel.TargetID
+	for _, a := range job.Assignments {
+		targets = append(targets, a.Target)
+	}
+	return targets
+}
+
+func resultsOf(job sesamemodel.Job) []ResultStatus {
+	var results []ResultStatus
+	for _, r := range job.Results {
+		results = append(results, ResultStatus{
+			Rank:   r.Rank,
+			Length: r.Length,
+			Digest: r.Digest,
+		})
+	}
+	return results
+}
+
+func endOf(job sesamemodel.Job) time.Time {
+	if !job.State.Ended() || len(job.Events) == 0 {
+		return time.Time{}
+	}
+	return job.Events[len(job.Events)-1].Time
+}
+
+// outcomeOf says whether the work ran. NotRun is answered only from a state
+// that no start can follow, and only when no attempt was ever told to start.
+func outcomeOf(job sesamemodel.Job) Outcome {
+	switch job.State {
+	case sesamemodel.Done:
+		return Ran
+	case sesamemodel.Unknown:
+		return Unsure
+	case sesamemodel.Refused, sesamemodel.Cancelled, sesamemodel.Failed:
+		if job.Resolution.Operator != "" {
+			return resolvedOutcome(job.Resolution)
+		}
+		if neverOpened(job) {
+			return NotRun
+		}
+		return Started
+	}
+	return Pending
+}
+
+func resolvedOutcome(r sesamemodel.Resolution) Outcome {
+	if r.Ran {
+		return Started
+	}
+	return NotRun
+}
+
+// neverOpened reports whether no attempt was told to start. An attempt is
+// written as running before it is opened, so its history shows it unless the
+// oldest steps were dropped.
+func neverOpened(job sesamemodel.Job) bool {
+	if job.Attempt == 0 {
+		return true
+	}
+	if len(job.Events) >= sesamemodel.MaxEvents {
+		return false
+	}
+	for _, e := range job.Events {
+		if e.State == sesamemodel.Running {
+			return false
+		}
+	}
+	return job.Opened.IsZero()
+}
--- /dev/null
+++ b/sesamecontract/set.go
@@ -0,0 +1,137 @@
+package sesamecontract
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"sort"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// Set is an immutable collection of the contracts in force after one accepted
+// change.
+type Set struct {
+	number uint64
+	teams  map[sesamemodel.TeamID]sesamemodel.Contract
+	tokens map[string]sesamemodel.TeamID
+}
+
+// NewSet returns the contracts in force after the change of that number.
+func NewSet(number uint64, contracts []sesamemodel.Contract) *Set {
+	teams := make(map[sesamemodel.TeamID]sesamemodel.Contract, len(contracts))
+	for _, c := range contracts {
+		teams[c.Team] = c
+	}
+	return newSet(number, teams)
+}
+
+func newSet(number uint64, teams map[sesamemodel.TeamID]sesamemodel.Contract) *Set {
+	tokens := map[string]sesamemodel.TeamID{}
+	for team, c := range teams {
+		for _, digest := range c.Tokens {
+			tokens[digest] = team
+		}
+	}
+	return &Set{
+		number: number,
+		teams:  teams,
+		tokens: tokens,
+	}
+}
+
+// Number returns the number of the newest accepted change in the set.
+func (s *Set) Number() uint64 {
+	return s.number
+}
+
+// Len returns the number of contracts.
+func (s *Set) Len() int {
+	return len(s.teams)
+}
+
+// Team returns the contract of a team and whether it has one.
+func (s *Set) Team(id sesamemodel.TeamID) (sesamemodel.Contract, bool) {
+	c, ok := s.teams[id]
+	return c, ok
+}
+
+// Token returns the contract that lists the digest of an access token, and
+// whether one does.
+func (s *Set) Token(digest string) (sesamemodel.Contract, bool) {
+	team, ok := s.tokens[digest]
+	if !ok {
+		return sesamemodel.Contract{}, false
+	}
+	return s.Team(team)
+}
+
+// Contracts returns all contracts in the order of their teams.
+func (s *Set) Contracts() []sesamemodel.Contract {
+	contracts := make([]sesamemodel.Contract, 0, len(s.teams))
+	for _, c := range s.teams {
+		contracts = append(contracts, c)
+	}
+	sort.Slice(contracts, func(i, k int) bool {
+		return contracts[i].Team < contracts[k].Team
+	})
+	return contracts
+}
+
+// GapError says that accepted changes do not follow each other without a gap,
+// so that the contracts must be read whole.
+type GapError struct {
+	Expected uint64
+	Found    uint64
+}
+
+// Error names both numbers.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("change %d of contracts is missing, found change %d", e.Expected, e.Found)
+}
+
+// WithChanges returns the set after further accepted changes, in the order of
+// their numbers. Changes that the set already holds have no effect. The error
+// is a *GapError.
+func (s *Set) WithChanges(changes []sesamemodel.Change) (*Set, error) {
+	number := s.number
+	teams := maps.Clone(s.teams)
+	for _, change := range changes {
+		if change.Number <= number {
+			continue
+		}
+		if change.Number != number+1 {
+			return nil, &GapError{
+				Expected: number + 1,
+				Found:    change.Number,
+			}
+		}
+		number = change.Number
+		apply(teams, change)
+	}
+	if number == s.number {
+		return s, nil
+	}
+	return newSet(number, teams), nil
+}
+
+// apply skips a change that is older than the contract held: a reading of the
+// rows may be ahead of the number that was read before it.
+func apply(teams map[sesamemodel.TeamID]sesamemodel.Contract, change sesamemodel.Change) {
+	if held, ok := teams[change.Team]; ok && held.Number >= change.Number {
+		return
+	}
+	if change.Removed {
+		delete(teams, change.Team)
+		return
+	}
+	teams[change.Team] = change.Contract
+}
+
+// Digest returns the SHA-256 of an access token in hex, the form in which
+// contracts and settings keep it.
+func Digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/sesamecontract/validate.go
@@ -0,0 +1,129 @@
+package sesamecontract
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// Fault is one invalid field of a contract.
+type Fault struct {
+	Field  string
+	Detail string
+}
+
+const (
+	maxNameLength = 63
+	digestLength  = 64
+	maxShapes     = 256
+	maxWorkers    = 1024
+)
+
+type faults []Fault
+
+func (f *faults) add(field, format string, values ...any) {
+	*f = append(*f, Fault{
+		Field:  field,
+		Detail: fmt.Sprintf(format, values...),
+	})
+}
+
+// Validate returns the invalid fields of a contract, in its own order.
+func Validate(c sesamemodel.Contract) []Fault {
+	var f faults
+	if !validName(string(c.Team)) {
+		f.add("team", "is %q, must be 1 to %d of a-z, 0-9, - and _", c.Team, maxNameLength)
+	}
+	if c.Weight < 0 {
+		f.add("weight", "is %d, must be 0 or more", c.Weight)
+	}
+	if len(c.Guarantees) > maxShapes {
+		f.add("guarantees", "has %d shapes, may have %d", len(c.Guarantees), maxShapes)
+	}
+	for i, s := range c.Guarantees {
+		validateShape(&f, fmt.Sprintf("guarantees[%d]", i), s)
+	}
+	validateClasses(&f, c.Classes)
+	validateLimits(&f, c.Limits)
+	validateTokens(&f, c.Tokens)
+	return f
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > maxNameLength {
+		return false
+	}
+	for _, c := range []byte(s) {
+		letter := c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '_'
+		if !letter {
+			return false
+		}
+	}
+	return true
+}
+
+func validateShape(f *faults, field string, s sesamemodel.Shape) {
+	if s.Workers < 1 || s.Workers > maxWorkers {
+		f.add(field+".workers", "is %d, must be 1 to %d", s.Workers, maxWorkers)
+	}
+	if s.Accelerators < 1 || s.Accelerators > sesamemodel.MaxTargetAccelerators {
+		f.add(field+".accelerators", "is %d, must be 1 to %d", s.Accelerators, sesamemodel.MaxTargetAccelerators)
+	}
+	if s.Span.Width() == 0 {
+		f.add(field+".span", "is %q, must be worker, rack, zone or region", s.Span)
+	}
+	if s.Span == sesamemodel.SpanWorker && s.Workers != 1 {
+		f.add(field+".workers", "is %d, must be 1 within one worker", s.Workers)
+	}
+}
+
+func validateClasses(f *faults, classes []sesamemodel.Class) {
+	if len(classes) == 0 {
+		f.add("classes", "is empty, the team could submit nothing")
+	}
+	seen := map[string]bool{}
+	for i, c := range classes {
+		field := fmt.Sprintf("classes[%d]", i)
+		if !validName(c.Name) {
+			f.add(field+".name", "is %q, must be 1 to %d of a-z, 0-9, - and _", c.Name, maxNameLength)
+		}
+		if seen[c.Name] {
+			f.add(field+".name", "is %q, which stands twice", c.Name)
+		}
+		seen[c.Name] = true
+		if c.Urgency.Rank() > sesamemodel.Batch.Rank() {
+			f.add(field+".urgency", "is %q, must be urgent, normal or batch", c.Urgency)
+		}
+	}
+}
+
+func validateLimits(f *faults, l sesamemodel.Limits) {
+	if l.Open < 1 {
+		f.add("limits.open", "is %d, must be 1 or more", l.Open)
+	}
+	if !(l.Rate > 0) {
+		f.add("limits.rate", "is %g, must be above 0", l.Rate)
+	}
+	if l.Burst < 1 {
+		f.add("limits.burst", "is %d, must be 1 or more", l.Burst)
+	}
+	if l.Retries < 0 {
+		f.add("limits.retries", "is %d, must be 0 or more", l.Retries)
+	}
+	if l.Borrow < 0 {
+		f.add("limits.borrow", "is %d, must be 0 or more", l.Borrow)
+	}
+}
+
+func validateTokens(f *faults, tokens []string) {
+	if len(tokens) == 0 {
+		f.add("tokens", "is empty, the team could not authenticate")
+	}
+	for i, digest := range tokens {
+		sum, err := hex.DecodeString(digest)
+		if err != nil || len(digest) != digestLength || hex.EncodeToString(sum) != digest {
+			f.add(fmt.Sprintf("tokens[%d]", i), "must be a SHA-256 digest in lower-case hex")
+		}
+	}
+}
--- a/sesamemodel/job.go
+++ b/sesamemodel/job.go
@@ -1,6 +1,9 @@
 package sesamemodel
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // JobID names a job. It is derived from the team and the caller's idempotency
 // key, so the same request always has the same name.
@@ -144,6 +147,17 @@
 	Failures int        `json:"failures,omitempty"`
 	Avoid    []TargetID `json:"avoid,omitempty"`
 	Events   []Event    `json:"events,omitempty"`
+	// Resolution is set once an operator settled an unknown outcome.
+	Resolution Resolution `json:"resolution,omitzero"`
+}
+
+// Resolution is what an operator found out about an unknown outcome.
+type Resolution struct {
+	Operator string    `json:"operator"`
+	Time     time.Time `json:"time"`
+	// Ran is true when the work ran, wholly or in part.
+	Ran  bool   `json:"ran"`
+	Note string `json:"note,omitempty"`
 }
 
 // WithEvent returns the job in that state, with the step added to its history.
@@ -194,6 +208,12 @@
 	return j.WithEvent(now, Done, "")
 }
 
+// WithResolution returns the job in the state that an operator found.
+func (j Job) WithResolution(s State, r Resolution) Job {
+	j.Resolution = r
+	return j.WithEvent(r.Time, s, fmt.Sprintf("resolved by %s: %s", r.Operator, r.Note))
+}
+
 // Cells returns the cells that the assignments name, each once, in order.
 func (j Job) Cells() []CellID {
 	seen := map[CellID]bool{}
--- a/sesamestore/contracts.go
+++ b/sesamestore/contracts.go
@@ -50,24 +50,35 @@
 // ChangesSince returns the accepted changes after number, oldest first.
 func (s *Store) ChangesSince(ctx context.Context, number uint64) ([]sesamemodel.Change, error) {
 	var changes []sesamemodel.Change
-	after := logKey(number)
 	for {
-		rows, err := s.table.Scan(ctx, logPrefix, after, sesametable.MaxScanRows)
+		page, err := s.ChangesPage(ctx, number, sesametable.MaxScanRows)
 		if err != nil {
 			return nil, err
 		}
-		for _, row := range rows {
-			change, err := decode[sesamemodel.Change](row)
-			if err != nil {
-				return nil, err
-			}
-			changes = append(changes, change.Value)
-			after = row.Key
-		}
-		if len(rows) < sesametable.MaxScanRows {
+		changes = append(changes, page...)
+		if len(page) < sesametable.MaxScanRows {
 			return changes, nil
 		}
+		number = page[len(page)-1].Number
+	}
+}
+
+// ChangesPage returns at most limit accepted changes after number, oldest
+// first. A limit of 0 means sesametable.MaxScanRows, which is also the most.
+func (s *Store) ChangesPage(ctx context.Context, number uint64, limit int) ([]sesamemodel.Change, error) {
+	rows, err := s.table.Scan(ctx, logPrefix, logKey(number), limit)
+	if err != nil {
+		return nil, err
+	}
+	changes := make([]sesamemodel.Change, 0, len(rows))
+	for _, row := range rows {
+		change, err := decode[sesamemodel.Change](row)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, change.Value)
 	}
+	return changes, nil
 }
 
 func logKey(number uint64) string {
--- a/sesamestore/doc.go
+++ b/sesamestore/doc.go
@@ -8,7 +8,7 @@
 //	contract/team/<team>      the contract in force
 //	contract/log/<number>     every accepted change, zero-padded
 //	member/<entry>            an entry, renewed while it lives
-//	payload/<job>             object: the caller's input
+//	payload/<job>/<request>   object: the caller's input
 //	result/<job>/<attempt>/<rank>  object: the output of one task
 //
 // # Usage
--- a/sesamestore/store.go
+++ b/sesamestore/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -70,9 +72,11 @@
 	logPrefix    = "contract/log/"
 )
 
-// PayloadKey names the object with a job's input.
-func PayloadKey(id sesamemodel.JobID) string {
-	return "payload/" + string(id)
+// PayloadKey names the object with a job's input. The digest of the request is
+// part of the name, so a request that reuses a job's key with another body
+// never replaces the job's input.
+func PayloadKey(id sesamemodel.JobID, request string) string {
+	return "payload/" + string(id) + "/" + request
 }
 
 // ResultKey names the object with the output of one task.
@@ -94,6 +98,34 @@
 	return sesamemodel.JobID(region + regionSeparator + digest)
 }
 
+const (
+	teamDigestLength = 16
+	keyDigestLength  = 32
+)
+
+// JobIDFor names the job that a team's idempotency key stands for in a
+// region. The name starts with a digest of the team, so a team's open jobs are
+// neighbours in the table.
+func JobIDFor(region string, team sesamemodel.TeamID, key string) sesamemodel.JobID {
+	return NewJobID(region, teamDigest(team)+hexDigest(string(team) + "\x00" + key)[:keyDigestLength])
+}
+
+// OwnedBy reports whether the job's name can belong to the team, without
+// reading the job.
+func OwnedBy(id sesamemodel.JobID, team sesamemodel.TeamID) bool {
+	_, digest, _ := strings.Cut(string(id), regionSeparator)
+	return strings.HasPrefix(digest, teamDigest(team))
+}
+
+func teamDigest(team sesamemodel.TeamID) string {
+	return hexDigest(string(team))[:teamDigestLength]
+}
+
+func hexDigest(s string) string {
+	sum := sha256.Sum256([]byte(s))
+	return hex.EncodeToString(sum[:])
+}
+
 // OpenKey names the row of a job that has not ended.
 func OpenKey(id sesamemodel.JobID) string {
 	return openPrefix + RegionOf(id) + "/" + string(id)
@@ -170,6 +202,12 @@
 	return scan[sesamemodel.Job](ctx, s.table, openPrefix+region+"/")
 }
 
+// TeamJobs returns the team's jobs of the region that have not ended.
+func (s *Store) TeamJobs(ctx context.Context, region string, team sesamemodel.TeamID) ([]Versioned[sesamemodel.Job], error) {
+	prefix := openPrefix + region + "/" + string(NewJobID(region, teamDigest(team)))
+	return scan[sesamemodel.Job](ctx, s.table, prefix)
+}
+
 // Cells returns all cells of the region.
 func (s *Store) Cells(ctx context.Context, region string) ([]Versioned[sesamemodel.Cell], error) {
 	return scan[sesamemodel.Cell](ctx, s.table, cellPrefix+region+"/")
