Measure clients over outages of the store, and give way when it refuses

Cause: a client came back from an outage with a ramp of 5 s and fell back to a tenth of its rate at every refusal of the platform, so a store that returned with a third of its rate was used badly. Ruled out: no ramp at all (a third of the calls refused), one ramp of 2 s for both (a fifth refused). Change: the share grows by 45 % a second after an outage, and on a refusal falls to 0.7 of itself and grows by 5 % a second.

A store that returns with a third of its rate, 16 loops a client: 1168 of 15160 calls refused in 20 s; ramp of 5 s before 1204 of 12128, 2 s 3291 of 16503, none 7388 of 22708.

Shown failing: without the rate limit 48000 reads/s; without the breaker 137 calls/s during an outage of 5 min; without giving way 7178 of 22133 refused; without the slow start TestSlowStart.

--- a/sesamestandin/platform_test.go
+++ b/sesamestandin/platform_test.go
@@ -46,9 +46,9 @@
 	}
 }
 
-func assertRow(is *is.I, table sesametable.Table, key, value string, version uint64) {
+func assertRow(ctx context.Context, is *is.I, table sesametable.Table, key, value string, version uint64) {
 	is.Helper()
-	row, err := table.Get(context.Background(), key)
+	row, err := table.Get(ctx, key)
 	is.NoErr(err)
 	is.Equal(string(row.Value), value)
 	is.Equal(row.Version, version)
@@ -62,7 +62,7 @@
 		_, client, _ := startPlatform(t)
 		for _, key := range []string{"a/b", "team/Čaj & co?", "x/50%/y", "z//z"} {
 			is.NoErr(client.Commit(ctx, put(key, 0, key)))
-			assertRow(is, client, key, key, 1)
+			assertRow(ctx, is, client, key, key, 1)
 		}
 		rows, err := sesametable.ScanAll(ctx, client, "team/")
 		is.NoErr(err)
@@ -115,7 +115,7 @@
 		for version := range uint64(4) {
 			is.NoErr(client.Commit(ctx, put("a", version, "v")))
 		}
-		assertRow(is, client, "a", "v", 4)
+		assertRow(ctx, is, client, "a", "v", 4)
 		is.Equal(store.Counters().Writes, 7) // commits 2, 4 and 6 are repeated
 	})
 }
@@ -136,7 +136,7 @@
 			},
 		}))
 		is.NoErr(store.Commit(ctx, put("a", 0, "2")))
-		assertRow(is, store, "a", "2", 3)
+		assertRow(ctx, is, store, "a", "2", 3)
 	})
 
 	t.Run("scans page in the order of keys", func(t *testing.T) {
@@ -168,6 +168,6 @@
 		var missing *sesametable.NotFoundError
 		is.True(errors.As(err, &missing))
 		clock.Advance(time.Minute)
-		assertRow(is, store, "a", "1", 1)
+		assertRow(ctx, is, store, "a", "1", 1)
 	})
 }
--- a/sesamestandin/target_test.go
+++ b/sesamestandin/target_test.go
@@ -49,9 +49,9 @@
 	}
 }
 
-func assertPhase(is *is.I, c *sesametarget.Client, id sesametarget.TaskID, phase sesametarget.Phase) {
+func assertPhase(ctx context.Context, is *is.I, c *sesametarget.Client, id sesametarget.TaskID, phase sesametarget.Phase) {
 	is.Helper()
-	tasks, err := c.Tasks(context.Background())
+	tasks, err := c.Tasks(ctx)
 	is.NoErr(err)
 	for _, s := range tasks {
 		if s.ID == id {
@@ -102,8 +102,8 @@
 		is.NoErr(client.Start(ctx, taskOf("j", 1, hang)))
 		is.NoErr(client.Start(ctx, kept))
 		clock.Advance(5 * time.Second)
-		assertPhase(is, client, "j:1:0", sesametarget.PhaseStopped)
-		assertPhase(is, client, "kept:1:0", sesametarget.PhaseRunning)
+		assertPhase(ctx, is, client, "j:1:0", sesametarget.PhaseStopped)
+		assertPhase(ctx, is, client, "kept:1:0", sesametarget.PhaseRunning)
 	})
 
 	t.Run("a member follows the lease of its gang", func(t *testing.T) {
@@ -118,7 +118,7 @@
 		is.NoErr(client.Start(ctx, taskOf("j", 1, hang)))
 		assertLeaseError(is, client.Start(ctx, taskOf("late", 2, hang)))
 		clock.Advance(2 * time.Second)
-		assertPhase(is, client, "j:1:0", sesametarget.PhaseStopped)
+		assertPhase(ctx, is, client, "j:1:0", sesametarget.PhaseStopped)
 	})
 }
 
--- a/sesametable/exactly_test.go
+++ b/sesametable/exactly_test.go
@@ -45,7 +45,6 @@
 	store   *sesamestandin.Store
 	writers []*sesametable.Retrying
 	group   errgroup.Group
-	fates   []sesamestandin.Fate
 
 	mu       sync.Mutex
 	applied  map[string]int
--- a/sesametable/guard.go
+++ b/sesametable/guard.go
@@ -198,7 +198,9 @@
 }
 
 func (g *Guard) slowDown(operation string, p *pace) {
-	p.restart()
+	if !p.refused() {
+		return
+	}
 	g.log.Emit(eventThrottle, sesamelog.Fields{
 		"operation": operation,
 	})
--- a/sesametable/http.go
+++ b/sesametable/http.go
@@ -28,8 +28,12 @@
 	Found    uint64 `json:"found"`
 }
 
-// maxErrorBody bounds what is kept of an unexpected answer, in bytes.
-const maxErrorBody = 512
+const (
+	// maxErrorBody bounds what is kept of an unexpected answer, in bytes.
+	maxErrorBody = 512
+	// maxAnswer bounds an answer other than an object, in bytes.
+	maxAnswer = 64 << 20
+)
 
 // remote makes single attempts over HTTP. A status of 429 or 503 and a
 // connection that was never made mean that the call had no effect; any other
@@ -71,15 +75,14 @@
 }
 
 func (r *remote) read(ctx context.Context, operation, key, target string, value any) error {
-	response, err := r.do(ctx, http.MethodGet, target, nil)
+	answer, err := r.exchange(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return unavailable(operation, err)
 	}
-	defer drain(response.Body)
-	if response.StatusCode != http.StatusOK {
-		return readFailure(operation, key, response)
+	if answer.status != http.StatusOK {
+		return answer.readFailure(operation, key)
 	}
-	if err := json.NewDecoder(response.Body).Decode(value); err != nil {
+	if err := json.Unmarshal(answer.body, value); err != nil {
 		return unavailable(operation, err)
 	}
 	return nil
@@ -94,119 +97,156 @@
 			Detail:    err.Error(),
 		}
 	}
-	response, err := r.do(ctx, http.MethodPost, r.base+CommitPath, body)
+	answer, err := r.exchange(ctx, http.MethodPost, r.base+CommitPath, body)
 	if err != nil {
 		return lostUnlessUnsent("commit", err)
 	}
-	defer drain(response.Body)
-	switch response.StatusCode {
+	switch answer.status {
 	case http.StatusOK:
 		return nil
 	case http.StatusConflict:
-		return conflictOf(response)
+		return answer.conflict()
 	default:
-		return writeFailure("commit", response)
-	}
-}
-
-func conflictOf(response *http.Response) error {
-	var c Conflict
-	if err := json.NewDecoder(response.Body).Decode(&c); err != nil {
-		return &OutcomeUnknownError{
-			Operation: "commit",
-			Cause:     err,
-		}
-	}
-	return &ConflictError{
-		Key:      c.Key,
-		Expected: c.Expected,
-		Found:    c.Found,
+		return answer.writeFailure("commit")
 	}
 }
 
 // PutObject stores the object once.
 func (r *remote) PutObject(ctx context.Context, key string, body []byte) error {
-	response, err := r.do(ctx, http.MethodPut, r.path(ObjectsPath, key), body)
+	answer, err := r.exchange(ctx, http.MethodPut, r.path(ObjectsPath, key), body)
 	if err != nil {
 		return lostUnlessUnsent("putobject", err)
 	}
-	defer drain(response.Body)
-	if response.StatusCode/100 == 2 {
+	if answer.status/100 == 2 {
 		return nil
 	}
-	return writeFailure("putobject", response)
+	return answer.writeFailure("putobject")
 }
 
 // GetObject opens the object.
 func (r *remote) GetObject(ctx context.Context, key string) (io.ReadCloser, int64, error) {
-	response, err := r.do(ctx, http.MethodGet, r.path(ObjectsPath, key), nil)
+	request, err := newRequest(ctx, http.MethodGet, r.path(ObjectsPath, key), nil)
+	if err != nil {
+		return nil, 0, unavailable("getobject", err)
+	}
+	response, err := r.client.Do(request)
 	if err != nil {
 		return nil, 0, unavailable("getobject", err)
 	}
 	if response.StatusCode == http.StatusOK {
 		return response.Body, response.ContentLength, nil
 	}
-	defer drain(response.Body)
-	return nil, 0, readFailure("getobject", key, response)
+	answer, err := readAnswer(response)
+	if err != nil {
+		return nil, 0, unavailable("getobject", err)
+	}
+	return nil, 0, answer.readFailure("getobject", key)
 }
 
-func (r *remote) do(ctx context.Context, method, target string, body []byte) (*http.Response, error) {
+// newRequest builds a request that the transport does not repeat by itself.
+func newRequest(ctx context.Context, method, target string, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody and an idempotent mark the transport repeats no write
-	// by itself.
 	request.GetBody = nil
-	return r.client.Do(request)
+	return request, nil
 }
 
-// drain reads the rest so that the connection can be used again.
-func drain(body io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxErrorBody))
-	_ = body.Close()
+// exchange makes one call and reads its whole answer.
+func (r *remote) exchange(ctx context.Context, method, target string, body []byte) (answer, error) {
+	request, err := newRequest(ctx, method, target, body)
+	if err != nil {
+		return answer{}, err
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	return readAnswer(response)
+}
+
+// answer is a whole HTTP answer.
+type answer struct {
+	status int
+	// after is what the platform asks a caller to wait.
+	after time.Duration
+	body  []byte
+}
+
+func readAnswer(response *http.Response) (answer, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if closeErr := response.Body.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return answer{}, err
+	}
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil {
+		seconds = 0
+	}
+	return answer{
+		status: response.StatusCode,
+		after:  time.Duration(seconds) * time.Second,
+		body:   body,
+	}, nil
+}
+
+func (a answer) conflict() error {
+	var c Conflict
+	if err := json.Unmarshal(a.body, &c); err != nil {
+		return &OutcomeUnknownError{
+			Operation: "commit",
+			Cause:     err,
+		}
+	}
+	return &ConflictError{
+		Key:      c.Key,
+		Expected: c.Expected,
+		Found:    c.Found,
+	}
 }
 
-func readFailure(operation, key string, response *http.Response) error {
-	switch response.StatusCode {
+func (a answer) readFailure(operation, key string) error {
+	switch a.status {
 	case http.StatusNotFound:
 		return &NotFoundError{
 			Key: key,
 		}
 	case http.StatusBadRequest:
-		return invalid(operation, response)
+		return a.invalid(operation)
 	}
-	return refusal(operation, response)
+	return a.refusal(operation)
 }
 
-func writeFailure(operation string, response *http.Response) error {
-	switch response.StatusCode {
+func (a answer) writeFailure(operation string) error {
+	switch a.status {
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
-		return invalid(operation, response)
+		return a.invalid(operation)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return refusal(operation, response)
+		return a.refusal(operation)
 	}
 	return &OutcomeUnknownError{
 		Operation: operation,
-		Cause:     statusOf(response),
+		Cause:     a.unexpected(),
 	}
 }
 
-func invalid(operation string, response *http.Response) error {
+func (a answer) invalid(operation string) error {
 	return &InvalidError{
 		Operation: operation,
-		Detail:    statusOf(response).Body,
+		Detail:    a.unexpected().Body,
 	}
 }
 
-func refusal(operation string, response *http.Response) error {
-	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+func (a answer) refusal(operation string) error {
 	refused := &UnavailableError{
 		Operation: operation,
-		After:     time.Duration(seconds) * time.Second,
-		Cause:     statusOf(response),
+		After:     a.after,
+		Cause:     a.unexpected(),
 	}
-	if response.StatusCode == http.StatusTooManyRequests {
+	if a.status == http.StatusTooManyRequests {
 		refused.Cause = &ThrottledError{
 			Limiter: "the platform",
 		}
@@ -214,11 +254,10 @@
 	return refused
 }
 
-func statusOf(response *http.Response) *StatusError {
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+func (a answer) unexpected() *StatusError {
 	return &StatusError{
-		Code: response.StatusCode,
-		Body: string(bytes.TrimSpace(body)),
+		Code: a.status,
+		Body: string(bytes.TrimSpace(a.body[:min(len(a.body), maxErrorBody)])),
 	}
 }
 
--- /dev/null
+++ b/sesametable/outage_test.go
@@ -0,0 +1,306 @@
+package sesametable_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+const (
+	clients = 16
+	// tableReads and tableWrites bound all clients together, a second.
+	tableReads  = 2000
+	tableWrites = 300
+	warmup      = 10 * time.Second
+	closing     = 20 * time.Second
+	// recovery bounds the time to a client's first call: the longest pause of
+	// the breaker, one timeout of a call that began before, and one backoff.
+	recovery = 6 * time.Second
+)
+
+// outage is what happens to the store between warmup and closing.
+type outage struct {
+	name   string
+	faults sesamestandin.Faults
+	length time.Duration
+}
+
+// fleet runs clients that read and write without pause and records when.
+type fleet struct {
+	store *sesamestandin.Store
+	// healthy is the store's behaviour before and after the outage.
+	healthy sesamestandin.Faults
+	weak    sesamestandin.Faults
+	// loops of each kind run in every client, each as fast as it can.
+	loops int
+
+	mu        sync.Mutex
+	healed    time.Time
+	recovered map[int]time.Duration
+	done      map[time.Time]int
+	unknown   int
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		store: sesamestandin.NewStore(clockwork.NewRealClock()),
+		healthy: sesamestandin.Faults{
+			Latency: time.Millisecond,
+		},
+		recovered: map[int]time.Duration{},
+		done:      map[time.Time]int{},
+	}
+}
+
+// succeeded records a call of that client that was served.
+func (f *fleet) succeeded(client int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.done[now.Truncate(time.Second)]++
+	if _, seen := f.recovered[client]; !seen && !f.healed.IsZero() {
+		f.recovered[client] = now.Sub(f.healed)
+	}
+}
+
+func (f *fleet) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.healed = time.Now()
+	f.store.SetFaults(f.weak)
+}
+
+// call makes one call and waits as a duty would when the store refuses.
+func (f *fleet) call(ctx context.Context, client int, call func() error) {
+	err := call()
+	var unavailable *sesametable.UnavailableError
+	var unknown *sesametable.OutcomeUnknownError
+	switch {
+	case err == nil:
+		f.succeeded(client)
+	case errors.As(err, &unknown):
+		f.mu.Lock()
+		f.unknown++
+		f.mu.Unlock()
+	case errors.As(err, &unavailable):
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(unavailable.After, 100*time.Millisecond)):
+		}
+	}
+}
+
+func (f *fleet) read(ctx context.Context, table sesametable.Table, client int) {
+	for ctx.Err() == nil {
+		f.call(ctx, client, func() error {
+			_, err := table.Scan(ctx, "x/", "", 1)
+			return err
+		})
+	}
+}
+
+func (f *fleet) write(ctx context.Context, table sesametable.Table, client, loop int) {
+	key := fmt.Sprintf("w/%d/%d", client, loop)
+	for ctx.Err() == nil {
+		f.call(ctx, client, func() error {
+			version, err := versionOf(ctx, table, key)
+			if err != nil {
+				return err
+			}
+			return table.Commit(ctx, puts(put(key, version)))
+		})
+	}
+}
+
+// run returns the counters before, during and after the outage.
+func (f *fleet) run(o outage) (before, during, after sesamestandin.Counters) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	f.store.SetFaults(f.healthy)
+	for client := range clients {
+		table := newTable(f.store, sesamesettings.Platform{
+			Timeout: 2 * time.Second,
+			Reads:   tableReads / clients,
+			Writes:  tableWrites / clients,
+		})
+		for loop := range f.loops {
+			group.Go(func() error {
+				f.read(ctx, table, client)
+				return nil
+			})
+			group.Go(func() error {
+				f.write(ctx, table, client, loop)
+				return nil
+			})
+		}
+	}
+	pass(warmup)
+	before = f.store.Counters()
+	f.store.SetFaults(o.faults)
+	pass(o.length)
+	during = f.store.Counters()
+	f.heal()
+	pass(closing)
+	cancel()
+	_ = group.Wait()
+	return before, during, f.store.Counters()
+}
+
+// slowest returns the longest time to a client's first call after healing.
+func (f *fleet) slowest() time.Duration {
+	var longest time.Duration
+	for _, d := range f.recovered {
+		longest = max(longest, d)
+	}
+	return longest
+}
+
+// full returns the time until the calls of a second reach nine tenths of the
+// last second before the outage.
+func (f *fleet) full(start time.Time) time.Duration {
+	usual := f.done[start.Add(warmup-2*time.Second).Truncate(time.Second)]
+	for second := f.healed.Truncate(time.Second); second.Before(f.healed.Add(closing)); second = second.Add(time.Second) {
+		if f.done[second]*10 >= usual*9 {
+			return second.Add(time.Second).Sub(f.healed)
+		}
+	}
+	return closing
+}
+
+var outages = []outage{
+	{
+		name:   "down 10 s",
+		faults: sesamestandin.Faults{Down: true},
+		length: 10 * time.Second,
+	},
+	{
+		name:   "down 5 min",
+		faults: sesamestandin.Faults{Down: true},
+		length: 5 * time.Minute,
+	},
+	{
+		name:   "down 1 h",
+		faults: sesamestandin.Faults{Down: true},
+		length: time.Hour,
+	},
+	{
+		name:   "slow 10 s",
+		faults: sesamestandin.Faults{Latency: time.Minute},
+		length: 10 * time.Second,
+	},
+	{
+		name:   "slow 5 min",
+		faults: sesamestandin.Faults{Latency: time.Minute},
+		length: 5 * time.Minute,
+	},
+	{
+		name:   "slow 1 h",
+		faults: sesamestandin.Faults{Latency: time.Minute},
+		length: time.Hour,
+	},
+}
+
+// TestOutage measures the load that clients put on a store that fails and
+// returns, and how soon they are served again.
+func TestOutage(t *testing.T) {
+	for _, o := range outages {
+		t.Run(o.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet()
+				f.weak = f.healthy
+				f.loops = 2
+				start := time.Now()
+				before, during, after := f.run(o)
+				seconds := o.length.Seconds()
+				t.Logf("during: %.1f reads/s, %.1f rows/s; peak in any run: %d reads/s, %d rows/s; first call %v, nine tenths %v; unknown %d",
+					float64(during.Reads-before.Reads)/seconds, float64(during.Rows-before.Rows)/seconds,
+					after.PeakReads, after.PeakWrites, f.slowest(), f.full(start), f.unknown)
+				is.True(after.PeakReads <= tableReads)
+				is.True(after.PeakWrites <= tableWrites)
+				is.Equal(len(f.recovered), clients)
+				is.True(f.slowest() <= recovery)
+				if o.length >= time.Minute {
+					calls := during.Reads + during.Rows - before.Reads - before.Rows
+					is.True(float64(calls) <= clients*seconds)
+				}
+			})
+		})
+	}
+}
+
+// TestWeakReturn measures a store that comes back with a third of its rate
+// and refuses the rest.
+func TestWeakReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet()
+		f.loops = 16
+		o := outages[0]
+		f.weak = sesamestandin.Faults{
+			Latency:         time.Millisecond,
+			ReadsPerSecond:  tableReads / 3,
+			WritesPerSecond: tableWrites / 3,
+		}
+		_, during, after := f.run(o)
+		refused := after.Refused - during.Refused
+		calls := after.Reads + after.Rows - during.Reads - during.Rows
+		t.Logf("refused %d of %d calls in %v", refused, calls, closing)
+		is.True(refused*10 <= calls)
+		is.True((calls-refused)*10 >= 8*int(closing.Seconds())*(tableReads+tableWrites)/3)
+	})
+}
+
+// TestSlowStart checks that a client which has just been served again makes
+// at most half of its calls in the first second.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := sesamestandin.NewStore(clockwork.NewRealClock())
+		table := newTable(store, sesamesettings.Platform{
+			Timeout: 2 * time.Second,
+			Reads:   400,
+			Writes:  60,
+		})
+		store.SetFaults(sesamestandin.Faults{
+			Down: true,
+		})
+		for calls(t, table, time.Millisecond) > 0 || store.Counters().Reads < 5 {
+			pass(time.Millisecond)
+		}
+		store.SetFaults(sesamestandin.Faults{
+			Latency: time.Millisecond,
+		})
+		for calls(t, table, time.Millisecond) == 0 {
+			pass(time.Millisecond)
+		}
+		is.True(calls(t, table, time.Second) <= 200)
+		pass(5 * time.Second)
+		is.True(calls(t, table, time.Second) >= 340)
+	})
+}
+
+// calls returns how many reads are served in d, one after the other.
+func calls(t *testing.T, table sesametable.Table, d time.Duration) int {
+	t.Helper()
+	served := 0
+	for start := time.Now(); time.Since(start) < d; {
+		if _, err := table.Scan(t.Context(), "x/", "", 1); err != nil {
+			return served
+		}
+		served++
+	}
+	return served
+}
--- a/sesametable/pace.go
+++ b/sesametable/pace.go
@@ -13,22 +13,33 @@
 	// burstPart is the part of a rate that may be spent at once; the rest
 	// flows evenly, so that no second sees more than the rate.
 	burstPart = 8
-	// rampStart is the part of the rate that a recovering client begins with.
-	rampStart = 0.1
-	// ramp is the time from rampStart to the full rate.
-	ramp = 5 * time.Second
+	// minShare is the least part of the rate that a client keeps, and with
+	// which it begins after an outage.
+	minShare = 0.1
+	// recoveryGrowth and refusalGrowth are what the share gains in a second
+	// after an outage and after the platform refused a call for its rate.
+	recoveryGrowth = 0.45
+	refusalGrowth  = 0.05
+	// refusalShare is the part of its share that a refused client keeps.
+	refusalShare = 0.7
+	// refusalPause is the time in which refusals count as one.
+	refusalPause = 500 * time.Millisecond
 	// maxQueueing is the longest wait for a turn.
 	maxQueueing = 2 * time.Second
 )
 
-// pace is a rate limit that starts low again after an outage.
+// pace is a rate limit that starts low after an outage and gives way when the
+// platform refuses calls for its own rate.
 type pace struct {
 	clock clockwork.Clock
 	rate  float64
 
-	mu        sync.Mutex
-	limiter   *rate.Limiter
-	restarted time.Time
+	mu      sync.Mutex
+	limiter *rate.Limiter
+	// start is the share at the time since; it grows from there.
+	start  float64
+	growth float64
+	since  time.Time
 }
 
 // newPace allows perSecond calls in any second; 0 means no limit.
@@ -37,6 +48,7 @@
 	p := &pace{
 		clock: clock,
 		rate:  max(perSecond-float64(burst), perSecond/2),
+		start: 1,
 	}
 	if perSecond > 0 {
 		p.limiter = rate.NewLimiter(rate.Limit(p.rate), burst)
@@ -44,11 +56,30 @@
 	return p
 }
 
-// restart begins the ramp anew.
+// restart begins low after an outage.
 func (p *pace) restart() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.restarted = p.clock.Now()
+	p.begin(minShare, recoveryGrowth)
+}
+
+// refused lowers the share because the platform refused a call; false means
+// that it has just been lowered.
+func (p *pace) refused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if now.Sub(p.since) < refusalPause {
+		return false
+	}
+	p.begin(max(minShare, p.share(now)*refusalShare), refusalGrowth)
+	return true
+}
+
+func (p *pace) begin(start, growth float64) {
+	p.start = start
+	p.growth = growth
+	p.since = p.clock.Now()
 }
 
 // charge counts calls that were made without waiting.
@@ -109,9 +140,5 @@
 
 // share returns the part of the rate that is allowed at that time.
 func (p *pace) share(now time.Time) float64 {
-	since := now.Sub(p.restarted)
-	if p.restarted.IsZero() || since >= ramp {
-		return 1
-	}
-	return rampStart + (1-rampStart)*float64(since)/float64(ramp)
+	return min(1, p.start+p.growth*now.Sub(p.since).Seconds())
 }
--- a/sesametable/settle_test.go
+++ b/sesametable/settle_test.go
@@ -183,6 +183,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := sesamestandin.NewStore(clockwork.NewRealClock())
+		store.SetFaults(sesamestandin.Faults{
+			Latency: time.Millisecond,
+		})
 		table := newTable(store, sesamesettings.Platform{
 			Timeout: 2 * time.Second,
 			Reads:   400,
