--- a/sesameentry/noticing.go
+++ b/sesameentry/noticing.go
@@ -109,7 +109,7 @@
 func (n *noticing) why(ctx context.Context, id sesamemodel.JobID) string {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
-	member := n.roster.Preferred(n.region)[0]
+	member := n.roster.First(n.region)
 	if member.ID == n.self {
 		return ""
 	}
--- a/sesameentry/roster.go
+++ b/sesameentry/roster.go
@@ -1,12 +1,12 @@
 package sesameentry
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/sesamestack/sesamestack/sesamemodel"
@@ -76,39 +76,60 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	members := []sesamemodel.Member{r.self}
-	for id, s := range r.seen {
-		silent := now.Sub(s.since) > r.window
-		out := silent || s.suspect || s.member.Left
-		if id == r.self.ID || out || s.member.Region != r.self.Region {
-			continue
+	for _, s := range r.seen {
+		if r.lives(s, now) {
+			members = append(members, s.member)
 		}
-		members = append(members, s.member)
 	}
 	return members
 }
 
+// lives reports whether the sighting is of another entry of this region that
+// may be relied on.
+func (r *roster) lives(s sighting, now time.Time) bool {
+	if s.member.ID == r.self.ID || s.member.Region != r.self.Region {
+		return false
+	}
+	return !s.suspect && !s.member.Left && now.Sub(s.since) <= r.window
+}
+
 // Preferred returns the live entries of the region in the order of rendezvous
 // hashing for the key, the most preferred first.
 func (r *roster) Preferred(key string) []sesamemodel.Member {
 	members := r.live()
-	byID := map[string]sesamemodel.Member{}
-	ids := make([]string, 0, len(members))
-	for _, m := range members {
-		byID[m.ID] = m
-		ids = append(ids, m.ID)
-	}
-	slices.Sort(ids)
-	ring := rendezvous.New(ids, xxhash.Sum64String)
-	ordered := make([]sesamemodel.Member, 0, len(ids))
-	for range ids {
-		id := ring.Lookup(key)
-		ordered = append(ordered, byID[id])
-		ring.Remove(id)
+	slices.SortFunc(members, func(a, b sesamemodel.Member) int {
+		return cmp.Or(
+			cmp.Compare(score(b.ID, key), score(a.ID, key)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return members
+}
+
+// score is the weight of a member for the key; the highest is preferred.
+func score(id, key string) uint64 {
+	return xxhash.Sum64String(id + "\x00" + key)
+}
+
+// First returns the most preferred live entry for the key.
+func (r *roster) First(key string) sesamemodel.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	first := r.self
+	best := score(first.ID, key)
+	for id, s := range r.seen {
+		if !r.lives(s, now) {
+			continue
+		}
+		if weight := score(id, key); weight > best || weight == best && id < first.ID {
+			first, best = s.member, weight
+		}
 	}
-	return ordered
+	return first
 }
 
 // leads reports whether this entry is the most preferred for the key.
 func (r *roster) leads(key string) bool {
-	return r.Preferred(key)[0].ID == r.self.ID
+	return r.First(key).ID == r.self.ID
 }
--- a/sesamekeeper/service.go
+++ b/sesamekeeper/service.go
@@ -37,8 +37,8 @@
 
 // Roster says which entry should keep a cell.
 type Roster interface {
-	// Preferred returns the live entries, the most preferred for key first.
-	Preferred(key string) []sesamemodel.Member
+	// First returns the live entry that should keep the cell.
+	First(cell string) sesamemodel.Member
 }
 
 // Dialer reaches agents.
@@ -80,14 +80,12 @@
 	reply := &sesamewire.HeartbeatReply{
 		Contracts: s.options.Contracts(),
 	}
-	preferred := s.options.Roster.Preferred(req.GetCell())
-	elsewhere := len(preferred) > 0 && preferred[0].ID != s.options.Self.ID
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if elsewhere {
-		reply.Keeper = preferred[0].Address
+	if keeper := s.options.Roster.First(req.GetCell()); keeper.ID != s.options.Self.ID {
+		reply.Keeper = keeper.Address
 		return reply
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	grant := s.book.Heartbeat(s.options.Clock.Now(), beatOf(req))
 	reply.LeaseMs = grant.Lease.Milliseconds()
 	reply.Epoch = grant.Epoch
@@ -126,8 +124,7 @@
 // Consider takes over the cell if this entry is the preferred keeper and the
 // row names another, and yields it when another entry has taken it.
 func (s *Service) Consider(cell sesamemodel.Cell) {
-	preferred := s.options.Roster.Preferred(string(cell.ID))
-	mine := len(preferred) > 0 && preferred[0].ID == s.options.Self.ID
+	mine := s.options.Roster.First(string(cell.ID)).ID == s.options.Self.ID
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
