Yield a cell that another entry keeps

Cause: a keeper whose targets had been redirected judged them silent, met a conflict, and took the cell back on the next flush, so two keepers would take turns. Change: a cell that the row and the preference give to another entry is yielded. The new test fails without it.

--- a/sesamekeeper/service.go
+++ b/sesamekeeper/service.go
@@ -124,7 +124,7 @@
 // Consider takes over the cell if this entry is the preferred keeper and the
 // row names another, and yields it when another entry has taken it.
 func (s *Service) Consider(cell sesamemodel.Cell) {
-	mine := s.options.Roster.First(string(cell.ID)).ID == s.options.Self.ID
+	mine := s.leads(cell.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -174,6 +174,9 @@
 	if err != nil {
 		return err
 	}
+	if s.moved(row.Value) {
+		return nil
+	}
 	s.mu.Lock()
 	next, changed := s.book.Next(row.Value)
 	s.mu.Unlock()
@@ -192,6 +195,21 @@
 	return nil
 }
 
+// moved yields a cell that another entry keeps by the row and by preference.
+func (s *Service) moved(row sesamemodel.Cell) bool {
+	if row.Keeper == s.options.Self.ID || s.leads(row.ID) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Yield(row.ID)
+	return true
+}
+
+func (s *Service) leads(cell sesamemodel.CellID) bool {
+	return s.options.Roster.First(string(cell)).ID == s.options.Self.ID
+}
+
 // newCell returns the row of a cell that no target has announced before.
 func (s *Service) newCell(id sesamemodel.CellID) sesamestore.Versioned[sesamemodel.Cell] {
 	region, _, _ := strings.Cut(string(id), "/")
--- /dev/null
+++ b/sesamekeeper/service_test.go
@@ -0,0 +1,185 @@
+package sesamekeeper
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestore"
+	"github.com/sesamestack/sesamestack/sesametable"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// fakeRoster prefers one entry for every cell.
+type fakeRoster struct {
+	first string
+}
+
+func (r *fakeRoster) First(string) sesamemodel.Member {
+	return sesamemodel.Member{
+		ID:      r.first,
+		Address: r.first + ":1",
+	}
+}
+
+// fakeCells holds one row, as the platform's table does.
+type fakeCells struct {
+	row    sesamestore.Versioned[sesamemodel.Cell]
+	writes int
+	down   bool
+}
+
+func (c *fakeCells) Cell(context.Context, sesamemodel.CellID) (sesamestore.Versioned[sesamemodel.Cell], error) {
+	if c.down {
+		return c.row, &sesametable.UnavailableError{
+			Operation: "get",
+		}
+	}
+	if c.row.Version == 0 {
+		return c.row, &sesametable.NotFoundError{}
+	}
+	return c.row, nil
+}
+
+func (c *fakeCells) CommitCell(_ context.Context, cell sesamestore.Versioned[sesamemodel.Cell]) error {
+	if c.down || cell.Version != c.row.Version {
+		return &sesametable.ConflictError{
+			Key: string(cell.Value.ID),
+		}
+	}
+	cell.Version++
+	c.row = cell
+	c.writes++
+	return nil
+}
+
+// fakeDialer reaches no agent.
+type fakeDialer struct{}
+
+type deafAgent struct {
+	sesamewire.DRPCAgentClient
+}
+
+func (fakeDialer) Agent(string) sesamewire.DRPCAgentClient {
+	return deafAgent{}
+}
+
+func (deafAgent) Adopt(context.Context, *sesamewire.AdoptRequest) (*sesamewire.AdoptReply, error) {
+	return &sesamewire.AdoptReply{}, nil
+}
+
+func newTestService(id string, roster Roster, cells Cells, clock clockwork.Clock) *Service {
+	return NewService(Options{
+		Self: sesamemodel.Member{
+			ID: id,
+		},
+		Lease:  testLease,
+		Margin: testMargin,
+		Cells:  cells,
+		Roster: roster,
+		Dialer: fakeDialer{},
+		Clock:  clock,
+		Log:    sesamelog.Discard(),
+		Contracts: func() uint64 {
+			return 7
+		},
+	})
+}
+
+func wireBeat(target string) *sesamewire.HeartbeatRequest {
+	return &sesamewire.HeartbeatRequest{
+		Target:      target,
+		Cell:        string(testCell),
+		Incarnation: "i1",
+		Announce: &sesamewire.Target{
+			Id:          target,
+			Zone:        "a",
+			Incarnation: "i1",
+		},
+	}
+}
+
+func TestService(t *testing.T) {
+	ctx := context.Background()
+	t.Run("targets that announce themselves together share one write", func(t *testing.T) {
+		is := is.New(t)
+		cells := &fakeCells{}
+		s := newTestService("e1", &fakeRoster{"e1"}, cells, clockwork.NewFakeClock())
+		for i := range 32 {
+			s.Heartbeat(wireBeat(fmt.Sprintf("w%d", i)))
+		}
+		s.Flush(ctx)
+		is.Equal(cells.writes, 1)
+		is.Equal(len(cells.row.Value.Targets), 32)
+		is.Equal(s.Heartbeat(wireBeat("w0")).GetLeaseMs(), testLease.Milliseconds())
+	})
+	t.Run("redirects to the preferred entry", func(t *testing.T) {
+		is := is.New(t)
+		s := newTestService("e1", &fakeRoster{"e2"}, &fakeCells{}, clockwork.NewFakeClock())
+		reply := s.Heartbeat(wireBeat("w0"))
+		is.Equal(reply.GetKeeper(), "e2:1")
+		is.Equal(reply.GetLeaseMs(), int64(0))
+	})
+	t.Run("goes on granting leases while the store is down", func(t *testing.T) {
+		is := is.New(t)
+		cells := &fakeCells{}
+		clock := clockwork.NewFakeClock()
+		s := newTestService("e1", &fakeRoster{"e1"}, cells, clock)
+		s.Heartbeat(wireBeat("w0"))
+		s.Flush(ctx)
+		cells.down = true
+		for range 3600 {
+			clock.Advance(time.Second)
+			is.Equal(s.Heartbeat(wireBeat("w0")).GetLeaseMs(), testLease.Milliseconds())
+			s.Flush(ctx)
+		}
+	})
+	t.Run("a keeper that lost the cell neither judges nor takes it back", func(t *testing.T) {
+		is := is.New(t)
+		cells := &fakeCells{}
+		clock := clockwork.NewFakeClock()
+		roster := &fakeRoster{"e1"}
+		first := newTestService("e1", roster, cells, clock)
+		second := newTestService("e2", roster, cells, clock)
+		first.Heartbeat(wireBeat("w0"))
+		first.Flush(ctx)
+		roster.first = "e2"
+		second.Heartbeat(wireBeat("w0"))
+		second.Flush(ctx)
+		for range 10 {
+			clock.Advance(time.Second)
+			second.Heartbeat(wireBeat("w0"))
+			first.Flush(ctx)
+			second.Flush(ctx)
+		}
+		is.Equal(cells.row.Value.Keeper, "e2")
+		is.Equal(cells.row.Value.Epoch, uint64(2))
+		is.Equal(cells.row.Value.Targets[0].Health, sesamemodel.Ready)
+	})
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("%d targets", n), func(b *testing.B) {
+			s := newTestService("e1", &fakeRoster{"e1"}, &fakeCells{}, clockwork.NewRealClock())
+			beats := make([]*sesamewire.HeartbeatRequest, n)
+			for i := range beats {
+				beats[i] = wireBeat(fmt.Sprintf("w%d", i))
+				s.Heartbeat(beats[i])
+			}
+			s.Flush(context.Background())
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				s.Heartbeat(beats[i%n])
+				i++
+			}
+		})
+	}
+}
