--- a/sesameentry/entry.go
+++ b/sesameentry/entry.go
@@ -122,7 +122,7 @@
 		contracts: e.watch,
 		attempts:  e.driver,
 		leader:    e.roster,
-		ring:      e.ring,
+		queue:     e.ring,
 		clock:     e.deps.Clock,
 		log:       e.deps.Log,
 		scope:     e.deps.Scope,
--- a/sesameentry/planning.go
+++ b/sesameentry/planning.go
@@ -62,6 +62,12 @@
 	leads(key string) bool
 }
 
+// queue is where the duty's hints wait.
+type queue interface {
+	message.Publisher
+	Len(topic string) int
+}
+
 // planning is the duty that decides which job runs where. It owns the planner.
 type planning struct {
 	region    string
@@ -71,7 +77,7 @@
 	contracts contracts
 	attempts  attempts
 	leader    leadership
-	ring      *sesamering.Ring
+	queue     queue
 	clock     clockwork.Clock
 	log       *sesamelog.Logger
 	scope     tally.Scope
@@ -105,7 +111,7 @@
 		return nil
 	}
 	p.unplanned++
-	if p.ring.Len(topicPlan) == 0 || p.unplanned >= maxUnplanned {
+	if p.queue.Len(topicPlan) == 0 || p.unplanned >= maxUnplanned {
 		p.unplanned = 0
 		p.round(ctx)
 	}
@@ -226,7 +232,7 @@
 }
 
 func (p *planning) post(h hint) {
-	if err := sesamering.Send(p.ring, topicPlan, h); err != nil {
+	if err := sesamering.Send(p.queue, topicPlan, h); err != nil {
 		p.log.Emit(eventHintLost, sesamelog.Fields{
 			"error": err,
 		})
