--- a/sesameapi/view.go
+++ b/sesameapi/view.go
@@ -106,46 +106,17 @@
 }
 
 // outcomeOf says whether the work ran. NotRun is answered only from a state
-// that no start can follow, and only when no attempt was ever told to start.
+// that no start can follow.
 func outcomeOf(job sesamemodel.Job) Outcome {
-	switch job.State {
-	case sesamemodel.Done:
+	switch {
+	case job.State == sesamemodel.Done:
 		return Ran
-	case sesamemodel.Unknown:
+	case job.State == sesamemodel.Unknown:
 		return Unsure
-	case sesamemodel.Refused, sesamemodel.Cancelled, sesamemodel.Failed:
-		if job.Resolution.Operator != "" {
-			return resolvedOutcome(job.Resolution)
-		}
-		if neverOpened(job) {
-			return NotRun
-		}
+	case job.NotRun():
+		return NotRun
+	case job.State.Ended():
 		return Started
 	}
 	return Pending
 }
-
-func resolvedOutcome(r sesamemodel.Resolution) Outcome {
-	if r.Ran {
-		return Started
-	}
-	return NotRun
-}
-
-// neverOpened reports whether no attempt was told to start. An attempt is
-// written as running before it is opened, so its history shows it unless the
-// oldest steps were dropped.
-func neverOpened(job sesamemodel.Job) bool {
-	if job.Attempt == 0 {
-		return true
-	}
-	if len(job.Events) >= sesamemodel.MaxEvents {
-		return false
-	}
-	for _, e := range job.Events {
-		if e.State == sesamemodel.Running {
-			return false
-		}
-	}
-	return job.Opened.IsZero()
-}
