--- /dev/null
+++ b/sesameapi/helpers_test.go
@@ -0,0 +1,282 @@
+package sesameapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamecontract"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesamestore"
+)
+
+const (
+	region     = "magdalena"
+	cork       = "cork-token"
+	mill       = "mill-token"
+	anna       = "anna-token"
+	berta      = "berta-token"
+	testBudget = 30 * time.Second
+)
+
+// fakeBackend is an entry that admits what it is told to.
+type fakeBackend struct {
+	mu       sync.Mutex
+	load     float64
+	fits     error
+	noRoom   error
+	ready    error
+	notified []Change
+	changed  []sesamemodel.Cell
+}
+
+func (b *fakeBackend) Notify(c Change, _ sesamemodel.Job) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.notified = append(b.notified, c)
+	return nil
+}
+
+func (b *fakeBackend) Why(context.Context, sesamemodel.JobID) (string, error) {
+	return "waits for 2 workers in one rack", nil
+}
+
+func (b *fakeBackend) Load() float64 {
+	return b.load
+}
+
+func (b *fakeBackend) Fits(sesamemodel.Spec) error {
+	return b.fits
+}
+
+func (b *fakeBackend) Admit(_ []sesamemodel.Contract, cells []sesamemodel.Cell) ([]sesamemodel.Cell, error) {
+	return b.changed, b.noRoom
+}
+
+func (b *fakeBackend) Ready() error {
+	return b.ready
+}
+
+// entry is a handler on a store of its own or of another entry.
+type entry struct {
+	t       *testing.T
+	is      *is.I
+	clock   *clockwork.FakeClock
+	table   *sesamestandin.Store
+	store   *sesamestore.Store
+	watch   *sesamecontract.Watch
+	backend *fakeBackend
+	handler *Handler
+}
+
+// newEntry returns an entry with the contracts of two teams in force.
+func newEntry(t *testing.T) *entry {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	table := sesamestandin.NewStore(clock)
+	e := &entry{
+		t:     t,
+		is:    is.New(t),
+		clock: clock,
+		table: table,
+		store: sesamestore.New(table, table),
+	}
+	e.accept(0, contract("cork", cork), contract("mill", mill))
+	e.start(Options{})
+	return e
+}
+
+func (e *entry) start(o Options) {
+	e.backend = &fakeBackend{}
+	e.watch = sesamecontract.NewWatch(e.store, sesamecontract.NewHolder(), sesamecontract.WatchOptions{
+		Clock: e.clock,
+	})
+	o.Region = region
+	o.Store = e.store
+	o.Contracts = e.watch
+	o.Clock = e.clock
+	o.Operators = map[string]string{
+		"anna":  sesamecontract.Digest(anna),
+		"berta": sesamecontract.Digest(berta),
+	}
+	e.handler = New(o, e.backend)
+}
+
+// peer returns another entry on the same store.
+func (e *entry) peer() *entry {
+	other := *e
+	other.start(Options{})
+	return &other
+}
+
+func (e *entry) accept(base uint64, contracts ...sesamemodel.Contract) {
+	e.t.Helper()
+	var changes []sesamemodel.Change
+	for _, c := range contracts {
+		changes = append(changes, sesamemodel.Change{
+			Team:     c.Team,
+			Operator: "anna",
+			Contract: c,
+		})
+	}
+	_, err := e.store.Accept(context.Background(), base, changes, nil)
+	e.is.NoErr(err)
+}
+
+func contract(team sesamemodel.TeamID, token string) sesamemodel.Contract {
+	return sesamemodel.Contract{
+		Team:   team,
+		Weight: 1,
+		Classes: []sesamemodel.Class{
+			{
+				Name:    "pricing",
+				Urgency: sesamemodel.Urgent,
+			},
+			{
+				Name:    "reconcile",
+				Urgency: sesamemodel.Normal,
+				Once:    true,
+			},
+			{
+				Name:    "train",
+				Urgency: sesamemodel.Batch,
+			},
+		},
+		Limits: sesamemodel.Limits{
+			Open:  100,
+			Rate:  1000,
+			Burst: 1000,
+		},
+		Tokens: []string{sesamecontract.Digest(token)},
+	}
+}
+
+func executorJob(class string) JobRequest {
+	return JobRequest{
+		Class: class,
+		Kind:  sesamemodel.Executor,
+		Tasks: 1,
+		Task: sesamemodel.Resources{
+			Slots: 1,
+		},
+		Payload: []byte("harvest 2031"),
+	}
+}
+
+func (e *entry) request(method, path, token string, body any) *http.Request {
+	e.t.Helper()
+	text, ok := body.([]byte)
+	if !ok && body != nil {
+		var err error
+		text, err = json.Marshal(body)
+		e.is.NoErr(err)
+	}
+	r := httptest.NewRequest(method, path, bytes.NewReader(text))
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	return r
+}
+
+func (e *entry) do(r *http.Request) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	e.handler.ServeHTTP(w, r)
+	return w
+}
+
+func (e *entry) call(method, path, token string, body any) *httptest.ResponseRecorder {
+	e.t.Helper()
+	return e.do(e.request(method, path, token, body))
+}
+
+func (e *entry) submit(token, key string, body any) *httptest.ResponseRecorder {
+	e.t.Helper()
+	r := e.request(http.MethodPost, "/v1/jobs", token, body)
+	r.Header.Set(keyHeader, key)
+	return e.do(r)
+}
+
+// submitted returns the job that a submission created.
+func (e *entry) submitted(token, key string, q JobRequest) JobStatus {
+	e.t.Helper()
+	w := e.submit(token, key, q)
+	e.is.Equal(w.Code, http.StatusCreated)
+	return answer[JobStatus](e, w)
+}
+
+func answer[T any](e *entry, w *httptest.ResponseRecorder) T {
+	e.t.Helper()
+	var value T
+	e.is.NoErr(json.Unmarshal(w.Body.Bytes(), &value))
+	return value
+}
+
+// refused asserts that the answer is a problem of that type.
+func (e *entry) refused(w *httptest.ResponseRecorder, t ProblemType) Problem {
+	e.t.Helper()
+	e.is.Equal(w.Header().Get("Content-Type"), "application/problem+json")
+	problem := answer[Problem](e, w)
+	e.is.Equal(problem.Type, t)
+	e.is.Equal(problem.Status, w.Code)
+	e.is.Equal(w.Code, kinds[t].status)
+	if w.Code == http.StatusTooManyRequests || w.Code == http.StatusServiceUnavailable {
+		e.is.True(w.Header().Get("Retry-After") != "") // 429 and 503 say when to come again
+	}
+	return problem
+}
+
+func (e *entry) row(id sesamemodel.JobID) versionedJob {
+	e.t.Helper()
+	job, err := e.store.Job(context.Background(), id)
+	e.is.NoErr(err)
+	return job
+}
+
+// become writes the job as changed.
+func (e *entry) become(id sesamemodel.JobID, change func(sesamemodel.Job) sesamemodel.Job) {
+	e.t.Helper()
+	job := e.row(id)
+	e.is.NoErr(e.store.Update(context.Background(), sesamestore.Batch{
+		Jobs: []versionedJob{
+			job.With(change(job.Value)),
+		},
+	}))
+}
+
+func placed(now time.Time) func(sesamemodel.Job) sesamemodel.Job {
+	return func(j sesamemodel.Job) sesamemodel.Job {
+		return j.WithPlacement(now, []sesamemodel.Assignment{
+			{
+				Target: "executor-1",
+				Tasks:  1,
+			},
+		}, true)
+	}
+}
+
+// eventually waits for a condition that another goroutine brings about.
+func (e *entry) eventually(condition func() bool) {
+	e.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testBudget)
+	defer cancel()
+	for !condition() {
+		if ctx.Err() != nil {
+			e.t.Fatal("condition did not come true")
+		}
+	}
+}
+
+func isProblem(err error, t ProblemType) bool {
+	var problem *ProblemError
+	return errors.As(err, &problem) && problem.Problem.Type == t
+}
--- a/sesameapi/status.go
+++ b/sesameapi/status.go
@@ -31,7 +31,7 @@
 // visible turns a name away that cannot be one of the reader's jobs, without
 // asking the store.
 func (h *Handler) visible(id sesamemodel.JobID, who reader) error {
-	if sesamestore.RegionOf(id) != h.options.Region {
+	if !sesamestore.ValidJobID(h.options.Region, id) {
 		return newProblem(NotFound, "")
 	}
 	if !who.operator && !sesamestore.OwnedBy(id, who.team) {
--- a/sesamestore/store.go
+++ b/sesamestore/store.go
@@ -110,6 +110,15 @@
 	return NewJobID(region, teamDigest(team)+hexDigest(string(team) + "\x00" + key)[:keyDigestLength])
 }
 
+// ValidJobID reports whether JobIDFor can have made the name for the region.
+func ValidJobID(region string, id sesamemodel.JobID) bool {
+	digest, ok := strings.CutPrefix(string(id), region+regionSeparator)
+	if !ok || len(digest) != teamDigestLength+keyDigestLength {
+		return false
+	}
+	return strings.Trim(digest, "0123456789abcdef") == ""
+}
+
 // OwnedBy reports whether the job's name can belong to the team, without
 // reading the job.
 func OwnedBy(id sesamemodel.JobID, team sesamemodel.TeamID) bool {
