--- a/sesamemodel/job.go
+++ b/sesamemodel/job.go
@@ -244,6 +244,11 @@
 	return j.WithEvent(now, Done, "")
 }
 
+// NotRun reports whether the job has ended and no part of it ever ran.
+func (j Job) NotRun() bool {
+	return j.State.Ended() && !j.Started && !j.Ran
+}
+
 // WithResolution returns the job in the state that an operator found.
 func (j Job) WithResolution(s State, r Resolution) Job {
 	j.Resolution = r
@@ -252,11 +257,6 @@
 	return j.WithEvent(r.Time, s, fmt.Sprintf("resolved by %s: %s", r.Operator, r.Note))
 }
 
-// NotRun reports whether the job has ended and no part of it ever ran.
-func (j Job) NotRun() bool {
-	return j.State.Ended() && !j.Started && !j.Ran
-}
-
 // Cells returns the cells that the assignments name, each once, in order.
 func (j Job) Cells() []CellID {
 	seen := map[CellID]bool{}
