--- /dev/null
+++ b/sesameapi/access_test.go
@@ -0,0 +1,72 @@
+package sesameapi
+
+import (
+	"net/http"
+	"testing"
+)
+
+// TestForeignJobs shows that a job of another team is answered in every way
+// like a job that does not exist.
+func TestForeignJobs(t *testing.T) {
+	requests := []struct {
+		method string
+		rest   string
+	}{
+		{method: http.MethodGet, rest: ""},
+		{method: http.MethodGet, rest: "?wait=1s"},
+		{method: http.MethodGet, rest: "/result"},
+		{method: http.MethodGet, rest: "/explain"},
+		{method: http.MethodDelete, rest: ""},
+	}
+	for _, q := range requests {
+		t.Run(q.method+q.rest, func(t *testing.T) {
+			e := newEntry(t)
+			id := string(e.submitted(cork, "k1", executorJob("pricing")).ID)
+			reads := e.table.Counters().Reads
+			foreign := e.call(q.method, "/v1/jobs/"+id+q.rest, mill, nil)
+			e.refused(foreign, NotFound)
+			e.is.Equal(e.table.Counters().Reads, reads) // nor does the time tell
+			absent := e.call(q.method, "/v1/jobs/"+region+".0123"+q.rest, mill, nil)
+			e.is.Equal(foreign.Body.String(), absent.Body.String())
+			e.is.Equal(e.row(e.open(cork)[0].ID).Version, uint64(1))
+		})
+	}
+	t.Run("lists own jobs only", func(t *testing.T) {
+		e := newEntry(t)
+		e.submitted(cork, "k1", executorJob("pricing"))
+		e.is.Equal(len(e.open(cork)), 1)
+		e.is.Equal(len(e.open(mill)), 0)
+	})
+}
+
+func TestOperatorsApart(t *testing.T) {
+	requests := []struct {
+		method string
+		path   string
+	}{
+		{method: http.MethodGet, path: "/v1/contracts"},
+		{method: http.MethodPost, path: "/v1/contracts"},
+		{method: http.MethodGet, path: "/v1/contracts/history"},
+		{method: http.MethodPost, path: "/v1/contracts/rollback"},
+		{method: http.MethodGet, path: "/v1/targets"},
+		{method: http.MethodPost, path: "/v1/targets/w1/release"},
+		{method: http.MethodPost, path: "/v1/jobs/x/resolve"},
+	}
+	for _, q := range requests {
+		t.Run(q.method+" "+q.path, func(t *testing.T) {
+			e := newEntry(t)
+			e.submitted(cork, "k1", executorJob("pricing"))
+			e.refused(e.call(q.method, q.path, "", nil), Unauthenticated)
+			e.refused(e.call(q.method, q.path, "nobody", nil), Unauthenticated)
+			e.refused(e.call(q.method, q.path, cork, nil), Forbidden)
+		})
+	}
+	t.Run("operators see a job and why, not its result", func(t *testing.T) {
+		e := newEntry(t)
+		path := "/v1/jobs/" + string(e.submitted(cork, "k1", executorJob("pricing")).ID)
+		e.is.Equal(e.call(http.MethodGet, path, anna, nil).Code, http.StatusOK)
+		e.is.Equal(e.call(http.MethodGet, path+"/explain", anna, nil).Code, http.StatusOK)
+		e.refused(e.call(http.MethodGet, path+"/result", anna, nil), Forbidden)
+		e.refused(e.call(http.MethodDelete, path, anna, nil), Forbidden)
+	})
+}
--- a/sesameapi/client.go
+++ b/sesameapi/client.go
@@ -128,7 +128,7 @@
 }
 
 func (r *reply) close() {
-	r.response.Body.Close()
+	_ = r.response.Body.Close()
 	r.cancel()
 }
 
@@ -231,7 +231,7 @@
 		cancel()
 		return nil, err
 	}
-	response, err := c.options.HTTP.Do(request)
+	response, err := c.options.HTTP.Do(request) //nolint:bodyclose // closed with the reply
 	if err != nil {
 		cancel()
 		return nil, err
--- a/sesameapi/contracts.go
+++ b/sesameapi/contracts.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"reflect"
+	"slices"
 	"strconv"
 
 	"github.com/sesamestack/sesamestack/sesamecontract"
@@ -192,23 +193,22 @@
 func between(from, to *sesamecontract.Set, team sesamemodel.TeamID) []ContractChange {
 	var changes []ContractChange
 	for _, c := range to.Contracts() {
-		held, ok := from.Team(c.Team)
-		if (team == "" || c.Team == team) && !(ok && sameContract(held, c)) {
-			changes = append(changes, ContractChange{
-				Team:     c.Team,
-				Contract: c,
-			})
-		}
+		changes = append(changes, ContractChange{
+			Team:     c.Team,
+			Contract: c,
+		})
 	}
 	for _, c := range from.Contracts() {
-		if _, ok := to.Team(c.Team); !ok && (team == "" || c.Team == team) {
+		if _, ok := to.Team(c.Team); !ok {
 			changes = append(changes, ContractChange{
 				Team:    c.Team,
 				Removed: true,
 			})
 		}
 	}
-	return changes
+	return slices.DeleteFunc(changes, func(c ContractChange) bool {
+		return team != "" && c.Team != team || !alters(from, c)
+	})
 }
 
 // sameContract compares what operators write, not the numbers of acceptance.
@@ -239,9 +239,10 @@
 		dryRun:   r.URL.Query().Get("dry-run") == "true",
 	}
 	var result ChangeResult
+	ctx := r.Context()
 	err := retried(func() error {
 		var err error
-		result, err = a.try(r.Context())
+		result, err = a.try(ctx)
 		return err
 	})
 	if err != nil {
--- a/sesameapi/handler.go
+++ b/sesameapi/handler.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
 )
@@ -22,7 +23,9 @@
 	// requests counts requests in progress, long polls apart.
 	requests atomic.Int64
 	drained  chan struct{}
-	drain    sync.Once
+	// sockets is the kernel's clock, which sockets compare deadlines with.
+	sockets clockwork.Clock
+	drain   sync.Once
 }
 
 // New returns the handler of one entry.
@@ -34,6 +37,7 @@
 		metrics: newMetrics(o.Metrics),
 		limits:  newLimits(o.Clock, o.Store, o.Region),
 		drained: make(chan struct{}),
+		sockets: clockwork.NewRealClock(),
 	}
 	h.polls = newPolls(o.Clock, o.Store, o.MaxWaiters, h.drained)
 	h.router = h.routes()
--- a/sesameapi/helpers_test.go
+++ b/sesameapi/helpers_test.go
@@ -59,7 +59,7 @@
 	return b.fits
 }
 
-func (b *fakeBackend) Admit(_ []sesamemodel.Contract, cells []sesamemodel.Cell) ([]sesamemodel.Cell, error) {
+func (b *fakeBackend) Admit([]sesamemodel.Contract, []sesamemodel.Cell) ([]sesamemodel.Cell, error) {
 	return b.changed, b.noRoom
 }
 
--- a/sesameapi/options.go
+++ b/sesameapi/options.go
@@ -96,9 +96,11 @@
 	defaultMaxWait     = time.Minute
 	defaultTimeout     = 10 * time.Second
 
-	headerTimeout  = 5 * time.Second
-	readTimeout    = 15 * time.Second
-	idleTimeout    = 75 * time.Second
+	headerTimeout = 5 * time.Second
+	readTimeout   = 15 * time.Second
+	idleTimeout   = 75 * time.Second
+	// writeTimeout leaves a long poll time to be answered.
+	writeTimeout   = defaultMaxWait + 30*time.Second
 	maxHeaderBytes = 16 << 10
 )
 
@@ -138,6 +140,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
--- a/sesameapi/result.go
+++ b/sesameapi/result.go
@@ -103,7 +103,9 @@
 	if err != nil {
 		return err
 	}
-	defer body.Close()
+	defer func() {
+		_ = body.Close()
+	}()
 	if length != recorded.Length {
 		return newProblem(ResultDamaged, fmt.Sprintf("the store has %d bytes, %d are recorded", length, recorded.Length))
 	}
@@ -126,9 +128,7 @@
 	setResultHeaders(w, t.recorded)
 	control := http.NewResponseController(w)
 	for chunk != nil {
-		// The socket's deadline is compared by the kernel, so it can't
-		// follow a clock that is passed in.
-		_ = control.SetWriteDeadline(time.Now().Add(chunkTimeout))
+		_ = control.SetWriteDeadline(h.sockets.Now().Add(chunkTimeout))
 		if _, err := w.Write(chunk); err != nil {
 			h.abort(r, err)
 		}
--- a/sesameapi/submit_test.go
+++ b/sesameapi/submit_test.go
@@ -92,7 +92,7 @@
 		e := newEntry(t)
 		e.refused(e.submit(cork, "k1", []byte(`{"class":`)), Malformed)
 		e.refused(e.submit(cork, "k1", []byte(`{} {}`)), Malformed)
-		e.refused(e.submit(cork, "k1", []byte(`{"clas":"x"}`)), Invalid)
+		e.refused(e.submit(cork, "k1", []byte(`{"sort":"x"}`)), Invalid)
 		e.refused(e.submit(cork, "k1", []byte(`{"tasks":"x"}`)), Invalid)
 		e.refused(e.submit(cork, "k1", bytes.Repeat([]byte(" "), defaultMaxBody+1)), TooLarge)
 	})
