--- a/sesamemodel/job.go
+++ b/sesamemodel/job.go
@@ -252,6 +252,8 @@
 // WithResolution returns the job in the state that an operator found.
 func (j Job) WithResolution(s State, r Resolution) Job {
 	j.Resolution = r
+	j.Started = false
+	j.Ran = r.Ran
 	return j.WithEvent(r.Time, s, fmt.Sprintf("resolved by %s: %s", r.Operator, r.Note))
 }
 
