--- a/sesameplanner/admit.go
+++ b/sesameplanner/admit.go
@@ -44,27 +44,32 @@
 
 // admission is the work of one Admit.
 type admission struct {
-	states  map[sesamemodel.CellID]*cellState
-	order   []sesamemodel.CellID
-	touched map[sesamemodel.CellID]bool
+	states map[sesamemodel.CellID]*cellState
+	order  []sesamemodel.CellID
+	// before holds the guarantees of each cell at the start.
+	before map[sesamemodel.CellID][]sesamemodel.Guarantee
 }
 
 func newAdmission(cells []sesamemodel.Cell) *admission {
 	a := &admission{
-		states:  map[sesamemodel.CellID]*cellState{},
-		touched: map[sesamemodel.CellID]bool{},
+		states: map[sesamemodel.CellID]*cellState{},
+		before: map[sesamemodel.CellID][]sesamemodel.Guarantee{},
 	}
 	for _, c := range cells {
-		a.states[c.ID] = newCellState(c)
-		a.order = append(a.order, c.ID)
+		a.add(newCellState(c))
 	}
 	slices.Sort(a.order)
 	return a
 }
 
+func (a *admission) add(s *cellState) {
+	a.states[s.cell.ID] = s
+	a.before[s.cell.ID] = s.cell.Guarantees
+	a.order = append(a.order, s.cell.ID)
+}
+
 func (a *admission) set(id sesamemodel.CellID, g []sesamemodel.Guarantee) {
 	a.states[id] = newCellState(a.states[id].cell.WithGuarantees(g))
-	a.touched[id] = true
 }
 
 // keep drops the assignments that no contract asks for and returns the shapes
@@ -241,7 +246,6 @@
 		return false
 	}
 	a.states[id] = grown
-	a.touched[id] = true
 	return true
 }
 
@@ -304,11 +308,24 @@
 	}
 }
 
+// sameGuarantees reports whether both hold the same shapes in any order.
+func sameGuarantees(a, b []sesamemodel.Guarantee) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, g := range a {
+		if !slices.Contains(b, g) {
+			return false
+		}
+	}
+	return true
+}
+
 // changed returns the cells whose guarantees differ from before.
 func (a *admission) changed() []sesamemodel.Cell {
 	var cells []sesamemodel.Cell
 	for _, id := range a.order {
-		if a.touched[id] {
+		if !sameGuarantees(a.before[id], a.states[id].cell.Guarantees) {
 			cells = append(cells, a.states[id].cell)
 		}
 	}
--- a/sesameplanner/cell.go
+++ b/sesameplanner/cell.go
@@ -34,6 +34,8 @@
 	// capacity is what all targets offer together.
 	capacity sesamemodel.Resources
 	pack     *packing
+	// hint holds a packing of an earlier state of the same cell.
+	hint []slot
 }
 
 // rackState is the part of a cell that one rack holds.
--- a/sesameplanner/find.go
+++ b/sesameplanner/find.go
@@ -55,6 +55,9 @@
 	if tasks == 0 || capacity.Accelerators == 0 || len(s.cell.Guarantees) == 0 {
 		return tasks
 	}
+	if len(s.packing().failed) > 0 {
+		return 0
+	}
 	room := s.packing().room[i]
 	for tasks > 0 && equivalent(d.spec.Task.Times(tasks), capacity) > room {
 		tasks--
--- a/sesameplanner/helpers_test.go
+++ b/sesameplanner/helpers_test.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"math/bits"
-	"testing"
+
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/sesamestack/sesamestack/sesamemodel"
 )
@@ -106,7 +107,7 @@
 	return p
 }
 
-func mustAdmit(t testing.TB, contracts []sesamemodel.Contract, cells []sesamemodel.Cell) []sesamemodel.Cell {
+func mustAdmit(t rapid.TB, contracts []sesamemodel.Contract, cells []sesamemodel.Cell) []sesamemodel.Cell {
 	t.Helper()
 	changed, err := Admit(contracts, cells)
 	is.New(t).NoErr(err)
@@ -123,14 +124,14 @@
 
 // assertSound checks that no accelerator has two holders, that no target is
 // given more than it has, and that each placed gang is whole.
-func assertSound(t testing.TB, p *Planner) {
+func assertSound(t rapid.TB, p *Planner) {
 	t.Helper()
 	is := is.New(t)
 	tasks := map[sesamemodel.JobID]int{}
 	for _, s := range p.cells.byID {
 		busy := map[sesamemodel.TargetID]uint64{}
 		for _, a := range s.cell.Allocations {
-			is.Equal(busy[a.Target]&a.Accelerators, uint64(0))                    // one holder for each accelerator
+			is.Equal(busy[a.Target]&a.Accelerators, uint64(0))                   // one holder for each accelerator
 			is.Equal(bits.OnesCount64(a.Accelerators), a.Resources.Accelerators) // as many as counted
 			busy[a.Target] |= a.Accelerators
 			tasks[a.Job] += a.Tasks
@@ -147,7 +148,7 @@
 	}
 }
 
-func assertRanks(t testing.TB, job sesamemodel.Job) {
+func assertRanks(t rapid.TB, job sesamemodel.Job) {
 	t.Helper()
 	is := is.New(t)
 	next := 0
@@ -159,7 +160,7 @@
 }
 
 // assertReclaimable checks that every guarantee can still be formed.
-func assertReclaimable(t testing.TB, p *Planner) {
+func assertReclaimable(t rapid.TB, p *Planner) {
 	t.Helper()
 	for id, s := range p.cells.byID {
 		if failed := s.findPacking().failed; len(failed) > 0 {
--- a/sesameplanner/pack.go
+++ b/sesameplanner/pack.go
@@ -66,10 +66,26 @@
 	return s.pack
 }
 
-// findPacking packs greedily; a guarantee that finds no place is tried first
-// in the next pass, until all fit or the passes are used up.
+// findPacking packs greedily, which leaves the least work to stop. Where that
+// fails it takes the packing from before, then searches.
 func (s *cellState) findPacking() *packing {
 	order := s.guaranteeOrder()
+	best := s.packGreedily(order)
+	if len(best.failed) == 0 {
+		return best
+	}
+	if kept := newPacker(s).keep(s.hint); kept != nil {
+		return kept
+	}
+	if found := newPacker(s).searchAll(order); found != nil {
+		return found
+	}
+	return best
+}
+
+// packGreedily places one guarantee after the other; one that finds no place is
+// tried first in the next pass, until all fit or the passes are used up.
+func (s *cellState) packGreedily(order []int) *packing {
 	var best *packing
 	for range len(order) + 1 {
 		found := newPacker(s).run(order)
@@ -183,6 +199,10 @@
 			failed = append(failed, g)
 		}
 	}
+	return p.result(failed)
+}
+
+func (p *packer) result(failed []int) *packing {
 	return &packing{
 		slots:  p.slots,
 		room:   p.room,
@@ -206,31 +226,44 @@
 	if chosen == nil {
 		return false
 	}
+	p.take(guarantee, g, chosen)
+	return true
+}
+
+// take gives the workers to one shape; the returned function undoes it.
+func (p *packer) take(guarantee int, g sesamemodel.Guarantee, chosen []int) func() {
 	count := perWorker(g.Shape)
-	for _, i := range chosen {
-		covered := p.covered(g.Team, i, count)
-		if covered > 0 {
-			p.own[g.Team][i] -= covered
+	before := len(p.slots)
+	covered := make([]int, len(chosen))
+	for at, i := range chosen {
+		covered[at] = p.covered(g.Team, i, count)
+		if covered[at] > 0 {
+			p.own[g.Team][i] -= covered[at]
 		}
-		p.room[i] -= count - covered
+		p.room[i] -= count - covered[at]
 		p.slots = append(p.slots, slot{
 			guarantee:    guarantee,
 			node:         i,
 			accelerators: count,
 		})
 	}
-	return true
+	return func() {
+		p.slots = p.slots[:before]
+		for at, i := range chosen {
+			p.room[i] += count - covered[at]
+			if covered[at] > 0 {
+				p.own[g.Team][i] += covered[at]
+			}
+		}
+	}
 }
 
 // choose returns the workers for one shape, nil when there are too few.
 func (p *packer) choose(g sesamemodel.Guarantee) []int {
-	if g.Shape.Span != sesamemodel.SpanRack {
-		return p.best(g, p.state.order)
-	}
 	var chosen []int
-	var least int
-	for _, r := range p.state.racks {
-		found := p.best(g, p.state.order[r.first:r.end])
+	least := 0
+	for _, among := range p.regions(g.Shape) {
+		found := p.best(g, among)
 		if found == nil {
 			continue
 		}
@@ -261,25 +294,22 @@
 	return p.loss[i]*lossWeight + p.room[i] - covered*ownWeight
 }
 
+// able reports whether a worker has room for its part of a shape.
+func (p *packer) able(g sesamemodel.Guarantee, i int) bool {
+	n := &p.state.nodes[i]
+	count := perWorker(g.Shape)
+	if !n.ready() || n.target.Capacity.Accelerators < count {
+		return false
+	}
+	return p.room[i] >= count-p.covered(g.Team, i, count)
+}
+
 // best returns the cheapest workers for a shape among those given.
 func (p *packer) best(g sesamemodel.Guarantee, among []int) []int {
-	count := perWorker(g.Shape)
 	wanted := workersOf(g.Shape)
-	var able []int
-	for _, i := range among {
-		n := &p.state.nodes[i]
-		if !n.ready() || n.target.Capacity.Accelerators < count {
-			continue
-		}
-		if p.room[i] >= count-p.covered(g.Team, i, count) {
-			able = append(able, i)
-		}
-	}
+	able := p.ablest(g, among)
 	if len(able) < wanted {
 		return nil
 	}
-	slices.SortStableFunc(able, func(i, k int) int {
-		return cmp.Compare(p.nodeCost(g, i), p.nodeCost(g, k))
-	})
 	return able[:wanted]
 }
--- a/sesameplanner/planner.go
+++ b/sesameplanner/planner.go
@@ -72,6 +72,7 @@
 	old := p.cells.get(s.cell.ID)
 	if old != nil {
 		p.charge(old, -1)
+		s.follow(old)
 	}
 	p.charge(s, 1)
 	if old == nil || !sameTargets(old.cell.Targets, s.cell.Targets) {
@@ -103,6 +104,17 @@
 	}
 }
 
+// RemoveCell forgets a cell.
+func (p *Planner) RemoveCell(id sesamemodel.CellID) {
+	s := p.cells.get(id)
+	if s == nil {
+		return
+	}
+	p.charge(s, -1)
+	p.cells.remove(s)
+	p.recheck()
+}
+
 // charge adds the cell's allocations and guarantees to the teams' sums, sign
 // times.
 func (p *Planner) charge(s *cellState, sign int) {
--- /dev/null
+++ b/sesameplanner/search.go
@@ -0,0 +1,123 @@
+package sesameplanner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// maxPackingSteps bounds the search for a packing of one cell.
+const maxPackingSteps = 2000
+
+// keep packs the guarantees where they were before; it returns nil when one of
+// them cannot be formed there or was not there.
+func (p *packer) keep(before []slot) *packing {
+	nodes := make([][]int, len(p.state.cell.Guarantees))
+	for _, b := range before {
+		if b.guarantee < len(nodes) && b.node < len(p.state.nodes) {
+			nodes[b.guarantee] = append(nodes[b.guarantee], b.node)
+		}
+	}
+	for i, g := range p.state.cell.Guarantees {
+		if len(nodes[i]) != workersOf(g.Shape) {
+			return nil
+		}
+		for _, n := range nodes[i] {
+			if !p.able(g, n) {
+				return nil
+			}
+		}
+		p.take(i, g, nodes[i])
+	}
+	return p.result(nil)
+}
+
+// searchAll tries placements of all guarantees in turn; it returns nil when
+// none is found within the bound.
+func (p *packer) searchAll(order []int) *packing {
+	steps := maxPackingSteps
+	if !p.search(order, &steps) {
+		return nil
+	}
+	return p.result(nil)
+}
+
+func (p *packer) search(order []int, steps *int) bool {
+	if len(order) == 0 {
+		return true
+	}
+	g := p.state.cell.Guarantees[order[0]]
+	for _, among := range p.regions(g.Shape) {
+		able := p.ablest(g, among)
+		found := combine(able, workersOf(g.Shape), nil, func(chosen []int) bool {
+			if *steps--; *steps < 0 {
+				return true
+			}
+			undo := p.take(order[0], g, chosen)
+			if p.search(order[1:], steps) {
+				return true
+			}
+			undo()
+			return false
+		})
+		if found {
+			return *steps >= 0
+		}
+	}
+	return false
+}
+
+// regions returns the groups of workers that a shape may be placed in.
+func (p *packer) regions(s sesamemodel.Shape) [][]int {
+	if s.Span != sesamemodel.SpanRack {
+		return [][]int{p.state.order}
+	}
+	groups := make([][]int, 0, len(p.state.racks))
+	for _, r := range p.state.racks {
+		groups = append(groups, p.state.order[r.first:r.end])
+	}
+	return groups
+}
+
+// ablest returns the workers that can take their part of a shape, cheapest
+// first.
+func (p *packer) ablest(g sesamemodel.Guarantee, among []int) []int {
+	var able []int
+	for _, i := range among {
+		if p.able(g, i) {
+			able = append(able, i)
+		}
+	}
+	slices.SortStableFunc(able, func(i, k int) int {
+		return cmp.Compare(p.nodeCost(g, i), p.nodeCost(g, k))
+	})
+	return able
+}
+
+// combine calls visit with each choice of count elements until it returns true.
+func combine(from []int, count int, chosen []int, visit func([]int) bool) bool {
+	if count == 0 {
+		return visit(slices.Clone(chosen))
+	}
+	for i := 0; i+count <= len(from); i++ {
+		if combine(from[i+1:], count-1, append(chosen, from[i]), visit) {
+			return true
+		}
+	}
+	return false
+}
+
+// follow remembers where the guarantees were packed in the state before.
+func (s *cellState) follow(old *cellState) {
+	same := slices.EqualFunc(s.cell.Targets, old.cell.Targets, func(a, b sesamemodel.Target) bool {
+		return a.ID == b.ID
+	})
+	if !same || !slices.Equal(s.cell.Guarantees, old.cell.Guarantees) {
+		return
+	}
+	s.hint = old.hint
+	if old.pack != nil && len(old.pack.failed) == 0 {
+		s.hint = old.pack.slots
+	}
+}
--- /dev/null
+++ b/sesameplanner/state_test.go
@@ -0,0 +1,358 @@
+package sesameplanner
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// machine drives a planner as its caller does and keeps what it committed.
+type machine struct {
+	planner   *Planner
+	contracts []sesamemodel.Contract
+	cells     map[sesamemodel.CellID]sesamemodel.Cell
+	jobs      map[sesamemodel.JobID]sesamemodel.Job
+	now       time.Time
+	count     int
+	// lossy are cells that lost a worker since all their guarantees held.
+	lossy map[sesamemodel.CellID]bool
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{
+		cells: map[sesamemodel.CellID]sesamemodel.Cell{},
+		jobs:  map[sesamemodel.JobID]sesamemodel.Job{},
+		now:   epoch,
+		lossy: map[sesamemodel.CellID]bool{},
+	}
+	for i := range rapid.IntRange(1, 2).Draw(t, "cells") {
+		c := newCell(fmt.Sprint("c", i), "z1", rapid.IntRange(2, 6).Draw(t, "workers"), gpuWorker)
+		m.cells[c.ID] = c
+	}
+	for i := range 3 {
+		m.contracts = append(m.contracts, newContract(fmt.Sprint("t", i), i+1, 40))
+	}
+	m.planner = newPlanner(m.cellList(), m.contracts)
+	for range 4 {
+		m.change(t)
+	}
+	return m
+}
+
+// busy submits, plans, and ends some of what runs.
+func (m *machine) busy(t *rapid.T) {
+	m.submit(t)
+	m.plan(t)
+	for range rapid.IntRange(0, 3).Draw(t, "ends") {
+		m.finish(t)
+		m.confirmStop(t)
+	}
+	m.check(t)
+	m.plan(t)
+}
+
+func (m *machine) cellList() []sesamemodel.Cell {
+	return slices.SortedFunc(maps.Values(m.cells), func(a, b sesamemodel.Cell) int {
+		return compareCells(&cellState{cell: a}, &cellState{cell: b})
+	})
+}
+
+func (m *machine) setCells(cells []sesamemodel.Cell) {
+	for _, c := range cells {
+		m.cells[c.ID] = c
+		m.planner.SetCell(c)
+	}
+}
+
+func (m *machine) setJob(j sesamemodel.Job) {
+	m.jobs[j.ID] = j
+	if j.State.Ended() {
+		delete(m.jobs, j.ID)
+	}
+	m.planner.SetJob(j)
+}
+
+// draw returns one of the jobs in those states, if there is one.
+func (m *machine) draw(t *rapid.T, states ...sesamemodel.State) (sesamemodel.Job, bool) {
+	var ids []sesamemodel.JobID
+	for id, j := range m.jobs {
+		if slices.Contains(states, j.State) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return sesamemodel.Job{}, false
+	}
+	slices.Sort(ids)
+	return m.jobs[rapid.SampledFrom(ids).Draw(t, "job")], true
+}
+
+func (m *machine) submit(t *rapid.T) {
+	for range rapid.IntRange(1, 6).Draw(t, "jobs") {
+		m.submitOne(t)
+	}
+}
+
+func (m *machine) submitOne(t *rapid.T) {
+	m.count++
+	j := newJob(fmt.Sprintf("j%03d", m.count), fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, "team")),
+		rapid.SampledFrom([]int{1, 1, 2, 3, 6}).Draw(t, "tasks"), rapid.SampledFrom([]int{0, 1, 2, 4, 8, 8}).Draw(t, "accelerators"),
+		rapid.SampledFrom([]sesamemodel.Span{"", sesamemodel.SpanWorker, sesamemodel.SpanRack, sesamemodel.SpanZone}).Draw(t, "span"))
+	j.Spec.Task.Cores = rapid.IntRange(1, 40).Draw(t, "cores")
+	j.Spec.Once = rapid.Bool().Draw(t, "once")
+	j.Spec.Checkpoints = rapid.Bool().Draw(t, "checkpoints")
+	j.Spec.RunTime = time.Duration(rapid.IntRange(0, 120).Draw(t, "minutes")) * time.Minute
+	j.Submitted = m.now
+	m.setJob(j)
+}
+
+func (m *machine) plan(t *rapid.T) {
+	m.now = m.now.Add(time.Minute)
+	limit := rapid.SampledFrom([]int{1, 100}).Draw(t, "limit")
+	for _, d := range m.planner.Plan(m.now, limit) {
+		for _, v := range d.Victims {
+			assertMayStop(t, m.jobs[v.ID])
+			m.jobs[v.ID] = v
+		}
+		if d.Verdict == Refuse {
+			assertCannotFit(t, m, d.Job)
+			delete(m.jobs, d.Job.ID)
+		} else {
+			m.jobs[d.Job.ID] = d.Job
+		}
+		for _, c := range d.Cells {
+			m.cells[c.ID] = c
+		}
+	}
+	if limit > 1 {
+		m.assertOwedStarted(t)
+	}
+}
+
+// assertOwedStarted checks that no single task waits that an unused guarantee
+// of its team covers.
+func (m *machine) assertOwedStarted(t *rapid.T) {
+	unused := map[sesamemodel.TeamID]int{}
+	for _, c := range m.cells {
+		for _, g := range c.Guarantees {
+			unused[g.Team] = max(unused[g.Team], perWorker(g.Shape))
+		}
+	}
+	for _, r := range m.planner.AtRisk() {
+		delete(unused, r.Guarantee.Team)
+	}
+	for _, c := range m.cells {
+		for _, a := range c.Allocations {
+			if a.Owed {
+				delete(unused, a.Team)
+			}
+		}
+	}
+	for id, j := range m.jobs {
+		need := j.Spec.Task
+		covered := need.Accelerators <= unused[j.Spec.Team] && need.Cores <= unused[j.Spec.Team]*gpuWorker.Cores/gpuWorker.Accelerators
+		if j.State == sesamemodel.Queued && j.Spec.Tasks == 1 && covered {
+			t.Fatalf("job %s waits beside %d unused guaranteed accelerators: %s", id, unused[j.Spec.Team], m.planner.Why(id))
+		}
+	}
+}
+
+// end removes what a job holds.
+func (m *machine) end(j sesamemodel.Job) {
+	for _, id := range j.Cells() {
+		m.setCells([]sesamemodel.Cell{m.cells[id].WithoutAttempt(j.ID, j.Attempt, "")})
+	}
+}
+
+func (m *machine) finish(t *rapid.T) {
+	if j, ok := m.draw(t, sesamemodel.Placed, sesamemodel.Running); ok {
+		m.end(j)
+		m.setJob(j.WithResults(m.now, nil))
+	}
+}
+
+func (m *machine) confirmStop(t *rapid.T) {
+	if j, ok := m.draw(t, sesamemodel.Stopping); ok {
+		m.end(j)
+		m.setJob(j.WithRequeue(m.now, ""))
+	}
+}
+
+func (m *machine) cancel(t *rapid.T) {
+	if j, ok := m.draw(t, sesamemodel.Queued); ok {
+		m.setJob(j.WithEvent(m.now, sesamemodel.Cancelled, "asked"))
+	}
+}
+
+// change replaces one team's guarantees if the new ones are admitted.
+func (m *machine) change(t *rapid.T) {
+	contracts := slices.Clone(m.contracts)
+	i := rapid.IntRange(0, 2).Draw(t, "changed")
+	contracts[i].Guarantees = rapid.SliceOfN(rapid.SampledFrom([]sesamemodel.Shape{
+		shape(1, 8, sesamemodel.SpanWorker),
+		shape(1, 4, sesamemodel.SpanWorker),
+		shape(2, 8, sesamemodel.SpanRack),
+		shape(3, 2, sesamemodel.SpanRack),
+		shape(3, 8, sesamemodel.SpanZone),
+	}), 0, 4).Draw(t, "guarantees")
+	cells, err := Admit(contracts, m.cellList())
+	if err != nil {
+		return
+	}
+	m.contracts = contracts
+	m.planner.SetContracts(contracts)
+	m.setCells(cells)
+}
+
+// lose makes a worker lost or ready again and repairs the guarantees.
+func (m *machine) lose(t *rapid.T) {
+	c := rapid.SampledFrom(m.cellList()).Draw(t, "cell")
+	target := rapid.SampledFrom(c.Targets).Draw(t, "target")
+	if target.Health == sesamemodel.Ready {
+		target.Health = sesamemodel.Lost
+	} else {
+		target.Health = sesamemodel.Ready
+	}
+	m.lossy[c.ID] = true
+	m.setCells([]sesamemodel.Cell{c.WithTarget(target)})
+	for _, changed := range m.planner.Repair() {
+		m.cells[changed.ID] = changed
+	}
+}
+
+func (m *machine) check(t *rapid.T) {
+	assertSound(t, m.planner)
+	m.assertReclaimable(t)
+	fresh := newPlanner(m.cellList(), m.contracts)
+	for id, s := range fresh.cells.byID {
+		is.New(t).Equal(s.sum, m.planner.cells.byID[id].sum) // the index follows the cells
+	}
+}
+
+// assertReclaimable forms every guarantee by trying all placements, but those
+// that the planner reports at risk in cells that lost workers.
+func (m *machine) assertReclaimable(t *rapid.T) {
+	risky := map[sesamemodel.Guarantee]bool{}
+	atRisk := map[sesamemodel.CellID]bool{}
+	for _, r := range m.planner.AtRisk() {
+		if !m.lossy[r.Cell] {
+			t.Fatalf("cell %s lost no worker and cannot form %v", r.Cell, r.Guarantee)
+		}
+		risky[r.Guarantee] = true
+		atRisk[r.Cell] = true
+	}
+	for _, c := range m.cells {
+		if !atRisk[c.ID] && allReady(c) {
+			delete(m.lossy, c.ID)
+		}
+		var open []sesamemodel.Guarantee
+		for _, g := range c.Guarantees {
+			if !risky[g] {
+				open = append(open, g)
+			}
+		}
+		if !formable(newPacker(newCellState(c)), open) {
+			t.Fatalf("cell %s cannot form %v", c.ID, open)
+		}
+	}
+}
+
+func allReady(c sesamemodel.Cell) bool {
+	return !slices.ContainsFunc(c.Targets, func(t sesamemodel.Target) bool {
+		return t.Health != sesamemodel.Ready
+	})
+}
+
+// formable tries all placements of the guarantees, in their order.
+func formable(p *packer, open []sesamemodel.Guarantee) bool {
+	if len(open) == 0 {
+		return true
+	}
+	for _, nodes := range placements(p, open[0]) {
+		next := &packer{
+			state: p.state,
+			room:  slices.Clone(p.room),
+			own:   map[sesamemodel.TeamID][]int{},
+		}
+		for team, own := range p.own {
+			next.own[team] = slices.Clone(own)
+		}
+		next.take(0, open[0], nodes)
+		if formable(next, open[1:]) {
+			return true
+		}
+	}
+	return false
+}
+
+func placements(p *packer, g sesamemodel.Guarantee) [][]int {
+	var found [][]int
+	var extend func(chosen []int, from int)
+	extend = func(chosen []int, from int) {
+		if len(chosen) == workersOf(g.Shape) {
+			found = append(found, slices.Clone(chosen))
+			return
+		}
+		for i := from; i < len(p.state.nodes); i++ {
+			sameRack := len(chosen) == 0 || p.state.nodes[chosen[0]].rack == p.state.nodes[i].rack
+			if p.able(g, i) && (sameRack || g.Shape.Span != sesamemodel.SpanRack) {
+				extend(append(chosen, i), i+1)
+			}
+		}
+	}
+	extend(nil, 0)
+	return found
+}
+
+func assertMayStop(t *rapid.T, j sesamemodel.Job) {
+	if j.Owed || fixed(j.Spec) {
+		t.Fatalf("job %s, owed %v, was stopped", j.ID, j.Owed)
+	}
+}
+
+// assertCannotFit checks a refusal against idle targets of any health.
+func assertCannotFit(t *rapid.T, m *machine, j sesamemodel.Job) {
+	contract := m.contracts[slices.IndexFunc(m.contracts, func(c sesamemodel.Contract) bool {
+		return c.Team == j.Spec.Team
+	})]
+	if j.Spec.Need().Accelerators > contract.Guaranteed()+contract.Limits.Borrow {
+		return
+	}
+	idle := newPlanner(nil, []sesamemodel.Contract{newContract(string(j.Spec.Team), 1, 1000)})
+	for _, c := range m.cells {
+		c.Allocations = nil
+		c.Guarantees = nil
+		for _, target := range c.Targets {
+			target.Health = sesamemodel.Ready
+			c = c.WithTarget(target)
+		}
+		idle.SetCell(c)
+	}
+	if idle.cells.find(borrowDemand(j)) != nil {
+		t.Fatalf("job %s was refused and fits: %s", j.ID, j.Reason)
+	}
+}
+
+func TestPlannerKeepsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"busy":    m.busy,
+			"busier":  m.busy,
+			"submit":  m.submit,
+			"finish":  m.finish,
+			"confirm": m.confirmStop,
+			"cancel":  m.cancel,
+			"change":  m.change,
+			"lose":    m.lose,
+			"":        m.check,
+		})
+	})
+}
