--- a/sesamecommand/run.go
+++ b/sesamecommand/run.go
@@ -1,9 +1,134 @@
-// Package sesamecommand is the command line of sesamestack.
 package sesamecommand
 
-import "io"
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
 
-// Run executes one command line and returns the exit code.
+	"github.com/spf13/cobra"
+)
+
+// streams are the standard streams of one command line.
+type streams struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+// Run executes one command line and returns its exit code. An interrupt or a
+// termination signal stops the command gracefully.
 func Run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	return 0
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	return RunContext(ctx, args, stdin, stdout, stderr)
+}
+
+// RunContext is Run with the context that stops the command.
+func RunContext(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	root := newRoot(streams{
+		in:  stdin,
+		out: stdout,
+		err: stderr,
+	})
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+	}
+	return exitCode(err)
+}
+
+const rootHelp = `Sesamestack schedules multi-accelerator jobs under team guarantees.
+
+Client commands find the entries by --entry or SESAMESTACK_ENTRY and send the
+access token in SESAMESTACK_TOKEN.
+
+Exit codes:
+  0  the command did what it was asked for
+  1  it failed
+  2  bad input: a wrong flag, file or request
+  3  the job did not end as done
+  4  not accepted now; the same command may succeed later`
+
+const rootExample = `  sesamestack demo
+  sesamestack check examples/corchera
+  sesamestack apply -f examples/corchera
+  sesamestack submit --class estimate --tasks 2 --accelerators 8 --span rack --wait`
+
+func newRoot(s streams) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "sesamestack",
+		Short:         "Schedules multi-accelerator jobs under team guarantees",
+		Long:          rootHelp,
+		Example:       rootExample,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          cobra.ArbitraryArgs,
+	}
+	root.RunE = func(c *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return c.Help()
+		}
+		return &UsageError{
+			Command: c.CommandPath(),
+			Problem: fmt.Sprintf("unknown command %q", args[0]),
+		}
+	}
+	root.SetIn(s.in)
+	root.SetOut(s.out)
+	root.SetErr(s.err)
+	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
+		return &UsageError{
+			Command: c.CommandPath(),
+			Problem: err.Error(),
+		}
+	})
+	addCommands(root, s)
+	return root
+}
+
+func addCommands(root *cobra.Command, s streams) {
+	root.AddCommand(
+		newCheck(s),
+		newToken(s),
+		newEvents(s),
+		newVersion(s),
+	)
+}
+
+// exactly accepts a fixed number of arguments.
+func exactly(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) == n {
+			return nil
+		}
+		return &UsageError{
+			Command: c.CommandPath(),
+			Problem: fmt.Sprintf("has %d arguments, expected %d", len(args), n),
+		}
+	}
+}
+
+// atMostOne accepts no argument or one.
+func atMostOne(c *cobra.Command, args []string) error {
+	if len(args) <= 1 {
+		return nil
+	}
+	return &UsageError{
+		Command: c.CommandPath(),
+		Problem: fmt.Sprintf("has %d arguments, expected at most 1", len(args)),
+	}
+}
+
+// atLeastOne accepts one argument or more.
+func atLeastOne(c *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return nil
+	}
+	return &UsageError{
+		Command: c.CommandPath(),
+		Problem: "has no argument, expected at least 1",
+	}
 }
--- a/sesamesettings/check.go
+++ b/sesamesettings/check.go
@@ -13,8 +13,8 @@
 
 // Check validates settings and contract files without using them, directories
 // with everything below them. What a file holds is told from its keys. Besides
-// the checks of each file it finds what does not agree between them: one ID or
-// team used twice, and times that all processes of a deployment must share. The
+// the checks of each file it finds what does not agree between them: one ID of a
+// region or one team used twice, and times that all processes of a deployment must share. The
 // error is a *FaultsError; files is the number of files read.
 func Check(paths ...string) (files int, err error) {
 	c := &checker{
@@ -33,7 +33,7 @@
 	files     int
 	faults    []*FaultError
 	contracts contractList
-	// ids holds where each ID was seen first, as file:line.
+	// ids holds where each ID of a region was seen first, as file:line.
 	ids map[string]string
 	// leases are those of the file seen first, named by leasesFrom.
 	leases     Leases
@@ -89,12 +89,12 @@
 		settings := DefaultAgent()
 		d.decode(&settings)
 		checkAgent(d, settings)
-		c.shared(d, settings.ID, settings.Leases)
+		c.shared(d, settings.Place.Region, settings.ID, settings.Leases)
 	case d.sets("operators", "policy", "maxbody", "queue", "wire"):
 		settings := DefaultEntry()
 		d.decode(&settings)
 		checkEntry(d, settings)
-		c.shared(d, settings.ID, settings.Leases)
+		c.shared(d, settings.Place.Region, settings.ID, settings.Leases)
 	default:
 		settings := DefaultStandin()
 		d.decode(&settings)
@@ -116,12 +116,13 @@
 }
 
 // shared checks what the processes of a deployment must agree on.
-func (c *checker) shared(d *document, id string, leases Leases) {
+func (c *checker) shared(d *document, region, id string, leases Leases) {
+	name := region + "/" + id
 	place := fmt.Sprintf("%s:%d", d.file, d.line("id"))
-	if first, ok := c.ids[id]; ok && id != "" {
+	if first, ok := c.ids[name]; ok && id != "" {
 		d.fault("id", "%q is also the id at %s", id, first)
 	} else {
-		c.ids[id] = place
+		c.ids[name] = place
 	}
 	if c.leasesFrom == "" {
 		c.leases = leases
