--- /dev/null
+++ b/sesamecommand/events.go
@@ -0,0 +1,8 @@
+package sesamecommand
+
+import "github.com/sesamestack/sesamestack/sesamelog"
+
+var (
+	eventServing = sesamelog.Define(6000, sesamelog.Info, "process serves")
+	eventStopped = sesamelog.Define(6001, sesamelog.Info, "process stopped")
+)
--- a/sesamecommand/run.go
+++ b/sesamecommand/run.go
@@ -92,6 +92,7 @@
 func addCommands(root *cobra.Command, s streams) {
 	root.AddCommand(
 		newCheck(s),
+		newStandin(s),
 		newToken(s),
 		newEvents(s),
 		newVersion(s),
--- /dev/null
+++ b/sesamecommand/serve.go
@@ -0,0 +1,65 @@
+package sesamecommand
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// standinDrain bounds a graceful stop of a stand-in.
+	standinDrain = 10 * time.Second
+)
+
+// newLogger returns a logger as the checked settings say.
+func newLogger(w io.Writer, l sesamesettings.Log) *sesamelog.Logger {
+	levels := map[string]sesamelog.Level{
+		"debug": sesamelog.Debug,
+		"info":  sesamelog.Info,
+		"warn":  sesamelog.Warn,
+		"error": sesamelog.Error,
+	}
+	return sesamelog.New(w, levels[l.Level], sesamelog.Format(l.Format))
+}
+
+// serveHTTP serves the handler until ctx ends, then lets open requests finish
+// within the standinDrain.
+func serveHTTP(ctx context.Context, address string, h http.Handler, log *sesamelog.Logger) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	log.Emit(eventServing, sesamelog.Fields{
+		"http": address,
+	})
+	var group errgroup.Group
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	<-ctx.Done()
+	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), standinDrain)
+	defer cancel()
+	err = errors.CombineErrors(server.Shutdown(drain), group.Wait())
+	log.Emit(eventStopped, sesamelog.Fields{
+		"error": err,
+	})
+	return err
+}
--- /dev/null
+++ b/sesamecommand/standin.go
@@ -0,0 +1,114 @@
+package sesamecommand
+
+import (
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametarget"
+)
+
+func newStandin(s streams) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a stand-in for the platform or a target",
+		Long: `Runs a stand-in for the platform or for a target, for tests and trials only.
+Nothing that a stand-in holds lasts beyond its process.`,
+		Example: `  sesamestack standin platform --settings platform.yaml
+  sesamestack standin worker --settings worker.yaml`,
+		Args: exactly(0),
+	}
+	c.AddCommand(
+		newStandinPlatform(s),
+		newStandinTarget(s, sesamemodel.Worker),
+		newStandinTarget(s, sesamemodel.Executor),
+	)
+	return c
+}
+
+// settingsFlag adds the required flag that names a settings file.
+func settingsFlag(c *cobra.Command, file *string) {
+	c.Flags().StringVar(file, "settings", "", "settings file, in YAML (required)")
+}
+
+// settingsFile refuses a command line without --settings.
+func settingsFile(c *cobra.Command, file string) error {
+	if file != "" {
+		return nil
+	}
+	return &UsageError{
+		Command: c.CommandPath(),
+		Problem: "--settings is missing",
+	}
+}
+
+func newStandinPlatform(s streams) *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:     "platform",
+		Short:   "Run a stand-in for the platform's table and object store",
+		Long:    "Serves the table and the object store from memory. The settings need http.",
+		Example: `  sesamestack standin platform --settings platform.yaml`,
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			settings, err := loadStandin(c, file)
+			if err != nil {
+				return err
+			}
+			log := newLogger(s.err, settings.Log)
+			store := sesamestandin.NewStore(clockwork.NewRealClock())
+			return serveHTTP(c.Context(), settings.HTTP, sesamestandin.NewPlatform(store, log), log)
+		},
+	}
+	settingsFlag(c, &file)
+	return c
+}
+
+func loadStandin(c *cobra.Command, file string) (sesamesettings.Standin, error) {
+	if err := settingsFile(c, file); err != nil {
+		return sesamesettings.Standin{}, err
+	}
+	return sesamesettings.LoadStandin(file)
+}
+
+func newStandinTarget(s streams, kind sesamemodel.Kind) *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:     string(kind),
+		Short:   "Run a stand-in for one " + string(kind),
+		Long:    "Serves a target whose tasks do what their payload says. The settings need http, kind and the size.",
+		Example: "  sesamestack standin " + string(kind) + " --settings " + string(kind) + ".yaml",
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			settings, err := loadStandin(c, file)
+			if err != nil {
+				return err
+			}
+			if settings.Kind != string(kind) {
+				return &UsageError{
+					Command: c.CommandPath(),
+					Problem: "the settings are for the kind " + settings.Kind,
+				}
+			}
+			log := newLogger(s.err, settings.Log)
+			target := sesamestandin.NewTarget(clockwork.NewRealClock(), descriptionOf(settings))
+			return serveHTTP(c.Context(), settings.HTTP, target, log)
+		},
+	}
+	settingsFlag(c, &file)
+	return c
+}
+
+func descriptionOf(s sesamesettings.Standin) sesametarget.Description {
+	return sesametarget.Description{
+		Kind: sesamemodel.Kind(s.Kind),
+		Capacity: sesamemodel.Resources{
+			Cores:        s.Cores,
+			Memory:       s.Memory,
+			Accelerators: s.Accelerators,
+			Slots:        s.Slots,
+		},
+	}
+}
