--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PROTOC_FLAGS = --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative
 
-.PHONY: build test generate
+.PHONY: build test check demo generate
 
 build:
 	go build -o sesamestack .
@@ -8,5 +8,12 @@
 test:
 	go test ./...
 
+check:
+	.ci/run
+
+demo:
+	go run . demo
+
 generate:
 	protoc $(PROTOC_FLAGS) sesamewire/sesamewire.proto
+	protoc --go_out=. --go_opt=paths=source_relative sesametable/envelope.proto
--- /dev/null
+++ b/sesamecommand/contracts.go
@@ -0,0 +1,326 @@
+package sesamecommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sesamestack/sesamestack/sesameapi"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+)
+
+// changeFlags are the flags of the commands that change contracts.
+type changeFlags struct {
+	clientFlags
+	path  string
+	base  uint64
+	prune bool
+	dry   bool
+}
+
+func (f *changeFlags) addFiles(c *cobra.Command) {
+	f.add(c)
+	c.Flags().StringVarP(&f.path, "file", "f", "", "contract file, or directory of contract files (required)")
+	c.Flags().BoolVar(&f.prune, "prune", false, "remove the contracts of teams that the files do not name")
+}
+
+func (f *changeFlags) addBase(c *cobra.Command) {
+	c.Flags().Uint64Var(&f.base, "base", 0, "fail unless this change is the newest; 0 means whatever is in force")
+	c.Flags().BoolVar(&f.dry, "dry-run", false, "check and show the change without making it")
+}
+
+func newApply(s streams) *cobra.Command {
+	var f changeFlags
+	c := &cobra.Command{
+		Use:   "apply -f PATH",
+		Short: "Put contracts into force",
+		Long: `Puts the contracts of a file or directory into force, all of them or none, and
+shows what changed. Contracts that are in force already stay as they are, so the
+command may be repeated. When another operator changed contracts meanwhile it
+fails and shows their changes.`,
+		Example: `  sesamestack apply -f examples/corchera --dry-run
+  sesamestack apply -f examples/corchera`,
+		Args: exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return f.change(c, s)
+		},
+	}
+	f.addFiles(c)
+	f.addBase(c)
+	return c
+}
+
+func newDiff(s streams) *cobra.Command {
+	f := changeFlags{
+		dry: true,
+	}
+	c := &cobra.Command{
+		Use:     "diff -f PATH",
+		Short:   "Show what apply would change",
+		Long:    "Shows what apply would change, and fails where it would fail.",
+		Example: `  sesamestack diff -f examples/corchera`,
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return f.change(c, s)
+		},
+	}
+	f.addFiles(c)
+	return c
+}
+
+func (f *changeFlags) change(c *cobra.Command, s streams) error {
+	if f.path == "" {
+		return &UsageError{
+			Command: c.CommandPath(),
+			Problem: "--file is missing",
+		}
+	}
+	contracts, err := sesamesettings.LoadContracts(f.path)
+	if err != nil {
+		return err
+	}
+	client, err := f.client(c)
+	if err != nil {
+		return err
+	}
+	inForce, err := client.Contracts(c.Context())
+	if err != nil {
+		return err
+	}
+	request := sesameapi.ChangeRequest{
+		Base:    f.baseOr(inForce.Number),
+		Changes: changesTo(contracts, inForce.Contracts, f.prune),
+	}
+	send := client.Apply
+	if f.dry {
+		send = client.Diff
+	}
+	result, err := send(c.Context(), request)
+	return f.report(s, result, err)
+}
+
+// baseOr returns the base that the operator stated, or the number in force.
+func (f *changeFlags) baseOr(inForce uint64) uint64 {
+	if f.base > 0 {
+		return f.base
+	}
+	return inForce
+}
+
+// changesTo returns the changes that put the contracts into force.
+func changesTo(contracts, inForce []sesamemodel.Contract, prune bool) []sesameapi.ContractChange {
+	var changes []sesameapi.ContractChange
+	named := map[sesamemodel.TeamID]bool{}
+	for _, c := range contracts {
+		named[c.Team] = true
+		changes = append(changes, sesameapi.ContractChange{
+			Team:     c.Team,
+			Contract: c,
+		})
+	}
+	for _, c := range inForce {
+		if prune && !named[c.Team] {
+			changes = append(changes, sesameapi.ContractChange{
+				Team:    c.Team,
+				Removed: true,
+			})
+		}
+	}
+	return changes
+}
+
+func newRollback(s streams) *cobra.Command {
+	var (
+		f  changeFlags
+		to uint64
+		t  string
+	)
+	c := &cobra.Command{
+		Use:   "rollback --to NUMBER",
+		Short: "Return to earlier contracts, as a new change",
+		Long: `Puts the contracts as they were after an earlier change into force again. This
+is a change with a new number; history keeps all that came before.`,
+		Example: `  sesamestack rollback --to 12 --dry-run
+  sesamestack rollback --to 12 --team crews`,
+		Args: exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return f.rollback(c, s, to, sesamemodel.TeamID(t))
+		},
+	}
+	f.add(c)
+	f.addBase(c)
+	c.Flags().Uint64Var(&to, "to", 0, "number of the change to return to; 0 is before the first")
+	c.Flags().StringVar(&t, "team", "", "roll back this team only")
+	return c
+}
+
+func (f *changeFlags) rollback(c *cobra.Command, s streams, to uint64, team sesamemodel.TeamID) error {
+	if !c.Flags().Changed("to") {
+		return &UsageError{
+			Command: c.CommandPath(),
+			Problem: "--to is missing",
+		}
+	}
+	client, err := f.client(c)
+	if err != nil {
+		return err
+	}
+	inForce, err := client.Contracts(c.Context())
+	if err != nil {
+		return err
+	}
+	result, err := client.Rollback(c.Context(), sesameapi.RollbackRequest{
+		Base: f.baseOr(inForce.Number),
+		To:   to,
+		Team: team,
+	}, f.dry)
+	return f.report(s, result, err)
+}
+
+// report shows a change, or the changes of others that it conflicts with.
+func (f *changeFlags) report(s streams, result sesameapi.ChangeResult, err error) error {
+	var problem *sesameapi.ProblemError
+	if errors.As(err, &problem) && len(problem.Problem.Changes) > 0 {
+		return errors.CombineErrors(err, historyText(problem.Problem.Changes)(s.out))
+	}
+	if err != nil {
+		return err
+	}
+	return f.print(s.out, result, func(w io.Writer) error {
+		return writeChange(w, result, f.dry)
+	})
+}
+
+func writeChange(w io.Writer, result sesameapi.ChangeResult, dry bool) error {
+	var text strings.Builder
+	for _, d := range result.Differences {
+		text.WriteString(differenceText(d))
+	}
+	switch {
+	case len(result.Differences) == 0:
+		fmt.Fprintf(&text, "nothing changes; change %d is in force\n", result.Number)
+	case dry:
+		text.WriteString("dry run: nothing was changed\n")
+	default:
+		fmt.Fprintf(&text, "accepted as change %d\n", result.Number)
+	}
+	_, err := io.WriteString(w, text.String())
+	return err
+}
+
+// differenceText shows the values of a contract that differ, one a line.
+func differenceText(d sesameapi.Difference) string {
+	if d.After == nil {
+		return fmt.Sprintf("%s: removed\n", d.Team)
+	}
+	var before []contractValue
+	verb := "changed"
+	if d.Before == nil {
+		verb = "added"
+	} else {
+		before = contractValues(*d.Before)
+	}
+	text := fmt.Sprintf("%s: %s\n", d.Team, verb)
+	for i, v := range contractValues(*d.After) {
+		switch {
+		case before == nil:
+			text += fmt.Sprintf("  + %s: %s\n", v.key, v.text)
+		case before[i] != v:
+			text += fmt.Sprintf("  - %s: %s\n  + %s: %s\n", v.key, before[i].text, v.key, v.text)
+		}
+	}
+	return text
+}
+
+// contractValue is one value of a contract as operators read it.
+type contractValue struct {
+	key  string
+	text string
+}
+
+// contractValues returns all values of a contract, always in the same order.
+func contractValues(c sesamemodel.Contract) []contractValue {
+	shapes := make([]string, 0, len(c.Guarantees))
+	for _, s := range c.Guarantees {
+		shapes = append(shapes, s.String())
+	}
+	classes := make([]string, 0, len(c.Classes))
+	for _, cl := range c.Classes {
+		classes = append(classes, classText(cl))
+	}
+	return []contractValue{
+		{key: "weight", text: strconv.Itoa(c.Weight)},
+		{key: "guarantees", text: orDash(strings.Join(shapes, ", "))},
+		{key: "classes", text: strings.Join(classes, ", ")},
+		{key: "limits.open", text: strconv.Itoa(c.Limits.Open)},
+		{key: "limits.rate", text: strconv.FormatFloat(c.Limits.Rate, 'g', -1, 64)},
+		{key: "limits.burst", text: strconv.Itoa(c.Limits.Burst)},
+		{key: "limits.retries", text: strconv.Itoa(c.Limits.Retries)},
+		{key: "limits.borrow", text: strconv.Itoa(c.Limits.Borrow)},
+		{key: "tokens", text: tokensText(c.Tokens)},
+	}
+}
+
+func classText(c sesamemodel.Class) string {
+	if c.Once {
+		return fmt.Sprintf("%s (%s, once)", c.Name, c.Urgency)
+	}
+	return fmt.Sprintf("%s (%s)", c.Name, c.Urgency)
+}
+
+// digestPrefix is how much of a digest is shown, in hex digits.
+const digestPrefix = 12
+
+func tokensText(tokens []string) string {
+	short := make([]string, 0, len(tokens))
+	for _, t := range tokens {
+		short = append(short, t[:min(len(t), digestPrefix)]+"…")
+	}
+	return strings.Join(short, ", ")
+}
+
+func newContracts(s streams) *cobra.Command {
+	var f clientFlags
+	c := &cobra.Command{
+		Use:     "contracts",
+		Short:   "Show the contracts in force",
+		Long:    "Shows the contracts in force and the number of the newest accepted change.",
+		Example: `  sesamestack contracts`,
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return showContracts(c.Context(), c, &f, s)
+		},
+	}
+	f.add(c)
+	return c
+}
+
+func showContracts(ctx context.Context, c *cobra.Command, f *clientFlags, s streams) error {
+	client, err := f.client(c)
+	if err != nil {
+		return err
+	}
+	list, err := client.Contracts(ctx)
+	if err != nil {
+		return err
+	}
+	return f.print(s.out, list, func(w io.Writer) error {
+		rows := [][]string{{"TEAM", "CHANGE", "WEIGHT", "GUARANTEES", "CLASSES", "OPEN", "BORROW"}}
+		for _, k := range list.Contracts {
+			v := contractValues(k)
+			number := strconv.FormatUint(k.Number, 10)
+			rows = append(rows, []string{string(k.Team), number, v[0].text, v[1].text, v[2].text, v[3].text, v[7].text})
+		}
+		if err := writeTable(w, rows); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(w, "change %d is in force\n", list.Number)
+		return err
+	})
+}
--- a/sesamecommand/errors.go
+++ b/sesamecommand/errors.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sesamestack/sesamestack/sesameapi"
 	"github.com/sesamestack/sesamestack/sesamesettings"
 )
 
@@ -56,5 +58,24 @@
 	if errors.As(err, &faults) {
 		return ExitInput
 	}
+	var problem *sesameapi.ProblemError
+	if errors.As(err, &problem) {
+		return problemExitCode(problem.Problem.Status)
+	}
+	var unreachable *sesameapi.UnreachableError
+	if errors.As(err, &unreachable) && !unreachable.Sent {
+		return ExitLater
+	}
+	return ExitFailure
+}
+
+// problemExitCode returns the code for an entry's answer with that status.
+func problemExitCode(status int) int {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return ExitInput
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return ExitLater
+	}
 	return ExitFailure
 }
--- /dev/null
+++ b/sesamecommand/operators.go
@@ -0,0 +1,164 @@
+package sesamecommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"github.com/sesamestack/sesamestack/sesameapi"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+func newResolve(s streams) *cobra.Command {
+	var (
+		request sesameapi.ResolveRequest
+		state   string
+	)
+	c := newJobCommand(&cobra.Command{
+		Use:   "resolve JOB",
+		Short: "Settle an unknown outcome",
+		Long: `Settles the outcome of a job in state unknown, as an operator found it: done, or
+failed with or without having run. Who settled it, when and the note are kept
+with the job. The job is never run again.`,
+		Example: `  sesamestack resolve "$job" --state done --ran --note "the bank shows one payment"
+  sesamestack resolve "$job" --state failed --note "the bank shows no payment"`,
+	}, func(ctx context.Context, client *sesameapi.Client, f *clientFlags, id sesamemodel.JobID) error {
+		request.State = sesamemodel.State(state)
+		job, err := client.Resolve(ctx, id, request)
+		if err != nil {
+			return err
+		}
+		return f.print(s.out, job, line("%s %s: %s", job.ID, job.State, job.Reason))
+	})
+	c.Flags().StringVar(&state, "state", "", "done or failed")
+	c.Flags().BoolVar(&request.Ran, "ran", false, "the work ran, wholly or in part")
+	c.Flags().StringVar(&request.Note, "note", "", "how the operator knows")
+	return c
+}
+
+func newTargets(s streams) *cobra.Command {
+	var f clientFlags
+	c := &cobra.Command{
+		Use:     "targets",
+		Short:   "Show all targets",
+		Long:    "Shows every target of the region with its place, health, size and use.",
+		Example: `  sesamestack targets`,
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			client, err := f.client(c)
+			if err != nil {
+				return err
+			}
+			targets, err := client.Targets(c.Context())
+			if err != nil {
+				return err
+			}
+			return f.print(s.out, targets, targetsText(targets))
+		},
+	}
+	f.add(c)
+	return c
+}
+
+func targetsText(targets []sesameapi.TargetStatus) func(io.Writer) error {
+	return func(w io.Writer) error {
+		rows := [][]string{{"TARGET", "KIND", "ZONE", "RACK", "HEALTH", "ACCELERATORS", "SLOTS", "CORES", "KEEPER"}}
+		for _, t := range targets {
+			rows = append(rows, []string{
+				string(t.ID),
+				string(t.Kind),
+				t.Zone,
+				orDash(t.Rack),
+				string(t.Health),
+				use(t.Used.Accelerators, t.Capacity.Accelerators),
+				use(t.Used.Slots, t.Capacity.Slots),
+				use(t.Used.Cores, t.Capacity.Cores),
+				t.Keeper,
+			})
+		}
+		return writeTable(w, rows)
+	}
+}
+
+// use shows how much of a capacity is taken; a dash without any.
+func use(used, capacity int) string {
+	if capacity == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d/%d", used, capacity)
+}
+
+func newRelease(s streams) *cobra.Command {
+	var f clientFlags
+	c := &cobra.Command{
+		Use:     "release TARGET",
+		Short:   "End a target's quarantine",
+		Long:    "Ends a target's quarantine, so that it is given work again.",
+		Example: `  sesamestack release worker-03`,
+		Args:    exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := f.client(c)
+			if err != nil {
+				return err
+			}
+			target, err := client.Release(c.Context(), sesamemodel.TargetID(args[0]))
+			if err != nil {
+				return err
+			}
+			return f.print(s.out, target, line("%s %s", target.ID, target.Health))
+		},
+	}
+	f.add(c)
+	return c
+}
+
+func newHistory(s streams) *cobra.Command {
+	var (
+		f     clientFlags
+		since uint64
+	)
+	c := &cobra.Command{
+		Use:     "history",
+		Short:   "Show the accepted changes of contracts",
+		Long:    "Shows the accepted changes of contracts with their numbers, oldest first.",
+		Example: `  sesamestack history --since 12`,
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			client, err := f.client(c)
+			if err != nil {
+				return err
+			}
+			changes, err := client.History(c.Context(), since)
+			if err != nil {
+				return err
+			}
+			return f.print(s.out, changes, historyText(changes))
+		},
+	}
+	f.add(c)
+	c.Flags().Uint64Var(&since, "since", 0, "show only changes after this number")
+	return c
+}
+
+func historyText(changes []sesamemodel.Change) func(io.Writer) error {
+	return func(w io.Writer) error {
+		rows := [][]string{{"NUMBER", "TIME", "OPERATOR", "TEAM", "CHANGE"}}
+		for _, ch := range changes {
+			what := "set"
+			if ch.Removed {
+				what = "removed"
+			}
+			rows = append(rows, []string{
+				strconv.FormatUint(ch.Number, 10),
+				ch.Time.UTC().Format("2006-01-02T15:04:05Z"),
+				ch.Operator,
+				string(ch.Team),
+				what,
+			})
+		}
+		return writeTable(w, rows)
+	}
+}
--- a/sesamecommand/run.go
+++ b/sesamecommand/run.go
@@ -34,8 +34,11 @@
 	})
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
+	if err == nil {
+		return ExitOK
+	}
+	if _, printing := fmt.Fprintln(stderr, err); printing != nil {
+		return ExitFailure
 	}
 	return exitCode(err)
 }
@@ -91,8 +94,26 @@
 
 func addCommands(root *cobra.Command, s streams) {
 	root.AddCommand(
-		newCheck(s),
+		newSubmit(s),
+		newWait(s),
+		newStatus(s),
+		newResult(s),
+		newCancel(s),
+		newExplain(s),
+	)
+	root.AddCommand(
+		newApply(s),
+		newDiff(s),
+		newContracts(s),
+		newHistory(s),
+		newRollback(s),
+		newTargets(s),
+		newRelease(s),
+		newResolve(s),
+	)
+	root.AddCommand(
 		newStandin(s),
+		newCheck(s),
 		newToken(s),
 		newEvents(s),
 		newVersion(s),
--- /dev/null
+++ b/sesamesettings/docs_test.go
@@ -0,0 +1,58 @@
+package sesamesettings_test
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+)
+
+// TestSettingsPage checks that the page names every key that a file may set.
+func TestSettingsPage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "docs", "SETTINGS.md"))
+	is.New(t).NoErr(err)
+	for _, settings := range []any{
+		sesamesettings.Entry{},
+		sesamesettings.Agent{},
+		sesamesettings.Standin{},
+		sesamemodel.Contract{},
+	} {
+		for _, key := range keysOf(reflect.TypeOf(settings), "") {
+			t.Run(key, func(t *testing.T) {
+				is.New(t).True(strings.Contains(string(page), "| `"+key+"` |"))
+			})
+		}
+	}
+}
+
+// keysOf returns the paths of all keys of a settings type.
+func keysOf(t reflect.Type, parent string) []string {
+	var keys []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name := field.Tag.Get("yaml")
+		if name == "" || name == "-" {
+			continue
+		}
+		path := parent + name
+		item := field.Type
+		if item.Kind() == reflect.Slice {
+			item = item.Elem()
+			if item.Kind() == reflect.Struct {
+				path += "[]"
+			}
+		}
+		if item.Kind() == reflect.Struct {
+			keys = append(keys, keysOf(item, path+".")...)
+			continue
+		}
+		keys = append(keys, path)
+	}
+	return keys
+}
