--- /dev/null
+++ b/sesamecommand/entry.go
@@ -0,0 +1,64 @@
+package sesamecommand
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"github.com/sesamestack/sesamestack/sesameentry"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesametable"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+func newEntry(s streams) *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "entry",
+		Short: "Run an entry",
+		Long: `Runs an entry: it serves callers and operators, plans, and keeps cells. It keeps
+nothing on the VM. An interrupt or a termination signal stops it gracefully: open
+requests are answered first, within the setting drain.`,
+		Example: `  sesamestack entry --settings examples/corchera/settings/entry-a.yaml`,
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := settingsFile(c, file); err != nil {
+				return err
+			}
+			settings, err := sesamesettings.LoadEntry(file)
+			if err != nil {
+				return err
+			}
+			return runEntry(c, s, settings)
+		},
+	}
+	settingsFlag(c, &file)
+	return c
+}
+
+func runEntry(c *cobra.Command, s streams, settings sesamesettings.Entry) error {
+	log := newLogger(s.err, settings.Log)
+	clock := clockwork.NewRealClock()
+	scope, metrics, closer := newMetrics()
+	platform := sesametable.NewClient(sesametable.Options{
+		Platform: settings.Platform,
+		Clock:    clock,
+		Scope:    scope,
+		Log:      log,
+	})
+	dialer := sesamewire.NewDialer(sesamewire.DialOptions{})
+	entry, err := sesameentry.New(settings, sesameentry.Deps{
+		Table:   platform,
+		Objects: platform,
+		Dialer:  dialer,
+		Clock:   clock,
+		Log:     log,
+		Scope:   scope,
+		Metrics: metrics,
+	})
+	if err != nil {
+		return err
+	}
+	err = entry.Run(c.Context())
+	return errors.CombineErrors(err, errors.CombineErrors(dialer.Close(), closer.Close()))
+}
--- /dev/null
+++ b/sesamecommand/metrics.go
@@ -0,0 +1,32 @@
+package sesamecommand
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	reporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often counters and histograms reach the registry.
+const reportInterval = time.Second
+
+// newMetrics returns a scope, the handler that shows what it measures, and
+// what ends the reporting.
+func newMetrics() (tally.Scope, http.Handler, io.Closer) {
+	registry := prometheus.NewRegistry()
+	r := reporter.NewReporter(reporter.Options{
+		Registerer:       registry,
+		Gatherer:         registry,
+		DefaultTimerType: reporter.HistogramTimerType,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "sesamestack",
+		CachedReporter:  r,
+		Separator:       reporter.DefaultSeparator,
+		SanitizeOptions: &reporter.DefaultSanitizerOpts,
+	}, reportInterval)
+	return scope, r.HTTPHandler(), closer
+}
--- a/sesamecommand/run.go
+++ b/sesamecommand/run.go
@@ -112,6 +112,7 @@
 		newResolve(s),
 	)
 	root.AddCommand(
+		newEntry(s),
 		newStandin(s),
 		newCheck(s),
 		newToken(s),
