--- a/sesameentry/planning_test.go
+++ b/sesameentry/planning_test.go
@@ -322,6 +322,13 @@
 				}
 				w.hand(is, rapid.IntRange(0, 1).Draw(t, "planner"), h)
 			},
+			"read elsewhere": func(t *rapid.T) {
+				// Another duty of the entry reads the cell before the planner does.
+				ledger := w.duties[rapid.IntRange(0, 1).Draw(t, "planner")].ledger
+				ledger.DropCell(testCellID)
+				_, err := ledger.Cell(context.Background(), testCellID)
+				is.NoErr(err)
+			},
 			"wait": func(t *rapid.T) {
 				w.clock.Advance(reconcileInterval)
 			},
