--- a/sesametarget/target.go
+++ b/sesametarget/target.go
@@ -87,6 +87,9 @@
 	ID     TaskID `json:"id"`
 	Phase  Phase  `json:"phase"`
 	Detail string `json:"detail,omitempty"`
+	// Keep repeats the task's own, so that a new agent can tell the tasks that
+	// outlive a lease.
+	Keep bool `json:"keep,omitempty"`
 	// Used is the most that the task has used so far.
 	Used sesamemodel.Resources `json:"used"`
 }
