--- a/sesamemodel/job.go
+++ b/sesamemodel/job.go
@@ -115,6 +115,12 @@
 // MaxEvents is the most events that a job's row keeps; older ones are dropped.
 const MaxEvents = 16
 
+// AttemptRef names one attempt of a job.
+type AttemptRef struct {
+	Job     JobID  `json:"job"`
+	Attempt uint32 `json:"attempt"`
+}
+
 // Job is one request and all that is known about it.
 type Job struct {
 	ID   JobID `json:"id"`
@@ -127,8 +133,15 @@
 	// Attempt counts from 1; 0 means never placed.
 	Attempt     uint32       `json:"attempt"`
 	Assignments []Assignment `json:"assignments,omitempty"`
+	// Evicts are the attempts of other jobs that make room for this one.
+	Evicts []AttemptRef `json:"evicts,omitempty"`
 	// Owed is true while the attempt uses the team's own guarantee.
 	Owed bool `json:"owed,omitempty"`
+	// Started is true once a member of this attempt may have been told to
+	// start, and false again when every member promised that it never did.
+	Started bool `json:"started,omitempty"`
+	// Ran is true when a member of an earlier attempt may have started.
+	Ran bool `json:"ran,omitempty"`
 	// Next is the state that follows Stopping.
 	Next State `json:"next,omitempty"`
 	// Reason says in a sentence why the job is in its state.
@@ -172,10 +185,33 @@
 	return j.WithEvent(now, Placed, "")
 }
 
+// WithEvicts returns the job with the attempts that make room for it: those
+// of the victims, which are stopping.
+func (j Job) WithEvicts(victims []Job) Job {
+	j.Evicts = nil
+	for _, v := range victims {
+		j.Evicts = append(j.Evicts, AttemptRef{
+			Job:     v.ID,
+			Attempt: v.Attempt,
+		})
+	}
+	return j
+}
+
+// WithStart returns the job running: from now on its members may be started.
+func (j Job) WithStart(now time.Time) Job {
+	j.Started = true
+	j.Opened = now
+	return j.WithEvent(now, Running, "")
+}
+
 // WithRequeue returns the job queued again, without assignments.
 func (j Job) WithRequeue(now time.Time, reason string) Job {
 	j.Assignments = nil
+	j.Evicts = nil
 	j.Owed = false
+	j.Ran = j.Ran || j.Started
+	j.Started = false
 	j.Next = ""
 	j.Opened = time.Time{}
 	return j.WithEvent(now, Queued, reason)
@@ -194,6 +230,11 @@
 	return j.WithEvent(now, Done, "")
 }
 
+// NotRun reports whether the job has ended and no part of it ever ran.
+func (j Job) NotRun() bool {
+	return j.State.Ended() && !j.Started && !j.Ran
+}
+
 // Cells returns the cells that the assignments name, each once, in order.
 func (j Job) Cells() []CellID {
 	seen := map[CellID]bool{}
