Decide an attempt's life on an agent and the gang's lease

Pure state of one agent: prepare, open, stop, tombstones, evictions, and the tree by which a gang's members renew each other's lease.

--- /dev/null
+++ b/sesamegang/agent.go
@@ -0,0 +1,290 @@
+package sesamegang
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// Times are the durations that agents of one deployment share.
+type Times struct {
+	Heartbeat time.Duration
+	Lease     time.Duration
+	// Margin is how much longer than a lease its giver waits.
+	Margin time.Duration
+	Grace  time.Duration
+}
+
+const (
+	// gatherTime is how long a member waits for each level below it before it
+	// calls its own parent without the missing children.
+	gatherTime = 150 * time.Millisecond
+	// retryTime is the pause after a call to the parent that failed.
+	retryTime = 200 * time.Millisecond
+)
+
+// AgentOptions is what an Agent starts with.
+type AgentOptions struct {
+	Incarnation string
+	Times       Times
+	// Slots bounds the slots of all attempts together; 0 means no bound.
+	Slots int
+}
+
+// Agent is the state of all attempts on one agent. It is immutable: each method
+// returns the changed value. Readings are of one monotonic clock.
+type Agent struct {
+	incarnation string
+	times       Times
+	slots       int
+	leaving     bool
+	lease       time.Duration
+	members     map[AttemptKey]Member
+	tombs       *tombstones
+}
+
+// Halt asks to stop the tasks of an attempt that have not ended.
+type Halt struct {
+	Key   AttemptKey
+	Grace time.Duration
+}
+
+// Effects are what the caller has to do after a change.
+type Effects struct {
+	// Start names attempts whose tasks are to be started, each once.
+	Start []AttemptKey
+	Halt  []Halt
+}
+
+// NewAgent returns an agent without attempts and without a lease.
+func NewAgent(o AgentOptions) Agent {
+	return Agent{
+		incarnation: o.Incarnation,
+		times:       o.Times,
+		slots:       o.Slots,
+		members:     map[AttemptKey]Member{},
+		tombs:       &tombstones{},
+	}
+}
+
+// Incarnation returns the name that calls must be bound to.
+func (a Agent) Incarnation() string {
+	return a.incarnation
+}
+
+// WithLease returns the agent with its lease extended to a reading. A lease
+// that was granted earlier is never cut short.
+func (a Agent) WithLease(until time.Duration) Agent {
+	a.lease = max(a.lease, until)
+	return a
+}
+
+// LeaseRemaining returns what is left of the agent's lease, at least 0.
+func (a Agent) LeaseRemaining(now time.Duration) time.Duration {
+	return max(a.lease-now, 0)
+}
+
+// WithLeaving returns the agent refusing new work.
+func (a Agent) WithLeaving() Agent {
+	a.leaving = true
+	return a
+}
+
+// Leaving reports whether the agent refuses new work.
+func (a Agent) Leaving() bool {
+	return a.leaving || a.tombs.full()
+}
+
+// Renewable reports whether it is time for a new incarnation, and safe: no
+// attempt is left and many tombstones are.
+func (a Agent) Renewable() bool {
+	return len(a.members) == 0 && a.tombs.count >= manyTombstones
+}
+
+// Renew returns the agent under a new incarnation. Calls meant for the former
+// one are refused, so its tombstones are dropped.
+func (a Agent) Renew(incarnation string) Agent {
+	a.incarnation = incarnation
+	a.lease = 0
+	a.tombs = &tombstones{}
+	return a
+}
+
+// Member returns the agent's part of an attempt.
+func (a Agent) Member(k AttemptKey) (Member, bool) {
+	m, ok := a.members[k]
+	return m, ok
+}
+
+// Members returns all parts that the agent holds or has to report, in order.
+func (a Agent) Members() []Member {
+	return slices.SortedFunc(maps.Values(a.members), func(x, y Member) int {
+		return cmp.Or(cmp.Compare(x.Key.Job, y.Key.Job), cmp.Compare(x.Key.Attempt, y.Key.Attempt))
+	})
+}
+
+// TaskRemaining returns how long the tasks of a member may go on.
+func (a Agent) TaskRemaining(m Member, now time.Duration) time.Duration {
+	remaining := a.LeaseRemaining(now)
+	if m.Gang() {
+		remaining = min(remaining, m.relay.deadline-now)
+	}
+	return max(remaining, 0)
+}
+
+func (a Agent) with(m Member) Agent {
+	a.members = maps.Clone(a.members)
+	a.members[m.Key] = m
+	return a
+}
+
+func (a Agent) without(k AttemptKey) Agent {
+	a.members = maps.Clone(a.members)
+	delete(a.members, k)
+	return a
+}
+
+// bury replaces a member by its tombstone.
+func (a Agent) bury(m Member, recorded bool) Agent {
+	a = a.without(m.Key)
+	a.tombs = a.tombs.with(m.Key, tombstone{
+		report:   m.report,
+		recorded: recorded,
+	})
+	return a
+}
+
+// never returns the member ended without a start.
+func (m Member) never(detail string) Member {
+	m.Phase = Ended
+	m.report = &sesamewire.MemberReport{
+		Member:   int32(m.Index),
+		Progress: sesamewire.Progress_PROGRESS_NEVER,
+		Detail:   detail,
+	}
+	return m
+}
+
+// halted ends a member that has not started, or returns it stopping with the
+// effect that its tasks need.
+func (a Agent) halted(m Member, grace time.Duration, detail string) (Agent, Effects) {
+	switch m.Phase {
+	case Prepared:
+		return a.bury(m.never(detail), false), Effects{}
+	case Running:
+		m.Phase = Stopping
+		return a.with(m), Effects{
+			Halt: []Halt{
+				{
+					Key:   m.Key,
+					Grace: grace,
+				},
+			},
+		}
+	}
+	return a, Effects{}
+}
+
+// TaskEnded records the end of a task that this agent watched. A task that did
+// not end done stops the others of its attempt.
+func (a Agent) TaskEnded(now time.Duration, k AttemptKey, end TaskEnd) (Agent, Effects) {
+	m, ok := a.members[k]
+	if !ok || m.Phase == Prepared || m.Phase == Ended {
+		return a, Effects{}
+	}
+	m = m.withTaskEnd(end)
+	if m.Phase == Ended {
+		return a.ended(now, m), Effects{}
+	}
+	a = a.with(m)
+	if end.Progress == sesamewire.Progress_PROGRESS_DONE {
+		return a, Effects{}
+	}
+	return a.halted(m, a.times.Grace, end.Detail)
+}
+
+// ended keeps a member whose tasks have all ended until it is recorded.
+func (a Agent) ended(now time.Duration, m Member) Agent {
+	if !m.Gang() {
+		return a.with(m)
+	}
+	m.relay = m.relay.withReports(now, []*sesamewire.MemberReport{m.report})
+	if m.relay.recorded {
+		return a.bury(m, true)
+	}
+	return a.with(m)
+}
+
+// Recorded forgets an attempt whose outcome is recorded, but for its tombstone.
+func (a Agent) Recorded(k AttemptKey) Agent {
+	m, ok := a.members[k]
+	if !ok {
+		return a
+	}
+	if m.Phase != Ended {
+		m.relay.recorded = true
+		return a.with(m)
+	}
+	return a.bury(m, true)
+}
+
+// Adopt returns the agent watching tasks that an earlier incarnation started
+// and that outlived its lease.
+func (a Agent) Adopt(k AttemptKey, first, tasks int) Agent {
+	if _, ok := a.members[k]; ok {
+		return a
+	}
+	return a.with(Member{
+		Key:     k,
+		Size:    1,
+		First:   first,
+		Tasks:   tasks,
+		Total:   tasks,
+		Once:    true,
+		Phase:   Running,
+		Adopted: true,
+	})
+}
+
+// Tick ends what has lapsed by now: holds without an Open, work whose lease
+// ended, and gangs that were not renewed.
+func (a Agent) Tick(now time.Duration) (Agent, Effects) {
+	var all Effects
+	for _, m := range a.Members() {
+		var e Effects
+		a, e = a.lapse(now, m)
+		all.Halt = append(all.Halt, e.Halt...)
+	}
+	return a, all
+}
+
+func (a Agent) lapse(now time.Duration, m Member) (Agent, Effects) {
+	switch {
+	case m.Phase == Prepared && (now >= m.hold || now >= a.lease):
+		return a.without(m.Key), Effects{}
+	case m.Phase == Prepared || m.Keep():
+		return a, Effects{}
+	case m.Gang() && now >= m.relay.deadline && !m.relay.broken:
+		m.relay = m.relay.withBreak(now, "the gang's lease ended")
+		return a.with(m).halted(m, 0, m.relay.cause)
+	case m.Phase == Running && now >= a.lease:
+		return a.halted(m, 0, "the agent's lease ended")
+	}
+	return a, Effects{}
+}
+
+// Halting returns the stops that have not taken effect yet, to be repeated.
+func (a Agent) Halting() []Halt {
+	var halts []Halt
+	for _, m := range a.Members() {
+		if m.Phase == Stopping {
+			halts = append(halts, Halt{
+				Key: m.Key,
+			})
+		}
+	}
+	return halts
+}
--- /dev/null
+++ b/sesamegang/beat.go
@@ -0,0 +1,228 @@
+package sesamegang
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// GangVerdict answers a child's heartbeat.
+type GangVerdict struct {
+	// Reply is set when the answer need not wait.
+	Reply *sesamewire.GangReply
+	// Renewals is the count that must have been passed before GangAnswer is
+	// asked for the reply.
+	Renewals uint64
+}
+
+// GangCall records a heartbeat from a child. The answer waits until the
+// receiver has renewed its own lease, so that one renewal runs through all
+// levels of the tree at once.
+func (a Agent) GangCall(now time.Duration, req *sesamewire.GangRequest) (Agent, Effects, GangVerdict) {
+	m, ok := a.members[KeyOf(req.GetId())]
+	if !ok || !m.relay.hasChild(req) {
+		return a, Effects{}, GangVerdict{
+			Reply: a.GangAnswer(now, req),
+		}
+	}
+	if m.Phase == Prepared {
+		return a, Effects{}, GangVerdict{
+			Reply: &sesamewire.GangReply{
+				ReadingMs: now.Milliseconds(),
+			},
+		}
+	}
+	a, effects := a.lapse(now, m)
+	m = a.members[m.Key]
+	broken := m.relay.broken
+	m.relay = m.relay.withCall(now, req)
+	a = a.with(m)
+	if m.relay.broken && !broken {
+		a, effects = a.halted(m, a.times.Grace, m.relay.cause)
+	}
+	v := GangVerdict{
+		Renewals: m.relay.renewals,
+	}
+	if m.relay.broken || m.relay.recorded {
+		v.Reply = a.GangAnswer(now, req)
+	}
+	return a, effects, v
+}
+
+func (r relay) hasChild(req *sesamewire.GangRequest) bool {
+	return slices.ContainsFunc(r.children, func(c child) bool {
+		return c.index == int(req.GetMember()) && c.incarnation == req.GetIncarnation()
+	})
+}
+
+// Renewals returns the count of the attempt's renewals, and false when the
+// attempt is not held.
+func (a Agent) Renewals(k AttemptKey) (uint64, bool) {
+	m, ok := a.members[k]
+	return m.relay.renewals, ok
+}
+
+// GangAnswer replies to a child's heartbeat.
+func (a Agent) GangAnswer(now time.Duration, req *sesamewire.GangRequest) *sesamewire.GangReply {
+	k := KeyOf(req.GetId())
+	m, ok := a.members[k]
+	if !ok {
+		s, _ := a.tombs.find(k)
+		return &sesamewire.GangReply{
+			Stop:     true,
+			Detail:   "the parent does not hold the attempt",
+			Recorded: s.recorded,
+		}
+	}
+	if !m.relay.hasChild(req) {
+		return &sesamewire.GangReply{
+			Stop:   true,
+			Detail: "not a child of this member",
+		}
+	}
+	reply := &sesamewire.GangReply{
+		Stop:      m.relay.broken,
+		Detail:    m.relay.cause,
+		ReadingMs: now.Milliseconds(),
+		Recorded:  m.relay.recorded,
+	}
+	if !m.relay.broken {
+		reply.RemainingMs = max(m.relay.deadline-now, 0).Milliseconds()
+	}
+	return reply
+}
+
+// Beat is a call to a parent.
+type Beat struct {
+	Key     AttemptKey
+	Address string
+	Sent    time.Duration
+	Request *sesamewire.GangRequest
+}
+
+// Beats begins the renewals that are due. The root renews its own lease; the
+// others have a call to send, whose outcome goes to BeatAnswered or BeatFailed.
+func (a Agent) Beats(now time.Duration) (Agent, []Beat) {
+	var beats []Beat
+	for _, m := range a.Members() {
+		if !m.beats() || m.relay.calling || now < m.relay.next() {
+			continue
+		}
+		m.relay.urgent = false
+		if m.relay.root() {
+			m.relay = m.relay.withRootRenewal(now, a.times)
+			a = a.with(m)
+			continue
+		}
+		m.relay.calling = true
+		a = a.with(m)
+		beats = append(beats, Beat{
+			Key:     m.Key,
+			Address: m.relay.parent.address,
+			Sent:    now,
+			Request: m.relay.request(now, m, a.incarnation),
+		})
+	}
+	return a, beats
+}
+
+// beats reports whether the member takes part in its gang's heartbeats.
+func (m Member) beats() bool {
+	return m.Gang() && m.Phase != Prepared && !m.relay.recorded
+}
+
+func (r relay) withRootRenewal(now time.Duration, t Times) relay {
+	if !r.broken && now < r.deadline {
+		r.deadline = max(r.deadline, r.oldest(now)+t.Lease)
+	}
+	return r.renewed(now + t.Heartbeat)
+}
+
+// NextBeat returns when Beats has something to do next, and false when no
+// attempt needs it.
+func (a Agent) NextBeat() (time.Duration, bool) {
+	var next time.Duration
+	found := false
+	for _, m := range a.members {
+		if !m.beats() || m.relay.calling {
+			continue
+		}
+		if at := m.relay.next(); !found || at < next {
+			next, found = at, true
+		}
+	}
+	return next, found
+}
+
+// BeatAnswered applies a parent's reply.
+func (a Agent) BeatAnswered(now time.Duration, b Beat, reply *sesamewire.GangReply) (Agent, Effects) {
+	m, ok := a.members[b.Key]
+	if !ok {
+		return a, Effects{}
+	}
+	a, effects := a.lapse(now, m)
+	m = a.members[b.Key]
+	broken := m.relay.broken
+	m.relay = m.relay.withAnswer(now, b.Sent, b.Request, reply, a.times)
+	a = a.with(m)
+	if m.relay.recorded && m.Phase == Ended {
+		return a.bury(m, true), effects
+	}
+	if m.relay.broken && !broken {
+		return a.halted(m, a.times.Grace, m.relay.cause)
+	}
+	return a, effects
+}
+
+// BeatFailed notes that a parent did not answer; the call is repeated soon.
+func (a Agent) BeatFailed(now time.Duration, b Beat) Agent {
+	m, ok := a.members[b.Key]
+	if !ok {
+		return a
+	}
+	m.relay.calling = false
+	m.relay.due = now + retryTime
+	m.relay.renewals++
+	return a.with(m)
+}
+
+// Outcomes returns the reports that are to be sent to the keeper: of an attempt
+// without a gang when it has ended; by the root when all members have ended,
+// or the gang broke and the silent members' leases are over; and by a member
+// whose parent fell silent after the gang broke.
+func (a Agent) Outcomes(now time.Duration) []*sesamewire.FinishRequest {
+	var outcomes []*sesamewire.FinishRequest
+	for _, m := range a.Members() {
+		reports := m.outcome(now, a.times)
+		if len(reports) == 0 {
+			continue
+		}
+		outcomes = append(outcomes, &sesamewire.FinishRequest{
+			Id:          m.Key.ID(),
+			Incarnation: a.incarnation,
+			Reports:     reports,
+		})
+	}
+	return outcomes
+}
+
+func (m Member) outcome(now time.Duration, t Times) []*sesamewire.MemberReport {
+	if m.Phase != Ended || m.relay.recorded {
+		return nil
+	}
+	if !m.Gang() {
+		return []*sesamewire.MemberReport{m.report}
+	}
+	r := m.relay
+	silence := t.Lease + t.Grace + t.Margin
+	settled := r.broken && now >= r.brokenAt+silence
+	if r.root() && (len(r.reports) == r.size || settled) {
+		return r.missing()
+	}
+	if !r.root() && settled && now >= r.answered+silence {
+		return slices.Collect(maps.Values(r.reports))
+	}
+	return nil
+}
--- /dev/null
+++ b/sesamegang/prepare.go
@@ -0,0 +1,265 @@
+package sesamegang
+
+import (
+	"fmt"
+	"math/bits"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// Verdict answers a Prepare, an Open or a Stop.
+type Verdict struct {
+	Refusal sesamewire.Refusal
+	Detail  string
+	// Wait asks for the same call again once a task has ended.
+	Wait bool
+	// Report is how far the attempt has come, in answer to a Stop.
+	Report *sesamewire.MemberReport
+}
+
+func refuse(r sesamewire.Refusal, format string, args ...any) Verdict {
+	return Verdict{
+		Refusal: r,
+		Detail:  fmt.Sprintf(format, args...),
+	}
+}
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
+// newMember returns the receiver's part of the attempt, or the reason why the
+// request makes no sense.
+func newMember(now time.Duration, req *sesamewire.PrepareRequest) (Member, string) {
+	i, n := int(req.GetMember()), len(req.GetMembers())
+	if i < 0 || i >= n {
+		return Member{}, fmt.Sprintf("member %d of %d does not exist", i, n)
+	}
+	own := req.GetMembers()[i]
+	m := Member{
+		Key:          KeyOf(req.GetId()),
+		Index:        i,
+		Size:         n,
+		Team:         req.GetTeam(),
+		First:        int(own.GetFirst()),
+		Tasks:        int(own.GetTasks()),
+		Need:         req.GetTask(),
+		Accelerators: own.GetAccelerators(),
+		Once:         req.GetOnce(),
+		Payload:      req.GetPayload(),
+		Prepared:     now,
+		hold:         now + milliseconds(req.GetHoldMs()),
+		relay:        newRelay(i, req.GetMembers()),
+	}
+	for _, member := range req.GetMembers() {
+		m.Total += int(member.GetTasks())
+	}
+	if m.Tasks < 1 {
+		return Member{}, fmt.Sprintf("member %d has %d tasks", i, m.Tasks)
+	}
+	if got, want := bits.OnesCount64(m.Accelerators), m.Tasks*int(m.Need.GetAccelerators()); got != want {
+		return Member{}, fmt.Sprintf("member %d names %d accelerators, its tasks need %d", i, got, want)
+	}
+	return m, ""
+}
+
+// Prepare holds resources for one attempt after it has stopped the attempts
+// that make room for it.
+func (a Agent) Prepare(now time.Duration, req *sesamewire.PrepareRequest) (Agent, Effects, Verdict) {
+	m, invalid := newMember(now, req)
+	if invalid != "" {
+		return a, Effects{}, refuse(sesamewire.Refusal_REFUSAL_TARGET, "%s", invalid)
+	}
+	if v := a.admit(now, m.Key, req.GetMembers()[m.Index].GetIncarnation()); v.Refusal != sesamewire.Refusal_REFUSAL_NONE {
+		return a, Effects{}, v
+	}
+	if held, ok := a.members[m.Key]; ok {
+		return a.again(held, m)
+	}
+	if a.Leaving() {
+		return a, Effects{}, refuse(sesamewire.Refusal_REFUSAL_LEAVING, "the agent is leaving")
+	}
+	a, effects, v := a.makeRoom(m, req)
+	if v.Wait || v.Refusal != sesamewire.Refusal_REFUSAL_NONE {
+		return a, effects, v
+	}
+	return a.with(m), effects, Verdict{}
+}
+
+// admit checks what binds every start on this agent.
+func (a Agent) admit(now time.Duration, k AttemptKey, incarnation string) Verdict {
+	if _, ok := a.tombs.find(k); ok || a.newerThan(k) {
+		return refuse(sesamewire.Refusal_REFUSAL_TOMBSTONE, "attempt %d of job %q has ended here", k.Attempt, k.Job)
+	}
+	if incarnation != a.incarnation {
+		return refuse(sesamewire.Refusal_REFUSAL_INCARNATION, "incarnation is %q, not %q", a.incarnation, incarnation)
+	}
+	if now >= a.lease {
+		return refuse(sesamewire.Refusal_REFUSAL_LEASE, "the agent holds no lease")
+	}
+	return Verdict{}
+}
+
+// newerThan reports whether a later attempt of the job is held.
+func (a Agent) newerThan(k AttemptKey) bool {
+	for held := range a.members {
+		if held.Job == k.Job && held.Attempt > k.Attempt {
+			return true
+		}
+	}
+	return false
+}
+
+// again answers a repeated Prepare.
+func (a Agent) again(held, m Member) (Agent, Effects, Verdict) {
+	switch held.Phase {
+	case Prepared:
+		held.hold = m.hold
+		return a.with(held), Effects{}, Verdict{}
+	case Running:
+		return a, Effects{}, Verdict{}
+	}
+	return a, Effects{}, refuse(sesamewire.Refusal_REFUSAL_TOMBSTONE, "attempt %d of job %q is ending here", m.Key.Attempt, m.Key.Job)
+}
+
+// makeRoom stops the attempts that the request evicts and those that hold the
+// same accelerators. An attempt that must not be repeated is stopped only when
+// it is named.
+func (a Agent) makeRoom(m Member, req *sesamewire.PrepareRequest) (Agent, Effects, Verdict) {
+	named := map[AttemptKey]bool{}
+	for _, id := range req.GetEvict() {
+		named[KeyOf(id)] = true
+	}
+	if v := a.blocked(m, named); v.Refusal != sesamewire.Refusal_REFUSAL_NONE {
+		return a, Effects{}, v
+	}
+	var effects Effects
+	wait := false
+	for _, other := range a.Members() {
+		if !other.holds() || !named[other.Key] && other.Accelerators&m.Accelerators == 0 {
+			continue
+		}
+		wait = wait || other.Phase != Prepared
+		var e Effects
+		a, e = a.halted(other, milliseconds(req.GetGraceMs()), fmt.Sprintf("made room for job %q", m.Key.Job))
+		effects.Halt = append(effects.Halt, e.Halt...)
+	}
+	for k := range named {
+		if _, ok := a.members[k]; !ok && k.Job != m.Key.Job {
+			a.tombs = a.tombs.promised(k)
+		}
+	}
+	if wait {
+		return a, effects, Verdict{
+			Wait: true,
+		}
+	}
+	return a, effects, Verdict{}
+}
+
+// blocked refuses a member whose accelerators an attempt holds that must not be
+// stopped unasked, or whose slots would exceed the agent's.
+func (a Agent) blocked(m Member, named map[AttemptKey]bool) Verdict {
+	slots := m.slots()
+	for _, other := range a.members {
+		if !other.holds() || named[other.Key] {
+			continue
+		}
+		shared := other.Accelerators&m.Accelerators != 0
+		if shared && other.Once && other.Phase != Prepared {
+			return refuse(sesamewire.Refusal_REFUSAL_BUSY, "accelerators are held by job %q, which must not be repeated", other.Key.Job)
+		}
+		if !shared {
+			slots += other.slots()
+		}
+	}
+	if a.slots > 0 && m.slots() > 0 && slots > a.slots {
+		return refuse(sesamewire.Refusal_REFUSAL_BUSY, "%d slots are needed of %d", slots, a.slots)
+	}
+	return Verdict{}
+}
+
+// Open starts a prepared attempt, once. Only the first Open has a Start among
+// its effects.
+func (a Agent) Open(now time.Duration, k AttemptKey, incarnation string) (Agent, Effects, Verdict) {
+	m, ok := a.members[k]
+	if ok && m.Phase != Prepared {
+		return a, Effects{}, Verdict{}
+	}
+	if v := a.admit(now, k, incarnation); v.Refusal != sesamewire.Refusal_REFUSAL_NONE {
+		return a, Effects{}, v
+	}
+	if !ok || now >= m.hold {
+		return a.without(k), Effects{}, refuse(sesamewire.Refusal_REFUSAL_UNPREPARED, "attempt %d of job %q is not prepared", k.Attempt, k.Job)
+	}
+	m.Phase = Running
+	m.Opened = now
+	m.relay = m.relay.withOpen(now, a.times)
+	return a.with(m), Effects{
+		Start: []AttemptKey{k},
+	}, Verdict{}
+}
+
+// Stop ends an attempt and promises that it never starts here later.
+func (a Agent) Stop(now time.Duration, req *sesamewire.StopRequest) (Agent, Effects, Verdict) {
+	k := KeyOf(req.GetId())
+	m, ok := a.members[k]
+	if !ok {
+		return a.stopUnknown(k, req.GetIncarnation())
+	}
+	if m.Phase == Ended {
+		return a, Effects{}, Verdict{
+			Report: m.report,
+		}
+	}
+	if m.Phase == Running && m.Gang() {
+		m.relay = m.relay.withBreak(now, req.GetReason())
+		a = a.with(m)
+	}
+	a, effects := a.halted(m, milliseconds(req.GetGraceMs()), req.GetReason())
+	if m.Phase == Prepared {
+		return a.stopUnknown(k, req.GetIncarnation())
+	}
+	return a, effects, Verdict{
+		Wait: true,
+	}
+}
+
+// stopUnknown answers a Stop for an attempt that is not held.
+func (a Agent) stopUnknown(k AttemptKey, incarnation string) (Agent, Effects, Verdict) {
+	if incarnation != "" && incarnation != a.incarnation {
+		return a, Effects{}, Verdict{
+			Report: &sesamewire.MemberReport{
+				Progress: sesamewire.Progress_PROGRESS_UNKNOWN,
+				Detail:   fmt.Sprintf("incarnation is %q, not %q", a.incarnation, incarnation),
+			},
+		}
+	}
+	a.tombs = a.tombs.promised(k)
+	s, _ := a.tombs.find(k)
+	report := s.report
+	if s.attempt > k.Attempt {
+		report = &sesamewire.MemberReport{
+			Progress: sesamewire.Progress_PROGRESS_UNKNOWN,
+			Detail:   fmt.Sprintf("attempt %d came after it", s.attempt),
+		}
+	}
+	return a, Effects{}, Verdict{
+		Report: report,
+	}
+}
+
+// promised returns the tombstones with one for an attempt that never came,
+// unless they have it already.
+func (t *tombstones) promised(k AttemptKey) *tombstones {
+	if _, ok := t.find(k); ok {
+		return t
+	}
+	return t.with(k, tombstone{
+		report: &sesamewire.MemberReport{
+			Progress: sesamewire.Progress_PROGRESS_NEVER,
+			Detail:   "stopped before it started",
+		},
+	})
+}
