Run an agent beside each target

The agent announces its target, renews the lease there, prepares, opens, stops and watches attempts, keeps a gang alive over the tree, stores outputs and reports outcomes until they are recorded. Inputs are read before anything is held, so a store that is down refuses an attempt instead of breaking one.

A server that ended right after its last reply could cut that reply with a reset; it now lingers for 100 ms.

--- /dev/null
+++ b/sesameagent/agent_test.go
@@ -0,0 +1,198 @@
+package sesameagent_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametarget"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+const (
+	echo = `{"work":"echo","run":"50ms"}`
+	hang = `{"work":"hang"}`
+	fail = `{"work":"fail"}`
+)
+
+func assertStored(t *testing.T, b *bench, results []*sesamewire.Result, script string) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(len(results), 1)
+	r := results[0]
+	want := sesamestandin.Output([]byte(script), int(r.GetRank()))
+	b.objects.mu.Lock()
+	defer b.objects.mu.Unlock()
+	is.Equal(b.objects.rows[r.GetObject()], want)
+	digest := sha256.Sum256(want)
+	is.Equal(r.GetDigest(), hex.EncodeToString(digest[:]))
+	is.Equal(r.GetLength(), int64(len(want)))
+}
+
+func TestAgentRunsJob(t *testing.T) {
+	is := is.New(t)
+	k, address := serveKeeper(t)
+	k.set(func(k *keeper) { k.refuse = 2 })
+	b := startAgent(t, newTarget(t), newObjects(), address)
+	b.ready(t)
+	req := attempt("r1.job", echo, b)
+	prepare(t, req, b)
+	open(t, req, b)
+	open(t, req, b)
+	eventually(t, "outcome is reported", func() bool { return k.outcome("r1.job") != nil })
+	stopped, err := b.client.Stop(t.Context(), &sesamewire.StopRequest{
+		Id: req.GetId(),
+	})
+	is.NoErr(err)
+	is.Equal(stopped.GetProgress(), sesamewire.Progress_PROGRESS_DONE)
+	report := k.outcome("r1.job").GetReports()[0]
+	is.Equal(report.GetProgress(), sesamewire.Progress_PROGRESS_DONE)
+	assertStored(t, b, report.GetResults(), echo)
+	reply, err := b.client.Prepare(t.Context(), req)
+	is.NoErr(err)
+	is.Equal(reply.GetRefusal(), sesamewire.Refusal_REFUSAL_TOMBSTONE)
+}
+
+func TestAgentRunsGang(t *testing.T) {
+	k, address := serveKeeper(t)
+	store := newObjects()
+	gang := []*bench{
+		startAgent(t, newTarget(t), store, address),
+		startAgent(t, newTarget(t), store, address),
+		startAgent(t, newTarget(t), store, address),
+	}
+	for _, b := range gang {
+		b.ready(t)
+	}
+	t.Run("reports every member from the root", func(t *testing.T) {
+		is := is.New(t)
+		req := attempt("r1.gang", echo, gang...)
+		prepare(t, req, gang...)
+		open(t, req, gang...)
+		eventually(t, "outcome is reported", func() bool { return k.outcome("r1.gang") != nil })
+		reports := k.outcome("r1.gang").GetReports()
+		is.Equal(len(reports), len(gang))
+		for _, r := range reports {
+			is.Equal(r.GetProgress(), sesamewire.Progress_PROGRESS_DONE)
+			assertStored(t, gang[0], r.GetResults(), echo)
+		}
+	})
+	t.Run("runs on while every member renews", func(t *testing.T) {
+		req := attempt("r1.long", `{"work":"echo","run":"1500ms"}`, gang...)
+		prepare(t, req, gang...)
+		open(t, req, gang...)
+		eventually(t, "outcome is reported", func() bool { return k.outcome("r1.long") != nil })
+		for _, r := range k.outcome("r1.long").GetReports() {
+			is.New(t).Equal(r.GetProgress(), sesamewire.Progress_PROGRESS_DONE)
+		}
+	})
+	t.Run("stops when a member is stopped", func(t *testing.T) {
+		req := attempt("r1.broken", hang, gang...)
+		prepare(t, req, gang...)
+		open(t, req, gang...)
+		_, err := gang[2].client.Stop(t.Context(), &sesamewire.StopRequest{
+			Id: req.GetId(),
+		})
+		is.New(t).NoErr(err)
+		eventually(t, "outcome is reported", func() bool { return k.outcome("r1.broken") != nil })
+		for _, b := range gang {
+			is.New(t).Equal(b.phase(t, "r1.broken"), sesametarget.PhaseStopped)
+		}
+	})
+}
+
+func TestAgentMakesRoom(t *testing.T) {
+	is := is.New(t)
+	_, address := serveKeeper(t)
+	b := startAgent(t, newTarget(t), newObjects(), address)
+	b.ready(t)
+	victim := attempt("r1.victim", hang, b)
+	prepare(t, victim, b)
+	open(t, victim, b)
+	urgent := attempt("r1.urgent", echo, b)
+	urgent.Evict = []*sesamewire.AttemptID{victim.GetId()}
+	prepare(t, urgent, b)
+	is.Equal(b.phase(t, "r1.victim"), sesametarget.PhaseStopped)
+	open(t, urgent, b)
+}
+
+func TestAgentLeaves(t *testing.T) {
+	is := is.New(t)
+	k, address := serveKeeper(t)
+	b := startAgent(t, newTarget(t), newObjects(), address)
+	b.ready(t)
+	req := attempt("r1.open", `{"work":"echo","run":"700ms"}`, b)
+	prepare(t, req, b)
+	open(t, req, b)
+	b.stop()
+	eventually(t, "keeper knows", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return len(k.beats) > 0 && k.beats[len(k.beats)-1].GetLeaving()
+	})
+	reply, err := b.client.Prepare(t.Context(), attempt("r1.late", echo, b))
+	is.NoErr(err)
+	is.Equal(reply.GetRefusal(), sesamewire.Refusal_REFUSAL_LEAVING)
+	is.NoErr(b.group.Wait())
+	is.Equal(k.outcome("r1.open").GetReports()[0].GetProgress(), sesamewire.Progress_PROGRESS_DONE)
+}
+
+func TestAgentFollowsKeeper(t *testing.T) {
+	t.Run("to the entry that it is told of", func(t *testing.T) {
+		first, a := serveKeeper(t)
+		second, other := serveKeeper(t)
+		first.set(func(k *keeper) { k.refer = other })
+		b := startAgent(t, newTarget(t), newObjects(), a)
+		b.ready(t)
+		is.New(t).True(second.heard() > 0)
+	})
+	t.Run("to another entry when one is silent", func(t *testing.T) {
+		first, a := serveKeeper(t)
+		first.set(func(k *keeper) { k.silent = true })
+		second, other := serveKeeper(t)
+		b := startAgent(t, newTarget(t), newObjects(), a, other)
+		b.ready(t)
+		is.New(t).True(second.heard() > 0)
+	})
+	t.Run("never back to an older epoch", func(t *testing.T) {
+		is := is.New(t)
+		former, a := serveKeeper(t)
+		b := startAgent(t, newTarget(t), newObjects(), a)
+		b.ready(t)
+		_, err := b.client.Adopt(t.Context(), &sesamewire.AdoptRequest{
+			Cell:    "r1/z1",
+			Address: a,
+			Epoch:   9,
+		})
+		is.NoErr(err)
+		eventually(t, "the former keeper's lease runs out", func() bool { return !b.agent.Ready() })
+		former.set(func(k *keeper) { k.epoch = 9 })
+		b.ready(t)
+	})
+}
+
+func TestAgentRestarts(t *testing.T) {
+	k, address := serveKeeper(t)
+	target := newTarget(t)
+	first := startAgent(t, target, newObjects(), address)
+	first.ready(t)
+	kept := attempt("r1.kept", `{"work":"echo","run":"2s"}`, first)
+	kept.Once = true
+	repeatable := attempt("r1.repeatable", hang, first)
+	repeatable.Members[0].Accelerators = 2
+	for _, req := range []*sesamewire.PrepareRequest{kept, repeatable} {
+		prepare(t, req, first)
+		open(t, req, first)
+	}
+	first.agent.Abort()
+	is.New(t).NoErr(first.group.Wait())
+	second := startAgent(t, target, first.objects, address)
+	eventually(t, "the repeatable task is stopped", func() bool {
+		return second.phase(t, "r1.repeatable") == sesametarget.PhaseStopped
+	})
+	eventually(t, "the kept task is reported", func() bool { return k.outcome("r1.kept") != nil })
+	is.New(t).Equal(k.outcome("r1.kept").GetReports()[0].GetProgress(), sesamewire.Progress_PROGRESS_DONE)
+}
--- /dev/null
+++ b/sesameagent/events.go
@@ -0,0 +1,29 @@
+package sesameagent
+
+import "github.com/sesamestack/sesamestack/sesamelog"
+
+var (
+	eventStarted     = sesamelog.Define(2000, sesamelog.Info, "agent started")
+	eventLeaving     = sesamelog.Define(2001, sesamelog.Info, "agent leaving")
+	eventStopped     = sesamelog.Define(2002, sesamelog.Info, "agent stopped")
+	eventRenewed     = sesamelog.Define(2003, sesamelog.Info, "agent took a new incarnation")
+	eventKeeper      = sesamelog.Define(2010, sesamelog.Info, "heartbeats go to another entry")
+	eventKeeperLost  = sesamelog.Define(2011, sesamelog.Warn, "entry did not answer a heartbeat")
+	eventEpochOld    = sesamelog.Define(2012, sesamelog.Warn, "grant of a former keeper refused")
+	eventTargetLost  = sesamelog.Define(2020, sesamelog.Warn, "target does not take its lease")
+	eventTargetBack  = sesamelog.Define(2021, sesamelog.Info, "target takes its lease again")
+	eventPrepared    = sesamelog.Define(2030, sesamelog.Debug, "attempt prepared")
+	eventRefused     = sesamelog.Define(2031, sesamelog.Info, "attempt refused")
+	eventOpened      = sesamelog.Define(2032, sesamelog.Info, "attempt opened")
+	eventEnded       = sesamelog.Define(2033, sesamelog.Info, "attempt ended")
+	eventReported    = sesamelog.Define(2034, sesamelog.Debug, "outcome recorded")
+	eventUnreported  = sesamelog.Define(2035, sesamelog.Warn, "outcome not recorded, to be sent again")
+	eventAdopted     = sesamelog.Define(2036, sesamelog.Info, "task of an earlier incarnation watched")
+	eventCleared     = sesamelog.Define(2037, sesamelog.Info, "task of an earlier incarnation stopped")
+	eventStartFailed = sesamelog.Define(2040, sesamelog.Warn, "task not started")
+	eventHaltFailed  = sesamelog.Define(2041, sesamelog.Warn, "task not stopped, to be tried again")
+	eventSaveFailed  = sesamelog.Define(2042, sesamelog.Warn, "output not stored, to be tried again")
+	eventPollFailed  = sesamelog.Define(2043, sesamelog.Warn, "tasks could not be listed")
+	eventBeatFailed  = sesamelog.Define(2050, sesamelog.Warn, "parent in the gang did not answer")
+	eventRingFull    = sesamelog.Define(2060, sesamelog.Warn, "duty is behind, effect repeated later")
+)
--- /dev/null
+++ b/sesameagent/finishing.go
@@ -0,0 +1,88 @@
+package sesameagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamegang"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// finishing reports outcomes until ctx ends.
+func (a *Agent) finishing(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s, now, changed := a.state.read()
+		for _, outcome := range s.Outcomes(now) {
+			a.finish(ctx, sesamegang.KeyOf(outcome.GetId()))
+		}
+		timer := a.deps.Clock.NewTimer(a.settings.Leases.Heartbeat)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.Chan():
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// finish reports the outcome of one attempt until it is recorded.
+func (a *Agent) finish(ctx context.Context, k sesamegang.AttemptKey) {
+	work := "finish:" + string(taskID(k, 0))
+	if !a.tasks.claim(work) {
+		return
+	}
+	a.group.Go(func() error {
+		defer a.tasks.release(work)
+		wait := retries()
+		for try := 0; ; try++ {
+			done, err := a.report(ctx, k, try)
+			if done {
+				return nil
+			}
+			if err != nil {
+				a.deps.Log.Emit(eventUnreported, sesamelog.Fields{
+					"job":     k.Job,
+					"attempt": k.Attempt,
+					"error":   err,
+				})
+			}
+			if a.pause(ctx, wait.NextBackOff()) != nil {
+				return nil
+			}
+		}
+	})
+}
+
+// report sends an outcome once, to the keeper first and then to the entries in
+// turn; true means that there is no more to report.
+func (a *Agent) report(ctx context.Context, k sesamegang.AttemptKey, try int) (bool, error) {
+	s, now, _ := a.state.read()
+	var outcome *sesamewire.FinishRequest
+	for _, o := range s.Outcomes(now) {
+		if sesamegang.KeyOf(o.GetId()) == k {
+			outcome = o
+		}
+	}
+	if outcome == nil {
+		return true, nil
+	}
+	outcome.Target = a.settings.ID
+	address, _ := a.keeper.current()
+	if try > 0 && len(a.settings.Entries) > 0 {
+		address = a.settings.Entries[try%len(a.settings.Entries)]
+	}
+	reply, err := a.deps.Dialer.Keeper(address).Finish(ctx, outcome)
+	if err != nil || !reply.GetRecorded() {
+		return false, err
+	}
+	a.state.apply(func(_ time.Duration, s sesamegang.Agent) (sesamegang.Agent, sesamegang.Effects) {
+		return s.Recorded(k), sesamegang.Effects{}
+	})
+	a.deps.Log.Emit(eventReported, sesamelog.Fields{
+		"job":     k.Job,
+		"attempt": k.Attempt,
+	})
+	return true, nil
+}
--- /dev/null
+++ b/sesameagent/helpers_test.go
@@ -0,0 +1,345 @@
+package sesameagent_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesameagent"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametable"
+	"github.com/sesamestack/sesamestack/sesametarget"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// testLeases are short, so that a test sees them lapse; their proportions are
+// the deployment's.
+var testLeases = sesamesettings.Leases{
+	Heartbeat: 100 * time.Millisecond,
+	Lease:     500 * time.Millisecond,
+	Margin:    50 * time.Millisecond,
+	Grace:     100 * time.Millisecond,
+}
+
+const patience = 20 * time.Second
+
+// objects is an object store in memory.
+type objects struct {
+	mu   sync.Mutex
+	rows map[string][]byte
+}
+
+func (o *objects) PutObject(_ context.Context, key string, body []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.rows[key] = body
+	return nil
+}
+
+func (o *objects) GetObject(_ context.Context, key string) (io.ReadCloser, int64, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	body, ok := o.rows[key]
+	if !ok {
+		return nil, 0, &sesametable.NotFoundError{
+			Key: key,
+		}
+	}
+	return io.NopCloser(bytes.NewReader(body)), int64(len(body)), nil
+}
+
+// keeper is a fake entry.
+type keeper struct {
+	sesamewire.DRPCKeeperUnimplementedServer
+	lease time.Duration
+
+	mu       sync.Mutex
+	silent   bool
+	refer    string
+	epoch    uint64
+	beats    []*sesamewire.HeartbeatRequest
+	finishes []*sesamewire.FinishRequest
+	refuse   int
+}
+
+func (k *keeper) Heartbeat(_ context.Context, req *sesamewire.HeartbeatRequest) (*sesamewire.HeartbeatReply, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.silent {
+		return nil, io.ErrUnexpectedEOF
+	}
+	k.beats = append(k.beats, req)
+	if k.refer != "" {
+		return &sesamewire.HeartbeatReply{
+			Keeper: k.refer,
+		}, nil
+	}
+	return &sesamewire.HeartbeatReply{
+		LeaseMs: k.lease.Milliseconds(),
+		Epoch:   k.epoch,
+		Known:   true,
+	}, nil
+}
+
+func (k *keeper) Finish(_ context.Context, req *sesamewire.FinishRequest) (*sesamewire.FinishReply, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.finishes = append(k.finishes, req)
+	if k.refuse > 0 {
+		k.refuse--
+		return nil, io.ErrUnexpectedEOF
+	}
+	return &sesamewire.FinishReply{
+		Recorded: true,
+	}, nil
+}
+
+func (k *keeper) set(f func(k *keeper)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f(k)
+}
+
+func (k *keeper) heard() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.beats)
+}
+
+func (k *keeper) outcome(job string) *sesamewire.FinishRequest {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, f := range k.finishes {
+		if f.GetId().GetJob() == job {
+			return f
+		}
+	}
+	return nil
+}
+
+// process is something that serves until it is stopped.
+type process struct {
+	stop  context.CancelFunc
+	group errgroup.Group
+}
+
+func (p *process) run(t *testing.T, f func(ctx context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	p.group.Go(func() error { return f(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		if err := p.group.Wait(); err != nil {
+			t.Errorf("process ended: %v", err)
+		}
+	})
+}
+
+// serveKeeper returns a fake entry and its address.
+func serveKeeper(t *testing.T) (*keeper, string) {
+	t.Helper()
+	k := &keeper{
+		lease: testLeases.Lease,
+		epoch: 1,
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server := sesamewire.NewServer(time.Second)
+	is.New(t).NoErr(sesamewire.DRPCRegisterKeeper(server.Mux(), k))
+	new(process).run(t, func(ctx context.Context) error {
+		return server.Serve(ctx, listener)
+	})
+	return k, listener.Addr().String()
+}
+
+// bench is an agent with its stand-in target.
+type bench struct {
+	process
+	agent   *sesameagent.Agent
+	target  *sesametarget.Client
+	objects *objects
+	client  sesamewire.DRPCAgentClient
+	address string
+	id      string
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// newTarget serves a stand-in worker and returns its address.
+func newTarget(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(sesamestandin.NewTarget(clockwork.NewRealClock(), sesametarget.Description{
+		Kind: sesamemodel.Worker,
+		Capacity: sesamemodel.Resources{
+			Cores:        64,
+			Memory:       1 << 16,
+			Accelerators: 8,
+			Slots:        8,
+		},
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// startAgent runs an agent beside the target until the test ends.
+func startAgent(t *testing.T, target string, store *objects, entries ...string) *bench {
+	t.Helper()
+	address := freeAddress(t)
+	settings := sesamesettings.DefaultAgent()
+	settings.ID = "worker-" + address
+	settings.Wire = address
+	settings.Entries = entries
+	settings.Leases = testLeases
+	settings.Place.Region = "r1"
+	settings.Place.Zone = "z1"
+	dialer := sesamewire.NewDialer(sesamewire.DialOptions{})
+	t.Cleanup(func() { _ = dialer.Close() })
+	b := &bench{
+		target:  sesametarget.NewClient(target, http.DefaultClient),
+		objects: store,
+		client:  dialer.Agent(address),
+		address: address,
+		id:      settings.ID,
+	}
+	b.agent = sesameagent.New(settings, sesameagent.Deps{
+		Target:  b.target,
+		Objects: store,
+		Dialer:  dialer,
+		Clock:   clockwork.NewRealClock(),
+		Log:     sesamelog.Discard(),
+		Scope:   tally.NoopScope,
+	})
+	b.run(t, b.agent.Run)
+	return b
+}
+
+func newObjects() *objects {
+	return &objects{
+		rows: map[string][]byte{},
+	}
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !f() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("not within %v: %s", patience, what)
+		case <-ticker.C:
+		}
+	}
+}
+
+func (b *bench) ready(t *testing.T) {
+	t.Helper()
+	eventually(t, "agent is ready", b.agent.Ready)
+}
+
+// attempt builds the request for a gang with one task on each agent.
+func attempt(job string, script string, members ...*bench) *sesamewire.PrepareRequest {
+	req := &sesamewire.PrepareRequest{
+		Id: &sesamewire.AttemptID{
+			Job:     job,
+			Attempt: 1,
+		},
+		Team: "weavers",
+		Task: &sesamewire.Resources{
+			Cores:        1,
+			Accelerators: 1,
+		},
+		Payload: "payload/" + job,
+		GraceMs: testLeases.Grace.Milliseconds(),
+		HoldMs:  5000,
+	}
+	for i, b := range members {
+		_ = b.objects.PutObject(context.Background(), req.GetPayload(), []byte(script))
+		req.Members = append(req.Members, &sesamewire.Member{
+			Target:       b.id,
+			Address:      b.address,
+			Incarnation:  b.agent.Incarnation(),
+			First:        int32(i),
+			Tasks:        1,
+			Accelerators: 1,
+		})
+	}
+	return req
+}
+
+func forMember(req *sesamewire.PrepareRequest, i int) *sesamewire.PrepareRequest {
+	return &sesamewire.PrepareRequest{
+		Id:      req.GetId(),
+		Team:    req.GetTeam(),
+		Member:  int32(i),
+		Members: req.GetMembers(),
+		Task:    req.GetTask(),
+		Once:    req.GetOnce(),
+		Payload: req.GetPayload(),
+		Evict:   req.GetEvict(),
+		GraceMs: req.GetGraceMs(),
+		HoldMs:  req.GetHoldMs(),
+	}
+}
+
+func prepare(t *testing.T, req *sesamewire.PrepareRequest, members ...*bench) {
+	t.Helper()
+	is := is.New(t)
+	for i, b := range members {
+		reply, err := b.client.Prepare(t.Context(), forMember(req, i))
+		is.NoErr(err)
+		is.Equal(reply.GetDetail(), "")
+		is.Equal(reply.GetRefusal(), sesamewire.Refusal_REFUSAL_NONE)
+	}
+}
+
+func open(t *testing.T, req *sesamewire.PrepareRequest, members ...*bench) {
+	t.Helper()
+	is := is.New(t)
+	for _, b := range members {
+		reply, err := b.client.Open(t.Context(), &sesamewire.OpenRequest{
+			Id:          req.GetId(),
+			Incarnation: b.agent.Incarnation(),
+		})
+		is.NoErr(err)
+		is.Equal(reply.GetDetail(), "")
+		is.Equal(reply.GetRefusal(), sesamewire.Refusal_REFUSAL_NONE)
+	}
+}
+
+func (b *bench) phase(t *testing.T, job string) sesametarget.Phase {
+	t.Helper()
+	statuses, err := b.target.Tasks(t.Context())
+	is.New(t).NoErr(err)
+	for _, s := range statuses {
+		if bytes.HasPrefix([]byte(s.ID), []byte(fmt.Sprintf("%s:", job))) {
+			return s.Phase
+		}
+	}
+	return ""
+}
--- a/sesamegang/agent.go
+++ b/sesamegang/agent.go
@@ -30,8 +30,6 @@
 type AgentOptions struct {
 	Incarnation string
 	Times       Times
-	// Slots bounds the slots of all attempts together; 0 means no bound.
-	Slots int
 }
 
 // Agent is the state of all attempts on one agent. It is immutable: each method
@@ -64,7 +62,6 @@
 	return Agent{
 		incarnation: o.Incarnation,
 		times:       o.Times,
-		slots:       o.Slots,
 		members:     map[AttemptKey]Member{},
 		tombs:       &tombstones{},
 	}
@@ -87,6 +84,13 @@
 	return max(a.lease-now, 0)
 }
 
+// WithSlots returns the agent with a bound on the slots of all attempts
+// together; 0 means none.
+func (a Agent) WithSlots(slots int) Agent {
+	a.slots = slots
+	return a
+}
+
 // WithLeaving returns the agent refusing new work.
 func (a Agent) WithLeaving() Agent {
 	a.leaving = true
--- a/sesamegang/member.go
+++ b/sesamegang/member.go
@@ -65,8 +65,9 @@
 	Need                *sesamewire.Resources
 	Accelerators        uint64
 	Once                bool
-	Payload             string
 	Phase               Phase
+	// Input is what each task is given; it must not be changed.
+	Input []byte
 	// Adopted is true for an attempt that an earlier incarnation started.
 	Adopted bool
 	// Prepared and Opened are the readings at those steps.
@@ -111,10 +112,10 @@
 
 // Progress returns how far the member has come.
 func (m Member) Progress() sesamewire.Progress {
-	switch {
-	case m.Phase == Prepared:
+	switch m.Phase {
+	case Prepared:
 		return sesamewire.Progress_PROGRESS_PREPARED
-	case m.Phase == Ended:
+	case Ended:
 		return m.report.GetProgress()
 	}
 	return sesamewire.Progress_PROGRESS_RUNNING
@@ -143,6 +144,7 @@
 	m.ends = append(append([]TaskEnd{}, m.ends...), end)
 	if len(m.ends) == m.Tasks {
 		m.Phase = Ended
+		m.Input = nil
 		m.report = m.conclude()
 	}
 	return m
--- a/sesamegang/prepare.go
+++ b/sesamegang/prepare.go
@@ -47,7 +47,6 @@
 		Need:         req.GetTask(),
 		Accelerators: own.GetAccelerators(),
 		Once:         req.GetOnce(),
-		Payload:      req.GetPayload(),
 		Prepared:     now,
 		hold:         now + milliseconds(req.GetHoldMs()),
 		relay:        newRelay(i, req.GetMembers()),
@@ -65,8 +64,8 @@
 }
 
 // Prepare holds resources for one attempt after it has stopped the attempts
-// that make room for it.
-func (a Agent) Prepare(now time.Duration, req *sesamewire.PrepareRequest) (Agent, Effects, Verdict) {
+// that make room for it. The input is what req.Payload names.
+func (a Agent) Prepare(now time.Duration, req *sesamewire.PrepareRequest, input []byte) (Agent, Effects, Verdict) {
 	m, invalid := newMember(now, req)
 	if invalid != "" {
 		return a, Effects{}, refuse(sesamewire.Refusal_REFUSAL_TARGET, "%s", invalid)
@@ -84,6 +83,7 @@
 	if v.Wait || v.Refusal != sesamewire.Refusal_REFUSAL_NONE {
 		return a, effects, v
 	}
+	m.Input = input
 	return a.with(m), effects, Verdict{}
 }
 
--- a/sesamestandin/task.go
+++ b/sesamestandin/task.go
@@ -78,6 +78,7 @@
 		status: sesametarget.Status{
 			ID:    t.ID,
 			Phase: sesametarget.PhaseRunning,
+			Keep:  t.Keep,
 			Used:  t.Need,
 		},
 	}
--- a/sesamewire/dial.go
+++ b/sesamewire/dial.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -102,7 +104,8 @@
 func (d *Dialer) conn(address string) drpc.Conn {
 	return &timedConn{
 		Conn:    d.pool.Get(context.Background(), address, d.open),
-		timeout: d.timeout,
+		dialer:  d,
+		address: address,
 	}
 }
 
@@ -117,15 +120,41 @@
 	return drpcconn.New(transport), nil
 }
 
+// isBroken reports whether a call failed because its connection was closed.
+func isBroken(err error) bool {
+	var dial *DialError
+	if errors.As(err, &dial) {
+		return false
+	}
+	var transport *net.OpError
+	return drpc.ClosedError.Has(err) ||
+		errors.As(err, &transport) ||
+		errors.Is(err, io.EOF) ||
+		errors.Is(err, context.Canceled)
+}
+
 // timedConn gives every call a deadline.
 type timedConn struct {
 	drpc.Conn
-	timeout time.Duration
+	dialer  *Dialer
+	address string
 }
 
-// Invoke makes one call within the timeout.
+// Invoke makes one call within the timeout. An unused connection may have been
+// closed by the other side, which shows only when it is used; every call of
+// this package is idempotent, so it is made again on a new connection.
 func (c *timedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.dialer.timeout)
 	defer cancel()
-	return c.Conn.Invoke(ctx, rpc, enc, in, out)
+	err := c.Conn.Invoke(ctx, rpc, enc, in, out)
+	if err == nil || ctx.Err() != nil || !isBroken(err) {
+		return err
+	}
+	conn, err := c.dialer.open(ctx, c.address)
+	if err != nil {
+		return err
+	}
+	err = conn.Invoke(ctx, rpc, enc, in, out)
+	c.dialer.pool.Put(c.address, conn)
+	return err
 }
--- a/sesamewire/serve.go
+++ b/sesamewire/serve.go
@@ -12,6 +12,10 @@
 	"storj.io/drpc/drpcserver"
 )
 
+// linger is how long connections stay open after the last call, so that its
+// reply and the client's closing of the call pass before they end.
+const linger = 100 * time.Millisecond
+
 // Server serves the services registered with its Mux.
 type Server struct {
 	mux   *drpcmux.Mux
@@ -56,6 +60,9 @@
 		<-ctx.Done()
 		_ = listener.Close()
 		s.calls.wait(s.drain)
+		rest, done := context.WithTimeout(serving, linger)
+		defer done()
+		<-rest.Done()
 		cancel()
 		return nil
 	})
@@ -106,12 +113,12 @@
 
 // wait returns when no call is in progress, at the latest after limit.
 func (c *inflight) wait(limit time.Duration) {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
 	for c.busy() {
 		select {
 		case <-c.idle:
-		case <-timer.C:
+		case <-ctx.Done():
 			return
 		}
 	}
