--- a/sesamekeeper/service.go
+++ b/sesamekeeper/service.go
@@ -37,8 +37,8 @@
 
 // Roster says which entry should keep a cell.
 type Roster interface {
-	// Preferred returns the live entries, the most preferred for key first.
-	Preferred(key string) []sesamemodel.Member
+	// First returns the live entry that should keep the cell.
+	First(cell string) sesamemodel.Member
 }
 
 // Dialer reaches agents.
@@ -80,14 +80,12 @@
 	reply := &sesamewire.HeartbeatReply{
 		Contracts: s.options.Contracts(),
 	}
-	preferred := s.options.Roster.Preferred(req.GetCell())
-	elsewhere := len(preferred) > 0 && preferred[0].ID != s.options.Self.ID
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if elsewhere {
-		reply.Keeper = preferred[0].Address
+	if keeper := s.options.Roster.First(req.GetCell()); keeper.ID != s.options.Self.ID {
+		reply.Keeper = keeper.Address
 		return reply
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	grant := s.book.Heartbeat(s.options.Clock.Now(), beatOf(req))
 	reply.LeaseMs = grant.Lease.Milliseconds()
 	reply.Epoch = grant.Epoch
@@ -126,8 +124,7 @@
 // Consider takes over the cell if this entry is the preferred keeper and the
 // row names another, and yields it when another entry has taken it.
 func (s *Service) Consider(cell sesamemodel.Cell) {
-	preferred := s.options.Roster.Preferred(string(cell.ID))
-	mine := len(preferred) > 0 && preferred[0].ID == s.options.Self.ID
+	mine := s.leads(cell.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -177,6 +174,9 @@
 	if err != nil {
 		return err
 	}
+	if s.moved(row.Value) {
+		return nil
+	}
 	s.mu.Lock()
 	next, changed := s.book.Next(row.Value)
 	s.mu.Unlock()
@@ -195,6 +195,21 @@
 	return nil
 }
 
+// moved yields a cell that another entry keeps by the row and by preference.
+func (s *Service) moved(row sesamemodel.Cell) bool {
+	if row.Keeper == s.options.Self.ID || s.leads(row.ID) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Yield(row.ID)
+	return true
+}
+
+func (s *Service) leads(cell sesamemodel.CellID) bool {
+	return s.options.Roster.First(string(cell)).ID == s.options.Self.ID
+}
+
 // newCell returns the row of a cell that no target has announced before.
 func (s *Service) newCell(id sesamemodel.CellID) sesamestore.Versioned[sesamemodel.Cell] {
 	region, _, _ := strings.Cut(string(id), "/")
