Benchmark the table's calls over loopback, test the target client's errors

go test ./sesametable -run xxx -bench . -benchtime 1s, client and stand-in in one process: get of 300 B 162 us and 108 allocations, commit of 1 row 174 us and 135, of 4 rows 276 us and 174, scan of 500 rows 5.6 ms and 3692, commits in parallel 21 us each.

--- a/sesamestandin/target_test.go
+++ b/sesamestandin/target_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 		Capacity: sesamemodel.Resources{
 			Cores:        8,
 			Accelerators: 2,
+			Slots:        2,
 		},
 	}))
 	t.Cleanup(server.Close)
@@ -144,6 +146,35 @@
 		assertBody(is, url+"/v1/violations", `"count":1`)
 	})
 
+	t.Run("more slots than an executor has are refused", func(t *testing.T) {
+		is := is.New(t)
+		_, client, _ := startTarget(t)
+		is.NoErr(client.Renew(ctx, lease("a1", time.Minute)))
+		for job, want := range []bool{true, true, false} {
+			task := taskOf(strconv.Itoa(job), 0, hang)
+			task.Need = sesamemodel.Resources{Slots: 1}
+			is.Equal(client.Start(ctx, task) == nil, want)
+		}
+	})
+
+	t.Run("more connections than a target has are refused", func(t *testing.T) {
+		is := is.New(t)
+		clock, client, url := startTarget(t)
+		response, err := http.Post(url+"/v1/pause", "application/json", strings.NewReader(`{"ms":3000}`))
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		for range 60 {
+			background(t, func() {
+				_, _ = client.Tasks(ctx)
+			})
+		}
+		is.NoErr(clock.BlockUntilContext(ctx, 60))
+		_, err = client.Tasks(ctx)
+		var full *sesametarget.BusyError
+		is.True(errors.As(err, &full))
+		clock.Advance(3 * time.Second)
+	})
+
 	t.Run("output follows from payload and rank", func(t *testing.T) {
 		is := is.New(t)
 		clock, client, _ := startTarget(t)
--- /dev/null
+++ b/sesametable/bench_test.go
@@ -0,0 +1,129 @@
+package sesametable_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+// benchClient returns a client without rate limits, over loopback HTTP, of a
+// table with rows of size bytes.
+func benchClient(b *testing.B, rows, size int) *sesametable.Client {
+	b.Helper()
+	store := sesamestandin.NewStore(clockwork.NewRealClock())
+	server := httptest.NewServer(sesamestandin.NewPlatform(store, sesamelog.Discard()))
+	b.Cleanup(server.Close)
+	client := sesametable.NewClient(sesametable.Options{
+		Platform: sesamesettings.Platform{
+			URL:     server.URL,
+			Timeout: 10 * time.Second,
+		},
+	})
+	for row := range rows {
+		must(b, client.Commit(b.Context(), puts(sesametable.Put{
+			Key:   benchKey(row),
+			Value: make([]byte, size),
+		})))
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	return client
+}
+
+func benchKey(row int) string {
+	return fmt.Sprintf("row/%06d", row)
+}
+
+func must(b *testing.B, err error) {
+	b.Helper()
+	if err != nil {
+		b.Fatal(err)
+	}
+}
+
+func BenchmarkGet(b *testing.B) {
+	for _, size := range []int{300, 8 << 10} {
+		b.Run(fmt.Sprintf("%dB", size), func(b *testing.B) {
+			client := benchClient(b, 1, size)
+			for b.Loop() {
+				_, err := client.Get(b.Context(), benchKey(0))
+				must(b, err)
+			}
+		})
+	}
+}
+
+func BenchmarkScan(b *testing.B) {
+	for _, rows := range []int{1, 100, 500} {
+		b.Run(fmt.Sprintf("%drows", rows), func(b *testing.B) {
+			client := benchClient(b, rows, 300)
+			for b.Loop() {
+				_, err := client.Scan(b.Context(), "row/", "", rows)
+				must(b, err)
+			}
+		})
+	}
+}
+
+func BenchmarkCommit(b *testing.B) {
+	for _, rows := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("%drows", rows), func(b *testing.B) {
+			client := benchClient(b, rows, 300)
+			version := uint64(0)
+			for b.Loop() {
+				version++
+				must(b, client.Commit(b.Context(), benchTransaction(rows, version)))
+			}
+		})
+	}
+}
+
+func benchTransaction(rows int, version uint64) sesametable.Transaction {
+	var t sesametable.Transaction
+	for row := range rows {
+		t.Puts = append(t.Puts, sesametable.Put{
+			Key:     benchKey(row),
+			Version: version,
+			Value:   make([]byte, 300),
+		})
+	}
+	return t
+}
+
+func BenchmarkCommitParallel(b *testing.B) {
+	client := benchClient(b, 0, 0)
+	var next atomic.Int64
+	b.RunParallel(func(p *testing.PB) {
+		key := fmt.Sprintf("worker/%d", next.Add(1))
+		version := uint64(0)
+		for p.Next() {
+			must(b, client.Commit(context.Background(), puts(put(key, version))))
+			version++
+		}
+	})
+}
+
+func BenchmarkObject(b *testing.B) {
+	body := bytes.Repeat([]byte("x"), 1<<20)
+	client := benchClient(b, 0, 0)
+	for b.Loop() {
+		must(b, client.PutObject(b.Context(), "result", body))
+		read, _, err := client.GetObject(b.Context(), "result")
+		must(b, err)
+		_, err = io.Copy(io.Discard, read)
+		must(b, err)
+		must(b, read.Close())
+	}
+}
