--- a/sesametable/client.go
+++ b/sesametable/client.go
@@ -97,7 +97,7 @@
 // PutObject stores an object and repeats the call until it is answered: the
 // same bytes under the same key do no harm twice.
 func (c *Client) PutObject(ctx context.Context, key string, body []byte) error {
-	return c.repeat(ctx, c.options.Patience, func() error {
+	return c.repeat(ctx, c.ordinary(), func() error {
 		err := c.guard.PutObject(ctx, key, body)
 		if isOutcomeUnknown(err) {
 			return unavailable("putobject", err)
@@ -110,7 +110,7 @@
 func (c *Client) GetObject(ctx context.Context, key string) (io.ReadCloser, int64, error) {
 	var body io.ReadCloser
 	var length int64
-	err := c.repeat(ctx, c.options.Patience, func() error {
+	err := c.repeat(ctx, c.ordinary(), func() error {
 		var err error
 		body, length, err = c.guard.GetObject(ctx, key)
 		return err
--- a/sesametable/envelope.go
+++ b/sesametable/envelope.go
@@ -1,8 +1,10 @@
 package sesametable
 
 import (
+	"fmt"
 	"slices"
 
+	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -13,22 +15,22 @@
 // as they stood at one version.
 type history struct {
 	version uint64
-	tokens  []string
+	tokens  []uuid.UUID
 }
 
 // after returns the history once the write with that token has taken effect.
-func (h history) after(token string) history {
-	tokens := append([]string{token}, h.tokens...)
+func (h history) after(token uuid.UUID) history {
+	tokens := append([]uuid.UUID{token}, h.tokens...)
 	return history{
 		version: h.version + 1,
 		tokens:  tokens[:min(len(tokens), maxTokens)],
 	}
 }
 
-// newest returns the token that wrote this version, or an empty string.
-func (h history) newest() string {
+// newest returns the token that wrote this version, or uuid.Nil.
+func (h history) newest() uuid.UUID {
 	if len(h.tokens) == 0 {
-		return ""
+		return uuid.Nil
 	}
 	return h.tokens[0]
 }
@@ -54,13 +56,13 @@
 )
 
 // standingOf looks for the write with that token, which expected the row as
-// the write with the token previous left it; previous is empty when the row
+// the write with the token previous left it; previous is uuid.Nil when the row
 // was expected to be absent.
-func (h history) standingOf(token, previous string) standing {
+func (h history) standingOf(token, previous uuid.UUID) standing {
 	if slices.Contains(h.tokens, token) {
 		return applied
 	}
-	if previous == "" {
+	if previous == uuid.Nil {
 		if h.complete() {
 			return absent
 		}
@@ -77,25 +79,56 @@
 }
 
 func seal(h history, value []byte) ([]byte, error) {
+	packed := make([]byte, 0, len(h.tokens)*len(uuid.Nil))
+	for _, token := range h.tokens {
+		packed = append(packed, token[:]...)
+	}
 	return proto.Marshal(&Envelope{
-		Tokens: h.tokens,
+		Tokens: packed,
 		Value:  value,
 	})
 }
 
+// TokensError says that a row's tokens cannot be told apart.
+type TokensError struct {
+	Length int
+}
+
+// Error names the length of all tokens, in bytes.
+func (e *TokensError) Error() string {
+	return fmt.Sprintf("%d bytes are no whole number of tokens", e.Length)
+}
+
 // open returns the row with its inner value, and its history.
 func open(row Row) (Row, history, error) {
 	var e Envelope
-	if err := proto.Unmarshal(row.Value, &e); err != nil {
+	err := proto.Unmarshal(row.Value, &e)
+	h := history{
+		version: row.Version,
+	}
+	if err == nil {
+		h.tokens, err = unpack(e.GetTokens())
+	}
+	if err != nil {
 		return Row{}, history{}, &EnvelopeError{
 			Key:   row.Key,
 			Cause: err,
 		}
 	}
-	h := history{
-		version: row.Version,
-		tokens:  e.GetTokens(),
-	}
 	row.Value = e.GetValue()
 	return row, h, nil
 }
+
+func unpack(packed []byte) ([]uuid.UUID, error) {
+	size := len(uuid.Nil)
+	if len(packed)%size != 0 {
+		return nil, &TokensError{
+			Length: len(packed),
+		}
+	}
+	tokens := make([]uuid.UUID, 0, len(packed)/size)
+	for part := range slices.Chunk(packed, size) {
+		tokens = append(tokens, uuid.UUID(part))
+	}
+	return tokens, nil
+}
--- a/sesametable/retry.go
+++ b/sesametable/retry.go
@@ -30,7 +30,8 @@
 	Clock clockwork.Clock
 	Log   *sesamelog.Logger
 	// Patience and Resolution; 0 means the defaults. A call's context may
-	// end it sooner.
+	// end it sooner. A commit that has to read rows back after it got its
+	// answer may take twice Resolution.
 	Patience   time.Duration
 	Resolution time.Duration
 }
@@ -72,7 +73,7 @@
 // Get returns the row as Table.Get does; it repeats a failed read.
 func (r *Retrying) Get(ctx context.Context, key string) (Row, error) {
 	var row Row
-	err := r.repeat(ctx, r.options.Patience, func() error {
+	err := r.repeat(ctx, r.ordinary(), func() error {
 		var err error
 		row, err = r.raw.Get(ctx, key)
 		return err
@@ -86,7 +87,7 @@
 // Scan returns rows as Table.Scan does; it repeats a failed read.
 func (r *Retrying) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	var rows []Row
-	err := r.repeat(ctx, r.options.Patience, func() error {
+	err := r.repeat(ctx, r.ordinary(), func() error {
 		var err error
 		rows, err = r.raw.Scan(ctx, prefix, after, limit)
 		return err
@@ -136,7 +137,7 @@
 
 // write is one transaction with all that settles its outcome.
 type write struct {
-	token  string
+	token  uuid.UUID
 	sealed Transaction
 	// histories of the rows put, as they are before the write.
 	histories map[string]history
@@ -145,7 +146,7 @@
 // prepare seals the values with the token and the tokens of earlier writes.
 func (r *Retrying) prepare(ctx context.Context, t Transaction) (write, error) {
 	w := write{
-		token:     uuid.NewString(),
+		token:     uuid.New(),
 		histories: make(map[string]history, len(t.Puts)),
 	}
 	w.sealed = Transaction{
@@ -212,12 +213,14 @@
 // attempt repeats the sealed transaction until its outcome is known.
 func (r *Retrying) attempt(ctx context.Context, w write) error {
 	lost := false
+	e := r.ordinary()
 	started := r.options.Clock.Now()
 	waits := newBackoff()
 	for {
 		err := r.raw.Commit(ctx, w.sealed)
 		if isOutcomeUnknown(err) && !lost {
 			lost = true
+			e = r.persistent()
 			r.emit(eventLost, w, err)
 		}
 		if !lost && (!isUnavailable(err) || isBreakerOpen(err)) {
@@ -226,11 +229,7 @@
 		if lost && isDefinite(err) {
 			return r.settle(ctx, w, err)
 		}
-		patience := r.options.Patience
-		if lost {
-			patience = r.options.Resolution
-		}
-		left := patience - r.options.Clock.Since(started)
+		left := e.limit - r.options.Clock.Since(started)
 		if !r.pause(ctx, waits, err, left) {
 			return r.giveUp(w, lost, err)
 		}
@@ -294,9 +293,9 @@
 	return strongest, nil
 }
 
-func (r *Retrying) standing(ctx context.Context, key, token string, before history) (standing, error) {
+func (r *Retrying) standing(ctx context.Context, key string, token uuid.UUID, before history) (standing, error) {
 	var row Row
-	err := r.repeat(ctx, r.options.Resolution, func() error {
+	err := r.repeat(ctx, r.persistent(), func() error {
 		var err error
 		row, err = r.raw.Get(ctx, key)
 		return err
@@ -314,8 +313,30 @@
 	return h.standingOf(token, before.newest()), nil
 }
 
-// repeat calls read until it gets an answer or patience is over.
-func (r *Retrying) repeat(ctx context.Context, patience time.Duration, read func() error) error {
+// effort says how long a call is repeated.
+type effort struct {
+	limit time.Duration
+	// persistent efforts go on while the circuit breaker is open.
+	persistent bool
+}
+
+// ordinary is the effort for calls that had no effect.
+func (r *Retrying) ordinary() effort {
+	return effort{
+		limit: r.options.Patience,
+	}
+}
+
+// persistent is the effort for finding out about a write.
+func (r *Retrying) persistent() effort {
+	return effort{
+		limit:      r.options.Resolution,
+		persistent: true,
+	}
+}
+
+// repeat calls read until it gets an answer or the effort is over.
+func (r *Retrying) repeat(ctx context.Context, e effort, read func() error) error {
 	started := r.options.Clock.Now()
 	waits := newBackoff()
 	for {
@@ -323,10 +344,10 @@
 		if !isUnavailable(err) {
 			return err
 		}
-		if isBreakerOpen(err) && patience == r.options.Patience {
+		if isBreakerOpen(err) && !e.persistent {
 			return err
 		}
-		left := patience - r.options.Clock.Since(started)
+		left := e.limit - r.options.Clock.Since(started)
 		if !r.pause(ctx, waits, err, left) {
 			return err
 		}
@@ -365,28 +386,3 @@
 		"error": err,
 	})
 }
-
-func isNotFound(err error) bool {
-	var missing *NotFoundError
-	return errors.As(err, &missing)
-}
-
-func isUnavailable(err error) bool {
-	var unavailable *UnavailableError
-	return errors.As(err, &unavailable)
-}
-
-func isOutcomeUnknown(err error) bool {
-	var unknown *OutcomeUnknownError
-	return errors.As(err, &unknown)
-}
-
-func isBreakerOpen(err error) bool {
-	var open *BreakerOpenError
-	return errors.As(err, &open)
-}
-
-// isDefinite reports whether an attempt was answered.
-func isDefinite(err error) bool {
-	return !isUnavailable(err) && !isOutcomeUnknown(err)
-}
