--- a/sesameattempt/ledger.go
+++ b/sesameattempt/ledger.go
@@ -42,6 +42,7 @@
 	cells map[sesamemodel.CellID]sesamestore.Versioned[sesamemodel.Cell]
 }
 
+// NewLedger returns a ledger that has seen nothing yet.
 func NewLedger(store Store, clock clockwork.Clock) *Ledger {
 	return &Ledger{
 		store: store,
@@ -75,12 +76,14 @@
 	}
 }
 
+// DropJob forgets the job, so that the next use reads its row.
 func (l *Ledger) DropJob(id sesamemodel.JobID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.jobs, id)
 }
 
+// DropCell forgets the cell, so that the next use reads its row.
 func (l *Ledger) DropCell(id sesamemodel.CellID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/sesameentry/entry.go
+++ b/sesameentry/entry.go
@@ -205,19 +205,20 @@
 // open requests are answered, and the duties end. It returns nil after a
 // graceful stop.
 func (e *Entry) Run(ctx context.Context) error {
-	public, err := listen(e.settings.HTTP)
+	public, err := listen(ctx, e.settings.HTTP)
 	if err != nil {
 		return err
 	}
-	private, err := listen(e.settings.Wire)
+	private, err := listen(ctx, e.settings.Wire)
 	if err != nil {
 		return err
 	}
 	return e.Serve(ctx, public, private)
 }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, &ListenError{
 			Address: address,
--- a/sesameentry/planning_test.go
+++ b/sesameentry/planning_test.go
@@ -329,7 +329,7 @@
 				_, err := ledger.Cell(context.Background(), testCellID)
 				is.NoErr(err)
 			},
-			"wait": func(t *rapid.T) {
+			"wait": func(*rapid.T) {
 				w.clock.Advance(reconcileInterval)
 			},
 			"": func(*rapid.T) {
