Reserve capacity for waiting jobs, correct estimates, judge failures

Cause: a large job could wait for ever behind small ones; declared run times and sizes were taken as given; failures were not told apart.

--- /dev/null
+++ b/sesameplanner/bench_test.go
@@ -0,0 +1,243 @@
+package sesameplanner
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// fleet is a platform of one size with its teams and running work.
+type fleet struct {
+	cells     []sesamemodel.Cell
+	contracts []sesamemodel.Contract
+	jobs      []sesamemodel.Job
+}
+
+const (
+	fleetCell    = 24
+	fleetZones   = 20
+	fleetTeams   = 280
+	tasksAWorker = 15
+)
+
+var plainWorker = sesamemodel.Resources{
+	Cores:  128,
+	Memory: 512000,
+}
+
+// newFleet returns a platform with one worker in seven holding eight
+// accelerators, as 13,000 workers with 15,000 accelerators do, about fifteen
+// tasks on each worker, and guarantees for a third of the accelerators.
+func newFleet(workers int) fleet {
+	var f fleet
+	cells := (workers + fleetCell - 1) / fleetCell
+	accelerated := max(1, cells/7)
+	for i := range cells {
+		capacity := plainWorker
+		if i < accelerated {
+			capacity = gpuWorker
+		}
+		size := min(fleetCell, workers-i*fleetCell)
+		f.cells = append(f.cells, newCell(fmt.Sprintf("c%04d", i), fmt.Sprintf("z%02d", i%fleetZones), size, capacity))
+	}
+	for i := range fleetTeams {
+		f.contracts = append(f.contracts, newContract(fmt.Sprintf("t%03d", i), 1+i%3, 20000))
+	}
+	shapes := accelerated * min(workers, fleetCell) / 3
+	for i := range min(shapes, fleetTeams) {
+		f.contracts[i].Guarantees = []sesamemodel.Shape{shape(1, 8, sesamemodel.SpanWorker)}
+	}
+	cells2, err := Admit(f.contracts, f.cells)
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range cells2 {
+		for i := range f.cells {
+			if f.cells[i].ID == c.ID {
+				f.cells[i] = c
+			}
+		}
+	}
+	f.fill()
+	return f
+}
+
+// fill runs jobs of up to eight workers on every cell.
+func (f *fleet) fill() {
+	for c := range f.cells {
+		cell := &f.cells[c]
+		for i := range len(cell.Targets) * tasksAWorker / 8 {
+			id := fmt.Sprintf("r.%04d-%03d", c, i)
+			accelerators := 0
+			if cell.Targets[0].Capacity.Accelerators > 0 && i%4 == 0 {
+				accelerators = 1
+			}
+			j := newJob(id, fmt.Sprintf("t%03d", (c*31+i)%fleetTeams), 8, accelerators, sesamemodel.SpanZone)
+			j.Spec.Task.Cores = 4
+			j.Spec.Task.Memory = 8000
+			f.run(cell, j, i)
+		}
+	}
+}
+
+func (f *fleet) run(cell *sesamemodel.Cell, j sesamemodel.Job, seed int) {
+	var assignments []sesamemodel.Assignment
+	for k := range j.Spec.Tasks {
+		target := cell.Targets[(seed*8+k)%len(cell.Targets)]
+		var busy uint64
+		for _, a := range cell.Allocations {
+			if a.Target == target.ID {
+				busy |= a.Accelerators
+			}
+		}
+		bits := pick(busy, target.Capacity.Accelerators, j.Spec.Task.Accelerators)
+		assignments = append(assignments, sesamemodel.Assignment{
+			Target:       target.ID,
+			Cell:         cell.ID,
+			First:        k,
+			Tasks:        1,
+			Accelerators: bits,
+		})
+		cell.Allocations = append(cell.Allocations, sesamemodel.Allocation{
+			Job:          j.ID,
+			Attempt:      1,
+			Team:         j.Spec.Team,
+			Target:       target.ID,
+			Tasks:        1,
+			Resources:    j.Spec.Task,
+			Accelerators: bits,
+			Since:        epoch,
+			RunTime:      time.Hour,
+		})
+	}
+	f.jobs = append(f.jobs, j.WithPlacement(epoch, assignments, false))
+}
+
+func (f fleet) planner() *Planner {
+	return newPlanner(f.cells, f.contracts, f.jobs...)
+}
+
+var fleetSizes = []int{10, 100, 1000, 13000}
+
+// benchmarkPlace measures one decision, then takes it back outside the timer.
+func benchmarkPlace(b *testing.B, make func(n int) sesamemodel.Job) {
+	for _, workers := range fleetSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := newFleet(workers)
+			p := f.planner()
+			p.Plan(epoch, 1)
+			before := map[sesamemodel.CellID]sesamemodel.Cell{}
+			for _, c := range f.cells {
+				before[c.ID] = c
+			}
+			running := map[sesamemodel.JobID]sesamemodel.Job{}
+			for _, j := range f.jobs {
+				running[j.ID] = j
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				j := make(i)
+				p.SetJob(j)
+				decisions := p.Plan(epoch.Add(time.Minute), 1)
+				b.StopTimer()
+				if len(decisions) != 1 || decisions[0].Verdict != Place {
+					b.Skipf("not placed: %s", p.Why(j.ID))
+				}
+				for _, c := range decisions[0].Cells {
+					p.SetCell(before[c.ID])
+				}
+				for _, v := range decisions[0].Victims {
+					p.SetJob(running[v.ID])
+				}
+				p.RemoveJob(j.ID)
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+func BenchmarkSmallJob(b *testing.B) {
+	benchmarkPlace(b, func(n int) sesamemodel.Job {
+		j := newJob(fmt.Sprint("n", n), "t279", 1, 1, "")
+		return j
+	})
+}
+
+func BenchmarkOwedJob(b *testing.B) {
+	benchmarkPlace(b, func(n int) sesamemodel.Job {
+		return newJob(fmt.Sprint("n", n), "t000", 1, 8, sesamemodel.SpanWorker)
+	})
+}
+
+func BenchmarkGang1024(b *testing.B) {
+	benchmarkPlace(b, func(n int) sesamemodel.Job {
+		return newJob(fmt.Sprint("n", n), "t279", 1024, 1, sesamemodel.SpanRegion)
+	})
+}
+
+func BenchmarkGang1024OfCores(b *testing.B) {
+	benchmarkPlace(b, func(n int) sesamemodel.Job {
+		j := newJob(fmt.Sprint("n", n), "t279", 1024, 0, sesamemodel.SpanRegion)
+		j.Spec.Task.Cores = 8
+		return j
+	})
+}
+
+// BenchmarkNoRoom measures a decision that finds no room anywhere.
+func BenchmarkNoRoom(b *testing.B) {
+	for _, workers := range fleetSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			p := newFleet(workers).planner()
+			j := newJob("n", "t279", 1, 8, sesamemodel.SpanWorker)
+			p.SetJob(j)
+			p.Plan(epoch, 1)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if len(p.Plan(epoch.Add(time.Minute), 1)) != 0 {
+					b.Fatal("placed")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkSetCell(b *testing.B) {
+	for _, workers := range fleetSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := newFleet(workers)
+			p := f.planner()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				p.SetCell(f.cells[i%len(f.cells)])
+			}
+		})
+	}
+}
+
+// BenchmarkIndexMemory reports the planner's own memory, without the values
+// that it was given.
+func BenchmarkIndexMemory(b *testing.B) {
+	for _, workers := range fleetSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := newFleet(workers)
+			var before, after runtime.MemStats
+			for range b.N {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				p := f.planner()
+				p.Plan(epoch, 1)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(p)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024/1024, "index-MiB")
+			b.ReportMetric(float64(before.HeapAlloc)/1024/1024, "values-MiB")
+		})
+	}
+}
--- a/sesameplanner/borrow.go
+++ b/sesameplanner/borrow.go
@@ -40,10 +40,9 @@
 // placeBorrowing gives free capacity to the team with the smallest weighted
 // share until no job fits.
 func (r *round) placeBorrowing() {
-	r.failed = map[int]bool{}
 	var queue borrowers
 	for _, t := range r.planner.teams {
-		if t.contract != nil && len(t.queue) > 0 {
+		if t.contract != nil && t.waiting() > 0 {
 			queue = append(queue, &borrower{
 				team:  t,
 				share: r.planner.share(t),
@@ -84,29 +83,41 @@
 
 // placeNext places the first job of the team that fits.
 func (r *round) placeNext(b *borrower) bool {
-	for b.next < len(b.team.queue) {
+	for ; b.next < len(b.team.queue); b.next++ {
 		e := b.team.queue[b.next]
-		if r.failed[e.signature] || !r.borrow(e) {
-			r.failed[e.signature] = true
-			b.next++
+		if e.gone {
 			continue
 		}
-		return true
+		if e.request.borrowFailed != r.number && r.borrow(e) {
+			return true
+		}
+		r.missed(e)
 	}
 	return false
 }
 
+// missed remembers that a job found no room in this round.
+func (r *round) missed(e *entry) {
+	e.request.borrowFailed = r.number
+	if r.now.Sub(e.job.Submitted) > r.planner.options.patience() && !r.planner.reserved(e) {
+		r.starving = append(r.starving, e)
+	}
+}
+
 func (r *round) borrow(e *entry) bool {
 	t := r.planner.team(e.job.Spec.Team)
+	if t.contract == nil {
+		return false
+	}
 	need := e.job.Spec.Need().Accelerators
 	if !t.mayBorrow(need) {
-		r.fail(e, "team %q uses %d accelerators; %d more exceed its guarantees of %d and its borrowing limit of %d",
+		e.fail("team %q uses %d accelerators; %d more exceed its guarantees of %d and its borrowing limit of %d",
 			t.id, t.used, need, t.contract.Guaranteed(), t.contract.Limits.Borrow)
 		return false
 	}
-	parts := r.planner.cells.find(borrowDemand(e.job))
+	parts := r.planner.cells.find(r.planner.borrowDemand(e, r.now))
 	if parts == nil {
-		r.fail(e, "no room: %s", sentence(e.job.Spec))
+		e.fail("no room: %s", sentence(e.job.Spec))
 		return false
 	}
 	r.place(e, parts, &victims{}, false)
--- a/sesameplanner/change.go
+++ b/sesameplanner/change.go
@@ -1,57 +1,84 @@
 package sesameplanner
 
 import (
+	"slices"
+
 	"github.com/sesamestack/sesamestack/sesamemodel"
 )
 
 // change collects the cells that one decision touches.
 type change struct {
 	order []sesamemodel.CellID
-	cells map[sesamemodel.CellID]*sesamemodel.Cell
-	// freed are accelerators that victims left on a target.
-	freed map[sesamemodel.TargetID]uint64
+	cells map[sesamemodel.CellID]*cellChange
+}
+
+// cellChange is what one decision does to one cell.
+type cellChange struct {
+	state   *cellState
+	removed map[int32]bool
+	added   []sesamemodel.Allocation
+	// freed are accelerators that victims leave, by node.
+	freed map[int]uint64
 }
 
 func newChange() *change {
 	return &change{
-		cells: map[sesamemodel.CellID]*sesamemodel.Cell{},
-		freed: map[sesamemodel.TargetID]uint64{},
+		cells: map[sesamemodel.CellID]*cellChange{},
 	}
 }
 
-// cell returns the working copy of a cell, its allocations copied.
-func (c *change) cell(from sesamemodel.Cell) *sesamemodel.Cell {
-	if cell, ok := c.cells[from.ID]; ok {
+func (c *change) cell(s *cellState) *cellChange {
+	if cell, ok := c.cells[s.cell.ID]; ok {
 		return cell
 	}
-	cell := from.WithAllocations()
-	c.cells[from.ID] = &cell
-	c.order = append(c.order, from.ID)
-	return &cell
+	cell := &cellChange{
+		state: s,
+	}
+	c.cells[s.cell.ID] = cell
+	c.order = append(c.order, s.cell.ID)
+	return cell
 }
 
-func (c *change) busy(_ *sesamemodel.Cell, n *node) uint64 {
-	return n.busy &^ c.freed[n.target.ID]
+// remove takes the allocation at that position off its node.
+func (c *cellChange) remove(node int, position int32) {
+	if c.removed == nil {
+		c.removed = map[int32]bool{}
+		c.freed = map[int]uint64{}
+	}
+	c.removed[position] = true
+	c.freed[node] |= c.state.cell.Allocations[position].Accelerators
 }
 
-func (c *change) add(id sesamemodel.CellID, a sesamemodel.Allocation) {
-	cell := c.cells[id]
-	cell.Allocations = append(cell.Allocations, a)
+func (c *cellChange) busy(node int) uint64 {
+	return c.state.nodes[node].busy &^ c.freed[node]
 }
 
-// free removes what an attempt holds on one target.
-func (c *change) free(from sesamemodel.Cell, a sesamemodel.Allocation) {
-	cell := c.cell(from)
-	*cell = cell.WithoutAttempt(a.Job, a.Attempt, a.Target)
-	c.freed[a.Target] |= a.Accelerators
+// result returns the cell as it becomes.
+func (c *cellChange) result() sesamemodel.Cell {
+	cell := c.state.cell
+	kept := make([]sesamemodel.Allocation, 0, len(cell.Allocations)-len(c.removed)+len(c.added))
+	if len(c.removed) == 0 {
+		kept = append(kept, cell.Allocations...)
+	} else {
+		for i := range cell.Allocations {
+			if !c.removed[int32(i)] {
+				kept = append(kept, cell.Allocations[i])
+			}
+		}
+	}
+	cell.Allocations = append(kept, c.added...)
+	return cell
 }
 
-// commit makes the planner go on with the changed cells and returns them.
+// commit makes the planner go on with the changed cells and returns them in
+// the order of their names.
 func (c *change) commit(p *Planner) []sesamemodel.Cell {
+	slices.Sort(c.order)
 	cells := make([]sesamemodel.Cell, 0, len(c.order))
 	for _, id := range c.order {
-		cells = append(cells, *c.cells[id])
-		p.SetCell(*c.cells[id])
+		cell := c.cells[id].result()
+		cells = append(cells, cell)
+		p.setState(newCellState(cell))
 	}
 	return cells
 }
--- /dev/null
+++ b/sesameplanner/faults.go
@@ -0,0 +1,137 @@
+package sesameplanner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+const (
+	// maxFailures is how many targets a job may fail on before it ends.
+	maxFailures = 3
+	// maxBlames is how many jobs may fail on a target and succeed elsewhere
+	// before the target is quarantined.
+	maxBlames = 2
+	// maxQuarantined is the part of a cell's targets that may be quarantined.
+	maxQuarantined = 0.25
+
+	firstProbation = 10 * time.Minute
+	maxProbation   = 24 * time.Hour
+)
+
+// RetryBudget bounds the further attempts of each team by its contract. It is
+// owned by one goroutine.
+type RetryBudget struct {
+	limiters map[sesamemodel.TeamID]*rate.Limiter
+}
+
+// NewRetryBudget returns a budget with all retries of an hour unspent.
+func NewRetryBudget() *RetryBudget {
+	return &RetryBudget{
+		limiters: map[sesamemodel.TeamID]*rate.Limiter{},
+	}
+}
+
+// Spend takes one retry from a team's budget and reports whether there was
+// one. A change of the contract takes effect at once.
+func (b *RetryBudget) Spend(now time.Time, contract sesamemodel.Contract) bool {
+	limit := rate.Limit(float64(contract.Limits.Retries) / time.Hour.Seconds())
+	l, ok := b.limiters[contract.Team]
+	if !ok {
+		l = rate.NewLimiter(limit, contract.Limits.Retries)
+		b.limiters[contract.Team] = l
+	}
+	if l.Burst() != contract.Limits.Retries {
+		l.SetLimitAt(now, limit)
+		l.SetBurstAt(now, contract.Limits.Retries)
+	}
+	return l.AllowN(now, 1)
+}
+
+// JudgeFailure returns the job after an attempt failed by its own fault or an
+// undecided one on those targets: queued for a further attempt elsewhere, or
+// failed with the reason. A job that must run at most once is never queued
+// again, and one that failed on several targets is at fault itself.
+func JudgeFailure(now time.Time, job sesamemodel.Job, on []sesamemodel.TargetID, detail string, contract sesamemodel.Contract, budget *RetryBudget) sesamemodel.Job {
+	job.Failures++
+	avoid := slices.Clone(job.Avoid)
+	for _, id := range on {
+		if !slices.Contains(avoid, id) {
+			avoid = append(avoid, id)
+		}
+	}
+	job.Avoid = avoid
+	if job.Spec.Once {
+		return job.WithEvent(now, sesamemodel.Failed, fmt.Sprintf("failed, and must run at most once: %s", detail))
+	}
+	if job.Failures >= maxFailures {
+		return job.WithEvent(now, sesamemodel.Failed, fmt.Sprintf("failed %d times, on %v: %s", job.Failures, job.Avoid, detail))
+	}
+	if !budget.Spend(now, contract) {
+		return job.WithEvent(now, sesamemodel.Failed, fmt.Sprintf("the %d retries an hour of team %q are spent: %s",
+			contract.Limits.Retries, contract.Team, detail))
+	}
+	return job.WithRequeue(now, fmt.Sprintf("failed on %v: %s", on, detail))
+}
+
+// JudgeSuccess returns the cell after a job has succeeded: targets of the cell
+// that the job failed on before are blamed and, after several blames,
+// quarantined; those that it succeeded on are cleared.
+func JudgeSuccess(cell sesamemodel.Cell, job sesamemodel.Job) sesamemodel.Cell {
+	for _, id := range job.Avoid {
+		if t, ok := cell.Target(id); ok {
+			cell = cell.WithTarget(blame(cell, t))
+		}
+	}
+	for _, a := range job.Assignments {
+		t, ok := cell.Target(a.Target)
+		if ok && (t.Blames > 0 || t.Strikes > 0) {
+			t.Blames = 0
+			t.Strikes = max(t.Strikes-1, 0)
+			cell = cell.WithTarget(t)
+		}
+	}
+	return cell
+}
+
+func blame(cell sesamemodel.Cell, t sesamemodel.Target) sesamemodel.Target {
+	t.Blames++
+	if t.Blames < maxBlames || t.Health != sesamemodel.Ready {
+		return t
+	}
+	quarantined := 1
+	for _, other := range cell.Targets {
+		if other.Health == sesamemodel.Quarantined {
+			quarantined++
+		}
+	}
+	if quarantined > max(1, int(maxQuarantined*float64(len(cell.Targets)))) {
+		return t
+	}
+	t.Health = sesamemodel.Quarantined
+	t.Strikes++
+	t.Blames = 0
+	return t
+}
+
+// Probation returns how long a target stays quarantined; it doubles with each
+// quarantine in a row.
+func Probation(strikes int) time.Duration {
+	d := firstProbation
+	for range strikes - 1 {
+		d = min(2*d, maxProbation)
+	}
+	return d
+}
+
+// Release returns a quarantined target as ready, on trial: one more blame
+// quarantines it again.
+func Release(t sesamemodel.Target) sesamemodel.Target {
+	t.Health = sesamemodel.Ready
+	t.Blames = maxBlames - 1
+	return t
+}
--- a/sesameplanner/find.go
+++ b/sesameplanner/find.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/sesamestack/sesamestack/sesamemodel"
 )
@@ -20,46 +21,90 @@
 
 // demand is what a search looks for.
 type demand struct {
+	job  sesamemodel.JobID
 	spec sesamemodel.Spec
+	// task is what one task needs, corrected.
+	task sesamemodel.Resources
 	// avoid are targets that the job must not run on.
 	avoid []sesamemodel.TargetID
-	// room returns how many tasks a target can take.
-	room func(s *cellState, node int) int
+	// end is when the job is expected to end if it starts now.
+	end time.Time
+	// held are the reservations by target.
+	held map[sesamemodel.TargetID]*reservation
+	// suspended reports whether a target is left unused for now; it is nil
+	// when none is.
+	suspended func(sesamemodel.TargetID) bool
+	// free returns what a target can give the job.
+	free func(s *cellState, node int) sesamemodel.Resources
+	// waste ranks a target that can take all tasks: lower is better.
+	waste func(s *cellState, node int) float64
 }
 
 // borrowDemand looks for free capacity.
-func borrowDemand(job sesamemodel.Job) *demand {
+func (p *Planner) borrowDemand(e *entry, now time.Time) *demand {
 	d := &demand{
-		spec:  job.Spec,
-		avoid: job.Avoid,
+		job:   e.job.ID,
+		spec:  e.job.Spec,
+		task:  e.task,
+		avoid: e.job.Avoid,
+		end:   now.Add(p.expected(e.job.Spec, conservative)),
+		held:  p.held,
 	}
-	d.room = d.freeRoom
-	if fixed(job.Spec) {
-		d.room = d.unreservedRoom
+	if len(p.suspects) > 0 {
+		d.suspended = func(id sesamemodel.TargetID) bool {
+			return p.suspended(id, now)
+		}
+	}
+	d.free = d.unheld
+	d.waste = func(s *cellState, node int) float64 {
+		return p.waste(d, s, node)
 	}
 	return d
 }
 
-func (d *demand) freeRoom(s *cellState, i int) int {
+// usable reports whether the job may run on a target at all.
+func (d *demand) usable(s *cellState, i int) bool {
 	n := &s.nodes[i]
 	if !n.ready() || n.target.Kind != d.spec.Kind || slices.Contains(d.avoid, n.target.ID) {
+		return false
+	}
+	return d.suspended == nil || !d.suspended(n.target.ID)
+}
+
+// unheld returns what is free on a target, less what is held there for a job
+// that starts before this one is expected to end.
+func (d *demand) unheld(s *cellState, i int) sesamemodel.Resources {
+	n := &s.nodes[i]
+	if len(d.held) == 0 {
+		return n.free
+	}
+	v := d.held[n.target.ID]
+	if v == nil || v.job == d.job || !d.end.After(v.start) {
+		return n.free
+	}
+	return n.free.Minus(v.held[n.target.ID])
+}
+
+// room returns how many tasks a target can take.
+func (d *demand) room(s *cellState, i int) int {
+	if !d.usable(s, i) {
 		return 0
 	}
-	return times(n.free, d.spec.Task, d.spec.Tasks)
+	return d.limit(s, i, times(d.free(s, i), d.task, d.spec.Tasks))
 }
 
-// unreservedRoom leaves out what the cell's guarantees need.
-func (d *demand) unreservedRoom(s *cellState, i int) int {
-	tasks := d.freeRoom(s, i)
+// limit keeps work that must not be stopped off what guarantees need.
+func (d *demand) limit(s *cellState, i, tasks int) int {
 	capacity := s.nodes[i].target.Capacity
-	if tasks == 0 || capacity.Accelerators == 0 || len(s.cell.Guarantees) == 0 {
+	free := !fixed(d.spec) || capacity.Accelerators == 0 || len(s.cell.Guarantees) == 0
+	if tasks == 0 || free {
 		return tasks
 	}
 	if len(s.packing().failed) > 0 {
 		return 0
 	}
 	room := s.packing().room[i]
-	for tasks > 0 && equivalent(d.spec.Task.Times(tasks), capacity) > room {
+	for tasks > 0 && equivalent(d.task.Times(tasks), capacity) > room {
 		tasks--
 	}
 	return tasks
@@ -67,7 +112,7 @@
 
 // able reports whether a cell may have a ready target for one task.
 func (d *demand) able(s *cellState) bool {
-	return d.spec.Task.Fits(s.sum.largest)
+	return d.task.Fits(s.sum.largest)
 }
 
 // find returns targets for all tasks within the job's span, nil when there is
@@ -88,18 +133,11 @@
 	return x.findRegion(d)
 }
 
-// waste ranks a target for a job: lower is better.
-func waste(s *cellState, i int, need sesamemodel.Resources) int {
-	n := &s.nodes[i]
-	left := n.free.Accelerators - need.Accelerators
-	return left<<16 + s.racks[n.rack].free
-}
-
-// findOne returns the one target that fits all tasks most closely.
+// findOne returns the one target that takes all tasks with the least waste.
 func (x *index) findOne(d *demand) []part {
-	need := d.spec.Need()
+	need := d.task.Times(d.spec.Tasks)
 	var best []part
-	least := 0
+	least := 0.0
 	for _, z := range x.zones {
 		for _, s := range z.cells {
 			if !need.Fits(s.sum.largest) {
@@ -109,7 +147,7 @@
 				if !need.Fits(s.nodes[i].free) || d.room(s, i) < d.spec.Tasks {
 					continue
 				}
-				cost := waste(s, i, need)
+				cost := d.waste(s, i)
 				if best == nil || cost < least {
 					best, least = []part{{state: s, node: i, tasks: d.spec.Tasks}}, cost
 				}
@@ -125,7 +163,7 @@
 	least := 0
 	for _, z := range x.zones {
 		for _, s := range z.cells {
-			if !d.able(s) || s.sum.rack < d.spec.Need().Accelerators {
+			if !d.able(s) || s.sum.rack < d.task.Accelerators*d.spec.Tasks {
 				continue
 			}
 			for _, r := range s.racks {
@@ -221,3 +259,34 @@
 	}
 	return nil
 }
+
+// domains lists, for each part of the platform that the job's tasks may share,
+// the targets that could take some of them when idle.
+func (x *index) domains(d *demand) [][]part {
+	positions := map[string]int{}
+	var domains [][]part
+	for _, z := range x.zones {
+		for _, s := range z.cells {
+			for _, i := range s.order {
+				n := &s.nodes[i]
+				taken := d.held[n.target.ID] != nil
+				if taken || !d.usable(s, i) || !d.task.Fits(n.target.Capacity) {
+					continue
+				}
+				at := part{
+					state: s,
+					node:  i,
+				}
+				key := domain(d.spec.Span, at)
+				position, ok := positions[key]
+				if !ok {
+					position = len(domains)
+					positions[key] = position
+					domains = append(domains, nil)
+				}
+				domains[position] = append(domains[position], at)
+			}
+		}
+	}
+	return domains
+}
--- a/sesameplanner/index.go
+++ b/sesameplanner/index.go
@@ -14,6 +14,8 @@
 	zones []*zoneState
 	// capacity is what all targets offer together.
 	capacity sesamemodel.Resources
+	// targets counts all targets.
+	targets int
 }
 
 // zoneState is the part of the index that one zone holds.
@@ -39,8 +41,10 @@
 	}
 	if old, ok := x.byID[s.cell.ID]; ok {
 		x.capacity = x.capacity.Minus(old.capacity)
+		x.targets -= len(old.nodes)
 	}
 	x.capacity = x.capacity.Plus(s.capacity)
+	x.targets += len(s.nodes)
 	x.byID[s.cell.ID] = s
 	z := x.zone(s.cell.Zone)
 	at, found := slices.BinarySearchFunc(z.cells, s, compareCells)
@@ -58,6 +62,7 @@
 		z.cells = slices.Delete(z.cells, at, at+1)
 	}
 	x.capacity = x.capacity.Minus(s.capacity)
+	x.targets -= len(s.nodes)
 	delete(x.byID, s.cell.ID)
 }
 
--- a/sesameplanner/owed.go
+++ b/sesameplanner/owed.go
@@ -18,7 +18,6 @@
 // by urgency and then by lateness.
 func (r *round) placeOwed() {
 	cursors := r.owedCursors()
-	failed := map[int]bool{}
 	for len(cursors) > 0 && !r.full() {
 		at := 0
 		for i := range cursors {
@@ -28,11 +27,11 @@
 		}
 		c := cursors[at]
 		e := c.head()
-		if failed[e.signature] || !r.owe(e) {
-			failed[e.signature] = true
+		if e.request.owedFailed == r.number || !r.owe(e) {
+			e.request.owedFailed = r.number
 			c.next++
 		}
-		if c.next >= len(c.team.queue) {
+		if !c.skipGone() {
 			cursors = slices.Delete(cursors, at, at+1)
 		}
 	}
@@ -48,13 +47,25 @@
 	return c.team.queue[c.next]
 }
 
+// skipGone moves on to a job that waits and reports whether there is one.
+func (c *cursor) skipGone() bool {
+	for c.next < len(c.team.queue) && c.team.queue[c.next].gone {
+		c.next++
+	}
+	return c.next < len(c.team.queue)
+}
+
 func (r *round) owedCursors() []*cursor {
 	var cursors []*cursor
 	for _, t := range r.planner.teams {
-		if t.contract != nil && len(t.queue) > 0 && len(t.cells) > 0 {
-			cursors = append(cursors, &cursor{
-				team: t,
-			})
+		if t.contract == nil || len(t.cells) == 0 {
+			continue
+		}
+		c := &cursor{
+			team: t,
+		}
+		if c.skipGone() {
+			cursors = append(cursors, c)
 		}
 	}
 	slices.SortFunc(cursors, func(a, b *cursor) int {
@@ -72,9 +83,10 @@
 	if parts == nil {
 		return false
 	}
+	e.task = e.job.Spec.Task
 	v := &victims{}
 	for _, part := range parts {
-		if !v.clear(r.planner, r.now, part, e.job) {
+		if !v.clear(r.planner, r.now, part, e.task) {
 			return false
 		}
 	}
--- a/sesameplanner/planner.go
+++ b/sesameplanner/planner.go
@@ -6,15 +6,6 @@
 	"github.com/sesamestack/sesamestack/sesamemodel"
 )
 
-// Options are the planner's fixed settings.
-type Options struct {
-	// Region is the only region that the planner decides for; empty means all.
-	Region string
-	// Packing is the weight of low fragmentation against completion time,
-	// from 0 (time only) to 1 (packing only).
-	Packing float64
-}
-
 // Planner decides which job runs where. It is owned by one goroutine.
 type Planner struct {
 	options Options
@@ -23,23 +14,31 @@
 	teams      map[sesamemodel.TeamID]*team
 	jobs       map[sesamemodel.JobID]*entry
 	cells      *index
-	signatures map[signature]int
+	requests   map[signature]*request
+	histories  map[classKey]*history
+	suspects   map[sesamemodel.TargetID]*suspect
 	// unchecked are queued jobs that may turn out never to fit.
 	unchecked map[sesamemodel.JobID]*entry
-	// possible remembers, by signature, what fits the present targets.
-	possible map[int]bool
+	// generation grows whenever other jobs may fit the known targets.
+	generation   uint64
+	rounds       uint64
+	reservations []*reservation
+	// held are the reservations by target.
+	held map[sesamemodel.TargetID]*reservation
 }
 
 // New returns a planner that knows no contracts, cells or jobs.
 func New(o Options) *Planner {
 	return &Planner{
-		options:    o,
-		teams:      map[sesamemodel.TeamID]*team{},
-		jobs:       map[sesamemodel.JobID]*entry{},
-		cells:      newIndex(),
-		signatures: map[signature]int{},
-		unchecked:  map[sesamemodel.JobID]*entry{},
-		possible:   map[int]bool{},
+		options:   o,
+		teams:     map[sesamemodel.TeamID]*team{},
+		jobs:      map[sesamemodel.JobID]*entry{},
+		cells:     newIndex(),
+		requests:  map[signature]*request{},
+		histories: map[classKey]*history{},
+		suspects:  map[sesamemodel.TargetID]*suspect{},
+		unchecked: map[sesamemodel.JobID]*entry{},
+		held:      map[sesamemodel.TargetID]*reservation{},
 	}
 }
 
@@ -96,10 +95,12 @@
 
 // recheck forgets what fits the targets that were known before.
 func (p *Planner) recheck() {
-	clear(p.possible)
+	p.generation++
 	for _, t := range p.teams {
 		for _, e := range t.queue {
-			p.unchecked[e.job.ID] = e
+			if !e.gone {
+				p.unchecked[e.job.ID] = e
+			}
 		}
 	}
 }
@@ -159,6 +160,7 @@
 	delete(p.unchecked, id)
 	if e.job.State == sesamemodel.Queued {
 		p.team(e.job.Spec.Team).dequeue(e)
+		p.release(e.request)
 	}
 }
 
@@ -169,14 +171,21 @@
 	if !p.configured {
 		return nil
 	}
+	p.rounds++
 	r := &round{
 		planner: p,
+		number:  p.rounds,
 		now:     now,
 		limit:   limit,
 	}
+	for _, t := range p.teams {
+		t.compact()
+	}
 	r.refuse()
 	r.placeOwed()
+	r.honor()
 	r.placeBorrowing()
+	r.reserve()
 	return r.decisions
 }
 
--- a/sesameplanner/possible.go
+++ b/sesameplanner/possible.go
@@ -20,12 +20,11 @@
 		return fmt.Sprintf("%d accelerators asked, %d guaranteed and %d to borrow in the contract of team %q",
 			need, t.contract.Guaranteed(), t.contract.Limits.Borrow, spec.Team)
 	}
-	fits, known := p.possible[e.signature]
-	if !known {
-		fits = p.cells.couldFit(spec)
-		p.possible[e.signature] = fits
+	if e.request.checked != p.generation {
+		e.request.checked = p.generation
+		e.request.fits = p.cells.couldFit(spec)
 	}
-	if fits {
+	if e.request.fits {
 		return ""
 	}
 	return fmt.Sprintf("%s fits no part of the platform, whatever is free", sentence(spec))
--- /dev/null
+++ b/sesameplanner/reservation.go
@@ -0,0 +1,270 @@
+package sesameplanner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// reservation holds capacity for a job that has waited for long. Other work
+// may use what is held if it is expected to end before the start.
+type reservation struct {
+	job sesamemodel.JobID
+	// start is when all that is held is expected to be free.
+	start time.Time
+	held  map[sesamemodel.TargetID]sesamemodel.Resources
+	// cells are those of the held targets.
+	cells []sesamemodel.CellID
+}
+
+// workersPerReservation is how many targets allow one more reservation.
+const workersPerReservation = 50
+
+// maxForecastAllocations bounds the work of one forecast after a first place
+// has been found.
+const maxForecastAllocations = 5000
+
+func (p *Planner) maxReservations() int {
+	return 1 + p.cells.targets/workersPerReservation
+}
+
+// reserved reports whether capacity is held for the job.
+func (p *Planner) reserved(e *entry) bool {
+	return slices.ContainsFunc(p.reservations, func(v *reservation) bool {
+		return v.job == e.job.ID
+	})
+}
+
+func (p *Planner) addReservation(v *reservation) {
+	p.reservations = append(p.reservations, v)
+	for id := range v.held {
+		p.held[id] = v
+	}
+}
+
+func (p *Planner) dropReservation(job sesamemodel.JobID) {
+	p.reservations = slices.DeleteFunc(p.reservations, func(v *reservation) bool {
+		if v.job != job {
+			return false
+		}
+		for id := range v.held {
+			delete(p.held, id)
+		}
+		return true
+	})
+}
+
+// honor places the jobs with reservations, before any other that borrows. Once
+// the start has come, borrowers that outstay their expected end are stopped.
+func (r *round) honor() {
+	p := r.planner
+	for _, v := range slices.Clone(p.reservations) {
+		if r.full() {
+			return
+		}
+		e, ok := p.jobs[v.job]
+		if !ok || e.job.State != sesamemodel.Queued {
+			p.dropReservation(v.job)
+			continue
+		}
+		if r.borrow(e) {
+			p.dropReservation(v.job)
+			continue
+		}
+		if r.now.Before(v.start) {
+			continue
+		}
+		p.dropReservation(v.job)
+		if !r.claim(e, v) {
+			r.starving = append(r.starving, e)
+		}
+	}
+}
+
+// claim places a job on what is held for it.
+func (r *round) claim(e *entry, v *reservation) bool {
+	p := r.planner
+	need := e.job.Spec.Need().Accelerators
+	if !p.team(e.job.Spec.Team).mayBorrow(need) {
+		return false
+	}
+	d := p.borrowDemand(e, r.now)
+	d.free = r.reclaimable
+	parts := d.trim(r.heldParts(d, v))
+	if parts == nil {
+		return false
+	}
+	chosen := &victims{
+		overdue: true,
+	}
+	for _, part := range parts {
+		if !chosen.clear(p, r.now, part, d.task) {
+			return false
+		}
+	}
+	r.place(e, parts, chosen, false)
+	return true
+}
+
+// heldParts returns what the job can take of the targets held for it.
+func (r *round) heldParts(d *demand, v *reservation) []part {
+	var parts []part
+	for _, id := range v.cells {
+		s := r.planner.cells.get(id)
+		if s == nil {
+			continue
+		}
+		for _, i := range s.order {
+			if _, ok := v.held[s.nodes[i].target.ID]; ok {
+				parts, _ = d.collect(parts, s, []int{i})
+			}
+		}
+	}
+	return parts
+}
+
+// reclaimable returns what is free on a node together with what borrowers hold
+// there beyond their expected end.
+func (r *round) reclaimable(s *cellState, i int) sesamemodel.Resources {
+	free := s.nodes[i].free
+	for _, h := range s.nodes[i].held {
+		a := &s.cell.Allocations[h]
+		if !a.Owed && !a.Fixed && r.planner.known(a) && !expectedEnd(a).After(r.now) {
+			free = free.Plus(a.Resources)
+		}
+	}
+	return free
+}
+
+// known reports whether the planner may stop the allocation's job.
+func (p *Planner) known(a *sesamemodel.Allocation) bool {
+	e, ok := p.jobs[a.Job]
+	return ok && e.job.State.Active() && e.job.Attempt == a.Attempt
+}
+
+func expectedEnd(a *sesamemodel.Allocation) time.Time {
+	if a.RunTime <= 0 {
+		return a.Since.Add(unknownRunTime)
+	}
+	return a.Since.Add(a.RunTime)
+}
+
+// reserve holds capacity for the jobs that have waited longest.
+func (r *round) reserve() {
+	p := r.planner
+	if p.options.Without.Reservation {
+		return
+	}
+	slices.SortFunc(r.starving, func(a, b *entry) int {
+		return cmp.Or(
+			a.job.Submitted.Compare(b.job.Submitted),
+			cmp.Compare(a.job.ID, b.job.ID),
+		)
+	})
+	for _, e := range r.starving {
+		if len(p.reservations) >= p.maxReservations() {
+			return
+		}
+		if v := r.forecast(e); v != nil {
+			p.addReservation(v)
+		}
+	}
+}
+
+// ending is an allocation that frees part of a node.
+type ending struct {
+	at   time.Time
+	part int
+	free sesamemodel.Resources
+}
+
+// forecast finds the domain in which the job can be expected to start first.
+func (r *round) forecast(e *entry) *reservation {
+	d := r.planner.borrowDemand(e, r.now)
+	var best *reservation
+	examined := 0
+	for _, nodes := range r.planner.cells.domains(d) {
+		if best != nil && examined > maxForecastAllocations {
+			break
+		}
+		v, looked := r.forecastDomain(e, d, nodes)
+		examined += looked
+		if v != nil && (best == nil || v.start.Before(best.start)) {
+			best = v
+		}
+	}
+	return best
+}
+
+// forecastDomain frees the allocations of a domain in the order of their
+// expected ends until the job fits.
+func (r *round) forecastDomain(e *entry, d *demand, parts []part) (*reservation, int) {
+	free := make([]sesamemodel.Resources, len(parts))
+	var ends []ending
+	total := 0
+	for i, at := range parts {
+		free[i] = at.target().free
+		parts[i].tasks = d.limit(at.state, at.node, times(free[i], d.task, d.spec.Tasks))
+		total += parts[i].tasks
+		ends = append(ends, r.endings(at, i)...)
+	}
+	slices.SortStableFunc(ends, func(a, b ending) int {
+		return a.at.Compare(b.at)
+	})
+	start := r.now
+	for _, end := range ends {
+		if total >= d.spec.Tasks {
+			break
+		}
+		at := end.part
+		free[at] = free[at].Plus(end.free)
+		tasks := d.limit(parts[at].state, parts[at].node, times(free[at], d.task, d.spec.Tasks))
+		total += tasks - parts[at].tasks
+		parts[at].tasks = tasks
+		start = end.at
+	}
+	if total < d.spec.Tasks {
+		return nil, len(ends)
+	}
+	return newReservation(e, d, start, parts), len(ends)
+}
+
+func newReservation(e *entry, d *demand, start time.Time, parts []part) *reservation {
+	v := &reservation{
+		job:   e.job.ID,
+		start: start,
+		held:  map[sesamemodel.TargetID]sesamemodel.Resources{},
+	}
+	for _, at := range d.trim(parts) {
+		v.held[at.target().target.ID] = d.task.Times(at.tasks)
+		if !slices.Contains(v.cells, at.state.cell.ID) {
+			v.cells = append(v.cells, at.state.cell.ID)
+		}
+	}
+	return v
+}
+
+// endings lists what a node's allocations free and when. A borrower beyond its
+// expected end can be stopped at once; other work beyond it is expected to go
+// on for half as long again.
+func (r *round) endings(at part, index int) []ending {
+	var ends []ending
+	for _, h := range at.target().held {
+		a := &at.state.cell.Allocations[h]
+		end := expectedEnd(a)
+		if end.Before(r.now) {
+			end = r.now
+			if a.Owed || a.Fixed {
+				end = r.now.Add(r.now.Sub(a.Since) / 2)
+			}
+		}
+		ends = append(ends, ending{
+			at:   end,
+			part: index,
+			free: a.Resources,
+		})
+	}
+	return ends
+}
--- a/sesameplanner/round.go
+++ b/sesameplanner/round.go
@@ -11,12 +11,14 @@
 
 // round is one call of Plan.
 type round struct {
-	planner   *Planner
+	planner *Planner
+	// number is unique to the round.
+	number    uint64
 	now       time.Time
 	limit     int
 	decisions []Decision
-	// failed holds signatures that found no room in this round.
-	failed map[int]bool
+	// starving are jobs that have waited for room beyond the patience.
+	starving []*entry
 }
 
 func (r *round) full() bool {
@@ -25,21 +27,24 @@
 
 // refuse ends the queued jobs that can never run.
 func (r *round) refuse() {
-	for _, id := range slices.Sorted(maps.Keys(r.planner.unchecked)) {
+	p := r.planner
+	if len(p.unchecked) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.unchecked)) {
 		if r.full() {
 			return
 		}
-		e := r.planner.unchecked[id]
-		delete(r.planner.unchecked, id)
-		reason := r.planner.impossible(e)
+		e := p.unchecked[id]
+		delete(p.unchecked, id)
+		reason := p.impossible(e)
 		if reason == "" {
 			continue
 		}
-		job := e.job.WithEvent(r.now, sesamemodel.Refused, reason)
-		r.planner.RemoveJob(id)
+		p.RemoveJob(id)
 		r.decisions = append(r.decisions, Decision{
 			Verdict: Refuse,
-			Job:     job,
+			Job:     e.job.WithEvent(r.now, sesamemodel.Refused, reason),
 		})
 	}
 }
@@ -47,40 +52,21 @@
 // place records a job on its parts and stops the victims.
 func (r *round) place(e *entry, parts []part, victims *victims, owed bool) {
 	p := r.planner
-	p.RemoveJob(e.job.ID)
 	changed := newChange()
 	stopped := victims.stop(p, changed, r.now, e.job)
-	attempt := e.job.Attempt + 1
-	var assignments []sesamemodel.Assignment
+	allocation := r.allocation(e, owed)
+	assignments := make([]sesamemodel.Assignment, 0, len(parts))
 	first := 0
-	for _, part := range parts {
-		cell := changed.cell(part.state.cell)
-		n := part.target()
-		resources := e.job.Spec.Task.Times(part.tasks)
-		bits := pick(changed.busy(cell, n), n.target.Capacity.Accelerators, resources.Accelerators)
-		assignments = append(assignments, sesamemodel.Assignment{
-			Target:       n.target.ID,
-			Cell:         cell.ID,
-			Address:      n.target.Address,
-			Incarnation:  n.target.Incarnation,
-			First:        first,
-			Tasks:        part.tasks,
-			Accelerators: bits,
-		})
-		first += part.tasks
-		changed.add(cell.ID, sesamemodel.Allocation{
-			Job:          e.job.ID,
-			Attempt:      attempt,
-			Team:         e.job.Spec.Team,
-			Target:       n.target.ID,
-			Tasks:        part.tasks,
-			Resources:    resources,
-			Accelerators: bits,
-			Owed:         owed,
-			Fixed:        fixed(e.job.Spec),
-			Since:        r.now,
-			RunTime:      e.job.Spec.RunTime,
-		})
+	for _, at := range parts {
+		cell := changed.cell(at.state)
+		a := assign(at, cell.busy(at.node), first, e.task.Accelerators)
+		assignments = append(assignments, a)
+		first += at.tasks
+		allocation.Target = a.Target
+		allocation.Tasks = a.Tasks
+		allocation.Resources = e.task.Times(at.tasks)
+		allocation.Accelerators = a.Accelerators
+		cell.added = append(cell.added, allocation)
 	}
 	placed := e.job.WithPlacement(r.now, assignments, owed)
 	p.SetJob(placed)
@@ -92,6 +78,32 @@
 	})
 }
 
-func (r *round) fail(e *entry, format string, arguments ...any) {
+// allocation returns what the parts of a job's next attempt have in common.
+func (r *round) allocation(e *entry, owed bool) sesamemodel.Allocation {
+	return sesamemodel.Allocation{
+		Job:     e.job.ID,
+		Attempt: e.job.Attempt + 1,
+		Team:    e.job.Spec.Team,
+		Owed:    owed,
+		Fixed:   fixed(e.job.Spec),
+		Since:   r.now,
+		RunTime: r.planner.expected(e.job.Spec, conservative),
+	}
+}
+
+func assign(at part, busy uint64, first, accelerators int) sesamemodel.Assignment {
+	t := &at.target().target
+	return sesamemodel.Assignment{
+		Target:       t.ID,
+		Cell:         at.state.cell.ID,
+		Address:      t.Address,
+		Incarnation:  t.Incarnation,
+		First:        first,
+		Tasks:        at.tasks,
+		Accelerators: pick(busy, t.Capacity.Accelerators, at.tasks*accelerators),
+	}
+}
+
+func (e *entry) fail(format string, arguments ...any) {
 	e.why = fmt.Sprintf(format, arguments...)
 }
--- a/sesameplanner/state_test.go
+++ b/sesameplanner/state_test.go
@@ -335,7 +335,7 @@
 		}
 		idle.SetCell(c)
 	}
-	if idle.cells.find(borrowDemand(j)) != nil {
+	if idle.cells.find(idle.borrowDemand(idle.newEntry(j), epoch)) != nil {
 		t.Fatalf("job %s was refused and fits: %s", j.ID, j.Reason)
 	}
 }
--- a/sesameplanner/victims.go
+++ b/sesameplanner/victims.go
@@ -13,12 +13,15 @@
 type victims struct {
 	order []*entry
 	taken []taken
+	// overdue limits the choice to work beyond its expected end.
+	overdue bool
 }
 
 // taken is an allocation that a placement removes.
 type taken struct {
-	cell       sesamemodel.Cell
-	allocation sesamemodel.Allocation
+	state    *cellState
+	node     int
+	position int32
 }
 
 func (v *victims) has(id sesamemodel.JobID) bool {
@@ -29,52 +32,71 @@
 
 // candidate is a reclaimable allocation on a target.
 type candidate struct {
-	entry      *entry
-	allocation *sesamemodel.Allocation
-	cost       float64
+	entry    *entry
+	position int32
+	frees    sesamemodel.Resources
+	cost     float64
 }
 
 // clear chooses victims on a part's target until the part fits. It reports
 // whether it does.
-func (v *victims) clear(p *Planner, now time.Time, at part, job sesamemodel.Job) bool {
-	n := at.target()
-	need := job.Spec.Task.Times(at.tasks)
-	free := n.free
+func (v *victims) clear(p *Planner, now time.Time, at part, task sesamemodel.Resources) bool {
+	free := at.target().free
+	need := task.Times(at.tasks)
 	if need.Fits(free) {
 		return true
 	}
+	found := v.candidates(p, now, at)
+	for _, c := range found {
+		if c.cost > 0 && need.Fits(free.Plus(c.frees)) {
+			found = append([]candidate{c}, found...)
+			break
+		}
+		if c.cost > 0 {
+			continue
+		}
+		free = free.Plus(c.frees)
+	}
+	return v.takeUntil(at, need, found)
+}
+
+// takeUntil stops candidates in their order until the need fits.
+func (v *victims) takeUntil(at part, need sesamemodel.Resources, found []candidate) bool {
+	free := at.target().free
 	var chosen []candidate
-	for _, c := range v.candidates(p, now, at) {
+	for _, c := range found {
 		if need.Fits(free) {
 			break
 		}
-		free = free.Plus(c.allocation.Resources)
+		if slices.ContainsFunc(chosen, func(o candidate) bool { return o.position == c.position }) {
+			continue
+		}
+		free = free.Plus(c.frees)
 		chosen = append(chosen, c)
 	}
 	if !need.Fits(free) {
 		return false
 	}
-	v.take(at, need, free, chosen)
-	return true
-}
-
-// take records the chosen victims but those that turn out not to be needed.
-func (v *victims) take(at part, need, free sesamemodel.Resources, chosen []candidate) {
-	for i := len(chosen) - 1; i >= 0; i-- {
-		c := chosen[i]
-		without := free.Minus(c.allocation.Resources)
+	for _, c := range slices.Backward(chosen) {
+		without := free.Minus(c.frees)
 		if need.Fits(without) {
 			free = without
 			continue
 		}
-		if !v.has(c.entry.job.ID) {
-			v.order = append(v.order, c.entry)
-		}
-		v.taken = append(v.taken, taken{
-			cell:       at.state.cell,
-			allocation: *c.allocation,
-		})
+		v.take(at, c)
 	}
+	return true
+}
+
+func (v *victims) take(at part, c candidate) {
+	if !v.has(c.entry.job.ID) {
+		v.order = append(v.order, c.entry)
+	}
+	v.taken = append(v.taken, taken{
+		state:    at.state,
+		node:     at.node,
+		position: c.position,
+	})
 }
 
 // candidates lists what can be reclaimed on a target, cheapest first.
@@ -82,23 +104,24 @@
 	var found []candidate
 	for _, h := range at.target().held {
 		a := &at.state.cell.Allocations[h]
-		if a.Owed || a.Fixed {
-			continue
-		}
-		e, ok := p.jobs[a.Job]
-		if !ok || !e.job.State.Active() || e.job.Attempt != a.Attempt {
+		if a.Owed || a.Fixed || !p.known(a) || v.overdue && expectedEnd(a).After(now) {
 			continue
 		}
+		e := p.jobs[a.Job]
 		cost := lostWork(now, e.job, a)
 		if v.has(a.Job) || e.job.State == sesamemodel.Stopping {
 			cost = 0
 		}
 		found = append(found, candidate{
-			entry:      e,
-			allocation: a,
-			cost:       cost,
+			entry:    e,
+			position: h,
+			frees:    a.Resources,
+			cost:     cost,
 		})
 	}
+	if p.options.Without.VictimCost {
+		return found
+	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
 		return cmp.Compare(a.cost, b.cost)
 	})
@@ -108,26 +131,32 @@
 // checkpointLoss is the work that a stopped task with checkpoints repeats.
 const checkpointLoss = time.Minute
 
-// lostWork estimates, in task seconds, what stopping a job throws away.
+// lostWork estimates, in task seconds, what stopping a job throws away: all
+// that ran without checkpoints, and the restart of the whole gang.
 func lostWork(now time.Time, job sesamemodel.Job, a *sesamemodel.Allocation) float64 {
 	lost := checkpointLoss
 	if !job.Spec.Checkpoints {
-		lost = max(now.Sub(a.Since), 0)
+		lost += max(now.Sub(a.Since), 0)
 	}
-	return lost.Seconds() * float64(job.Spec.Tasks)
+	weight := max(job.Spec.Task.Accelerators, 1) * job.Spec.Tasks
+	return lost.Seconds() * float64(weight)
 }
 
 // stop frees what the victims hold on the taken targets and returns the
 // victims as they become.
 func (v *victims) stop(p *Planner, changed *change, now time.Time, job sesamemodel.Job) []sesamemodel.Job {
 	for _, t := range v.taken {
-		changed.free(t.cell, t.allocation)
+		changed.cell(t.state).remove(t.node, t.position)
+	}
+	why := "which its guarantee covers"
+	if v.overdue {
+		why = "which waited beyond its reserved start"
 	}
 	var stopped []sesamemodel.Job
 	for _, e := range v.order {
 		victim := e.job
 		if victim.State != sesamemodel.Stopping {
-			reason := fmt.Sprintf("stopped for job %q of team %q, which its guarantee covers", job.ID, job.Spec.Team)
+			reason := fmt.Sprintf("stopped for job %q of team %q, %s", job.ID, job.Spec.Team, why)
 			victim = victim.WithStop(now, sesamemodel.Queued, reason)
 			p.SetJob(victim)
 		}
