--- /dev/null
+++ b/sesameplanner/load_test.go
@@ -0,0 +1,224 @@
+package sesameplanner
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// deployment is one platform of the brief, scale times its size of today.
+type deployment struct {
+	name     string
+	zones    int
+	capacity sesamemodel.Resources
+	packing  float64
+	scale    int
+}
+
+func deployments(scale int) []deployment {
+	return []deployment{
+		{
+			name:     "corchera",
+			zones:    3,
+			capacity: sesamemodel.Resources{Cores: 130, Memory: 500000, Accelerators: 8},
+			packing:  0.2,
+			scale:    scale,
+		},
+		{
+			name:     "hlasy",
+			zones:    4,
+			capacity: sesamemodel.Resources{Cores: 60, Memory: 250000, Accelerators: 8},
+			packing:  0.8,
+			scale:    scale,
+		},
+	}
+}
+
+const (
+	workersToday = 10
+	maxCellSize  = 24
+	day          = 24 * time.Hour
+	burstAt      = 6 * time.Hour
+)
+
+// cells spreads the workers evenly over the zones, three to a rack.
+func (d deployment) cells() []sesamemodel.Cell {
+	var cells []sesamemodel.Cell
+	workers := workersToday * d.scale
+	for z := range d.zones {
+		left := workers/d.zones + min(1, max(0, workers%d.zones-z))
+		for c := 0; left > 0; c++ {
+			size := min(left, maxCellSize)
+			left -= size
+			cells = append(cells, newCell(fmt.Sprintf("z%d-%d", z, c), fmt.Sprint("z", z), size, d.capacity))
+		}
+	}
+	return cells
+}
+
+// contracts guarantees 48 of 80 accelerators: a rack to the first team, two
+// workers to the second, half a worker to each other.
+func (d deployment) contracts() []sesamemodel.Contract {
+	all := 8 * workersToday * d.scale
+	var contracts []sesamemodel.Contract
+	for i := range d.scale {
+		contracts = append(contracts,
+			newContract(fmt.Sprintf("large%02d", i), 2, all, shape(3, 8, sesamemodel.SpanRack)),
+			newContract(fmt.Sprintf("middle%02d", i), 2, all, shape(1, 8, sesamemodel.SpanWorker), shape(1, 8, sesamemodel.SpanWorker)),
+			newContract(fmt.Sprintf("one%02d", i), 1, all, shape(1, 4, sesamemodel.SpanWorker)),
+			newContract(fmt.Sprintf("two%02d", i), 1, all, shape(1, 4, sesamemodel.SpanWorker)),
+		)
+	}
+	for i := range contracts {
+		contracts[i].Classes = []sesamemodel.Class{
+			{Name: "urgent", Urgency: sesamemodel.Urgent},
+			{Name: "short", Urgency: sesamemodel.Normal},
+			{Name: "medium", Urgency: sesamemodel.Normal},
+			{Name: "large", Urgency: sesamemodel.Batch},
+		}
+		contracts[i].Limits.Retries = 1000
+	}
+	return contracts
+}
+
+// work is a job with what it really does.
+type work struct {
+	job sesamemodel.Job
+	// real is the run time without interruption.
+	real time.Duration
+	// broken jobs fail wherever they run.
+	broken bool
+	// cancelAt is when its caller gives up if it still waits; 0 means never.
+	cancelAt time.Duration
+}
+
+// scenario is one kind of day.
+type scenario struct {
+	name string
+	// load is the part of all accelerators that steady work asks for.
+	load float64
+	// shorts and larges are the sizes of a burst, for a scale of 1.
+	shorts, larges int
+	// lies spreads declared run times around the real ones.
+	lies float64
+	// cancelled is the part of the burst that is cancelled after a while.
+	cancelled float64
+	// badWorkers is the part of workers that fail each task.
+	badWorkers float64
+	broken     float64
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{name: "mild day", load: 0.45},
+		{name: "small burst", load: 0.45, shorts: 200},
+		{name: "large burst", load: 0.45, larges: 10},
+		{name: "wrong run times", load: 0.8, lies: 1.2},
+		{name: "cancel wave", load: 0.45, shorts: 300, cancelled: 0.7},
+		{name: "bad workers", load: 0.45, badWorkers: 0.1, broken: 0.03},
+	}
+}
+
+// generator makes the work of one day from a seed.
+type generator struct {
+	random     *rand.Rand
+	deployment deployment
+	scenario   scenario
+	works      []work
+}
+
+func generate(d deployment, s scenario, seed uint64) []work {
+	g := &generator{
+		random:     rand.New(rand.NewPCG(seed, 1)),
+		deployment: d,
+		scenario:   s,
+	}
+	asked := 0.0
+	for asked < s.load*float64(8*workersToday*d.scale)*day.Hours() {
+		w := g.steady()
+		asked += w.real.Hours() * float64(w.job.Spec.Need().Accelerators)
+	}
+	for range s.shorts * d.scale {
+		g.add("one00", "short", g.within(burstAt, 5*time.Minute))
+	}
+	for range s.larges * d.scale {
+		g.add(g.team("large"), "large", g.within(burstAt, 5*time.Minute))
+	}
+	slices.SortFunc(g.works, func(a, b work) int {
+		return a.job.Submitted.Compare(b.job.Submitted)
+	})
+	return g.works
+}
+
+func (g *generator) within(start, length time.Duration) time.Duration {
+	return start + time.Duration(g.random.Float64()*float64(length))
+}
+
+func (g *generator) team(kind string) string {
+	return fmt.Sprintf("%s%02d", kind, g.random.IntN(g.deployment.scale))
+}
+
+func (g *generator) steady() work {
+	at := g.within(0, day)
+	kind := []string{"large", "middle", "one", "two"}[g.random.IntN(4)]
+	x := g.random.Float64()
+	switch {
+	case x < 0.05:
+		return g.add(g.team("large"), "large", at)
+	case x < 0.3:
+		return g.add(g.team(kind), "medium", at)
+	case x < 0.4:
+		return g.add(g.team(kind), "urgent", at)
+	}
+	return g.add(g.team(kind), "short", at)
+}
+
+// add makes one job of a class.
+func (g *generator) add(team, class string, at time.Duration) work {
+	tasks, accelerators, span := 1, 1+g.random.IntN(2), sesamemodel.Span("")
+	low, high := 5.0, 30.0
+	urgency := sesamemodel.Normal
+	switch class {
+	case "urgent":
+		accelerators = 1 + g.random.IntN(4)
+		low, high = 2, 10
+		urgency = sesamemodel.Urgent
+	case "medium":
+		accelerators = 4 + 4*g.random.IntN(2)
+		low, high = 30, 120
+	case "large":
+		tasks, accelerators, span = 2+g.random.IntN(2), 8, sesamemodel.SpanRack
+		low, high = 60, 240
+		urgency = sesamemodel.Batch
+	}
+	real := time.Duration((low + g.random.Float64()*(high-low)) * float64(time.Minute))
+	j := newJob(fmt.Sprintf("j%05d", len(g.works)), team, tasks, accelerators, span)
+	j.Submitted = epoch.Add(at)
+	j.Urgency = urgency
+	j.Spec.Class = class
+	j.Spec.Checkpoints = g.random.Float64() < map[string]float64{"short": 0.3, "urgent": 0.1, "medium": 0.7, "large": 0.8}[class]
+	j.Spec.Once = class == "urgent" && g.random.Float64() < 0.2
+	j.Spec.RunTime = g.declared(team, class, real)
+	w := work{
+		job:    j,
+		real:   real,
+		broken: g.random.Float64() < g.scenario.broken,
+	}
+	if team == "one00" && class == "short" && g.random.Float64() < g.scenario.cancelled {
+		w.cancelAt = burstAt + 20*time.Minute
+	}
+	g.works = append(g.works, w)
+	return w
+}
+
+// declared returns what a caller says: each team's class is off by a factor of
+// its own, and each job by a smaller one.
+func (g *generator) declared(team, class string, real time.Duration) time.Duration {
+	own := rand.New(rand.NewPCG(uint64(len(team))*31+uint64(team[0]), uint64(class[0])))
+	factor := math.Exp(g.scenario.lies*own.NormFloat64() + (0.05+g.scenario.lies/4)*g.random.NormFloat64())
+	return time.Duration(float64(real) * factor)
+}
--- /dev/null
+++ b/sesameplanner/replay_test.go
@@ -0,0 +1,369 @@
+package sesameplanner
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+const (
+	// startDelay stands for the preparation of a gang, and stopDelay for the
+	// victims' grace.
+	startDelay = 500 * time.Millisecond
+	stopDelay  = time.Second
+	// failDelay is when a bad worker fails a task.
+	failDelay = 20 * time.Second
+	// maxAttempts ends jobs of policies that do not judge failures.
+	maxAttempts = 10
+)
+
+// policy decides about the queued jobs of a planner.
+type policy func(p *Planner, now time.Time) []Decision
+
+func ours(p *Planner, now time.Time) []Decision {
+	return p.Plan(now, 1<<20)
+}
+
+// fifo places jobs strictly in the order of submission.
+func fifo(find func(*Planner, *demand) []part) policy {
+	return func(p *Planner, now time.Time) []Decision {
+		var queue []*entry
+		for _, t := range p.teams {
+			for _, e := range t.queue {
+				if !e.gone {
+					queue = append(queue, e)
+				}
+			}
+		}
+		slices.SortFunc(queue, func(a, b *entry) int {
+			return a.job.Submitted.Compare(b.job.Submitted)
+		})
+		r := &round{
+			planner: p,
+			now:     now,
+		}
+		for _, e := range queue {
+			parts := find(p, p.borrowDemand(e, now))
+			if parts == nil {
+				break
+			}
+			r.place(e, parts, &victims{}, false)
+		}
+		for _, t := range p.teams {
+			t.compact()
+		}
+		return r.decisions
+	}
+}
+
+func bestFit(p *Planner, d *demand) []part {
+	return p.cells.find(d)
+}
+
+// firstFit takes the first target, or the first rack, in the order of names.
+func firstFit(p *Planner, d *demand) []part {
+	for _, z := range p.cells.zones {
+		for _, s := range z.cells {
+			for _, r := range s.racks {
+				for at := r.first; at < r.end; at++ {
+					nodes := s.order[at : at+1]
+					if d.spec.Span == sesamemodel.SpanRack {
+						nodes = s.order[r.first:r.end]
+					}
+					parts, total := d.collect(nil, s, nodes)
+					if total >= d.spec.Tasks {
+						return d.trim(parts)
+					}
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// happening is one event of a replay.
+type happening struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+
+func (a agenda) Less(i, k int) bool {
+	if !a[i].at.Equal(a[k].at) {
+		return a[i].at.Before(a[k].at)
+	}
+	return a[i].order < a[k].order
+}
+
+func (a agenda) Swap(i, k int) { a[i], a[k] = a[k], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
+
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	x := (*a)[last]
+	*a = (*a)[:last]
+	return x
+}
+
+// running is the state of one job in a replay.
+type running struct {
+	work
+	// done is the progress that a restart keeps.
+	done   time.Duration
+	opened time.Time
+	owed   bool
+	begun  bool
+}
+
+// replay runs one day of work under one policy.
+type replay struct {
+	planner   *Planner
+	decide    policy
+	judge     bool
+	contracts map[sesamemodel.TeamID]sesamemodel.Contract
+	jobs      map[sesamemodel.JobID]*running
+	bad       map[sesamemodel.TargetID]bool
+	budget    *RetryBudget
+	now       time.Time
+	events    agenda
+	count     int
+	unended   map[sesamemodel.TeamID]int
+	result    *result
+}
+
+func newReplay(d deployment, s scenario, works []work, seed uint64, decide policy, o Options, guaranteed bool) *replay {
+	cells := d.cells()
+	contracts := d.contracts()
+	if guaranteed {
+		changed, err := Admit(contracts, cells)
+		if err != nil {
+			panic(err)
+		}
+		for _, c := range changed {
+			at := slices.IndexFunc(cells, func(o sesamemodel.Cell) bool { return o.ID == c.ID })
+			cells[at] = c
+		}
+	}
+	r := &replay{
+		planner:   New(o),
+		decide:    decide,
+		judge:     guaranteed,
+		contracts: map[sesamemodel.TeamID]sesamemodel.Contract{},
+		jobs:      map[sesamemodel.JobID]*running{},
+		bad:       map[sesamemodel.TargetID]bool{},
+		budget:    NewRetryBudget(),
+		now:       epoch,
+		unended:   map[sesamemodel.TeamID]int{},
+		result:    newResult(),
+	}
+	r.planner.SetContracts(contracts)
+	for _, c := range contracts {
+		r.contracts[c.Team] = c
+	}
+	random := rand.New(rand.NewPCG(seed, 2))
+	for _, c := range cells {
+		r.planner.SetCell(c)
+		for _, t := range c.Targets {
+			r.bad[t.ID] = random.Float64() < s.badWorkers
+		}
+	}
+	if s.badWorkers > 0 {
+		r.bad[cells[0].Targets[0].ID] = true
+	}
+	for _, w := range works {
+		r.at(w.job.Submitted, func() { r.submit(w) })
+	}
+	return r
+}
+
+func (r *replay) at(t time.Time, do func()) {
+	r.count++
+	heap.Push(&r.events, happening{
+		at:    t,
+		order: r.count,
+		do:    do,
+	})
+}
+
+// run plays all events; planning follows each instant with events.
+func (r *replay) run() *result {
+	for len(r.events) > 0 {
+		next := r.events[0].at
+		r.result.addFragmentation(r.planner, r.now, next)
+		r.now = next
+		for len(r.events) > 0 && r.events[0].at.Equal(next) {
+			heap.Pop(&r.events).(happening).do()
+		}
+		r.apply()
+	}
+	r.result.left = len(r.jobs)
+	return r.result
+}
+
+func (r *replay) submit(w work) {
+	team := w.job.Spec.Team
+	need := w.job.Spec.Need().Accelerators
+	r.unended[team] += need
+	r.jobs[w.job.ID] = &running{
+		work: w,
+		owed: r.unended[team] <= r.contracts[team].Guaranteed() && coveredByShape(w.job.Spec, r.contracts[team]),
+	}
+	r.planner.SetJob(w.job)
+	if w.cancelAt > 0 {
+		r.at(epoch.Add(w.cancelAt), func() { r.cancel(w.job.ID) })
+	}
+}
+
+func coveredByShape(s sesamemodel.Spec, c sesamemodel.Contract) bool {
+	return slices.ContainsFunc(c.Guarantees, func(g sesamemodel.Shape) bool {
+		return s.Tasks <= workersOf(g) && s.Task.Accelerators <= perWorker(g)
+	})
+}
+
+func (r *replay) cancel(id sesamemodel.JobID) {
+	w, ok := r.jobs[id]
+	if ok && w.job.State == sesamemodel.Queued {
+		r.end(w, "")
+	}
+}
+
+// end forgets a job that has ended; an empty class is not counted.
+func (r *replay) end(w *running, class string) {
+	r.unended[w.job.Spec.Team] -= w.job.Spec.Need().Accelerators
+	delete(r.jobs, w.job.ID)
+	r.planner.RemoveJob(w.job.ID)
+	if class != "" {
+		r.result.complete(class, r.now.Sub(w.job.Submitted))
+	}
+}
+
+func (r *replay) apply() {
+	for _, d := range r.decide(r.planner, r.now) {
+		for _, v := range d.Victims {
+			r.stop(v)
+		}
+		w := r.jobs[d.Job.ID]
+		w.job = d.Job
+		switch d.Verdict {
+		case Refuse:
+			r.result.refused++
+			r.end(w, "")
+		case Move:
+			r.result.moves++
+			r.stop(d.Job)
+		case Place:
+			r.start(w, len(d.Victims) > 0)
+		}
+	}
+}
+
+// stop takes a victim's progress and queues it again after the grace.
+func (r *replay) stop(v sesamemodel.Job) {
+	w := r.jobs[v.ID]
+	if w.job.State == sesamemodel.Stopping {
+		return
+	}
+	ran := max(r.now.Sub(w.opened), 0)
+	kept := time.Duration(0)
+	if v.Spec.Checkpoints {
+		kept = max(ran-checkpointLoss, 0)
+	}
+	w.done += kept
+	r.result.stopped++
+	r.result.lost += (ran - kept).Hours() * float64(v.Spec.Need().Accelerators)
+	w.job = v
+	r.at(r.now.Add(stopDelay), func() {
+		r.free(w.job)
+		w.job = w.job.WithRequeue(r.now, "")
+		r.planner.SetJob(w.job)
+	})
+}
+
+func (r *replay) free(j sesamemodel.Job) {
+	for _, id := range j.Cells() {
+		r.planner.SetCell(r.planner.cells.get(id).cell.WithoutAttempt(j.ID, j.Attempt, ""))
+	}
+}
+
+func (r *replay) start(w *running, reclaims bool) {
+	delay := startDelay
+	if reclaims {
+		delay += stopDelay
+	}
+	w.opened = r.now.Add(delay)
+	if w.owed && !w.begun {
+		r.result.late = append(r.result.late, w.opened.Sub(w.job.Submitted).Seconds())
+	}
+	w.begun = true
+	attempt := w.job.Attempt
+	failing := w.broken || slices.ContainsFunc(w.job.Assignments, func(a sesamemodel.Assignment) bool {
+		return r.bad[a.Target]
+	})
+	length := w.real - w.done
+	if failing {
+		length = failDelay
+	}
+	r.at(w.opened.Add(length), func() {
+		if r.jobs[w.job.ID] != w || w.job.Attempt != attempt || w.job.State != sesamemodel.Placed {
+			return
+		}
+		r.free(w.job)
+		if failing {
+			r.fail(w)
+			return
+		}
+		r.succeed(w, length)
+	})
+}
+
+func (r *replay) succeed(w *running, length time.Duration) {
+	if r.judge {
+		r.planner.Succeeded(w.job)
+		r.planner.Observe(Observation{
+			Spec:    w.job.Spec,
+			RunTime: w.done + length,
+		})
+		for _, s := range r.planner.cells.byID {
+			cell := JudgeSuccess(s.cell, w.job)
+			if !slices.Equal(cell.Targets, s.cell.Targets) {
+				r.planner.SetCell(cell)
+				r.planner.Repair()
+			}
+		}
+	}
+	r.end(w, w.job.Spec.Class)
+}
+
+func (r *replay) fail(w *running) {
+	r.result.failures++
+	on := []sesamemodel.TargetID{w.job.Assignments[0].Target}
+	for _, a := range w.job.Assignments {
+		if r.bad[a.Target] {
+			on = []sesamemodel.TargetID{a.Target}
+		}
+	}
+	if r.judge {
+		w.job = JudgeFailure(r.now, w.job, on, "exit 1", r.contracts[w.job.Spec.Team], r.budget)
+		r.planner.Failed(r.now, w.job, on)
+	} else {
+		w.job = w.job.WithRequeue(r.now, "")
+		if w.job.Attempt >= maxAttempts {
+			w.job.State = sesamemodel.Failed
+		}
+	}
+	if w.job.State.Ended() {
+		if !w.broken {
+			r.result.wronged++
+		}
+		r.end(w, "")
+		return
+	}
+	r.planner.SetJob(w.job)
+}
