Move unused guarantees to where a reclaim stops least work

Ruled out: more room left idle in each cell, which would cost the borrowers. Change: an unused guarantee moves with the owed job to the cell where least work is lost; an owed job never breaks up what its team could use whole; only use beyond the guarantees counts as borrowed; work without checkpoints is overdue at twice its expected run time.

--- a/sesameplanner/borrow.go
+++ b/sesameplanner/borrow.go
@@ -61,14 +61,14 @@
 	}
 }
 
-// share returns the largest part of the platform that a team has borrowed,
-// over its weight.
+// share returns the largest part of the platform that a team uses beyond its
+// guarantees, over its weight.
 func (p *Planner) share(t *team) float64 {
 	total := p.cells.capacity
 	most := max(
 		fraction(t.borrowed.Cores, total.Cores),
 		fraction(t.borrowed.Memory, total.Memory),
-		fraction(t.borrowed.Accelerators, total.Accelerators),
+		fraction(max(t.used-t.contract.Guaranteed(), 0), total.Accelerators),
 		fraction(t.borrowed.Slots, total.Slots),
 	)
 	return most / float64(max(t.contract.Weight, 1))
--- a/sesameplanner/change.go
+++ b/sesameplanner/change.go
@@ -19,6 +19,8 @@
 	added   []sesamemodel.Allocation
 	// freed are accelerators that victims leave, by node.
 	freed map[int]uint64
+	// guarantees replace those of the cell when they are not nil.
+	guarantees []sesamemodel.Guarantee
 	// next is the state that follows, once it has been worked out.
 	next *cellState
 }
@@ -77,6 +79,9 @@
 		}
 	}
 	cell.Allocations = append(kept, c.added...)
+	if c.guarantees != nil {
+		cell.Guarantees = c.guarantees
+	}
 	return cell
 }
 
--- a/sesameplanner/cheapest.go
+++ b/sesameplanner/cheapest.go
@@ -7,8 +7,13 @@
 	"github.com/sesamestack/sesamestack/sesamemodel"
 )
 
-// maxOwedTrials bounds the placements that are tried for one owed job.
-const maxOwedTrials = 6
+const (
+	// maxOwedTrials bounds the placements that are tried for one owed job.
+	maxOwedTrials = 6
+	// maxOwedCells bounds the cells, beside those that hold the team's
+	// guarantees, that are looked at for one owed job.
+	maxOwedCells = 8
+)
 
 // option is a way to place an owed job.
 type option struct {
@@ -16,11 +21,19 @@
 	victims *victims
 	// waste ranks options that stop the same amount of work.
 	waste float64
+	// move is the guarantee that moves to the option's cell; nil for none.
+	move *located
+}
+
+// located is a guarantee and the cell that holds it.
+type located struct {
+	state     *cellState
+	guarantee int
 }
 
-// cheaper returns a placement of owed work that stops less than cost and keeps
-// all guarantees formable, nil when the trials find none.
-func (r *round) cheaper(e *entry, cost float64) *proposal {
+// cheaper returns a placement of owed work that stops less than the given one
+// while all guarantees can still be formed, or the given one.
+func (r *round) cheaper(e *entry, given *proposal) *proposal {
 	options := r.options(e)
 	slices.SortStableFunc(options, func(a, b option) int {
 		return cmp.Or(
@@ -28,41 +41,107 @@
 			cmp.Compare(a.waste, b.waste),
 		)
 	})
+	left := r.left(e, given)
 	for _, o := range options[:min(len(options), maxOwedTrials)] {
-		if o.victims.cost > cost || o.victims.cost == cost && cost > 0 {
-			return nil
+		if o.victims.cost > given.victims.cost || o.victims.cost == given.victims.cost && o.move != nil {
+			break
 		}
 		pr := r.propose(e, o.parts, o.victims, true)
-		if pr.changed.keepsGuarantees(e.job.Spec.Team) {
+		if o.move != nil {
+			pr.changed.move(o.move, o.parts[0].state)
+		}
+		if pr.changed.keepsGuarantees(e.job.Spec.Team) && slices.Compare(r.left(e, pr), left) >= 0 {
 			return pr
 		}
 	}
-	return nil
+	return given
+}
+
+// left returns what each worker still offers to the team's guarantees after a
+// proposal, in accelerators, the largest first. An owed job must not break up
+// what another of the team could use whole.
+func (r *round) left(e *entry, pr *proposal) []int {
+	team := e.job.Spec.Team
+	cells := sortedCells(r.planner.team(team).cells)
+	for _, id := range pr.changed.order {
+		if !slices.Contains(cells, id) {
+			cells = append(cells, id)
+		}
+	}
+	var left []int
+	for _, id := range cells {
+		s := r.planner.cells.get(id)
+		if c, ok := pr.changed.cells[id]; ok {
+			s = c.result()
+		}
+		left = append(left, s.leftFor(team)...)
+	}
+	slices.SortFunc(left, func(a, b int) int {
+		return cmp.Compare(b, a)
+	})
+	return left
+}
+
+// leftFor returns the unused part of the team's slots on each worker.
+func (s *cellState) leftFor(team sesamemodel.TeamID) []int {
+	var left []int
+	for i, size := range s.reservedBy(team) {
+		if size == 0 {
+			continue
+		}
+		own := equivalent(s.ownUse(team, i), s.nodes[i].target.Capacity)
+		if size > own {
+			left = append(left, size-own)
+		}
+	}
+	return left
 }
 
 // options lists the placements on one target or one rack of the cells that
-// hold the team's guarantees.
+// hold the team's guarantees, and of others that one could move to.
 func (r *round) options(e *entry) []option {
 	p := r.planner
 	d := p.borrowDemand(e, r.now)
 	d.free = r.withoutBorrowers
 	var options []option
-	for _, id := range sortedCells(p.team(e.job.Spec.Team).cells) {
-		s := p.cells.get(id)
-		for i := range s.nodes {
-			options = r.addOption(options, e, d, s, []int{i})
-		}
-		if e.job.Spec.Tasks == 1 || e.job.Spec.Span == sesamemodel.SpanWorker {
-			continue
-		}
-		for _, k := range s.racks {
-			options = r.addOption(options, e, d, s, s.order[k.first:k.end])
+	own := p.team(e.job.Spec.Team).cells
+	for _, id := range sortedCells(own) {
+		options = r.addCell(options, e, d, p.cells.get(id), nil)
+	}
+	movable := r.movable(e)
+	if movable == nil {
+		return options
+	}
+	looked := 0
+	for _, z := range p.cells.zones {
+		for _, s := range z.cells {
+			if looked == maxOwedCells {
+				return options
+			}
+			if own[s.cell.ID] > 0 || s.capacity.Accelerators == 0 {
+				continue
+			}
+			looked++
+			options = r.addCell(options, e, d, s, movable)
 		}
 	}
 	return options
 }
 
-func (r *round) addOption(options []option, e *entry, d *demand, s *cellState, nodes []int) []option {
+func (r *round) addCell(options []option, e *entry, d *demand, s *cellState, move *located) []option {
+	for i := range s.nodes {
+		options = r.addOption(options, e, d, s, []int{i}, move)
+	}
+	if e.job.Spec.Tasks == 1 || e.job.Spec.Span == sesamemodel.SpanWorker {
+		return options
+	}
+	for _, k := range s.racks {
+		options = r.addOption(options, e, d, s, s.order[k.first:k.end], move)
+	}
+	return options
+}
+
+func (r *round) addOption(options []option, e *entry, d *demand, s *cellState, nodes []int, move *located) []option {
 	parts, total := d.collect(nil, s, nodes)
 	if total < d.spec.Tasks {
 		return options
@@ -80,9 +159,61 @@
 		parts:   parts,
 		victims: v,
 		waste:   waste,
+		move:    move,
+	})
+}
+
+// movable returns the smallest unused guarantee of the team that covers the
+// job and lies in one cell, nil when there is none.
+func (r *round) movable(e *entry) *located {
+	p := r.planner
+	team := e.job.Spec.Team
+	var best *located
+	least := 0
+	for _, id := range sortedCells(p.team(team).cells) {
+		s := p.cells.get(id)
+		if s == nil || s.ownsAny(team) {
+			continue
+		}
+		for i, g := range s.cell.Guarantees {
+			if g.Team != team || !p.whole(g) || !covers(g.Shape, e.job.Spec) {
+				continue
+			}
+			if best == nil || g.Shape.Total() < least {
+				best, least = &located{state: s, guarantee: i}, g.Shape.Total()
+			}
+		}
+	}
+	return best
+}
+
+// ownsAny reports whether owed work of the team runs in the cell.
+func (s *cellState) ownsAny(team sesamemodel.TeamID) bool {
+	return slices.ContainsFunc(s.cell.Allocations, func(a sesamemodel.Allocation) bool {
+		return a.Owed && a.Team == team
 	})
 }
 
+// whole reports whether a guarantee is all of the shape in its contract, and
+// not a part of one that is split over cells.
+func (p *Planner) whole(g sesamemodel.Guarantee) bool {
+	contract := p.team(g.Team).contract
+	return g.Index < len(contract.Guarantees) && contract.Guarantees[g.Index] == g.Shape
+}
+
+func covers(g sesamemodel.Shape, s sesamemodel.Spec) bool {
+	return s.Tasks <= workersOf(g) && s.Task.Accelerators <= perWorker(g)
+}
+
+// move takes a guarantee from its cell to another.
+func (c *change) move(from *located, to *cellState) {
+	g := from.state.cell.Guarantees[from.guarantee]
+	source := c.cell(from.state)
+	source.guarantees = slices.Delete(slices.Clone(from.state.cell.Guarantees), from.guarantee, from.guarantee+1)
+	target := c.cell(to)
+	target.guarantees = append(slices.Clone(to.cell.Guarantees), g)
+}
+
 // withoutBorrowers returns what a node offers once all borrowers on it that
 // may be stopped have been.
 func (r *round) withoutBorrowers(s *cellState, i int) sesamemodel.Resources {
--- a/sesameplanner/owed.go
+++ b/sesameplanner/owed.go
@@ -94,17 +94,30 @@
 			return false
 		}
 	}
-	chosen := r.cheaper(e, set.cost)
-	if chosen == nil {
-		chosen = r.propose(e, parts, set, true)
-	}
-	if chosen.victims.cost > 0 && !fixed(e.job.Spec) && r.borrow(e) {
+	chosen := r.cheaper(e, r.propose(e, parts, set, true))
+	if r.lendInstead(e, chosen) {
 		return true
 	}
 	r.accept(chosen)
 	return true
 }
 
+// lendInstead borrows for an owed job when that stops no work, or breaks less
+// of what is whole. Work that must not be stopped stays inside its guarantee.
+func (r *round) lendInstead(e *entry, chosen *proposal) bool {
+	need := e.job.Spec.Need().Accelerators
+	if fixed(e.job.Spec) || !r.planner.team(e.job.Spec.Team).mayBorrow(need) {
+		return false
+	}
+	d := r.planner.borrowDemand(e, r.now)
+	parts := r.planner.cells.find(d)
+	if parts == nil || chosen.victims.cost == 0 && d.totalWaste(parts) >= chosen.waste {
+		return false
+	}
+	r.place(e, parts, &victims{}, false)
+	return true
+}
+
 // owedParts returns the workers of the team's guarantees that take the job,
 // nil when it does not fit into what is unused.
 func (p *Planner) owedParts(job sesamemodel.Job) []part {
--- a/sesameplanner/replay_test.go
+++ b/sesameplanner/replay_test.go
@@ -131,11 +131,13 @@
 	jobs      map[sesamemodel.JobID]*running
 	bad       map[sesamemodel.TargetID]bool
 	budget    *RetryBudget
-	now       time.Time
-	events    agenda
-	count     int
-	unended   map[sesamemodel.TeamID]int
-	result    *result
+	// quarantined are the targets that wait for their release.
+	quarantined map[sesamemodel.TargetID]bool
+	now         time.Time
+	events      agenda
+	count       int
+	unended     map[sesamemodel.TeamID]int
+	result      *result
 }
 
 func newReplay(d deployment, s scenario, works []work, seed uint64, decide policy, o Options, guaranteed bool) *replay {
@@ -152,16 +154,17 @@
 		}
 	}
 	r := &replay{
-		planner:   New(o),
-		decide:    decide,
-		judge:     guaranteed,
-		contracts: map[sesamemodel.TeamID]sesamemodel.Contract{},
-		jobs:      map[sesamemodel.JobID]*running{},
-		bad:       map[sesamemodel.TargetID]bool{},
-		budget:    NewRetryBudget(),
-		now:       epoch,
-		unended:   map[sesamemodel.TeamID]int{},
-		result:    newResult(),
+		planner:     New(o),
+		decide:      decide,
+		judge:       guaranteed,
+		contracts:   map[sesamemodel.TeamID]sesamemodel.Contract{},
+		jobs:        map[sesamemodel.JobID]*running{},
+		bad:         map[sesamemodel.TargetID]bool{},
+		budget:      NewRetryBudget(),
+		quarantined: map[sesamemodel.TargetID]bool{},
+		now:         epoch,
+		unended:     map[sesamemodel.TeamID]int{},
+		result:      newResult(),
 	}
 	r.planner.SetContracts(contracts)
 	for _, c := range contracts {
@@ -335,12 +338,29 @@
 			if !slices.Equal(cell.Targets, s.cell.Targets) {
 				r.planner.SetCell(cell)
 				r.planner.Repair()
+				r.probation(cell)
 			}
 		}
 	}
 	r.end(w, w.job.Spec.Class)
 }
 
+// probation releases the targets that were just quarantined after a while.
+func (r *replay) probation(cell sesamemodel.Cell) {
+	for _, t := range cell.Targets {
+		if t.Health != sesamemodel.Quarantined || r.quarantined[t.ID] {
+			continue
+		}
+		r.quarantined[t.ID] = true
+		r.at(r.now.Add(Probation(t.Strikes)), func() {
+			delete(r.quarantined, t.ID)
+			present := r.planner.cells.get(cell.ID).cell
+			target, _ := present.Target(t.ID)
+			r.planner.SetCell(present.WithTarget(Release(target)))
+		})
+	}
+}
+
 func (r *replay) fail(w *running) {
 	r.result.failures++
 	on := []sesamemodel.TargetID{w.job.Assignments[0].Target}
--- a/sesameplanner/reservation.go
+++ b/sesameplanner/reservation.go
@@ -131,7 +131,7 @@
 	free := s.nodes[i].free
 	for _, h := range s.nodes[i].held {
 		a := &s.cell.Allocations[h]
-		if !a.Owed && !a.Fixed && r.planner.known(a) && !expectedEnd(a).After(r.now) {
+		if !a.Owed && !a.Fixed && r.planner.known(a) && r.planner.overdue(a, r.now) {
 			free = free.Plus(a.Resources)
 		}
 	}
@@ -151,6 +151,19 @@
 	return a.Since.Add(a.RunTime)
 }
 
+// overrun is how many times its expected run time work without checkpoints may
+// take before it is stopped for a reservation.
+const overrun = 2
+
+// overdue reports whether an allocation has outstayed its expected end.
+func (p *Planner) overdue(a *sesamemodel.Allocation, now time.Time) bool {
+	end := expectedEnd(a)
+	if e := p.jobs[a.Job]; e != nil && !e.job.Spec.Checkpoints {
+		end = a.Since.Add(overrun * end.Sub(a.Since))
+	}
+	return !end.After(now)
+}
+
 // reserve holds capacity for the jobs that have waited longest.
 func (r *round) reserve() {
 	p := r.planner
@@ -256,7 +269,7 @@
 		end := expectedEnd(a)
 		if end.Before(r.now) {
 			end = r.now
-			if a.Owed || a.Fixed {
+			if a.Owed || a.Fixed || !r.planner.overdue(a, r.now) {
 				end = r.now.Add(r.now.Sub(a.Since) / 2)
 			}
 		}
--- a/sesameplanner/round.go
+++ b/sesameplanner/round.go
@@ -56,6 +56,8 @@
 	victims     *victims
 	owed        bool
 	changed     *change
+	// waste is what the placement breaks of whole targets and racks.
+	waste float64
 }
 
 // propose works out what placing a job on its parts would change.
@@ -82,6 +84,7 @@
 		allocation.Resources = e.task.Times(at.tasks)
 		allocation.Accelerators = a.Accelerators
 		cell.added = append(cell.added, allocation)
+		pr.waste += r.planner.options.Packing * r.planner.breakage(at.state, at.node, allocation.Resources.Accelerators)
 	}
 	return pr
 }
--- a/sesameplanner/victims.go
+++ b/sesameplanner/victims.go
@@ -107,7 +107,7 @@
 	var found []candidate
 	for _, h := range at.target().held {
 		a := &at.state.cell.Allocations[h]
-		if a.Owed || a.Fixed || !p.known(a) || v.overdue && expectedEnd(a).After(now) {
+		if a.Owed || a.Fixed || !p.known(a) || v.overdue && !p.overdue(a, now) {
 			continue
 		}
 		e := p.jobs[a.Job]
