Read contracts so that a set is exact at its number

A removal used to delete the team's row, so a reading of the rows did not tell which changes it held; with an old copy behind the next reading a removed contract could come back for one poll. The row now keeps the newest change, removals included, and readings that don't fit together are not taken.

--- /dev/null
+++ b/sesamecontract/machine_test.go
@@ -0,0 +1,240 @@
+package sesamecontract
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// history is the true sequence of accepted changes.
+type history struct {
+	changes []sesamemodel.Change
+}
+
+func (h *history) newest() int {
+	return len(h.changes)
+}
+
+// at returns the weights in force after that many changes.
+func (h *history) at(n int) map[sesamemodel.TeamID]int {
+	weights := map[sesamemodel.TeamID]int{}
+	for _, change := range h.changes[:n] {
+		if change.Removed {
+			delete(weights, change.Team)
+			continue
+		}
+		weights[change.Team] = change.Contract.Weight
+	}
+	return weights
+}
+
+// DownError is a failed reading.
+type DownError struct{}
+
+// Error says so.
+func (e *DownError) Error() string {
+	return "store is down"
+}
+
+// copies answers each reading from a copy of the history that may be old, and
+// older than the one before it.
+type copies struct {
+	history *history
+	draw    func(label string, most int) int
+	failing func() bool
+}
+
+func (c *copies) reading(label string) (int, error) {
+	if c.failing() {
+		return 0, &DownError{}
+	}
+	return c.draw(label, c.history.newest()), nil
+}
+
+func (c *copies) ContractNumber(context.Context) (uint64, error) {
+	n, err := c.reading("number read at")
+	return uint64(n), err
+}
+
+func (c *copies) TeamChanges(ctx context.Context) ([]sesamemodel.Change, uint64, error) {
+	number, err := c.ContractNumber(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	n, err := c.reading("rows read at")
+	if err != nil {
+		return nil, 0, err
+	}
+	latest := map[sesamemodel.TeamID]sesamemodel.Change{}
+	for _, change := range c.history.changes[:n] {
+		latest[change.Team] = change
+	}
+	var changes []sesamemodel.Change
+	for _, change := range latest {
+		changes = append(changes, change)
+	}
+	return changes, number, nil
+}
+
+func (c *copies) ChangesSince(_ context.Context, number uint64) ([]sesamemodel.Change, error) {
+	n, err := c.reading("log read at")
+	if err != nil || n < int(number) {
+		return nil, err
+	}
+	return c.history.changes[number:n], nil
+}
+
+// process is one holder of contracts.
+type process struct {
+	holder *Holder
+	watch  *Watch
+	// highest is the highest number that was seen from outside.
+	highest uint64
+}
+
+// spread is the system under test: processes that follow one history.
+type spread struct {
+	history   *history
+	source    *copies
+	clock     *clockwork.FakeClock
+	processes []*process
+	hints     []uint64
+}
+
+func newSpread(t *rapid.T) *spread {
+	s := &spread{
+		history: &history{},
+		clock:   clockwork.NewFakeClock(),
+	}
+	s.source = &copies{
+		history: s.history,
+		draw: func(label string, most int) int {
+			if rapid.Bool().Draw(t, "fresh") {
+				return most
+			}
+			return rapid.IntRange(0, most).Draw(t, label)
+		},
+		failing: func() bool {
+			return rapid.IntRange(0, 9).Draw(t, "fails") == 0
+		},
+	}
+	for range 3 {
+		s.processes = append(s.processes, s.start())
+	}
+	return s
+}
+
+func (s *spread) start() *process {
+	holder := NewHolder()
+	return &process{
+		holder: holder,
+		watch: NewWatch(s.source, holder, WatchOptions{
+			Clock: s.clock,
+		}),
+	}
+}
+
+func (s *spread) accept(t *rapid.T) {
+	team := sesamemodel.TeamID(rapid.SampledFrom([]string{"cork", "mill", "crew"}).Draw(t, "team"))
+	change := sesamemodel.Change{
+		Number: uint64(s.history.newest() + 1),
+		Team:   team,
+	}
+	_, exists := s.history.at(s.history.newest())[team]
+	change.Removed = exists && rapid.Bool().Draw(t, "remove")
+	if !change.Removed {
+		change.Contract = sesamemodel.Contract{
+			Team:   team,
+			Number: change.Number,
+			Weight: int(change.Number),
+		}
+	}
+	s.history.changes = append(s.history.changes, change)
+	s.hints = append(s.hints, change.Number)
+}
+
+// hint delivers one of the hints so far, in any order and any number of times.
+func (s *spread) hint(t *rapid.T) {
+	if len(s.hints) == 0 {
+		t.Skip("no change yet")
+	}
+	s.any(t).watch.Hint(rapid.SampledFrom(s.hints).Draw(t, "hint"))
+}
+
+func (s *spread) any(t *rapid.T) *process {
+	return s.processes[rapid.IntRange(0, len(s.processes)-1).Draw(t, "process")]
+}
+
+func (s *spread) poll(t *rapid.T) {
+	s.clock.Advance(defaultPoll)
+	_ = s.any(t).watch.Poll(context.Background())
+}
+
+func (s *spread) replace(t *rapid.T) {
+	i := rapid.IntRange(0, len(s.processes)-1).Draw(t, "process")
+	s.processes[i] = s.start()
+}
+
+// fresh confirms that a reading without faults brings the newest number.
+func (s *spread) fresh(t *rapid.T) {
+	p := s.any(t)
+	watch := NewWatch(&copies{
+		history: s.history,
+		draw: func(_ string, most int) int {
+			return most
+		},
+		failing: func() bool {
+			return false
+		},
+	}, p.holder, WatchOptions{
+		Clock: s.clock,
+	})
+	set, err := watch.Fresh(context.Background())
+	if err != nil || set.Number() != uint64(s.history.newest()) {
+		t.Fatalf("fresh reading gives %v, %v; newest is %d", set, err, s.history.newest())
+	}
+}
+
+// check holds after every step: a process shows exactly what was in force at
+// its number, and never an older number after a newer one.
+func (s *spread) check(t *rapid.T) {
+	for _, p := range s.processes {
+		set, err := p.holder.Current()
+		if err != nil {
+			continue
+		}
+		if set.Number() < p.highest {
+			t.Fatalf("number %d after %d", set.Number(), p.highest)
+		}
+		p.highest = set.Number()
+		weights := map[sesamemodel.TeamID]int{}
+		for _, c := range set.Contracts() {
+			weights[c.Team] = c.Weight
+		}
+		if want := s.history.at(int(set.Number())); !maps.Equal(weights, want) {
+			t.Fatalf("at number %d: %v, accepted were %v", set.Number(), fmt.Sprint(weights), want)
+		}
+	}
+}
+
+// TestNeverAnOlderNumber runs processes under reordered hints, readings from
+// old copies, failures and replacement.
+func TestNeverAnOlderNumber(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSpread(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"accept":  s.accept,
+			"hint":    s.hint,
+			"poll":    s.poll,
+			"replace": s.replace,
+			"fresh":   s.fresh,
+			"":        s.check,
+		})
+	})
+}
--- a/sesamecontract/watch.go
+++ b/sesamecontract/watch.go
@@ -15,7 +15,7 @@
 // Source reads accepted contracts; sesamestore.Store is one.
 type Source interface {
 	ContractNumber(ctx context.Context) (uint64, error)
-	Contracts(ctx context.Context) ([]sesamemodel.Contract, uint64, error)
+	TeamChanges(ctx context.Context) ([]sesamemodel.Change, uint64, error)
 	ChangesSince(ctx context.Context, number uint64) ([]sesamemodel.Change, error)
 }
 
@@ -235,43 +235,26 @@
 	if err != nil {
 		return nil, err
 	}
-	if number < held.Number() {
-		return nil, &StaleReadError{
-			Held:  held.Number(),
-			Found: number,
-		}
-	}
 	if number == held.Number() {
 		return held, nil
 	}
-	return follow(ctx, w.source, held)
-}
-
-// Load reads all contracts and the changes accepted while they were read, so
-// that the set is exactly what was in force at its number.
-func Load(ctx context.Context, source Source) (*Set, error) {
-	contracts, number, err := source.Contracts(ctx)
-	if err != nil {
+	if err := fresh(number, held.Number()); err != nil {
 		return nil, err
 	}
-	changes, err := source.ChangesSince(ctx, number)
+	set, err := follow(ctx, w.source, held)
 	if err != nil {
 		return nil, err
 	}
-	return NewSet(number, contracts).WithChanges(changes)
+	return set, fresh(set.Number(), number)
 }
 
-// follow brings the set up to the newest change; a gap in the log is answered
-// by reading all contracts.
-func follow(ctx context.Context, source Source, held *Set) (*Set, error) {
-	changes, err := source.ChangesSince(ctx, held.Number())
-	if err != nil {
-		return nil, err
+// fresh fails when a reading found an older number than one seen before.
+func fresh(found, seen uint64) error {
+	if found >= seen {
+		return nil
 	}
-	set, err := held.WithChanges(changes)
-	var gap *GapError
-	if errors.As(err, &gap) {
-		return Load(ctx, source)
+	return &StaleReadError{
+		Held:  seen,
+		Found: found,
 	}
-	return set, err
 }
--- a/sesamestore/contracts.go
+++ b/sesamestore/contracts.go
@@ -28,23 +28,22 @@
 	return h, err
 }
 
-// Contracts returns the contracts in force and the number of the newest
-// change that they surely hold. The number is read first, so the contracts are
-// never older than it says.
-func (s *Store) Contracts(ctx context.Context) ([]sesamemodel.Contract, uint64, error) {
+// TeamChanges returns the newest accepted change of every team that ever had a
+// contract, and the number of the newest change of all, which is read first.
+func (s *Store) TeamChanges(ctx context.Context) ([]sesamemodel.Change, uint64, error) {
 	number, err := s.ContractNumber(ctx)
 	if err != nil {
 		return nil, 0, err
 	}
-	rows, err := scan[sesamemodel.Contract](ctx, s.table, teamPrefix)
+	rows, err := scan[sesamemodel.Change](ctx, s.table, teamPrefix)
 	if err != nil {
 		return nil, 0, err
 	}
-	contracts := make([]sesamemodel.Contract, 0, len(rows))
+	changes := make([]sesamemodel.Change, 0, len(rows))
 	for _, row := range rows {
-		contracts = append(contracts, row.Value)
+		changes = append(changes, row.Value)
 	}
-	return contracts, number, nil
+	return changes, number, nil
 }
 
 // ChangesSince returns the accepted changes after number, oldest first.
@@ -149,27 +148,22 @@
 			return t, 0, err
 		}
 		t.Puts = append(t.Puts, put)
-		if err := s.addContract(ctx, &t, change); err != nil {
+		if err := s.addChange(ctx, &t, change); err != nil {
 			return t, 0, err
 		}
 	}
 	return t, number, nil
 }
 
-func (s *Store) addContract(ctx context.Context, t *sesametable.Transaction, change sesamemodel.Change) error {
+// addChange replaces the team's newest change. A removal is kept like any
+// other, so that a reader of the rows sees which changes they hold.
+func (s *Store) addChange(ctx context.Context, t *sesametable.Transaction, change sesamemodel.Change) error {
 	key := teamPrefix + string(change.Team)
-	current, err := get[sesamemodel.Contract](ctx, s.table, key)
+	current, err := get[sesamemodel.Change](ctx, s.table, key)
 	if err != nil && !isNotFound(err) {
 		return err
 	}
-	if change.Removed {
-		t.Deletes = append(t.Deletes, sesametable.Delete{
-			Key:     key,
-			Version: current.Version,
-		})
-		return nil
-	}
-	put, err := encode(key, current.With(change.Contract))
+	put, err := encode(key, current.With(change))
 	t.Puts = append(t.Puts, put)
 	return err
 }
--- a/sesamestore/doc.go
+++ b/sesamestore/doc.go
@@ -5,7 +5,7 @@
 //	done/<job>                a job that has ended
 //	cell/<region>/<cell>      a cell with its allocations and guarantees
 //	contract/head             the number of the newest accepted change
-//	contract/team/<team>      the contract in force
+//	contract/team/<team>      the newest change of the team's contract
 //	contract/log/<number>     every accepted change, zero-padded
 //	member/<entry>            an entry, renewed while it lives
 //	payload/<job>/<request>   object: the caller's input
