--- a/sesameapi/helpers_test.go
+++ b/sesameapi/helpers_test.go
@@ -182,12 +182,20 @@
 		e.is.NoErr(err)
 	}
 	r := httptest.NewRequest(method, path, bytes.NewReader(text))
+	r = r.WithContext(e.budget())
 	if token != "" {
 		r.Header.Set("Authorization", "Bearer "+token)
 	}
 	return r
 }
 
+// budget ends whatever hangs.
+func (e *entry) budget() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testBudget)
+	e.t.Cleanup(cancel)
+	return ctx
+}
+
 func (e *entry) do(r *http.Request) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
 	e.handler.ServeHTTP(w, r)
@@ -267,8 +275,7 @@
 // eventually waits for a condition that another goroutine brings about.
 func (e *entry) eventually(condition func() bool) {
 	e.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testBudget)
-	defer cancel()
+	ctx := e.budget()
 	for !condition() {
 		if ctx.Err() != nil {
 			e.t.Fatal("condition did not come true")
--- a/sesameapi/wait_test.go
+++ b/sesameapi/wait_test.go
@@ -1,7 +1,6 @@
 package sesameapi
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -25,42 +24,20 @@
 			return nil
 		})
 	}
-	e.eventually(func() bool {
-		return e.waiting() == n && e.hasRead(id)
-	})
+	e.is.NoErr(e.clock.BlockUntilContext(e.budget(), n+1)) // one timer a waiter, one of the reader
 	return func() []*httptest.ResponseRecorder {
 		e.is.NoErr(group.Wait())
 		return answers
 	}
 }
 
-func (e *entry) waiting() int {
-	e.handler.polls.mu.Lock()
-	defer e.handler.polls.mu.Unlock()
-	return e.handler.polls.waiters
-}
-
-// hasRead reports whether a long poll has its first reading.
-func (e *entry) hasRead(id sesamemodel.JobID) bool {
-	e.handler.polls.mu.Lock()
-	p, ok := e.handler.polls.jobs[id]
-	e.handler.polls.mu.Unlock()
-	if !ok {
-		return false
-	}
-	_, read, _ := p.newest()
-	return read
-}
-
 // pass lets the time pass in small steps, so that every timer set meanwhile
 // is served.
 func (e *entry) pass(d time.Duration) {
 	e.t.Helper()
 	const step = 100 * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), testBudget)
-	defer cancel()
 	for range d / step {
-		e.is.NoErr(e.clock.BlockUntilContext(ctx, 1))
+		e.is.NoErr(e.clock.BlockUntilContext(e.budget(), 1))
 		e.clock.Advance(step)
 	}
 }
