--- a/sesameapi/cancel_test.go
+++ b/sesameapi/cancel_test.go
@@ -63,14 +63,21 @@
 	})
 }
 
-// racing lets another writer act before each of the handler's writes.
+// racing lets another writer act after each of the handler's readings and
+// before each of its writes.
 type racing struct {
 	sesametable.Table
-	before func()
+	act func()
+}
+
+func (r *racing) Get(ctx context.Context, key string) (sesametable.Row, error) {
+	row, err := r.Table.Get(ctx, key)
+	r.act()
+	return row, err
 }
 
 func (r *racing) Commit(ctx context.Context, t sesametable.Transaction) error {
-	r.before()
+	r.act()
 	return r.Table.Commit(ctx, t)
 }
 
@@ -91,8 +98,8 @@
 			starts += e.advance(id)
 		}
 		race := &racing{
-			Table:  e.table,
-			before: step,
+			Table: e.table,
+			act:   step,
 		}
 		other := *e
 		other.store = sesamestore.New(race, e.table)
