--- /dev/null
+++ b/sesamecommand/agent.go
@@ -0,0 +1,73 @@
+package sesamecommand
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"github.com/sesamestack/sesamestack/sesameagent"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesametable"
+	"github.com/sesamestack/sesamestack/sesametarget"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+func newAgent(s streams) *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "agent",
+		Short: "Run the agent beside a target",
+		Long: `Runs the agent beside one target: it announces the target, holds its lease, and
+starts and stops its tasks. An interrupt or a termination signal makes it leave:
+it refuses new work at once and finishes what is open, within the setting drain.`,
+		Example: `  sesamestack agent --settings examples/corchera/settings/worker-01.yaml`,
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := settingsFile(c, file); err != nil {
+				return err
+			}
+			settings, err := sesamesettings.LoadAgent(file)
+			if err != nil {
+				return err
+			}
+			return runAgent(c, s, settings)
+		},
+	}
+	settingsFlag(c, &file)
+	return c
+}
+
+func runAgent(c *cobra.Command, s streams, settings sesamesettings.Agent) error {
+	log := newLogger(s.err, settings.Log)
+	clock := clockwork.NewRealClock()
+	scope, metrics, closer := newMetrics()
+	dialer := sesamewire.NewDialer(sesamewire.DialOptions{})
+	agent := sesameagent.New(settings, sesameagent.Deps{
+		Target: sesametarget.NewClient(settings.Target, targetHTTP(settings.Connections)),
+		Objects: sesametable.NewClient(sesametable.Options{
+			Platform: settings.Platform,
+			Clock:    clock,
+			Scope:    scope,
+			Log:      log,
+		}),
+		Dialer:  dialer,
+		Clock:   clock,
+		Log:     log,
+		Scope:   scope,
+		Metrics: metrics,
+	})
+	err := agent.Run(c.Context())
+	return errors.CombineErrors(err, errors.CombineErrors(dialer.Close(), closer.Close()))
+}
+
+// targetHTTP returns a client with a bound on its connections to the target.
+func targetHTTP(connections int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+		},
+	}
+}
--- a/sesamecommand/run.go
+++ b/sesamecommand/run.go
@@ -113,6 +113,8 @@
 	)
 	root.AddCommand(
 		newEntry(s),
+		newAgent(s),
+		newDemo(s),
 		newStandin(s),
 		newCheck(s),
 		newToken(s),
--- a/sesamecommand/token.go
+++ b/sesamecommand/token.go
@@ -2,11 +2,11 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 
 	"github.com/spf13/cobra"
+
+	"github.com/sesamestack/sesamestack/sesamecontract"
 )
 
 func newToken(s streams) *cobra.Command {
@@ -24,14 +24,8 @@
 			if len(args) == 1 {
 				token = args[0]
 			}
-			_, err := fmt.Fprintf(s.out, "token:  %s\ndigest: %s\n", token, digest([]byte(token)))
+			_, err := fmt.Fprintf(s.out, "token:  %s\ndigest: %s\n", token, sesamecontract.Digest(token))
 			return err
 		},
 	}
 }
-
-// digest returns the SHA-256 of the content, in hex.
-func digest(content []byte) string {
-	sum := sha256.Sum256(content)
-	return hex.EncodeToString(sum[:])
-}
--- /dev/null
+++ b/sesamedemo/report.go
@@ -0,0 +1,114 @@
+package sesamedemo
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesameapi"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// UnexpectedError says that a job ended other than it should.
+type UnexpectedError struct {
+	Name     string
+	State    sesamemodel.State
+	Expected sesamemodel.State
+	Reason   string
+}
+
+// Error names the job, both states and the reason.
+func (e *UnexpectedError) Error() string {
+	return fmt.Sprintf("job %q ended as %s, expected %s: %s", e.Name, e.State, e.Expected, e.Reason)
+}
+
+// ending is an order with the job as it ended.
+type ending struct {
+	order order
+	job   sesameapi.JobStatus
+}
+
+// asExpected returns an *UnexpectedError for the first job that ended other
+// than it should.
+func asExpected(endings []ending) error {
+	for _, e := range endings {
+		if e.job.State != e.order.expected {
+			return &UnexpectedError{
+				Name:     e.order.name,
+				State:    e.job.State,
+				Expected: e.order.expected,
+				Reason:   e.job.Reason,
+			}
+		}
+	}
+	return nil
+}
+
+// completion is how long the jobs of one team took.
+type completion struct {
+	team  string
+	done  int
+	jobs  int
+	times []time.Duration
+}
+
+// completions returns what each team waited for its finished jobs, in the
+// order of the teams' names.
+func completions(endings []ending) []completion {
+	teams := map[string]*completion{}
+	var names []string
+	for _, e := range endings {
+		c, ok := teams[e.order.team]
+		if !ok {
+			c = &completion{
+				team: e.order.team,
+			}
+			teams[e.order.team] = c
+			names = append(names, e.order.team)
+		}
+		c.jobs++
+		if e.job.State == sesamemodel.Done {
+			c.done++
+			c.times = append(c.times, e.job.Ended.Sub(e.job.Submitted))
+		}
+	}
+	sort.Strings(names)
+	var all []completion
+	for _, name := range names {
+		c := teams[name]
+		sort.Slice(c.times, func(i, k int) bool {
+			return c.times[i] < c.times[k]
+		})
+		all = append(all, *c)
+	}
+	return all
+}
+
+// columnGap is the space between two columns of a table.
+const columnGap = 2
+
+// writeTable writes the completion times of the teams.
+func writeTable(w io.Writer, all []completion) error {
+	table := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	rows := []string{"TEAM\tJOBS\tDONE\tMEDIAN\tLONGEST"}
+	for _, c := range all {
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%d\t%s\t%s", c.team, c.jobs, c.done, c.quantile(2), c.quantile(1)))
+	}
+	if _, err := fmt.Fprintln(table, strings.Join(rows, "\n")); err != nil {
+		return err
+	}
+	return table.Flush()
+}
+
+// quantile returns the longest completion time with part 1, and the median
+// with part 2.
+func (c completion) quantile(part int) string {
+	if len(c.times) == 0 {
+		return "-"
+	}
+	i := (len(c.times) - 1) / part
+	return c.times[i].Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/sesamedemo/system.go
@@ -0,0 +1,251 @@
+package sesamedemo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesameagent"
+	"github.com/sesamestack/sesamestack/sesameapi"
+	"github.com/sesamestack/sesamestack/sesamecontract"
+	"github.com/sesamestack/sesamestack/sesameentry"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametarget"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+const (
+	region = "magdalena"
+	zone   = "a"
+
+	operator      = "ana"
+	operatorToken = "example-ana"
+
+	// loopback is any free port of this VM.
+	loopback = "127.0.0.1:0"
+	// heartbeat is short, so that targets announce themselves at once.
+	heartbeat = 200 * time.Millisecond
+	grace     = 500 * time.Millisecond
+	// drain bounds the stop of an agent, which then has no open work.
+	drain = 2 * time.Second
+	// headerTimeout bounds how long a caller may take to send its headers.
+	headerTimeout = 5 * time.Second
+)
+
+// system is all processes of the demo as duties of one group.
+type system struct {
+	group *errgroup.Group
+	// targets counts the agents that have not stopped.
+	targets sync.WaitGroup
+	clock   clockwork.Clock
+	log     *sesamelog.Logger
+	store   *sesamestandin.Store
+	// entries are base URLs for callers, wires addresses for agents.
+	entries []string
+	wires   []string
+}
+
+// newSystem returns a system whose duties run in the group.
+func newSystem(group *errgroup.Group, log *sesamelog.Logger) *system {
+	clock := clockwork.NewRealClock()
+	return &system{
+		group: group,
+		clock: clock,
+		log:   log,
+		store: sesamestandin.NewStore(clock),
+	}
+}
+
+func listen(ctx context.Context) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", loopback)
+}
+
+// freeAddress returns an address that nobody serves now.
+func freeAddress(ctx context.Context) (string, error) {
+	l, err := listen(ctx)
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+func leases() sesamesettings.Leases {
+	l := sesamesettings.DefaultLeases()
+	l.Heartbeat = heartbeat
+	l.Grace = grace
+	return l
+}
+
+// startEntry runs an entry until ctx ends.
+func (s *system) startEntry(ctx context.Context, id string) error {
+	public, err := listen(ctx)
+	if err != nil {
+		return err
+	}
+	private, err := listen(ctx)
+	if err != nil {
+		return errors.CombineErrors(err, public.Close())
+	}
+	settings := sesamesettings.DefaultEntry()
+	settings.ID = id
+	settings.Place.Region = region
+	settings.Place.Zone = zone
+	settings.HTTP = public.Addr().String()
+	settings.Wire = private.Addr().String()
+	settings.Leases = leases()
+	settings.Operators = map[string]string{
+		operator: sesamecontract.Digest(operatorToken),
+	}
+	entry, err := sesameentry.New(settings, sesameentry.Deps{
+		Table:   s.store,
+		Objects: s.store,
+		Dialer:  sesamewire.NewDialer(sesamewire.DialOptions{}),
+		Clock:   s.clock,
+		Log:     s.log,
+		Scope:   tally.NoopScope,
+	})
+	if err != nil {
+		return err
+	}
+	s.entries = append(s.entries, "http://"+settings.HTTP)
+	s.wires = append(s.wires, settings.Wire)
+	s.group.Go(func() error {
+		return entry.Serve(ctx, public, private)
+	})
+	return nil
+}
+
+// place is one target of the demo.
+type place struct {
+	id       string
+	kind     sesamemodel.Kind
+	rack     string
+	capacity sesamemodel.Resources
+}
+
+// startTarget runs a stand-in target and its agent until ctx ends. The target
+// ends after its agent, which leaves first.
+func (s *system) startTarget(ctx context.Context, p place) error {
+	target, err := s.serveTarget(ctx, p)
+	if err != nil {
+		return err
+	}
+	wire, err := freeAddress(ctx)
+	if err != nil {
+		return err
+	}
+	public, err := freeAddress(ctx)
+	if err != nil {
+		return err
+	}
+	settings := sesamesettings.DefaultAgent()
+	settings.ID = p.id
+	settings.Kind = string(p.kind)
+	settings.Place.Region = region
+	settings.Place.Zone = zone
+	settings.Place.Rack = p.rack
+	settings.Wire = wire
+	settings.HTTP = public
+	settings.Entries = s.wires
+	settings.Target = "http://" + target.Addr
+	settings.Leases = leases()
+	settings.Drain = drain
+	agent := sesameagent.New(settings, sesameagent.Deps{
+		Target:  sesametarget.NewClient(settings.Target, &http.Client{}),
+		Objects: s.store,
+		Dialer:  sesamewire.NewDialer(sesamewire.DialOptions{}),
+		Clock:   s.clock,
+		Log:     s.log,
+		Scope:   tally.NoopScope,
+	})
+	s.targets.Add(1)
+	s.group.Go(func() error {
+		defer s.targets.Done()
+		err := agent.Run(ctx)
+		return errors.CombineErrors(err, target.Close())
+	})
+	return nil
+}
+
+func (s *system) serveTarget(ctx context.Context, p place) (*http.Server, error) {
+	listener, err := listen(ctx)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Addr: listener.Addr().String(),
+		Handler: sesamestandin.NewTarget(s.clock, sesametarget.Description{
+			Kind:     p.kind,
+			Capacity: p.capacity,
+		}),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	s.group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return server, nil
+}
+
+// client returns a client of all entries.
+func (s *system) client(token string) *sesameapi.Client {
+	return sesameapi.NewClient(sesameapi.ClientOptions{
+		Addresses: s.entries,
+		Token:     token,
+	})
+}
+
+// TimeoutError says that a condition did not come about in time.
+type TimeoutError struct {
+	Condition string
+	Limit     time.Duration
+}
+
+// Error names the condition and the limit.
+func (e *TimeoutError) Error() string {
+	return fmt.Sprintf("%s did not come about within %s", e.Condition, e.Limit)
+}
+
+const (
+	patience     = 20 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// eventually waits until the condition holds; errors are *TimeoutError and
+// those of the condition.
+func (s *system) eventually(ctx context.Context, condition string, holds func() (bool, error)) error {
+	deadline := s.clock.NewTimer(patience)
+	defer deadline.Stop()
+	poll := s.clock.NewTicker(pollInterval)
+	defer poll.Stop()
+	for {
+		done, err := holds()
+		if done || err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-deadline.Chan():
+			return &TimeoutError{
+				Condition: condition,
+				Limit:     patience,
+			}
+		case <-poll.Chan():
+		}
+	}
+}
--- a/sesamesettings/check.go
+++ b/sesamesettings/check.go
@@ -7,8 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 	"go.yaml.in/yaml/v3"
-
-	"github.com/sesamestack/sesamestack/sesamemodel"
 )
 
 // Check validates settings and contract files without using them, directories
@@ -18,10 +16,8 @@
 // error is a *FaultsError; files is the number of files read.
 func Check(paths ...string) (files int, err error) {
 	c := &checker{
-		ids: map[string]string{},
-		contracts: contractList{
-			first: map[sesamemodel.TeamID]string{},
-		},
+		ids:       map[string]string{},
+		contracts: newContractList(),
 	}
 	for _, path := range paths {
 		c.path(path)
@@ -32,7 +28,7 @@
 type checker struct {
 	files     int
 	faults    []*FaultError
-	contracts contractList
+	contracts *contractList
 	// ids holds where each ID of a region was seen first, as file:line.
 	ids map[string]string
 	// leases are those of the file seen first, named by leasesFrom.
--- a/sesamesettings/contracts.go
+++ b/sesamesettings/contracts.go
@@ -20,16 +20,21 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &contractList{
-		first: map[sesamemodel.TeamID]string{},
-	}
+	l := newContractList()
 	for _, file := range files {
-		l.addFile(file)
+		documents, err := readDocuments(file)
+		l.addDocuments(file, documents, err)
 	}
-	sort.Slice(l.contracts, func(i, k int) bool {
-		return l.contracts[i].Team < l.contracts[k].Team
-	})
-	return l.contracts, faultsOrNil(l.faults)
+	return l.sorted()
+}
+
+// ParseContracts is LoadContracts for content that was read already; faults
+// name it as file.
+func ParseContracts(file string, content []byte) ([]sesamemodel.Contract, error) {
+	l := newContractList()
+	documents, err := parseDocuments(file, content)
+	l.addDocuments(file, documents, err)
+	return l.sorted()
 }
 
 func contractFiles(path string) ([]string, error) {
@@ -65,8 +70,22 @@
 	first map[sesamemodel.TeamID]string
 }
 
-func (l *contractList) addFile(file string) {
-	documents, err := readDocuments(file)
+func newContractList() *contractList {
+	return &contractList{
+		first: map[sesamemodel.TeamID]string{},
+	}
+}
+
+// sorted returns the contracts in the order of their teams.
+func (l *contractList) sorted() ([]sesamemodel.Contract, error) {
+	sort.Slice(l.contracts, func(i, k int) bool {
+		return l.contracts[i].Team < l.contracts[k].Team
+	})
+	return l.contracts, faultsOrNil(l.faults)
+}
+
+// addDocuments adds what was read of a file, or the faults of reading it.
+func (l *contractList) addDocuments(file string, documents []*document, err error) {
 	var faults *FaultsError
 	if errors.As(err, &faults) {
 		l.faults = append(l.faults, faults.Faults...)
