--- a/sesametable/client.go
+++ b/sesametable/client.go
@@ -99,7 +99,7 @@
 func (c *Client) PutObject(ctx context.Context, key string, body []byte) error {
 	return c.repeat(ctx, c.ordinary(), func() error {
 		err := c.guard.PutObject(ctx, key, body)
-		if isOutcomeUnknown(err) {
+		if isA[*OutcomeUnknownError](err) {
 			return unavailable("putobject", err)
 		}
 		return err
--- a/sesametable/guard.go
+++ b/sesametable/guard.go
@@ -86,12 +86,7 @@
 
 // isExcluded reports whether an error says nothing about the platform.
 func isExcluded(err error) bool {
-	return isThrottled(err) || errors.Is(err, context.Canceled)
-}
-
-func isThrottled(err error) bool {
-	var throttled *ThrottledError
-	return errors.As(err, &throttled)
+	return isA[*ThrottledError](err) || errors.Is(err, context.Canceled)
 }
 
 // Get reads one row; see Table.
@@ -191,7 +186,7 @@
 	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
 		return g.refused(operation)
 	}
-	if isThrottled(err) {
+	if isA[*ThrottledError](err) {
 		g.slowDown(operation, p)
 	}
 	return err
--- a/sesametable/kinds.go
+++ b/sesametable/kinds.go
@@ -2,27 +2,13 @@
 
 import "github.com/cockroachdb/errors"
 
-func isNotFound(err error) bool {
-	var missing *NotFoundError
-	return errors.As(err, &missing)
-}
-
-func isUnavailable(err error) bool {
-	var unavailable *UnavailableError
-	return errors.As(err, &unavailable)
-}
-
-func isOutcomeUnknown(err error) bool {
-	var unknown *OutcomeUnknownError
-	return errors.As(err, &unknown)
-}
-
-func isBreakerOpen(err error) bool {
-	var open *BreakerOpenError
-	return errors.As(err, &open)
+// isA reports whether err is or wraps an error of type T.
+func isA[T error](err error) bool {
+	var target T
+	return errors.As(err, &target)
 }
 
 // isDefinite reports whether an attempt was answered.
 func isDefinite(err error) bool {
-	return !isUnavailable(err) && !isOutcomeUnknown(err)
+	return !isA[*UnavailableError](err) && !isA[*OutcomeUnknownError](err)
 }
--- a/sesametable/retry.go
+++ b/sesametable/retry.go
@@ -187,7 +187,7 @@
 		return h, nil
 	}
 	row, err := r.Get(ctx, key)
-	if err != nil && !isNotFound(err) {
+	if err != nil && !isA[*NotFoundError](err) {
 		return history{}, err
 	}
 	if row.Version != version {
@@ -218,12 +218,12 @@
 	waits := newBackoff()
 	for {
 		err := r.raw.Commit(ctx, w.sealed)
-		if isOutcomeUnknown(err) && !lost {
+		if isA[*OutcomeUnknownError](err) && !lost {
 			lost = true
 			e = r.persistent()
 			r.emit(eventLost, w, err)
 		}
-		if !lost && (!isUnavailable(err) || isBreakerOpen(err)) {
+		if !lost && (!isA[*UnavailableError](err) || isA[*BreakerOpenError](err)) {
 			return err
 		}
 		if lost && isDefinite(err) {
@@ -300,7 +300,7 @@
 		row, err = r.raw.Get(ctx, key)
 		return err
 	})
-	if isNotFound(err) {
+	if isA[*NotFoundError](err) {
 		return unclear, nil
 	}
 	if err != nil {
@@ -341,10 +341,10 @@
 	waits := newBackoff()
 	for {
 		err := read()
-		if !isUnavailable(err) {
+		if !isA[*UnavailableError](err) {
 			return err
 		}
-		if isBreakerOpen(err) && !e.persistent {
+		if isA[*BreakerOpenError](err) && !e.persistent {
 			return err
 		}
 		left := e.limit - r.options.Clock.Since(started)
