Let an unknown outcome pass for nothing else

Cause: an *OutcomeUnknownError unwrapped to the error of one attempt, so errors.As also found a *ConflictError or an *UnavailableError in it, which promise that there was no effect. The answer to a submission looks for just these and would have called an unknown submission unchanged. Ruled out: asking every caller to look for the unknown outcome first. Change: the error names its cause and does not unwrap to it; a failed PutObject no longer carries an unknown outcome either.

--- a/sesametable/client.go
+++ b/sesametable/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
@@ -99,8 +100,9 @@
 func (c *Client) PutObject(ctx context.Context, key string, body []byte) error {
 	return c.repeat(ctx, c.ordinary(), func() error {
 		err := c.guard.PutObject(ctx, key, body)
-		if isA[*OutcomeUnknownError](err) {
-			return unavailable("putobject", err)
+		var unknown *OutcomeUnknownError
+		if errors.As(err, &unknown) {
+			return unavailable("putobject", unknown.Cause)
 		}
 		return err
 	})
--- a/sesametable/errors.go
+++ b/sesametable/errors.go
@@ -48,7 +48,8 @@
 }
 
 // OutcomeUnknownError says that a write may or may not have taken effect, now
-// or later.
+// or later. It does not unwrap to its cause: that may be a *ConflictError or
+// an *UnavailableError of one attempt, which say that there was no effect.
 type OutcomeUnknownError struct {
 	Operation string
 	Cause     error
@@ -59,11 +60,6 @@
 	return fmt.Sprintf("outcome of %s is unknown: %v", e.Operation, e.Cause)
 }
 
-// Unwrap returns the cause.
-func (e *OutcomeUnknownError) Unwrap() error {
-	return e.Cause
-}
-
 // InvalidError says that a call was malformed and certainly had no effect.
 type InvalidError struct {
 	Operation string
--- a/sesametable/exactly_test.go
+++ b/sesametable/exactly_test.go
@@ -170,6 +170,8 @@
 		seen[kind]++
 		effects := b.applied[name]
 		switch {
+		case kind == "unknown and failed":
+			t.Fatalf("%s is reported as both unknown and failed: %v", name, err)
 		case effects > 1:
 			t.Fatalf("%s took effect %d times", name, effects)
 		case kind == "done" && effects != 1:
@@ -180,15 +182,22 @@
 	}
 }
 
+// kindOf tells outcomes apart; one that is told as unknown must not pass for
+// a conflict or an unavailable store too.
 func kindOf(err error) string {
 	var unknown *sesametable.OutcomeUnknownError
+	var conflict *sesametable.ConflictError
+	var unavailable *sesametable.UnavailableError
+	definite := errors.As(err, &conflict) || errors.As(err, &unavailable)
 	switch {
 	case err == nil:
 		return "done"
-	case errors.As(err, &unknown):
-		return "unknown"
-	default:
+	case definite && errors.As(err, &unknown):
+		return "unknown and failed"
+	case definite:
 		return "failed"
+	default:
+		return "unknown"
 	}
 }
 
--- a/sesametable/guard.go
+++ b/sesametable/guard.go
@@ -86,6 +86,10 @@
 
 // isExcluded reports whether an error says nothing about the platform.
 func isExcluded(err error) bool {
+	var unknown *OutcomeUnknownError
+	if errors.As(err, &unknown) {
+		err = unknown.Cause
+	}
 	return isA[*ThrottledError](err) || errors.Is(err, context.Canceled)
 }
 
