Prove the stand-in target's rules on random calls

Each rule taken out fails the test: double use, start without lease, second holder, capacity, end of the lease.

--- /dev/null
+++ b/sesamestandin/tasks_test.go
@@ -0,0 +1,104 @@
+package sesamestandin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesametarget"
+)
+
+var drawHolder = rapid.SampledFrom([]string{"a1", "a2"})
+
+func drawTask(t *rapid.T) sesametarget.Task {
+	mask := rapid.Uint64Range(0, 15).Draw(t, "accelerators")
+	return sesametarget.Task{
+		ID:     sesametarget.TaskID(fmt.Sprintf("j%d:1:0", rapid.IntRange(0, 9).Draw(t, "job"))),
+		Holder: drawHolder.Draw(t, "holder"),
+		Need: sesamemodel.Resources{
+			Cores: rapid.IntRange(1, 4).Draw(t, "cores"),
+		},
+		Accelerators: mask,
+		Keep:         rapid.Bool().Draw(t, "keep"),
+		Payload:      []byte(rapid.SampledFrom([]string{hangs, `{"work":"sum","run":"2s"}`}).Draw(t, "payload")),
+	}
+}
+
+const hangs = `{"work":"hang"}`
+
+func drawLease(t *rapid.T) sesametarget.Lease {
+	return sesametarget.Lease{
+		Holder:    drawHolder.Draw(t, "holder"),
+		Remaining: rapid.Int64Range(0, 5000).Draw(t, "remaining"),
+		Tasks: map[sesametarget.TaskID]int64{
+			"j0:1:0": rapid.Int64Range(0, 9000).Draw(t, "own"),
+		},
+	}
+}
+
+// TestTasks renews, starts and stops at random: accelerators and cores are
+// never used twice, a task starts once at most and under a live lease, and
+// runs no longer than it unless it is kept.
+func TestTasks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		s := newTasks(sesametarget.Description{
+			Capacity: sesamemodel.Resources{
+				Cores: 4,
+			},
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"renew": func(t *rapid.T) {
+				l := drawLease(t)
+				held := s.until.After(now) && s.holder != l.Holder
+				if err := s.renew(l, now); (err != nil) != held {
+					t.Fatalf("renewal of %q while %q holds until %v: %v", l.Holder, s.holder, s.until, err)
+				}
+			},
+			"start": func(t *rapid.T) {
+				k := drawTask(t)
+				started, _ := s.start(k, now)
+				if started && (s.holder != k.Holder || !s.until.After(now)) {
+					t.Fatalf("%q started under the lease of %q until %v", k.Holder, s.holder, s.until)
+				}
+			},
+			"stop": func(t *rapid.T) {
+				if k, err := s.find(drawTask(t).ID, now); err == nil {
+					k.stop(now, time.Second)
+				}
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				s.settle(now)
+				assertTasks(t, s, now)
+			},
+		})
+	})
+}
+
+func assertTasks(t *rapid.T, s *tasks, now time.Time) {
+	var marked uint64
+	for id, k := range s.all {
+		if s.starts[id] != 1 {
+			t.Fatalf("%q started %d times", id, s.starts[id])
+		}
+		if !k.running() {
+			continue
+		}
+		if marked&k.Accelerators != 0 {
+			t.Fatalf("%q uses accelerators of another task", id)
+		}
+		marked |= k.Accelerators
+		if !k.Keep && !k.deadline.After(now) {
+			t.Fatalf("%q runs at %v beyond its lease until %v", id, now, k.deadline)
+		}
+	}
+	if !s.used().Fits(s.description.Capacity) {
+		t.Fatalf("%+v is used of %+v", s.used(), s.description.Capacity)
+	}
+}
