--- /dev/null
+++ b/sesametable/pace_test.go
@@ -0,0 +1,88 @@
+package sesametable_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+// TestPace checks that no second sees more calls than the settings allow.
+func TestPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := sesamestandin.NewStore(clockwork.NewRealClock())
+		store.SetFaults(sesamestandin.Faults{
+			Latency: time.Millisecond,
+		})
+		table := newTable(store, sesamesettings.Platform{
+			Timeout: 2 * time.Second,
+			Reads:   400,
+			Writes:  60,
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		var group errgroup.Group
+		for range 8 {
+			group.Go(func() error {
+				for ctx.Err() == nil {
+					_, _ = table.Get(ctx, "a")
+				}
+				return nil
+			})
+		}
+		_ = group.Wait()
+		is.True(store.Counters().PeakReads <= 400)
+		is.True(store.Counters().Reads >= 3000)
+	})
+}
+
+// TestSlowStart checks that a client which has just been served again makes
+// at most half of its calls in the first second.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := sesamestandin.NewStore(clockwork.NewRealClock())
+		table := newTable(store, sesamesettings.Platform{
+			Timeout: 2 * time.Second,
+			Reads:   400,
+			Writes:  60,
+		})
+		store.SetFaults(sesamestandin.Faults{
+			Down: true,
+		})
+		for calls(t, table, time.Millisecond) > 0 || store.Counters().Reads < 5 {
+			pass(time.Millisecond)
+		}
+		store.SetFaults(sesamestandin.Faults{
+			Latency: time.Millisecond,
+		})
+		for calls(t, table, time.Millisecond) == 0 {
+			pass(time.Millisecond)
+		}
+		is.True(calls(t, table, time.Second) <= 200)
+		pass(5 * time.Second)
+		is.True(calls(t, table, time.Second) >= 340)
+	})
+}
+
+// calls returns how many reads are served in d, one after the other.
+func calls(t *testing.T, table sesametable.Table, d time.Duration) int {
+	t.Helper()
+	served := 0
+	for start := time.Now(); time.Since(start) < d; {
+		if _, err := table.Scan(t.Context(), "x/", "", 1); err != nil {
+			return served
+		}
+		served++
+	}
+	return served
+}
--- a/sesametable/settle_test.go
+++ b/sesametable/settle_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/sesamestack/sesamestack/sesamesettings"
 	"github.com/sesamestack/sesamestack/sesamestandin"
 	"github.com/sesamestack/sesamestack/sesametable"
 )
@@ -177,33 +176,3 @@
 		})
 	}
 }
-
-// TestPace checks that no second sees more calls than the settings allow.
-func TestPace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		store := sesamestandin.NewStore(clockwork.NewRealClock())
-		store.SetFaults(sesamestandin.Faults{
-			Latency: time.Millisecond,
-		})
-		table := newTable(store, sesamesettings.Platform{
-			Timeout: 2 * time.Second,
-			Reads:   400,
-			Writes:  60,
-		})
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		defer cancel()
-		var group errgroup.Group
-		for range 8 {
-			group.Go(func() error {
-				for ctx.Err() == nil {
-					_, _ = table.Get(ctx, "a")
-				}
-				return nil
-			})
-		}
-		_ = group.Wait()
-		is.True(store.Counters().PeakReads <= 400)
-		is.True(store.Counters().Reads >= 3000)
-	})
-}
