--- /dev/null
+++ b/sesameapi/client_test.go
@@ -0,0 +1,119 @@
+package sesameapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+)
+
+// losing serves the request and cuts the connection before the answer.
+func losing(h http.Handler, times int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if times == 0 {
+			h.ServeHTTP(w, r)
+			return
+		}
+		times--
+		h.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	})
+}
+
+func (e *entry) listen(h http.Handler) *httptest.Server {
+	server := httptest.NewServer(h)
+	e.t.Cleanup(server.Close)
+	return server
+}
+
+// gone is the address of an entry that was there once.
+func (e *entry) gone() *httptest.Server {
+	server := httptest.NewServer(e.handler)
+	server.Close()
+	return server
+}
+
+func TestClient(t *testing.T) {
+	ctx := context.Background()
+	t.Run("tries another entry", func(t *testing.T) {
+		e := newEntry(t)
+		c := e.client(cork, e.gone(), e.listen(e.handler))
+		job, err := c.Submit(ctx, "", executorJob("pricing"))
+		e.is.NoErr(err)
+		e.is.True(job.Created)
+		_, err = c.Status(ctx, job.ID)
+		e.is.NoErr(err)
+	})
+	t.Run("creates one job though answers are lost", func(t *testing.T) {
+		e := newEntry(t)
+		c := e.client(cork, e.listen(losing(e.handler, 1)), e.listen(losing(e.peer().handler, 1)))
+		job, err := c.Submit(ctx, "k1", executorJob("reconcile"))
+		e.is.NoErr(err)
+		e.is.Equal(job.Created, false)
+		e.is.Equal(len(e.open(cork)), 1)
+	})
+	t.Run("says not run only of a key that it made up itself", func(t *testing.T) {
+		e := newEntry(t)
+		e.backend.fits = &RangeError{}
+		c := e.client(cork, e.listen(e.handler))
+		for key, outcome := range map[string]Outcome{"": NotRun, "k1": Unchanged} {
+			_, err := c.Submit(ctx, key, executorJob("pricing"))
+			var problem *ProblemError
+			e.is.True(errors.As(err, &problem))
+			e.is.Equal(problem.Problem.Outcome, outcome)
+		}
+	})
+	t.Run("never says not run after a try without an answer", func(t *testing.T) {
+		e := newEntry(t)
+		e.backend.fits = &RangeError{}
+		_, err := e.client(cork, e.listen(losing(e.handler, 1))).Submit(ctx, "", executorJob("pricing"))
+		var problem *ProblemError
+		e.is.True(errors.As(err, &problem))
+		e.is.Equal(problem.Problem.Outcome, Unsure)
+	})
+	t.Run("says not run when no entry was reached", func(t *testing.T) {
+		e := newEntry(t)
+		c := e.client(cork, e.gone(), e.gone())
+		c.options.Tries = 2
+		_, err := c.Submit(ctx, "", executorJob("pricing"))
+		var unreachable *UnreachableError
+		e.is.True(errors.As(err, &unreachable))
+		e.is.Equal(unreachable.Sent, false)
+	})
+	t.Run("waits on another entry than it submitted to", func(t *testing.T) {
+		e := newEntry(t)
+		id := e.done([]byte("x"))
+		job, err := e.client(cork, e.listen(e.peer().handler)).Wait(ctx, id)
+		e.is.NoErr(err)
+		e.is.Equal(job.State, sesamemodel.Done)
+	})
+	t.Run("changes contracts", func(t *testing.T) {
+		e := newEntry(t)
+		c := e.client(anna, e.listen(losing(e.handler, 1)))
+		result, err := c.Apply(ctx, changeOf(2, weighing("cork", cork, 5)))
+		e.is.NoErr(err)
+		e.is.Equal(result.Number, uint64(3))
+		_, err = c.Apply(ctx, changeOf(2, weighing("cork", cork, 6)))
+		e.is.True(isProblem(err, ContractsChanged))
+		changes, err := c.History(ctx, 0)
+		e.is.NoErr(err)
+		e.is.Equal(len(changes), 3)
+	})
+	t.Run("tries again while the store is away", func(t *testing.T) {
+		e := newEntry(t)
+		e.table.SetFaults(sesamestandin.Faults{
+			Down: true,
+		})
+		c := e.client(cork, e.listen(e.handler), e.listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			e.table.SetFaults(sesamestandin.Faults{})
+			e.handler.ServeHTTP(w, r)
+		})))
+		_, err := c.Submit(ctx, "", executorJob("pricing"))
+		e.is.NoErr(err)
+	})
+}
