--- a/sesameapi/cancel_test.go
+++ b/sesameapi/cancel_test.go
@@ -103,7 +103,7 @@
 		}
 		other := *e
 		other.store = sesamestore.New(race, e.table)
-		other.start(Options{})
+		other.start()
 		w := other.call(http.MethodDelete, "/v1/jobs/"+string(id), cork, nil)
 		told := answer[JobStatus](&other, w).Outcome
 		for range 4 {
@@ -123,7 +123,8 @@
 func (e *entry) advance(id sesamemodel.JobID) int {
 	job := e.row(id)
 	now := e.clock.Now()
-	next, starts := job.Value, 0
+	var next sesamemodel.Job
+	starts := 0
 	switch job.Value.State {
 	case sesamemodel.Queued:
 		next = placed(now)(job.Value)
--- a/sesameapi/client_test.go
+++ b/sesameapi/client_test.go
@@ -1,7 +1,6 @@
 package sesameapi
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,14 +11,15 @@
 	"github.com/sesamestack/sesamestack/sesamestandin"
 )
 
-// losing serves the request and cuts the connection before the answer.
-func losing(h http.Handler, times int) http.Handler {
+// losing serves the first request and cuts the connection before the answer.
+func losing(h http.Handler) http.Handler {
+	lost := false
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if times == 0 {
+		if lost {
 			h.ServeHTTP(w, r)
 			return
 		}
-		times--
+		lost = true
 		h.ServeHTTP(httptest.NewRecorder(), r)
 		panic(http.ErrAbortHandler)
 	})
@@ -39,20 +39,19 @@
 }
 
 func TestClient(t *testing.T) {
-	ctx := context.Background()
 	t.Run("tries another entry", func(t *testing.T) {
 		e := newEntry(t)
 		c := e.client(cork, e.gone(), e.listen(e.handler))
-		job, err := c.Submit(ctx, "", executorJob("pricing"))
+		job, err := c.Submit(e.budget(), "", executorJob("pricing"))
 		e.is.NoErr(err)
 		e.is.True(job.Created)
-		_, err = c.Status(ctx, job.ID)
+		_, err = c.Status(e.budget(), job.ID)
 		e.is.NoErr(err)
 	})
 	t.Run("creates one job though answers are lost", func(t *testing.T) {
 		e := newEntry(t)
-		c := e.client(cork, e.listen(losing(e.handler, 1)), e.listen(losing(e.peer().handler, 1)))
-		job, err := c.Submit(ctx, "k1", executorJob("reconcile"))
+		c := e.client(cork, e.listen(losing(e.handler)), e.listen(losing(e.peer().handler)))
+		job, err := c.Submit(e.budget(), "k1", executorJob("reconcile"))
 		e.is.NoErr(err)
 		e.is.Equal(job.Created, false)
 		e.is.Equal(len(e.open(cork)), 1)
@@ -62,7 +61,7 @@
 		e.backend.fits = &RangeError{}
 		c := e.client(cork, e.listen(e.handler))
 		for key, outcome := range map[string]Outcome{"": NotRun, "k1": Unchanged} {
-			_, err := c.Submit(ctx, key, executorJob("pricing"))
+			_, err := c.Submit(e.budget(), key, executorJob("pricing"))
 			var problem *ProblemError
 			e.is.True(errors.As(err, &problem))
 			e.is.Equal(problem.Problem.Outcome, outcome)
@@ -71,7 +70,7 @@
 	t.Run("never says not run after a try without an answer", func(t *testing.T) {
 		e := newEntry(t)
 		e.backend.fits = &RangeError{}
-		_, err := e.client(cork, e.listen(losing(e.handler, 1))).Submit(ctx, "", executorJob("pricing"))
+		_, err := e.client(cork, e.listen(losing(e.handler))).Submit(e.budget(), "", executorJob("pricing"))
 		var problem *ProblemError
 		e.is.True(errors.As(err, &problem))
 		e.is.Equal(problem.Problem.Outcome, Unsure)
@@ -80,7 +79,7 @@
 		e := newEntry(t)
 		c := e.client(cork, e.gone(), e.gone())
 		c.options.Tries = 2
-		_, err := c.Submit(ctx, "", executorJob("pricing"))
+		_, err := c.Submit(e.budget(), "", executorJob("pricing"))
 		var unreachable *UnreachableError
 		e.is.True(errors.As(err, &unreachable))
 		e.is.Equal(unreachable.Sent, false)
@@ -88,19 +87,19 @@
 	t.Run("waits on another entry than it submitted to", func(t *testing.T) {
 		e := newEntry(t)
 		id := e.done([]byte("x"))
-		job, err := e.client(cork, e.listen(e.peer().handler)).Wait(ctx, id)
+		job, err := e.client(cork, e.listen(e.peer().handler)).Wait(e.budget(), id)
 		e.is.NoErr(err)
 		e.is.Equal(job.State, sesamemodel.Done)
 	})
 	t.Run("changes contracts", func(t *testing.T) {
 		e := newEntry(t)
-		c := e.client(anna, e.listen(losing(e.handler, 1)))
-		result, err := c.Apply(ctx, changeOf(2, weighing("cork", cork, 5)))
+		c := e.client(anna, e.listen(losing(e.handler)))
+		result, err := c.Apply(e.budget(), changeOf(2, weighing("cork", cork, 5)))
 		e.is.NoErr(err)
 		e.is.Equal(result.Number, uint64(3))
-		_, err = c.Apply(ctx, changeOf(2, weighing("cork", cork, 6)))
+		_, err = c.Apply(e.budget(), changeOf(2, weighing("cork", cork, 6)))
 		e.is.True(isProblem(err, ContractsChanged))
-		changes, err := c.History(ctx, 0)
+		changes, err := c.History(e.budget(), 0)
 		e.is.NoErr(err)
 		e.is.Equal(len(changes), 3)
 	})
@@ -113,7 +112,7 @@
 			e.table.SetFaults(sesamestandin.Faults{})
 			e.handler.ServeHTTP(w, r)
 		})))
-		_, err := c.Submit(ctx, "", executorJob("pricing"))
+		_, err := c.Submit(e.budget(), "", executorJob("pricing"))
 		e.is.NoErr(err)
 	})
 }
--- a/sesameapi/contracts_test.go
+++ b/sesameapi/contracts_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/sesamestack/sesamestack/sesamecontract"
 	"github.com/sesamestack/sesamestack/sesamemodel"
 	"github.com/sesamestack/sesamestack/sesamestandin"
@@ -124,6 +127,49 @@
 	})
 }
 
+// TestApplyAtOnce lets another operator's change in between the reading and
+// the write of the first one's, and then many operators in at once.
+func TestApplyAtOnce(t *testing.T) {
+	t.Run("the second write is refused and shows the first", func(t *testing.T) {
+		e := newEntry(t)
+		first := true
+		race := &racing{
+			Table: e.table,
+			act:   func() {},
+		}
+		other := *e
+		other.store = sesamestore.New(race, e.table)
+		other.start()
+		race.act = func() {
+			if first {
+				first = false
+				e.applied(anna, changeOf(2, weighing("cork", cork, 5)))
+			}
+		}
+		problem := other.refused(other.apply(berta, changeOf(2, weighing("mill", mill, 7))), ContractsChanged)
+		e.is.Equal(problem.Changes[0].Operator, "anna")
+		e.is.Equal(e.weightOf("cork"), 5)
+		e.is.Equal(e.weightOf("mill"), 1)
+	})
+	t.Run("of many with one base, one is accepted", func(t *testing.T) {
+		e := newEntry(t)
+		var group errgroup.Group
+		codes := make([]int, 16)
+		for i := range codes {
+			other := e.peer()
+			group.Go(func() error {
+				codes[i] = other.apply(anna, changeOf(2, weighing("cork", cork, i+2))).Code
+				return nil
+			})
+		}
+		e.is.NoErr(group.Wait())
+		slices.Sort(codes)
+		e.is.Equal(codes[0], http.StatusOK)
+		e.is.Equal(codes[1], http.StatusConflict)
+		e.is.Equal(e.inForce().Number, uint64(3))
+	})
+}
+
 // TestApplyLostAnswer loses the answer of the acceptance in every way, while
 // another operator may change contracts too, and repeats the request.
 func TestApplyLostAnswer(t *testing.T) {
@@ -236,7 +282,7 @@
 	}
 	other := *e
 	other.store = sesamestore.New(table, e.table)
-	other.start(Options{})
+	other.start()
 	other.submitted(cork, "k1", executorJob("pricing"))
 	table.cut = true
 	without := weighing("cork", "new-token", 1)
--- a/sesameapi/helpers_test.go
+++ b/sesameapi/helpers_test.go
@@ -92,30 +92,31 @@
 		store: sesamestore.New(table, table),
 	}
 	e.accept(0, contract("cork", cork), contract("mill", mill))
-	e.start(Options{})
+	e.start()
 	return e
 }
 
-func (e *entry) start(o Options) {
+func (e *entry) start() {
 	e.backend = &fakeBackend{}
 	e.watch = sesamecontract.NewWatch(e.store, sesamecontract.NewHolder(), sesamecontract.WatchOptions{
 		Clock: e.clock,
 	})
-	o.Region = region
-	o.Store = e.store
-	o.Contracts = e.watch
-	o.Clock = e.clock
-	o.Operators = map[string]string{
-		"anna":  sesamecontract.Digest(anna),
-		"berta": sesamecontract.Digest(berta),
-	}
-	e.handler = New(o, e.backend)
+	e.handler = New(Options{
+		Region:    region,
+		Store:     e.store,
+		Contracts: e.watch,
+		Clock:     e.clock,
+		Operators: map[string]string{
+			"anna":  sesamecontract.Digest(anna),
+			"berta": sesamecontract.Digest(berta),
+		},
+	}, e.backend)
 }
 
 // peer returns another entry on the same store.
 func (e *entry) peer() *entry {
 	other := *e
-	other.start(Options{})
+	other.start()
 	return &other
 }
 
--- a/sesameapi/result_test.go
+++ b/sesameapi/result_test.go
@@ -53,7 +53,7 @@
 // serve makes the entry reachable, with another object store under it.
 func (e *entry) serve(o sesametable.Objects) *httptest.Server {
 	e.store = sesamestore.New(e.table, o)
-	e.start(Options{})
+	e.start()
 	server := httptest.NewServer(e.handler)
 	e.t.Cleanup(server.Close)
 	return server
