--- a/sesameapi/helpers_test.go
+++ b/sesameapi/helpers_test.go
@@ -69,7 +69,7 @@
 
 // entry is a handler on a store of its own or of another entry.
 type entry struct {
-	t       *testing.T
+	t       testing.TB
 	is      *is.I
 	clock   *clockwork.FakeClock
 	table   *sesamestandin.Store
@@ -80,7 +80,7 @@
 }
 
 // newEntry returns an entry with the contracts of two teams in force.
-func newEntry(t *testing.T) *entry {
+func newEntry(t testing.TB) *entry {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	table := sesamestandin.NewStore(clock)
--- a/sesameapi/result_test.go
+++ b/sesameapi/result_test.go
@@ -131,12 +131,18 @@
 	t.Run("refuses an output that the row does not name as its last attempt's", func(t *testing.T) {
 		e := newEntry(t)
 		id := e.submitted(cork, "k1", executorJob("pricing")).ID
+		output := []byte("of a late attempt")
+		sum := sha256.Sum256(output)
+		late := sesamemodel.Result{
+			Object: sesamestore.ResultKey(id, 7, 0),
+			Length: int64(len(output)),
+			Digest: hex.EncodeToString(sum[:]),
+		}
+		e.is.NoErr(e.table.PutObject(context.Background(), late.Object, output))
 		e.become(id, placed(e.clock.Now()))
 		e.become(id, func(j sesamemodel.Job) sesamemodel.Job {
 			return j.WithResults(e.clock.Now(), []sesamemodel.Result{
-				{
-					Object: sesamestore.ResultKey(id, 7, 0),
-				},
+				late,
 			})
 		})
 		e.refused(e.call(http.MethodGet, "/v1/jobs/"+string(id)+"/result", cork, nil), ResultDamaged)
--- a/sesameapi/wait_test.go
+++ b/sesameapi/wait_test.go
@@ -31,13 +31,12 @@
 	}
 }
 
-// pass lets the time pass in small steps, so that every timer set meanwhile
-// is served.
-func (e *entry) pass(d time.Duration) {
+// pass lets the time pass in small steps, each once that many timers are set.
+func (e *entry) pass(d time.Duration, timers int) {
 	e.t.Helper()
 	const step = 100 * time.Millisecond
 	for range d / step {
-		e.is.NoErr(e.clock.BlockUntilContext(e.budget(), 1))
+		e.is.NoErr(e.clock.BlockUntilContext(e.budget(), timers))
 		e.clock.Advance(step)
 	}
 }
@@ -66,7 +65,7 @@
 		id := e.submitted(cork, "k1", executorJob("pricing")).ID
 		join := e.waiters(1, id, "30s")
 		e.finish(id)
-		e.pass(firstPoll + 200*time.Millisecond)
+		e.pass(firstPoll+200*time.Millisecond, 1)
 		e.is.Equal(answer[JobStatus](e, join()[0]).State, sesamemodel.Done)
 	})
 	t.Run("answers the open job when the wait is over", func(t *testing.T) {
@@ -128,7 +127,7 @@
 		e.call(http.MethodGet, "/readyz", "", nil)
 		before := e.table.Counters().Reads
 		join := e.waiters(n, id, "30s")
-		e.pass(30 * time.Second)
+		e.pass(30*time.Second, n+1)
 		join()
 		reads := e.table.Counters().Reads - before
 		t.Logf("%d waiters: %d reads in 30 s", n, reads)
