--- /dev/null
+++ b/sesamecontract/bytes_test.go
@@ -0,0 +1,160 @@
+package sesamecontract
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesamestore"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+// budgetBytes is what a daemon may spend a second, by the first letter.
+const budgetBytes = 12 << 10
+
+// counted counts what passes a connection, both ways.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// remoteStore is a store behind the platform's HTTP interface.
+func remoteStore(t *testing.T, bytes *atomic.Int64) *sesamestore.Store {
+	platform := sesamestandin.NewPlatform(sesamestandin.NewStore(clockwork.NewRealClock()), sesamelog.Discard())
+	server := httptest.NewServer(platform)
+	t.Cleanup(server.Close)
+	settings := sesamesettings.DefaultEntry().Platform
+	settings.URL = server.URL
+	settings.Reads = 1e6
+	settings.Writes = 1e6
+	client := sesametable.NewClient(sesametable.Options{
+		Platform: settings,
+		HTTP: &http.Client{
+			Transport: &http.Transport{
+				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+					return &counted{
+						Conn:  conn,
+						bytes: bytes,
+					}, err
+				},
+			},
+		},
+	})
+	return sesamestore.New(client, client)
+}
+
+func teamContract(n int) sesamemodel.Contract {
+	team := sesamemodel.TeamID(fmt.Sprintf("team-%03d", n))
+	return sesamemodel.Contract{
+		Team: team,
+		Guarantees: []sesamemodel.Shape{
+			{
+				Workers:      4,
+				Accelerators: 8,
+				Span:         sesamemodel.SpanRack,
+			},
+		},
+		Classes: []sesamemodel.Class{
+			{
+				Name:    "pricing",
+				Urgency: sesamemodel.Urgent,
+			},
+		},
+		Tokens: []string{strings.Repeat("0", digestLength)},
+	}
+}
+
+// TestBytes gives the bytes of a poll, of a change and of the first reading,
+// through the platform's HTTP interface, for docs/CAPACITY.md.
+func TestBytes(t *testing.T) {
+	for _, teams := range []int{4, 70, 280} {
+		is := is.New(t)
+		var bytes atomic.Int64
+		store := remoteStore(t, &bytes)
+		for n := range teams {
+			_, err := store.Accept(context.Background(), uint64(n), []sesamemodel.Change{
+				{
+					Team:     teamContract(n).Team,
+					Contract: teamContract(n),
+				},
+			}, nil)
+			is.NoErr(err)
+		}
+		w := NewWatch(store, NewHolder(), WatchOptions{})
+		spent := func(polls int) int64 {
+			before := bytes.Load()
+			for range polls {
+				is.NoErr(w.Poll(context.Background()))
+			}
+			return (bytes.Load() - before) / int64(polls)
+		}
+		first, idle := spent(1), spent(100)
+		_, err := store.Accept(context.Background(), uint64(teams), []sesamemodel.Change{
+			{
+				Team:     teamContract(0).Team,
+				Contract: teamContract(0),
+			},
+		}, nil)
+		is.NoErr(err)
+		changed := spent(1)
+		t.Logf("%d teams: first reading %d bytes, poll %d, poll with a change %d", teams, first, idle, changed)
+		is.True(idle*2 < budgetBytes) // two polls a second
+	}
+}
+
+// BenchmarkPoll gives the processor time of a poll without a change, the
+// platform's call apart.
+func BenchmarkPoll(b *testing.B) {
+	table := sesamestandin.NewStore(clockwork.NewRealClock())
+	w := NewWatch(sesamestore.New(table, table), NewHolder(), WatchOptions{})
+	for b.Loop() {
+		_ = w.Poll(context.Background())
+	}
+}
+
+// BenchmarkWithChanges gives the time and memory of a change of one contract.
+func BenchmarkWithChanges(b *testing.B) {
+	for _, teams := range []int{4, 70, 280} {
+		b.Run(fmt.Sprint(teams), func(b *testing.B) {
+			var contracts []sesamemodel.Contract
+			for n := range teams {
+				contracts = append(contracts, teamContract(n))
+			}
+			set := NewSet(uint64(teams), contracts)
+			change := sesamemodel.Change{
+				Number:   uint64(teams + 1),
+				Team:     contracts[0].Team,
+				Contract: contracts[0],
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = set.WithChanges([]sesamemodel.Change{change})
+			}
+		})
+	}
+}
