--- a/sesameapi/cost_test.go
+++ b/sesameapi/cost_test.go
@@ -44,7 +44,7 @@
 		t.Logf("%d reads, %d writes, %d objects", cost.Reads, cost.Writes, cost.ObjectWrites)
 		e.is.Equal(cost.Reads, 1)
 	})
-	t.Run("a refusal", func(t *testing.T) {
+	t.Run("a refusal", func(*testing.T) {
 		e.backend.load = 1
 		cost := e.cost(func() {
 			e.refused(e.submit(cork, "shed", executorJob("pricing")), Overloaded)
--- /dev/null
+++ b/sesameapi/doc_test.go
@@ -0,0 +1,25 @@
+package sesameapi
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestDocumentedProblems shows that docs/API.md has every problem with its
+// status.
+func TestDocumentedProblems(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/API.md")
+	is.NoErr(err)
+	for problem, k := range kinds {
+		name := strings.TrimPrefix(string(problem), problemPrefix)
+		line := fmt.Sprintf("| `%s` | %d |", name, k.status)
+		if !strings.Contains(string(page), line) {
+			t.Errorf("docs/API.md lacks the line %q", line)
+		}
+	}
+}
