--- a/sesameapi/client_test.go
+++ b/sesameapi/client_test.go
@@ -91,6 +91,31 @@
 		e.is.NoErr(err)
 		e.is.Equal(job.State, sesamemodel.Done)
 	})
+	t.Run("waits an outage out", func(t *testing.T) {
+		e := newEntry(t)
+		id := e.submitted(cork, "k1", executorJob("pricing")).ID
+		calls := 0
+		c := e.client(cork, e.listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls++
+			switch calls {
+			case 1:
+				r.URL.RawQuery = "" // the job as it is
+			case 2:
+				e.table.SetFaults(sesamestandin.Faults{
+					Down: true,
+				})
+			case 4:
+				e.table.SetFaults(sesamestandin.Faults{})
+				e.finish(id)
+			}
+			e.handler.ServeHTTP(w, r)
+		})))
+		c.options.Tries = 1
+		job, err := c.Wait(e.budget(), id)
+		e.is.NoErr(err)
+		e.is.Equal(job.State, sesamemodel.Done)
+		e.is.Equal(calls, 4)
+	})
 	t.Run("changes contracts", func(t *testing.T) {
 		e := newEntry(t)
 		c := e.client(anna, e.listen(losing(e.handler)))
--- a/sesameapi/clientjobs.go
+++ b/sesameapi/clientjobs.go
@@ -90,8 +90,10 @@
 // longPoll is how long one request of Wait waits on the entry.
 const longPoll = 30 * time.Second
 
-// Wait returns the job once it has ended, or the context's error.
+// Wait returns the job once it has ended, or the context's error. Once an entry
+// has answered, an outage is waited out.
 func (c *Client) Wait(ctx context.Context, id sesamemodel.JobID) (JobStatus, error) {
+	answered := false
 	for {
 		job, _, _, err := fetch[JobStatus](ctx, c, call{
 			method: http.MethodGet,
@@ -101,12 +103,16 @@
 			},
 			timeout: longPoll + c.options.Timeout,
 		})
-		if err != nil || job.State.Ended() {
-			return job, err
+		if ctx.Err() != nil {
+			return job, ctx.Err()
 		}
-		if err := ctx.Err(); err != nil {
+		if err != nil && answered && repeatable(err) {
+			continue
+		}
+		if err != nil || job.State.Ended() {
 			return job, err
 		}
+		answered = true
 	}
 }
 
--- /dev/null
+++ b/sesameapi/server_test.go
@@ -0,0 +1,65 @@
+package sesameapi
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+func TestServerBounds(t *testing.T) {
+	e := newEntry(t)
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewServer("", e.handler)
+	server.Start()
+	t.Cleanup(server.Close)
+	r, err := http.NewRequestWithContext(e.budget(), http.MethodGet, server.URL+"/v1/jobs", nil)
+	e.is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+strings.Repeat("x", 2*maxHeaderBytes))
+	w, err := http.DefaultClient.Do(r)
+	e.is.NoErr(err)
+	e.is.NoErr(w.Body.Close())
+	e.is.Equal(w.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	e.is.True(server.Config.ReadTimeout > 0 && server.Config.WriteTimeout > defaultMaxWait)
+}
+
+func TestUnknownPaths(t *testing.T) {
+	e := newEntry(t)
+	e.refused(e.call(http.MethodGet, "/v2/jobs", cork, nil), NotFound)
+	e.refused(e.call(http.MethodPut, "/v1/jobs", cork, nil), MethodNotAllowed)
+	e.is.Equal(e.call(http.MethodGet, "/healthz", "", nil).Code, http.StatusOK)
+}
+
+// TestReady shows that an entry is not ready before it has read the contracts.
+func TestReady(t *testing.T) {
+	e := newEntry(t)
+	e.refused(e.call(http.MethodGet, "/readyz", "", nil), Unavailable)
+	e.is.NoErr(e.watch.Poll(e.budget()))
+	e.is.Equal(e.call(http.MethodGet, "/readyz", "", nil).Code, http.StatusOK)
+	e.backend.ready = &RangeError{}
+	e.refused(e.call(http.MethodGet, "/readyz", "", nil), Unavailable)
+}
+
+func TestHistogramsByTeam(t *testing.T) {
+	e := newEntry(t)
+	scope := tally.NewTestScope("", nil)
+	e.handler.metrics = newMetrics(scope)
+	id := e.submitted(cork, "k1", executorJob("pricing")).ID
+	e.submitted(mill, "k1", executorJob("pricing"))
+	e.finish(id)
+	e.call(http.MethodGet, "/v1/jobs/"+string(id)+"?wait=1s", cork, nil)
+	histograms := scope.Snapshot().Histograms()
+	for _, name := range []string{
+		"api.submission_latency+team=cork",
+		"api.submission_latency+team=mill",
+		"api.wait_to_end+team=cork",
+	} {
+		_, ok := histograms[name]
+		e.is.True(ok)
+	}
+	e.is.Equal(e.row(id).Value.State, sesamemodel.Done)
+}
--- /dev/null
+++ b/sesamestore/store_test.go
@@ -0,0 +1,91 @@
+package sesamestore
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametable"
+)
+
+// TestJobIDFor shows that a name tells its region and its team, and that team
+// and key can't be exchanged for others.
+func TestJobIDFor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching(`[ -~]{1,8}`)
+		region := rapid.StringMatching(`[a-z0-9-]{1,8}`).Draw(t, "region")
+		team, other := sesamemodel.TeamID(text.Draw(t, "team")), sesamemodel.TeamID(text.Draw(t, "other"))
+		key, another := text.Draw(t, "key"), text.Draw(t, "another")
+		id := JobIDFor(region, team, key)
+		if !ValidJobID(region, id) || RegionOf(id) != region || !OwnedBy(id, team) {
+			t.Fatalf("%q is not a name of team %q in region %q", id, team, region)
+		}
+		if OwnedBy(id, other) != (team == other) {
+			t.Fatalf("%q of team %q seems owned by team %q", id, team, other)
+		}
+		if same := id == JobIDFor(region, other, another); same != (team == other && key == another) {
+			t.Fatalf("%q/%q and %q/%q have the same name: %v", team, key, other, another, same)
+		}
+		if found, ok := JobOfKey(OpenKey(id)); !ok || found != id {
+			t.Fatalf("key of %q names %q", id, found)
+		}
+	})
+}
+
+func TestStore(t *testing.T) {
+	ctx := context.Background()
+	fixture := func(t *testing.T) (*is.I, *Store, sesamemodel.Job) {
+		table := sesamestandin.NewStore(clockwork.NewFakeClock())
+		job := sesamemodel.Job{
+			ID:    JobIDFor("east", "cork", "k1"),
+			State: sesamemodel.Queued,
+		}
+		return is.New(t), New(table, table), job
+	}
+	t.Run("finds an ended job and no open one", func(t *testing.T) {
+		is, store, job := fixture(t)
+		is.NoErr(store.Submit(ctx, job))
+		row, err := store.Job(ctx, job.ID)
+		is.NoErr(err)
+		ended := row.Value
+		ended.State = sesamemodel.Cancelled
+		is.NoErr(store.Update(ctx, Batch{
+			Jobs: []Versioned[sesamemodel.Job]{row.With(ended)},
+		}))
+		found, err := store.Job(ctx, job.ID)
+		is.NoErr(err)
+		is.Equal(found.Value.State, sesamemodel.Cancelled)
+		open, err := store.TeamJobs(ctx, "east", "cork")
+		is.NoErr(err)
+		is.Equal(len(open), 0)
+	})
+	t.Run("creates no job whose name was ever used", func(t *testing.T) {
+		is, store, job := fixture(t)
+		is.NoErr(store.Submit(ctx, job))
+		row, err := store.Job(ctx, job.ID)
+		is.NoErr(err)
+		ended := row.Value
+		ended.State = sesamemodel.Done
+		is.NoErr(store.Update(ctx, Batch{
+			Jobs: []Versioned[sesamemodel.Job]{row.With(ended)},
+		}))
+		var conflict *sesametable.ConflictError
+		is.True(errors.As(store.Submit(ctx, job), &conflict))
+	})
+	t.Run("reads a team's open jobs and no other's", func(t *testing.T) {
+		is, store, job := fixture(t)
+		is.NoErr(store.Submit(ctx, job))
+		job.ID = JobIDFor("east", "mill", "k1")
+		is.NoErr(store.Submit(ctx, job))
+		open, err := store.TeamJobs(ctx, "east", "mill")
+		is.NoErr(err)
+		is.Equal(len(open), 1)
+		is.Equal(open[0].Value.ID, job.ID)
+	})
+}
