Let operators change all contracts at once

A body of 280 teams' contracts is over the callers' bound of 64 KiB; operators' bodies now have a bound of their own of 4 MiB. A conflict shows the first 500 changes instead of the whole log since the base.

--- a/sesameapi/acceptance.go
+++ b/sesameapi/acceptance.go
@@ -60,7 +60,7 @@
 	if errors.As(failure, &unavailable) {
 		return result, failure
 	}
-	since, err := a.handler.options.Store.ChangesSince(ctx, a.request.Base)
+	since, err := a.handler.options.Store.ChangesPage(ctx, a.request.Base, 0)
 	if err != nil {
 		return result, failure
 	}
@@ -71,7 +71,7 @@
 	}
 	var stale *sesamestore.StaleNumberError
 	if errors.As(failure, &stale) || len(since) > 0 {
-		return ChangeResult{}, a.conflict(since)
+		return ChangeResult{}, a.conflict(since, set.Number())
 	}
 	return result, failure
 }
@@ -87,7 +87,7 @@
 			},
 		})
 	}
-	since, err := a.handler.options.Store.ChangesSince(ctx, a.request.Base)
+	since, err := a.handler.options.Store.ChangesPage(ctx, a.request.Base, 0)
 	if err != nil {
 		return ChangeResult{}, err
 	}
@@ -104,16 +104,18 @@
 			Differences: []Difference{},
 		}, nil
 	}
-	return ChangeResult{}, a.conflict(since)
+	return ChangeResult{}, a.conflict(since, set.Number())
 }
 
-func (a *acceptance) conflict(since []sesamemodel.Change) error {
-	problem := newProblem(ContractsChanged, fmt.Sprintf("%d changes were accepted after change %d", len(since), a.request.Base))
-	problem.Problem.Changes = since
-	problem.Problem.Number = a.request.Base
+// conflict shows the first page of what was accepted since the base, and the
+// newest number known.
+func (a *acceptance) conflict(since []sesamemodel.Change, number uint64) error {
 	if len(since) > 0 {
-		problem.Problem.Number = since[len(since)-1].Number
+		number = max(number, since[len(since)-1].Number)
 	}
+	problem := newProblem(ContractsChanged, fmt.Sprintf("change %d was accepted, expected %d", number, a.request.Base))
+	problem.Problem.Changes = since
+	problem.Problem.Number = number
 	return problem
 }
 
--- a/sesameapi/contracts.go
+++ b/sesameapi/contracts.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := readValid[ChangeRequest](h, w, r)
+	request, err := readValid[ChangeRequest](w, r)
 	if err != nil {
 		return err
 	}
@@ -148,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := readValid[RollbackRequest](h, w, r)
+	request, err := readValid[RollbackRequest](w, r)
 	if err != nil {
 		return err
 	}
--- a/sesameapi/contracts_test.go
+++ b/sesameapi/contracts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -298,3 +299,18 @@
 	_, ok := set.Token(sesamecontract.Digest(cork))
 	e.is.True(!ok)
 }
+
+// TestApplyAllTeams applies the contracts of the target's 280 teams at once.
+func TestApplyAllTeams(t *testing.T) {
+	const teams = 280
+	e := newEntry(t)
+	q := ChangeRequest{
+		Base: 2,
+	}
+	for n := range teams {
+		c := contract(sesamemodel.TeamID(fmt.Sprint("team-", n)), fmt.Sprint("token-", n))
+		q.Changes = append(q.Changes, changeOf(2, c).Changes...)
+	}
+	e.is.Equal(len(e.applied(anna, q).Differences), teams)
+	e.is.Equal(len(e.inForce().Contracts), teams+2)
+}
--- a/sesameapi/operators.go
+++ b/sesameapi/operators.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := readValid[ResolveRequest](h, w, r)
+	request, err := readValid[ResolveRequest](w, r)
 	if err != nil {
 		return err
 	}
@@ -108,9 +108,12 @@
 	Validate() []Fault
 }
 
-func readValid[T validated](h *Handler, w http.ResponseWriter, r *http.Request) (T, error) {
+// maxOperatorBody has room for the contracts of a few thousand teams.
+const maxOperatorBody = 4 << 20
+
+func readValid[T validated](w http.ResponseWriter, r *http.Request) (T, error) {
 	var value T
-	body, err := h.body(w, r)
+	body, err := bodyOf(w, r, maxOperatorBody)
 	if err != nil {
 		return value, err
 	}
--- a/sesameapi/result_test.go
+++ b/sesameapi/result_test.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
 	"github.com/sesamestack/sesamestack/sesamemodel"
@@ -59,6 +61,15 @@
 	return server
 }
 
+// impatient is a clock whose timers end at once.
+type impatient struct {
+	clockwork.Clock
+}
+
+func (i impatient) NewTimer(time.Duration) clockwork.Timer {
+	return i.Clock.NewTimer(0)
+}
+
 func (e *entry) client(token string, servers ...*httptest.Server) *Client {
 	var addresses []string
 	for _, s := range servers {
@@ -67,6 +78,9 @@
 	return NewClient(ClientOptions{
 		Addresses: addresses,
 		Token:     token,
+		Clock: impatient{
+			Clock: clockwork.NewRealClock(),
+		},
 	})
 }
 
--- a/sesameapi/submit.go
+++ b/sesameapi/submit.go
@@ -109,7 +109,7 @@
 		})
 	}
 	s.id = sesamestore.JobIDFor(h.options.Region, contract.Team, key)
-	body, err := h.body(w, r)
+	body, err := bodyOf(w, r, h.options.MaxBody)
 	if err != nil {
 		return s, err
 	}
@@ -123,8 +123,9 @@
 	return s, err
 }
 
-func (h *Handler) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.options.MaxBody))
+// bodyOf reads the body of at most that many bytes.
+func bodyOf(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err == nil {
 		return body, nil
 	}
--- a/sesamestore/store_test.go
+++ b/sesamestore/store_test.go
@@ -38,8 +38,19 @@
 	})
 }
 
+func submitAndEnd(is *is.I, store *Store, job sesamemodel.Job, state sesamemodel.State) {
+	is.Helper()
+	is.NoErr(store.Submit(context.Background(), job))
+	row, err := store.Job(context.Background(), job.ID)
+	is.NoErr(err)
+	ended := row.Value
+	ended.State = state
+	is.NoErr(store.Update(context.Background(), Batch{
+		Jobs: []Versioned[sesamemodel.Job]{row.With(ended)},
+	}))
+}
+
 func TestStore(t *testing.T) {
-	ctx := context.Background()
 	fixture := func(t *testing.T) (*is.I, *Store, sesamemodel.Job) {
 		table := sesamestandin.NewStore(clockwork.NewFakeClock())
 		job := sesamemodel.Job{
@@ -50,40 +61,26 @@
 	}
 	t.Run("finds an ended job and no open one", func(t *testing.T) {
 		is, store, job := fixture(t)
-		is.NoErr(store.Submit(ctx, job))
-		row, err := store.Job(ctx, job.ID)
-		is.NoErr(err)
-		ended := row.Value
-		ended.State = sesamemodel.Cancelled
-		is.NoErr(store.Update(ctx, Batch{
-			Jobs: []Versioned[sesamemodel.Job]{row.With(ended)},
-		}))
-		found, err := store.Job(ctx, job.ID)
+		submitAndEnd(is, store, job, sesamemodel.Cancelled)
+		found, err := store.Job(context.Background(), job.ID)
 		is.NoErr(err)
 		is.Equal(found.Value.State, sesamemodel.Cancelled)
-		open, err := store.TeamJobs(ctx, "east", "cork")
+		open, err := store.TeamJobs(context.Background(), "east", "cork")
 		is.NoErr(err)
 		is.Equal(len(open), 0)
 	})
 	t.Run("creates no job whose name was ever used", func(t *testing.T) {
 		is, store, job := fixture(t)
-		is.NoErr(store.Submit(ctx, job))
-		row, err := store.Job(ctx, job.ID)
-		is.NoErr(err)
-		ended := row.Value
-		ended.State = sesamemodel.Done
-		is.NoErr(store.Update(ctx, Batch{
-			Jobs: []Versioned[sesamemodel.Job]{row.With(ended)},
-		}))
+		submitAndEnd(is, store, job, sesamemodel.Done)
 		var conflict *sesametable.ConflictError
-		is.True(errors.As(store.Submit(ctx, job), &conflict))
+		is.True(errors.As(store.Submit(context.Background(), job), &conflict))
 	})
 	t.Run("reads a team's open jobs and no other's", func(t *testing.T) {
 		is, store, job := fixture(t)
-		is.NoErr(store.Submit(ctx, job))
+		is.NoErr(store.Submit(context.Background(), job))
 		job.ID = JobIDFor("east", "mill", "k1")
-		is.NoErr(store.Submit(ctx, job))
-		open, err := store.TeamJobs(ctx, "east", "mill")
+		is.NoErr(store.Submit(context.Background(), job))
+		open, err := store.TeamJobs(context.Background(), "east", "mill")
 		is.NoErr(err)
 		is.Equal(len(open), 1)
 		is.Equal(open[0].Value.ID, job.ID)
