--- a/sesamecontract/bytes_test.go
+++ b/sesamecontract/bytes_test.go
@@ -9,9 +9,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamemodel"
@@ -43,7 +45,7 @@
 }
 
 // remoteStore is a store behind the platform's HTTP interface.
-func remoteStore(t *testing.T, bytes *atomic.Int64) *sesamestore.Store {
+func remoteStore(t testing.TB, bytes *atomic.Int64) *sesamestore.Store {
 	platform := sesamestandin.NewPlatform(sesamestandin.NewStore(clockwork.NewRealClock()), sesamelog.Discard())
 	server := httptest.NewServer(platform)
 	t.Cleanup(server.Close)
@@ -127,6 +129,51 @@
 	}
 }
 
+// BenchmarkSpread gives the longest time from a change's acceptance until it is
+// in force on all of 60 processes, by the system's clock and without hints.
+func BenchmarkSpread(b *testing.B) {
+	const processes = 60
+	var bytes atomic.Int64
+	store := remoteStore(b, &bytes)
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	taken := make(chan uint64, processes)
+	for range processes {
+		w := NewWatch(store, NewHolder(), WatchOptions{
+			OnChange: func(s *Set) {
+				taken <- s.Number()
+			},
+		})
+		group.Go(func() error {
+			return w.Run(ctx)
+		})
+	}
+	var longest time.Duration
+	number := uint64(0)
+	for b.Loop() {
+		accepted, err := store.Accept(context.Background(), number, []sesamemodel.Change{
+			{
+				Team:     teamContract(0).Team,
+				Contract: teamContract(0),
+			},
+		}, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		began := time.Now()
+		for held := 0; held < processes; {
+			if <-taken == accepted {
+				held++
+			}
+		}
+		longest = max(longest, time.Since(began))
+		number = accepted
+	}
+	cancel()
+	_ = group.Wait()
+	b.ReportMetric(float64(longest.Milliseconds()), "ms-longest")
+}
+
 // BenchmarkPoll gives the processor time of a poll without a change, the
 // platform's call apart.
 func BenchmarkPoll(b *testing.B) {
