--- a/sesameapi/result_test.go
+++ b/sesameapi/result_test.go
@@ -32,17 +32,24 @@
 	return io.NopCloser(bytes.NewReader(o.body)), o.length, nil
 }
 
-// done returns a job whose row records the output.
-func (e *entry) done(output []byte) sesamemodel.JobID {
+// output stores what rank 0 of an attempt wrote.
+func (e *entry) output(id sesamemodel.JobID, attempt uint32, output []byte) sesamemodel.Result {
 	e.t.Helper()
-	id := e.submitted(cork, "k1", executorJob("pricing")).ID
 	sum := sha256.Sum256(output)
 	result := sesamemodel.Result{
-		Object: sesamestore.ResultKey(id, 1, 0),
+		Object: sesamestore.ResultKey(id, attempt, 0),
 		Length: int64(len(output)),
 		Digest: hex.EncodeToString(sum[:]),
 	}
 	e.is.NoErr(e.table.PutObject(context.Background(), result.Object, output))
+	return result
+}
+
+// done returns a job whose row records the output.
+func (e *entry) done(output []byte) sesamemodel.JobID {
+	e.t.Helper()
+	id := e.submitted(cork, "k1", executorJob("pricing")).ID
+	result := e.output(id, 1, output)
 	e.become(id, placed(e.clock.Now()))
 	e.become(id, func(j sesamemodel.Job) sesamemodel.Job {
 		return j.WithStart(e.clock.Now()).WithResults(e.clock.Now(), []sesamemodel.Result{
@@ -145,14 +152,7 @@
 	t.Run("refuses an output that the row does not name as its last attempt's", func(t *testing.T) {
 		e := newEntry(t)
 		id := e.submitted(cork, "k1", executorJob("pricing")).ID
-		output := []byte("of a late attempt")
-		sum := sha256.Sum256(output)
-		late := sesamemodel.Result{
-			Object: sesamestore.ResultKey(id, 7, 0),
-			Length: int64(len(output)),
-			Digest: hex.EncodeToString(sum[:]),
-		}
-		e.is.NoErr(e.table.PutObject(context.Background(), late.Object, output))
+		late := e.output(id, 7, []byte("of a late attempt"))
 		e.become(id, placed(e.clock.Now()))
 		e.become(id, func(j sesamemodel.Job) sesamemodel.Job {
 			return j.WithResults(e.clock.Now(), []sesamemodel.Result{
