--- a/sesameapi/result_test.go
+++ b/sesameapi/result_test.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
 	"github.com/sesamestack/sesamestack/sesamemodel"
@@ -30,17 +32,24 @@
 	return io.NopCloser(bytes.NewReader(o.body)), o.length, nil
 }
 
-// done returns a job whose row records the output.
-func (e *entry) done(output []byte) sesamemodel.JobID {
+// output stores what rank 0 of an attempt wrote.
+func (e *entry) output(id sesamemodel.JobID, attempt uint32, output []byte) sesamemodel.Result {
 	e.t.Helper()
-	id := e.submitted(cork, "k1", executorJob("pricing")).ID
 	sum := sha256.Sum256(output)
 	result := sesamemodel.Result{
-		Object: sesamestore.ResultKey(id, 1, 0),
+		Object: sesamestore.ResultKey(id, attempt, 0),
 		Length: int64(len(output)),
 		Digest: hex.EncodeToString(sum[:]),
 	}
 	e.is.NoErr(e.table.PutObject(context.Background(), result.Object, output))
+	return result
+}
+
+// done returns a job whose row records the output.
+func (e *entry) done(output []byte) sesamemodel.JobID {
+	e.t.Helper()
+	id := e.submitted(cork, "k1", executorJob("pricing")).ID
+	result := e.output(id, 1, output)
 	e.become(id, placed(e.clock.Now()))
 	e.become(id, func(j sesamemodel.Job) sesamemodel.Job {
 		return j.WithStart(e.clock.Now()).WithResults(e.clock.Now(), []sesamemodel.Result{
@@ -53,12 +62,21 @@
 // serve makes the entry reachable, with another object store under it.
 func (e *entry) serve(o sesametable.Objects) *httptest.Server {
 	e.store = sesamestore.New(e.table, o)
-	e.start(Options{})
+	e.start()
 	server := httptest.NewServer(e.handler)
 	e.t.Cleanup(server.Close)
 	return server
 }
 
+// impatient is a clock whose timers end at once.
+type impatient struct {
+	clockwork.Clock
+}
+
+func (i impatient) NewTimer(time.Duration) clockwork.Timer {
+	return i.Clock.NewTimer(0)
+}
+
 func (e *entry) client(token string, servers ...*httptest.Server) *Client {
 	var addresses []string
 	for _, s := range servers {
@@ -67,6 +85,9 @@
 	return NewClient(ClientOptions{
 		Addresses: addresses,
 		Token:     token,
+		Clock: impatient{
+			Clock: clockwork.NewRealClock(),
+		},
 	})
 }
 
@@ -131,12 +152,11 @@
 	t.Run("refuses an output that the row does not name as its last attempt's", func(t *testing.T) {
 		e := newEntry(t)
 		id := e.submitted(cork, "k1", executorJob("pricing")).ID
+		late := e.output(id, 7, []byte("of a late attempt"))
 		e.become(id, placed(e.clock.Now()))
 		e.become(id, func(j sesamemodel.Job) sesamemodel.Job {
 			return j.WithResults(e.clock.Now(), []sesamemodel.Result{
-				{
-					Object: sesamestore.ResultKey(id, 7, 0),
-				},
+				late,
 			})
 		})
 		e.refused(e.call(http.MethodGet, "/v1/jobs/"+string(id)+"/result", cork, nil), ResultDamaged)
