Drop avoided targets when nothing else fits; bound the search for victims

Owed decisions took 2.1 ms at 13,000 workers. Change: targets to avoid are dropped when the rest could never take the job; victims are chosen in scratch space, and cells beside the team's own are looked at only when more than 300 accelerator seconds would be lost, four at most. Checked: go test ./sesameplanner -rapid.checks=500.

--- a/sesameplanner/cheapest.go
+++ b/sesameplanner/cheapest.go
@@ -12,7 +12,10 @@
 	maxOwedTrials = 6
 	// maxOwedCells bounds the cells, beside those that hold the team's
 	// guarantees, that are looked at for one owed job.
-	maxOwedCells = 8
+	maxOwedCells = 4
+	// cheapStop is the lost work, in accelerator seconds, below which no
+	// guarantee is moved to save any.
+	cheapStop = 300.0
 )
 
 // option is a way to place an owed job.
@@ -34,7 +37,7 @@
 // cheaper returns a placement of owed work that stops less than the given one
 // while all guarantees can still be formed, or the given one.
 func (r *round) cheaper(e *entry, given *proposal) *proposal {
-	options := r.options(e)
+	options := r.options(e, given.victims.cost > cheapStop)
 	slices.SortStableFunc(options, func(a, b option) int {
 		return cmp.Or(
 			cmp.Compare(a.victims.cost, b.victims.cost),
@@ -99,7 +102,7 @@
 
 // options lists the placements on one target or one rack of the cells that
 // hold the team's guarantees, and of others that one could move to.
-func (r *round) options(e *entry) []option {
+func (r *round) options(e *entry, move bool) []option {
 	p := r.planner
 	d := p.borrowDemand(e, r.now)
 	d.free = r.withoutBorrowers
@@ -109,7 +112,7 @@
 		options = r.addCell(options, e, d, p.cells.get(id), nil)
 	}
 	movable := r.movable(e)
-	if movable == nil {
+	if !move || movable == nil {
 		return options
 	}
 	looked := 0
--- a/sesameplanner/find.go
+++ b/sesameplanner/find.go
@@ -48,7 +48,7 @@
 		job:   e.job.ID,
 		spec:  e.job.Spec,
 		task:  e.task,
-		avoid: e.job.Avoid,
+		avoid: e.avoided(),
 		end:   now.Add(p.expected(e.job.Spec, conservative)),
 		held:  p.held,
 	}
--- a/sesameplanner/owed.go
+++ b/sesameplanner/owed.go
@@ -83,7 +83,7 @@
 	if e.job.Spec.Kind != sesamemodel.Worker {
 		return false
 	}
-	parts := r.planner.owedParts(e.job)
+	parts := r.planner.owedParts(e)
 	if parts == nil {
 		return false
 	}
@@ -120,8 +120,9 @@
 
 // owedParts returns the workers of the team's guarantees that take the job,
 // nil when it does not fit into what is unused.
-func (p *Planner) owedParts(job sesamemodel.Job) []part {
-	available := p.reservedFor(job)
+func (p *Planner) owedParts(e *entry) []part {
+	job := e.job
+	available := p.reservedFor(e)
 	domains := map[string][]reserved{}
 	for _, a := range available {
 		key := domain(job.Spec.Span, a.part)
@@ -159,8 +160,9 @@
 }
 
 // reservedFor lists what the job could take of its team's guarantees.
-func (p *Planner) reservedFor(job sesamemodel.Job) []reserved {
-	team := p.team(job.Spec.Team)
+func (p *Planner) reservedFor(e *entry) []reserved {
+	team := p.team(e.job.Spec.Team)
+	avoid := e.avoided()
 	var found []reserved
 	for _, id := range sortedCells(team.cells) {
 		s := p.cells.get(id)
@@ -168,11 +170,11 @@
 			continue
 		}
 		for i, size := range s.reservedBy(team.id) {
-			if size == 0 || slices.Contains(job.Avoid, s.nodes[i].target.ID) {
+			if size == 0 || slices.Contains(avoid, s.nodes[i].target.ID) {
 				continue
 			}
 			own := s.ownUse(team.id, i)
-			tasks := s.tasksWithin(i, size, own, job.Spec)
+			tasks := s.tasksWithin(i, size, own, e.job.Spec)
 			if tasks > 0 {
 				found = append(found, reserved{
 					part: part{
--- a/sesameplanner/planner.go
+++ b/sesameplanner/planner.go
@@ -25,6 +25,8 @@
 	reservations []*reservation
 	// held are the reservations by target.
 	held map[sesamemodel.TargetID]*reservation
+	// candidates is scratch space for the choice of victims.
+	candidates []candidate
 }
 
 // New returns a planner that knows no contracts, cells or jobs.
--- a/sesameplanner/possible.go
+++ b/sesameplanner/possible.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/sesamestack/sesamestack/sesamemodel"
 )
@@ -22,7 +23,11 @@
 	}
 	if e.request.checked != p.generation {
 		e.request.checked = p.generation
-		e.request.fits = p.cells.couldFit(spec)
+		e.request.fits = p.cells.couldFit(spec, nil)
+		e.request.avoid = e.job.Avoid
+		if len(e.job.Avoid) > 0 && !p.cells.couldFit(spec, e.job.Avoid) {
+			e.request.avoid = nil
+		}
 	}
 	if e.request.fits {
 		return ""
@@ -43,9 +48,9 @@
 		s.Tasks, s.Task.Accelerators, s.Task.Cores, s.Task.Memory, span)
 }
 
-// couldFit reports whether idle targets, healthy or not, could take the job.
-// It is true while no target of the kind is known.
-func (x *index) couldFit(spec sesamemodel.Spec) bool {
+// couldFit reports whether idle targets, healthy or not, but those to avoid,
+// could take the job. It is true while no target of the kind is known.
+func (x *index) couldFit(spec sesamemodel.Spec, avoid []sesamemodel.TargetID) bool {
 	known := false
 	totals := map[string]int{}
 	for _, z := range x.zones {
@@ -56,6 +61,9 @@
 					continue
 				}
 				known = true
+				if slices.Contains(avoid, t.ID) {
+					continue
+				}
 				tasks := times(t.Capacity, spec.Task, spec.Tasks)
 				if tasks == 0 {
 					continue
--- a/sesameplanner/queue.go
+++ b/sesameplanner/queue.go
@@ -49,6 +49,8 @@
 	// checked is the generation that fits belongs to; 0 means never.
 	checked uint64
 	fits    bool
+	// avoid are the targets to avoid, as long as others could take the job.
+	avoid []sesamemodel.TargetID
 	// owedFailed and borrowFailed are the last rounds without room.
 	owedFailed, borrowFailed uint64
 }
@@ -134,6 +136,14 @@
 	return q
 }
 
+// avoided returns the targets that the job must not run on.
+func (e *entry) avoided() []sesamemodel.TargetID {
+	if e.request == nil {
+		return e.job.Avoid
+	}
+	return e.request.avoid
+}
+
 // release forgets a request with its last queued job.
 func (p *Planner) release(q *request) {
 	q.jobs--
--- a/sesameplanner/reservation.go
+++ b/sesameplanner/reservation.go
@@ -138,10 +138,16 @@
 	return free
 }
 
+// running returns the allocation's job, if the planner may stop it.
+func (p *Planner) running(a *sesamemodel.Allocation) (*entry, bool) {
+	e, ok := p.jobs[a.Job]
+	return e, ok && e.job.State.Active() && e.job.Attempt == a.Attempt
+}
+
 // known reports whether the planner may stop the allocation's job.
 func (p *Planner) known(a *sesamemodel.Allocation) bool {
-	e, ok := p.jobs[a.Job]
-	return ok && e.job.State.Active() && e.job.Attempt == a.Attempt
+	_, ok := p.running(a)
+	return ok
 }
 
 func expectedEnd(a *sesamemodel.Allocation) time.Time {
--- a/sesameplanner/victims.go
+++ b/sesameplanner/victims.go
@@ -40,8 +40,9 @@
 	cost     float64
 }
 
-// clear chooses victims on a part's target until the part fits. It reports
-// whether it does.
+// clear chooses victims on a part's target until the part fits: one that frees
+// enough by itself if there is one, else the cheapest. It reports whether the
+// part fits then.
 func (v *victims) clear(p *Planner, now time.Time, at part, task sesamemodel.Resources) bool {
 	free := at.target().free
 	need := task.Times(at.tasks)
@@ -50,42 +51,35 @@
 	}
 	found := v.candidates(p, now, at)
 	for _, c := range found {
-		if c.cost > 0 && need.Fits(free.Plus(c.frees)) {
-			found = append([]candidate{c}, found...)
-			break
+		if need.Fits(free.Plus(c.frees)) {
+			v.take(at, c)
+			return true
 		}
-		if c.cost > 0 {
-			continue
+		if c.cost > 0 && p.options.Without.VictimCost {
+			break
 		}
-		free = free.Plus(c.frees)
 	}
 	return v.takeUntil(at, need, found)
 }
 
-// takeUntil stops candidates in their order until the need fits.
+// takeUntil stops candidates in their order until the need fits, but those that
+// turn out not to be needed.
 func (v *victims) takeUntil(at part, need sesamemodel.Resources, found []candidate) bool {
 	free := at.target().free
-	var chosen []candidate
-	for _, c := range found {
-		if need.Fits(free) {
-			break
-		}
-		if slices.ContainsFunc(chosen, func(o candidate) bool { return o.position == c.position }) {
-			continue
-		}
-		free = free.Plus(c.frees)
-		chosen = append(chosen, c)
+	last := 0
+	for ; last < len(found) && !need.Fits(free); last++ {
+		free = free.Plus(found[last].frees)
 	}
 	if !need.Fits(free) {
 		return false
 	}
-	for _, c := range slices.Backward(chosen) {
-		without := free.Minus(c.frees)
+	for i := last - 1; i >= 0; i-- {
+		without := free.Minus(found[i].frees)
 		if need.Fits(without) {
 			free = without
 			continue
 		}
-		v.take(at, c)
+		v.take(at, found[i])
 	}
 	return true
 }
@@ -104,13 +98,16 @@
 
 // candidates lists what can be reclaimed on a target, cheapest first.
 func (v *victims) candidates(p *Planner, now time.Time, at part) []candidate {
-	var found []candidate
+	found := p.candidates[:0]
 	for _, h := range at.target().held {
 		a := &at.state.cell.Allocations[h]
-		if a.Owed || a.Fixed || !p.known(a) || v.overdue && !p.overdue(a, now) {
+		if a.Owed || a.Fixed {
+			continue
+		}
+		e, ok := p.running(a)
+		if !ok || v.overdue && !p.overdue(a, now) {
 			continue
 		}
-		e := p.jobs[a.Job]
 		cost := lostWork(now, e.job, a)
 		if v.has(a.Job) || e.job.State == sesamemodel.Stopping {
 			cost = 0
@@ -122,6 +119,7 @@
 			cost:     cost,
 		})
 	}
+	p.candidates = found
 	if p.options.Without.VictimCost {
 		return found
 	}
