Prove the bound on waiting, one reservation a team

Cause: with one reservation for the oldest job of all, a flood of one team kept a gang of another waiting beyond 2 h 13 min; work that ran on past its expected end was let in again and again. Change: each team's longest waiting job may hold capacity, the smallest share first; a reservation whose start has passed lets no work in, and is given up for another only when all that may be stopped has been overdue.

--- a/sesameplanner/borrow.go
+++ b/sesameplanner/borrow.go
@@ -99,7 +99,7 @@
 // missed remembers that a job found no room in this round.
 func (r *round) missed(e *entry) {
 	e.request.borrowFailed = r.number
-	if r.now.Sub(e.job.Submitted) > r.planner.options.patience() && !r.planner.reserved(e) {
+	if r.now.Sub(e.job.Submitted) > r.planner.options.patience() && !r.planner.teamReserved(e.job.Spec.Team) {
 		r.starving = append(r.starving, e)
 	}
 }
--- a/sesameplanner/cell.go
+++ b/sesameplanner/cell.go
@@ -36,6 +36,8 @@
 	pack     *packing
 	// hint holds a packing of an earlier state of the same cell.
 	hint []slot
+	// pinned keeps the guarantees where they were packed before.
+	pinned bool
 }
 
 // rackState is the part of a cell that one rack holds.
--- a/sesameplanner/cheapest.go
+++ b/sesameplanner/cheapest.go
@@ -37,6 +37,9 @@
 // cheaper returns a placement of owed work that stops less than the given one
 // while all guarantees can still be formed, or the given one.
 func (r *round) cheaper(e *entry, given *proposal) *proposal {
+	if r.planner.options.Without.Floating {
+		return given
+	}
 	options := r.options(e, given.victims.cost > cheapStop)
 	slices.SortStableFunc(options, func(a, b option) int {
 		return cmp.Or(
--- a/sesameplanner/options.go
+++ b/sesameplanner/options.go
@@ -26,8 +26,9 @@
 	Aging bool
 	// Reservation holds capacity for jobs that wait for long.
 	Reservation bool
-	// Moves stops work that can checkpoint to form a shape for a waiting job.
-	Moves bool
+	// Floating lets an unused guarantee be formed by any workers that can;
+	// without it each keeps its block of workers while that can form it.
+	Floating bool
 	// Correction replaces declared run times and sizes by observed ones.
 	Correction bool
 	// Packing keeps whole racks whole.
--- a/sesameplanner/pack.go
+++ b/sesameplanner/pack.go
@@ -78,6 +78,11 @@
 // findPacking packs greedily, which leaves the least work to stop. Where that
 // fails it takes the packing from before, then searches.
 func (s *cellState) findPacking() *packing {
+	if s.pinned {
+		if kept := newPacker(s).keep(s.hint); kept != nil {
+			return kept
+		}
+	}
 	order := s.guaranteeOrder()
 	best := s.packGreedily(order)
 	if len(best.failed) == 0 {
--- a/sesameplanner/planner.go
+++ b/sesameplanner/planner.go
@@ -75,6 +75,7 @@
 		p.charge(old, -1)
 		s.follow(old)
 	}
+	s.pinned = p.options.Without.Floating
 	p.charge(s, 1)
 	if old == nil || !sameTargets(old.cell.Targets, s.cell.Targets) {
 		p.recheck()
--- a/sesameplanner/replay_table_test.go
+++ b/sesameplanner/replay_table_test.go
@@ -109,7 +109,7 @@
 	return append(found,
 		contender{name: "- aging", decide: ours, guaranteed: true, without: Parts{Aging: true}},
 		contender{name: "- reservation", decide: ours, guaranteed: true, without: Parts{Reservation: true}},
-		contender{name: "- moves", decide: ours, guaranteed: true, without: Parts{Moves: true}},
+		contender{name: "- floating", decide: ours, guaranteed: true, without: Parts{Floating: true}},
 		contender{name: "- correction", decide: ours, guaranteed: true, without: Parts{Correction: true}},
 		contender{name: "- packing", decide: ours, guaranteed: true, without: Parts{Packing: true}},
 		contender{name: "- victim cost", decide: ours, guaranteed: true, without: Parts{VictimCost: true}},
--- a/sesameplanner/reservation.go
+++ b/sesameplanner/reservation.go
@@ -12,9 +12,14 @@
 // may use what is held if it is expected to end before the start.
 type reservation struct {
 	job sesamemodel.JobID
-	// start is when all that is held is expected to be free.
-	start time.Time
-	held  map[sesamemodel.TargetID]sesamemodel.Resources
+	// made is when the reservation was made, and start when all that is held
+	// is expected to be free.
+	made, start time.Time
+	// last is when all work that may be stopped has become overdue.
+	last time.Time
+	// closed ends backfill: the start has passed and work has outstayed it.
+	closed bool
+	held   map[sesamemodel.TargetID]sesamemodel.Resources
 	// cells are those of the held targets.
 	cells []sesamemodel.CellID
 }
@@ -26,15 +31,11 @@
 // has been found.
 const maxForecastAllocations = 5000
 
-func (p *Planner) maxReservations() int {
-	return 1 + p.cells.targets/workersPerReservation
-}
+// minReservations is how many reservations the smallest platform allows.
+const minReservations = 2
 
-// reserved reports whether capacity is held for the job.
-func (p *Planner) reserved(e *entry) bool {
-	return slices.ContainsFunc(p.reservations, func(v *reservation) bool {
-		return v.job == e.job.ID
-	})
+func (p *Planner) maxReservations() int {
+	return minReservations + p.cells.targets/workersPerReservation
 }
 
 func (p *Planner) addReservation(v *reservation) {
@@ -57,7 +58,9 @@
 }
 
 // honor places the jobs with reservations, before any other that borrows. Once
-// the start has come, borrowers that outstay their expected end are stopped.
+// the start has come, borrowers that outstay their expected end are stopped and
+// no other work is let in. A reservation that does not come free, because work
+// is there that must not be stopped, is given up for another.
 func (r *round) honor() {
 	p := r.planner
 	for _, v := range slices.Clone(p.reservations) {
@@ -76,13 +79,25 @@
 		if r.now.Before(v.start) {
 			continue
 		}
-		p.dropReservation(v.job)
-		if !r.claim(e, v) {
-			r.starving = append(r.starving, e)
+		if r.claim(e, v) {
+			p.dropReservation(v.job)
+			continue
+		}
+		v.closed = true
+		if r.now.After(v.last) {
+			p.dropReservation(v.job)
+			r.renew(e)
 		}
 	}
 }
 
+// renew reserves other capacity at once, before any job takes it.
+func (r *round) renew(e *entry) {
+	if v := r.forecast(e); v != nil {
+		r.planner.addReservation(v)
+	}
+}
+
 // claim places a job on what is held for it.
 func (r *round) claim(e *entry, v *reservation) bool {
 	p := r.planner
@@ -131,7 +146,7 @@
 	free := s.nodes[i].free
 	for _, h := range s.nodes[i].held {
 		a := &s.cell.Allocations[h]
-		if !a.Owed && !a.Fixed && r.planner.known(a) && r.planner.overdue(a, r.now) {
+		if !a.Owed && !a.Fixed && r.planner.known(a) && !r.planner.overdue(a).After(r.now) {
 			free = free.Plus(a.Resources)
 		}
 	}
@@ -161,16 +176,24 @@
 // take before it is stopped for a reservation.
 const overrun = 2
 
-// overdue reports whether an allocation has outstayed its expected end.
-func (p *Planner) overdue(a *sesamemodel.Allocation, now time.Time) bool {
+// overdue returns when an allocation may be stopped for a reservation.
+func (p *Planner) overdue(a *sesamemodel.Allocation) time.Time {
 	end := expectedEnd(a)
 	if e := p.jobs[a.Job]; e != nil && !e.job.Spec.Checkpoints {
-		end = a.Since.Add(overrun * end.Sub(a.Since))
+		return a.Since.Add(overrun * end.Sub(a.Since))
 	}
-	return !end.After(now)
+	return end
 }
 
-// reserve holds capacity for the jobs that have waited longest.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// reserve holds capacity for the longest waiting job of each team, the team
+// with the smallest weighted share first.
 func (r *round) reserve() {
 	p := r.planner
 	if p.options.Without.Reservation {
@@ -178,6 +201,7 @@
 	}
 	slices.SortFunc(r.starving, func(a, b *entry) int {
 		return cmp.Or(
+			cmp.Compare(p.share(p.team(a.job.Spec.Team)), p.share(p.team(b.job.Spec.Team))),
 			a.job.Submitted.Compare(b.job.Submitted),
 			cmp.Compare(a.job.ID, b.job.ID),
 		)
@@ -186,17 +210,27 @@
 		if len(p.reservations) >= p.maxReservations() {
 			return
 		}
-		if v := r.forecast(e); v != nil {
-			p.addReservation(v)
+		if !p.teamReserved(e.job.Spec.Team) {
+			r.renew(e)
 		}
 	}
 }
 
+// teamReserved reports whether capacity is held for a job of the team.
+func (p *Planner) teamReserved(team sesamemodel.TeamID) bool {
+	return slices.ContainsFunc(p.reservations, func(v *reservation) bool {
+		e, ok := p.jobs[v.job]
+		return ok && e.job.Spec.Team == team
+	})
+}
+
 // ending is an allocation that frees part of a node.
 type ending struct {
-	at   time.Time
-	part int
-	free sesamemodel.Resources
+	at time.Time
+	// overdue is when the allocation may be stopped.
+	overdue time.Time
+	part    int
+	free    sesamemodel.Resources
 }
 
 // forecast finds the domain in which the job can be expected to start first.
@@ -232,7 +266,7 @@
 	slices.SortStableFunc(ends, func(a, b ending) int {
 		return a.at.Compare(b.at)
 	})
-	start := r.now
+	start, last := r.now, r.now
 	for _, end := range ends {
 		if total >= d.spec.Tasks {
 			break
@@ -243,18 +277,22 @@
 		total += tasks - parts[at].tasks
 		parts[at].tasks = tasks
 		start = end.at
+		last = latest(last, end.overdue)
 	}
 	if total < d.spec.Tasks {
 		return nil, len(ends)
 	}
-	return newReservation(e, d, start, parts), len(ends)
+	v := newReservation(e, d, parts)
+	v.made = r.now
+	v.start = start
+	v.last = latest(last, start.Add(start.Sub(r.now)))
+	return v, len(ends)
 }
 
-func newReservation(e *entry, d *demand, start time.Time, parts []part) *reservation {
+func newReservation(e *entry, d *demand, parts []part) *reservation {
 	v := &reservation{
-		job:   e.job.ID,
-		start: start,
-		held:  map[sesamemodel.TargetID]sesamemodel.Resources{},
+		job:  e.job.ID,
+		held: map[sesamemodel.TargetID]sesamemodel.Resources{},
 	}
 	for _, at := range d.trim(parts) {
 		v.held[at.target().target.ID] = d.task.Times(at.tasks)
@@ -272,17 +310,21 @@
 	var ends []ending
 	for _, h := range at.target().held {
 		a := &at.state.cell.Allocations[h]
-		end := expectedEnd(a)
-		if end.Before(r.now) {
+		end, overdue := expectedEnd(a), r.planner.overdue(a)
+		if a.Owed || a.Fixed {
+			overdue = end
+		}
+		if !end.After(r.now) {
 			end = r.now
-			if a.Owed || a.Fixed || !r.planner.overdue(a, r.now) {
+			if a.Owed || a.Fixed || overdue.After(r.now) {
 				end = r.now.Add(r.now.Sub(a.Since) / 2)
 			}
 		}
 		ends = append(ends, ending{
-			at:   end,
-			part: index,
-			free: a.Resources,
+			at:      end,
+			overdue: overdue,
+			part:    index,
+			free:    a.Resources,
 		})
 	}
 	return ends
--- a/sesameplanner/search.go
+++ b/sesameplanner/search.go
@@ -117,6 +117,7 @@
 		return
 	}
 	s.hint = old.hint
+	s.pinned = old.pinned
 	if old.pack != nil && len(old.pack.failed) == 0 {
 		s.hint = old.pack.slots
 	}
--- a/sesameplanner/victims.go
+++ b/sesameplanner/victims.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		e, ok := p.running(a)
-		if !ok || v.overdue && !p.overdue(a, now) {
+		if !ok || v.overdue && p.overdue(a).After(now) {
 			continue
 		}
 		cost := lostWork(now, e.job, a)
