Suspect workers before their jobs have succeeded elsewhere

Ruled out: quarantine on failures alone, which one class of broken jobs causes. Change: a worker on which two teams' classes failed in a row is left unused for a minute, then longer; a job that fails twice takes its suspicion back. Tests of judgement, budget, estimates and waves.

--- /dev/null
+++ b/sesameplanner/faults_test.go
@@ -0,0 +1,170 @@
+package sesameplanner
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+func TestJudge(t *testing.T) {
+	contract := newContract("a", 1, 100)
+	on := func(names ...sesamemodel.TargetID) []sesamemodel.TargetID { return names }
+	t.Run("a job that fails on several targets ends with the reason", func(t *testing.T) {
+		is := is.New(t)
+		job, budget := newJob("j", "a", 1, 1, ""), NewRetryBudget()
+		for i := range maxFailures {
+			is.Equal(job.State, sesamemodel.Queued)
+			job = JudgeFailure(epoch, job, on(sesamemodel.TargetID(fmt.Sprint("w", i))), "exit 1", contract, budget)
+		}
+		is.Equal(job.State, sesamemodel.Failed)
+		is.Equal(job.Reason, "failed 3 times, on [w0 w1 w2]: exit 1")
+	})
+	t.Run("a job that must run at most once is never queued again", func(t *testing.T) {
+		is := is.New(t)
+		job := newJob("j", "a", 1, 1, "")
+		job.Spec.Once = true
+		job = JudgeFailure(epoch, job, on("w0"), "exit 1", contract, NewRetryBudget())
+		is.Equal(job.State, sesamemodel.Failed)
+	})
+	t.Run("retries draw on the team's budget", func(t *testing.T) {
+		is := is.New(t)
+		budget := NewRetryBudget()
+		contract.Limits.Retries = 2
+		for range 2 {
+			is.True(budget.Spend(epoch, contract))
+		}
+		is.True(!budget.Spend(epoch, contract))
+		is.True(budget.Spend(epoch.Add(31*time.Minute), contract))
+		job := JudgeFailure(epoch.Add(31*time.Minute), newJob("j", "a", 1, 1, ""), on("w0"), "exit 1", contract, budget)
+		is.True(strings.Contains(job.Reason, "the 2 retries an hour"))
+	})
+	t.Run("a target blamed twice is quarantined, ever longer", func(t *testing.T) {
+		is := is.New(t)
+		cell := newCell("a", "z1", 6, gpuWorker)
+		bad := cell.Targets[0].ID
+		job := newJob("j", "a", 1, 1, "")
+		job.Avoid = on(bad)
+		job.Assignments = []sesamemodel.Assignment{{Target: cell.Targets[1].ID}}
+		health := func() sesamemodel.Target {
+			target, _ := cell.Target(bad)
+			return target
+		}
+		cell = JudgeSuccess(cell, job)
+		is.Equal(health().Health, sesamemodel.Ready)
+		cell = JudgeSuccess(cell, job)
+		is.Equal(health().Health, sesamemodel.Quarantined)
+		is.Equal(Probation(health().Strikes), firstProbation)
+		cell = JudgeSuccess(cell.WithTarget(Release(health())), job)
+		is.Equal(health().Health, sesamemodel.Quarantined)
+		is.Equal(Probation(health().Strikes), 2*firstProbation)
+		is.Equal(Probation(100), maxProbation)
+	})
+	t.Run("at most a quarter of a cell is quarantined", func(t *testing.T) {
+		is := is.New(t)
+		cell := newCell("a", "z1", 8, gpuWorker)
+		job := newJob("j", "a", 1, 1, "")
+		for _, target := range cell.Targets {
+			job.Avoid = append(job.Avoid, target.ID)
+		}
+		cell = JudgeSuccess(JudgeSuccess(cell, job), job)
+		quarantined := 0
+		for _, target := range cell.Targets {
+			if target.Health == sesamemodel.Quarantined {
+				quarantined++
+			}
+		}
+		is.Equal(quarantined, 2)
+	})
+}
+
+func TestSuspicion(t *testing.T) {
+	cells := []sesamemodel.Cell{newCell("a", "z1", 6, gpuWorker)}
+	contracts := []sesamemodel.Contract{newContract("a", 1, 100), newContract("b", 1, 100)}
+	bad := cells[0].Targets[0].ID
+	fail := func(p *Planner, id, team string, failures int) {
+		job := newJob(id, team, 1, 1, "")
+		job.Failures = failures
+		p.Failed(epoch, job, []sesamemodel.TargetID{bad})
+	}
+	t.Run("two classes that fail on a target suspend it", func(t *testing.T) {
+		is := is.New(t)
+		p := newPlanner(cells, contracts)
+		fail(p, "j", "a", 1)
+		fail(p, "k", "b", 1)
+		is.True(p.suspended(bad, epoch))
+		is.True(!p.suspended(bad, epoch.Add(firstSuspicion)))
+	})
+	t.Run("one class full of broken jobs suspends none", func(t *testing.T) {
+		is := is.New(t)
+		p := newPlanner(cells, contracts)
+		for i := range 10 {
+			fail(p, fmt.Sprint("j", i), "a", 1)
+		}
+		is.True(!p.suspended(bad, epoch))
+	})
+	t.Run("a job that fails again takes its suspicion back", func(t *testing.T) {
+		is := is.New(t)
+		p := newPlanner(cells, contracts)
+		fail(p, "j", "a", 1)
+		job := newJob("j", "a", 1, 1, "")
+		job.Failures = 2
+		job.Avoid = []sesamemodel.TargetID{bad, "other"}
+		p.Failed(epoch, job, []sesamemodel.TargetID{"other"})
+		is.Equal(p.suspicion(bad), 0)
+	})
+}
+
+func TestObserve(t *testing.T) {
+	p := newPlanner(nil, nil)
+	spec := newJob("j", "a", 1, 1, "").Spec
+	t.Run("run times follow the class", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(p.expected(spec, typical), time.Hour)
+		for range minObservations {
+			p.Observe(Observation{
+				Spec:    spec,
+				RunTime: 3 * time.Hour,
+				Used:    sesamemodel.Resources{Cores: 10, Memory: 500},
+			})
+		}
+		is.Equal(p.expected(spec, typical), 3*time.Hour)
+		spec.RunTime = 0
+		is.Equal(p.expected(spec, typical), 3*time.Hour)
+	})
+	t.Run("sizes grow up to a bound and never shrink", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(p.corrected(spec).Cores, int(maxGrowth)*spec.Task.Cores)
+		is.Equal(p.corrected(spec).Memory, spec.Task.Memory)
+	})
+}
+
+// TestCancellationWave checks that a wave costs as much as it cancels: the
+// queue is gone through once for all, not once for each.
+func TestCancellationWave(t *testing.T) {
+	is := is.New(t)
+	const wave = 10000
+	p := newPlanner(nil, []sesamemodel.Contract{newContract("a", 1, 100)})
+	for i := range wave {
+		p.SetJob(newJob(fmt.Sprintf("j%05d", i), "a", 1, 1, ""))
+	}
+	for i := range wave * 3 / 4 {
+		p.RemoveJob(sesamemodel.JobID(fmt.Sprintf("j%05d", i)))
+	}
+	is.Equal(p.team("a").waiting(), wave/4)
+	is.Equal(len(p.team("a").queue), wave) // marked only
+	p.Plan(epoch, 1)
+	is.Equal(len(p.team("a").queue), wave/4) // and dropped at once
+}
+
+func TestAvoidedTargets(t *testing.T) {
+	is := is.New(t)
+	job := newJob("j", "a", 1, 8, "")
+	job.Avoid = []sesamemodel.TargetID{"a-w00"}
+	p := newPlanner([]sesamemodel.Cell{newCell("a", "z1", 1, gpuWorker)}, []sesamemodel.Contract{newContract("a", 1, 100)}, job)
+	is.Equal(len(p.Plan(epoch, 1)), 1) // no other target could ever take it
+}
--- a/sesameplanner/suspicion.go
+++ b/sesameplanner/suspicion.go
@@ -24,15 +24,16 @@
 	pause time.Duration
 }
 
-// Failed tells that an attempt of the job failed on those targets. Until it
-// is known whether the job or a target is at fault, other work prefers other
-// targets; a job that failed on several targets counts against none.
+// Failed tells that an attempt of the job failed on those targets; the job is
+// as JudgeFailure returned it. Until it is known whether the job or a target is
+// at fault, other work prefers other targets; a job that failed more than once
+// counts against none.
 func (p *Planner) Failed(now time.Time, job sesamemodel.Job, on []sesamemodel.TargetID) {
 	key := classKey{
 		team:  job.Spec.Team,
 		class: job.Spec.Class,
 	}
-	if len(job.Avoid) > 0 {
+	if job.Failures > 1 {
 		for _, id := range job.Avoid {
 			p.excuse(id, key, job.ID)
 		}
