--- /dev/null
+++ b/sesameentry/events.go
@@ -0,0 +1,16 @@
+package sesameentry
+
+import "github.com/sesamestack/sesamestack/sesamelog"
+
+var (
+	eventStarted        = sesamelog.Define(4000, sesamelog.Info, "entry started")
+	eventStopping       = sesamelog.Define(4001, sesamelog.Info, "entry stopping")
+	eventStopped        = sesamelog.Define(4002, sesamelog.Info, "entry stopped")
+	eventCut            = sesamelog.Define(4003, sesamelog.Error, "requests cut at the end of the drain time")
+	eventPlanningPaused = sesamelog.Define(4010, sesamelog.Warn, "planning paused, rows could not be read")
+	eventHintLost       = sesamelog.Define(4011, sesamelog.Warn, "hint lost, the next reconciliation reads the rows")
+	eventDecided        = sesamelog.Define(4012, sesamelog.Info, "job decided")
+	eventConflict       = sesamelog.Define(4013, sesamelog.Debug, "decisions undone by another change")
+	eventPeerSuspect    = sesamelog.Define(4030, sesamelog.Warn, "entry did not answer and is left out until it renews")
+	eventRenewal        = sesamelog.Define(4031, sesamelog.Warn, "membership not renewed")
+)
--- /dev/null
+++ b/sesametable/http.go
@@ -0,0 +1,280 @@
+package sesametable
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Paths of the platform's interface.
+const (
+	RowsPath    = "/v1/rows"
+	CommitPath  = "/v1/commit"
+	ObjectsPath = "/v1/objects"
+)
+
+// Conflict is the body of a 409 answer to a commit.
+type Conflict struct {
+	Key      string `json:"key"`
+	Expected uint64 `json:"expected"`
+	Found    uint64 `json:"found"`
+}
+
+const (
+	// maxErrorBody bounds what is kept of an unexpected answer, in bytes.
+	maxErrorBody = 512
+	// maxAnswer bounds an answer other than an object, in bytes.
+	maxAnswer = 64 << 20
+)
+
+// remote makes single attempts over HTTP. A status of 429 or 503 and a
+// connection that was never made mean that the call had no effect; any other
+// failure of a write leaves its outcome open.
+type remote struct {
+	base   string
+	client *http.Client
+}
+
+var (
+	_ Table   = (*remote)(nil)
+	_ Objects = (*remote)(nil)
+)
+
+func (r *remote) path(prefix, key string) string {
+	u := url.URL{
+		Path: prefix + "/" + key,
+	}
+	return r.base + u.EscapedPath()
+}
+
+// Get reads one row.
+func (r *remote) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := r.read(ctx, "get", key, r.path(RowsPath, key), &row)
+	return row, err
+}
+
+// Scan reads rows.
+func (r *remote) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {after},
+		"limit":  {strconv.Itoa(limit)},
+	}
+	var rows []Row
+	err := r.read(ctx, "scan", prefix, r.base+RowsPath+"?"+query.Encode(), &rows)
+	return rows, err
+}
+
+func (r *remote) read(ctx context.Context, operation, key, target string, value any) error {
+	answer, err := r.exchange(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return unavailable(operation, err)
+	}
+	if answer.status != http.StatusOK {
+		return answer.readFailure(operation, key)
+	}
+	if err := json.Unmarshal(answer.body, value); err != nil {
+		return unavailable(operation, err)
+	}
+	return nil
+}
+
+// Commit sends the transaction once.
+func (r *remote) Commit(ctx context.Context, t Transaction) error {
+	body, err := json.Marshal(t)
+	if err != nil {
+		return &InvalidError{
+			Operation: "commit",
+			Detail:    err.Error(),
+		}
+	}
+	answer, err := r.exchange(ctx, http.MethodPost, r.base+CommitPath, body)
+	if err != nil {
+		return lostUnlessUnsent("commit", err)
+	}
+	switch answer.status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return answer.conflict()
+	default:
+		return answer.writeFailure("commit")
+	}
+}
+
+// PutObject stores the object once.
+func (r *remote) PutObject(ctx context.Context, key string, body []byte) error {
+	answer, err := r.exchange(ctx, http.MethodPut, r.path(ObjectsPath, key), body)
+	if err != nil {
+		return lostUnlessUnsent("putobject", err)
+	}
+	if answer.status/100 == 2 {
+		return nil
+	}
+	return answer.writeFailure("putobject")
+}
+
+// GetObject opens the object.
+func (r *remote) GetObject(ctx context.Context, key string) (io.ReadCloser, int64, error) {
+	request, err := newRequest(ctx, http.MethodGet, r.path(ObjectsPath, key), nil)
+	if err != nil {
+		return nil, 0, unavailable("getobject", err)
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return nil, 0, unavailable("getobject", err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response.Body, response.ContentLength, nil
+	}
+	answer, err := readAnswer(response)
+	if err != nil {
+		return nil, 0, unavailable("getobject", err)
+	}
+	return nil, 0, answer.readFailure("getobject", key)
+}
+
+// newRequest builds a request that the transport does not repeat by itself.
+func newRequest(ctx context.Context, method, target string, body []byte) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	return request, nil
+}
+
+// exchange makes one call and reads its whole answer.
+func (r *remote) exchange(ctx context.Context, method, target string, body []byte) (answer, error) {
+	request, err := newRequest(ctx, method, target, body)
+	if err != nil {
+		return answer{}, err
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	return readAnswer(response)
+}
+
+// answer is a whole HTTP answer.
+type answer struct {
+	status int
+	// after is what the platform asks a caller to wait.
+	after time.Duration
+	body  []byte
+}
+
+func readAnswer(response *http.Response) (answer, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if closeErr := response.Body.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return answer{}, err
+	}
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil {
+		seconds = 0
+	}
+	return answer{
+		status: response.StatusCode,
+		after:  time.Duration(seconds) * time.Second,
+		body:   body,
+	}, nil
+}
+
+func (a answer) conflict() error {
+	var c Conflict
+	if err := json.Unmarshal(a.body, &c); err != nil {
+		return &OutcomeUnknownError{
+			Operation: "commit",
+			Cause:     err,
+		}
+	}
+	return &ConflictError{
+		Key:      c.Key,
+		Expected: c.Expected,
+		Found:    c.Found,
+	}
+}
+
+func (a answer) readFailure(operation, key string) error {
+	switch a.status {
+	case http.StatusNotFound:
+		return &NotFoundError{
+			Key: key,
+		}
+	case http.StatusBadRequest:
+		return a.invalid(operation)
+	}
+	return a.refusal(operation)
+}
+
+func (a answer) writeFailure(operation string) error {
+	switch a.status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return a.invalid(operation)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return a.refusal(operation)
+	}
+	return &OutcomeUnknownError{
+		Operation: operation,
+		Cause:     a.unexpected(),
+	}
+}
+
+func (a answer) invalid(operation string) error {
+	return &InvalidError{
+		Operation: operation,
+		Detail:    a.unexpected().Body,
+	}
+}
+
+func (a answer) refusal(operation string) error {
+	refused := &UnavailableError{
+		Operation: operation,
+		After:     a.after,
+		Cause:     a.unexpected(),
+	}
+	if a.status == http.StatusTooManyRequests {
+		refused.Cause = &ThrottledError{
+			Limiter: "the platform",
+		}
+	}
+	return refused
+}
+
+func (a answer) unexpected() *StatusError {
+	return &StatusError{
+		Code: a.status,
+		Body: string(bytes.TrimSpace(a.body[:min(len(a.body), maxErrorBody)])),
+	}
+}
+
+func unavailable(operation string, err error) error {
+	return &UnavailableError{
+		Operation: operation,
+		Cause:     err,
+	}
+}
+
+func lostUnlessUnsent(operation string, err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return unavailable(operation, err)
+	}
+	return &OutcomeUnknownError{
+		Operation: operation,
+		Cause:     err,
+	}
+}
