--- a/sesameplanner/replay_table_test.go
+++ b/sesameplanner/replay_table_test.go
@@ -135,6 +135,19 @@
 	return total
 }
 
+// unhindered returns what jobs would take that never wait, a bound for all.
+func unhindered(d deployment, s scenario) *result {
+	total := newResult()
+	for seed := uint64(1); seed <= *replaySeeds; seed++ {
+		for _, w := range generate(d, s, seed) {
+			if w.cancelAt == 0 && !w.broken {
+				total.complete(w.job.Spec.Class, w.real)
+			}
+		}
+	}
+	return total
+}
+
 // TestReplay prints completion times in minutes (median, p95, p99), the mean
 // fragmentation and the lateness of owed work in seconds.
 func TestReplay(t *testing.T) {
@@ -145,6 +158,7 @@
 	for _, d := range deployments(scale) {
 		for _, s := range scenarios() {
 			t.Run(fmt.Sprintf("%s x%d %s", d.name, scale, s.name), func(t *testing.T) {
+				t.Log(unhindered(d, s).row("run time alone"))
 				for _, c := range contenders() {
 					t.Log(c.replay(d, s).row(c.name))
 				}
