--- a/sesameplanner/decision.go
+++ b/sesameplanner/decision.go
@@ -11,9 +11,6 @@
 	Place Verdict = "place"
 	// Refuse ends a job that can never run.
 	Refuse Verdict = "refuse"
-	// Move stops a job that can checkpoint, to form a shape; Job is the moved
-	// job in state stopping.
-	Move Verdict = "move"
 )
 
 // Decision is one change that must take effect whole.
--- a/sesameplanner/replay_table_test.go
+++ b/sesameplanner/replay_table_test.go
@@ -23,7 +23,7 @@
 	fragmentation, weight float64
 	late                  []float64
 	lost                  float64
-	stopped, moves        int
+	stopped               int
 	refused, failures     int
 	wronged, left         int
 }
@@ -84,8 +84,8 @@
 		fmt.Fprintf(&b, " | %s %4.0f %4.0f %4.0f", class, at(sorted, 0.5), at(sorted, 0.95), at(sorted, 0.99))
 	}
 	slices.Sort(r.late)
-	fmt.Fprintf(&b, " | frag %.2f | owed %d: %.1fs %.1fs | stopped %d lost %.0f moved %d | failed %d wronged %d left %d",
-		r.fragmentation/max(r.weight, 1), len(r.late), at(r.late, 0.95), at(r.late, 1), r.stopped, r.lost, r.moves,
+	fmt.Fprintf(&b, " | frag %.2f | owed %d: %.1fs %.1fs | stopped %d lost %.0f | failed %d wronged %d left %d",
+		r.fragmentation/max(r.weight, 1), len(r.late), at(r.late, 0.95), at(r.late, 1), r.stopped, r.lost,
 		r.failures, r.wronged, r.refused+r.left)
 	return b.String()
 }
--- a/sesameplanner/replay_test.go
+++ b/sesameplanner/replay_test.go
@@ -258,9 +258,6 @@
 		case Refuse:
 			r.result.refused++
 			r.end(w, "")
-		case Move:
-			r.result.moves++
-			r.stop(d.Job)
 		case Place:
 			r.start(w, len(d.Victims) > 0)
 		}
