Measure urgent work of many callers at once

go test ./sesamecommand -run TestConcurrentCallers -v, entries and targets as separate processes on loopback, 100 rows/s an entry.

--- /dev/null
+++ b/sesamecommand/load_test.go
@@ -0,0 +1,94 @@
+package sesamecommand_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesameapi"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// jobsPerCaller is how many jobs one caller submits, one after another.
+const jobsPerCaller = 10
+
+// latencies gathers what callers measured.
+type latencies struct {
+	mu     sync.Mutex
+	opened []time.Duration
+	done   []time.Duration
+}
+
+func (l *latencies) add(opened, done time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.opened = append(l.opened, opened)
+	l.done = append(l.done, done)
+}
+
+// quantiles returns the median and the 99th percentile.
+func quantiles(values []time.Duration) (median, p99 time.Duration) {
+	slices.Sort(values)
+	return values[len(values)/2], values[len(values)*99/100]
+}
+
+// caller submits jobs and waits for each.
+func caller(client *sesameapi.Client, l *latencies) error {
+	ctx := context.Background()
+	for range jobsPerCaller {
+		submitted := time.Now()
+		job, err := client.Submit(ctx, "", sesameapi.JobRequest{
+			Class: "pricing",
+			Kind:  sesamemodel.Executor,
+			Tasks: 1,
+			Task: sesamemodel.Resources{
+				Slots: 1,
+			},
+		})
+		if err != nil {
+			return err
+		}
+		ended, err := client.Wait(ctx, job.ID)
+		if err != nil {
+			return err
+		}
+		l.add(ended.Opened.Sub(submitted), time.Since(submitted))
+	}
+	return nil
+}
+
+// TestConcurrentCallers measures urgent work of many callers at once; one
+// caller alone is measured by TestProcesses.
+func TestConcurrentCallers(t *testing.T) {
+	c := newFailureCluster(t)
+	for _, callers := range []int{8, 32} {
+		t.Run(fmt.Sprintf("%d callers", callers), func(t *testing.T) {
+			is := is.New(t)
+			var l latencies
+			var group errgroup.Group
+			before := c.counters(t)
+			began := time.Now()
+			for range callers {
+				group.Go(func() error {
+					return caller(c.both(buyers), &l)
+				})
+			}
+			is.NoErr(group.Wait())
+			jobs := callers * jobsPerCaller
+			rate := float64(jobs) / time.Since(began).Seconds()
+			after := c.counters(t)
+			median, p99 := quantiles(l.opened)
+			doneMedian, doneP99 := quantiles(l.done)
+			t.Logf("%.1f jobs/s; submit to start median %v, p99 %v; to done median %v, p99 %v", rate, median, p99, doneMedian, doneP99)
+			t.Logf("per job: %.1f transactions, %.1f rows written, %.1f reads", perJob(after.Writes-before.Writes, jobs), perJob(after.Rows-before.Rows, jobs), perJob(after.Reads-before.Reads, jobs))
+			is.True(p99 < urgentStart)
+			is.True(after.Rows-before.Rows <= writesPerJob*jobs)
+		})
+	}
+}
