Judge failures, correct estimates and repair guarantees in the running system

Cause: the planner's judgements (retry budget, blame, quarantine, probation), its corrections from observed run times, and the moving of shapes off lost workers were pure functions that nothing called, so a worker that failed every task was never quarantined. Change: the entry's finisher and driver ask JudgeFailure, a job that is done notes JudgeSuccess in its cells, the planning duty observes run times and repairs once a second, and the keeper ends a quarantine after its probation. Not covered: blame for a target of another cell than the one where the job succeeded.

--- a/sesameattempt/change.go
+++ b/sesameattempt/change.go
@@ -172,7 +172,7 @@
 		return true, nil
 	}
 	if before.Value.State.Active() && !after.State.Active() {
-		if err := d.release(ctx, before.Value); err != nil {
+		if err := d.release(ctx, before.Value, after.State == sesamemodel.Done); err != nil {
 			return false, err
 		}
 	}
@@ -192,8 +192,9 @@
 	return fresh, after, changed, nil
 }
 
-// release takes what the job's attempt holds out of its cells.
-func (d *draft) release(ctx context.Context, job sesamemodel.Job) error {
+// release takes what the job's attempt holds out of its cells, and notes there
+// what its success tells of the targets.
+func (d *draft) release(ctx context.Context, job sesamemodel.Job, succeeded bool) error {
 	for _, id := range job.Cells() {
 		cell, err := d.cell(ctx, id)
 		if err != nil {
@@ -207,9 +208,13 @@
 			}
 			freed = cell.Value.WithoutAttempt(job.ID, job.Attempt, "")
 		}
-		if len(freed.Allocations) != len(cell.Value.Allocations) {
-			d.cells[id] = cell.With(freed)
+		if len(freed.Allocations) == len(cell.Value.Allocations) {
+			continue
+		}
+		if succeeded {
+			freed = d.ledger.succeed(freed, job)
 		}
+		d.cells[id] = cell.With(freed)
 	}
 	return nil
 }
--- a/sesameattempt/driver.go
+++ b/sesameattempt/driver.go
@@ -36,6 +36,8 @@
 	Clock clockwork.Clock
 	Log   *sesamelog.Logger
 	Scope tally.Scope
+	// Judge decides about repeatable jobs whose tasks failed.
+	Judge sesamegang.Judge
 	// Changed is told of the jobs that were written: as they were, and as
 	// they are.
 	Changed func(jobs ...sesamemodel.Job)
@@ -291,7 +293,7 @@
 			return j, false
 		}
 		var next sesamemodel.Job
-		next, settled = sesamegang.Conclude(d.options.Clock.Now(), j, reports)
+		next, settled = sesamegang.Conclude(d.options.Clock.Now(), j, reports, d.options.Judge)
 		return next, settled
 	})
 	if err != nil {
--- a/sesameattempt/finisher.go
+++ b/sesameattempt/finisher.go
@@ -60,7 +60,7 @@
 	}
 	reports := memberReports(job, req)
 	now := f.options.Clock.Now()
-	next, settled := sesamegang.Conclude(now, job, reports)
+	next, settled := sesamegang.Conclude(now, job, reports, f.options.Judge)
 	if job.State == sesamemodel.Unknown {
 		known := next.State == sesamemodel.Done || next.State == sesamemodel.Failed
 		return next, settled && known
--- a/sesameattempt/ledger.go
+++ b/sesameattempt/ledger.go
@@ -22,8 +22,9 @@
 // and commits changes of them. The rows in the table decide: a change that
 // started from an old version conflicts, and is decided anew from fresh rows.
 type Ledger struct {
-	store Store
-	clock clockwork.Clock
+	store   Store
+	clock   clockwork.Clock
+	succeed Succeed
 
 	// writing holds one token while a commit is computed and written.
 	writing chan struct{}
@@ -34,11 +35,16 @@
 	cells   map[sesamemodel.CellID]sesamestore.Versioned[sesamemodel.Cell]
 }
 
+// Succeed returns a cell of a job that is done, with what that tells of the
+// cell's targets.
+type Succeed func(cell sesamemodel.Cell, job sesamemodel.Job) sesamemodel.Cell
+
 // NewLedger returns a ledger that has seen nothing yet.
-func NewLedger(store Store, clock clockwork.Clock) *Ledger {
+func NewLedger(store Store, clock clockwork.Clock, succeed Succeed) *Ledger {
 	return &Ledger{
 		store:   store,
 		clock:   clock,
+		succeed: succeed,
 		writing: make(chan struct{}, 1),
 		jobs:    map[sesamemodel.JobID]sesamestore.Versioned[sesamemodel.Job]{},
 		cells:   map[sesamemodel.CellID]sesamestore.Versioned[sesamemodel.Cell]{},
--- a/sesameentry/entry.go
+++ b/sesameentry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/sesamestack/sesamestack/sesamekeeper"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesameplanner"
 	"github.com/sesamestack/sesamestack/sesamering"
 	"github.com/sesamestack/sesamestack/sesamesettings"
 	"github.com/sesamestack/sesamestack/sesamestore"
@@ -53,6 +54,7 @@
 	ring       *sesamering.Ring
 	store      *sesamestore.Store
 	roster     *roster
+	retries    *sesameplanner.RetryBudget
 	ledger     *sesameattempt.Ledger
 	membership *membership
 	watch      *sesamecontract.Watch
@@ -71,6 +73,7 @@
 		settings: settings,
 		deps:     deps,
 		ring:     sesamering.New(ringSize),
+		retries:  sesameplanner.NewRetryBudget(),
 		store:    sesamestore.New(deps.Table, deps.Objects),
 	}
 	self := sesamemodel.Member{
@@ -80,7 +83,7 @@
 		Address: settings.Wire,
 	}
 	e.roster = newRoster(self, renewalsMissed*renewInterval, deps.Clock)
-	e.ledger = sesameattempt.NewLedger(e.store, deps.Clock)
+	e.ledger = sesameattempt.NewLedger(e.store, deps.Clock, sesameplanner.JudgeSuccess)
 	e.membership = &membership{
 		store:  e.store,
 		roster: e.roster,
@@ -150,12 +153,23 @@
 		Clock:  e.deps.Clock,
 		Log:    e.deps.Log,
 		Scope:  e.deps.Scope,
+		Judge:  e.judge,
 		Changed: func(jobs ...sesamemodel.Job) {
 			e.noticing.changed(hintOf(jobs...))
 		},
 	}
 }
 
+// judge decides about a repeatable job whose tasks failed, within the retries
+// of its team's contract. Without a contract there are none.
+func (e *Entry) judge(job sesamemodel.Job, on []sesamemodel.TargetID, detail string) sesamemodel.Job {
+	var contract sesamemodel.Contract
+	if set, err := e.watch.Set(); err == nil {
+		contract, _ = set.Team(job.Spec.Team)
+	}
+	return sesameplanner.JudgeFailure(e.deps.Clock.Now(), job, on, detail, contract, e.retries)
+}
+
 // number returns the number of the contracts in force here; 0 before the
 // store was read.
 func (e *Entry) number() uint64 {
--- a/sesameentry/planning.go
+++ b/sesameentry/planning.go
@@ -111,6 +111,9 @@
 		p.unplanned = 0
 		p.round(ctx)
 	}
+	if h.Tick {
+		p.repair(ctx)
+	}
 	return nil
 }
 
@@ -288,12 +291,16 @@
 func (p *planning) setJob(job sesamestore.Versioned[sesamemodel.Job]) {
 	id := job.Value.ID
 	if job.Value.State.Ended() {
+		p.learn(job.Value)
 		p.removeJob(id)
 		return
 	}
 	p.mu.Lock()
 	known, ok := p.jobs[id]
 	if !ok || known < job.Version {
+		if job.Value.State == sesamemodel.Queued && job.Value.Failures > 0 {
+			p.planner.Failed(p.clock.Now(), job.Value, job.Value.Avoid)
+		}
 		p.planner.SetJob(job.Value)
 		p.jobs[id] = job.Version
 	}
@@ -303,6 +310,20 @@
 	}
 }
 
+// learn corrects later estimates by what became of the job.
+func (p *planning) learn(job sesamemodel.Job) {
+	if job.State != sesamemodel.Done || len(job.Events) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.planner.Succeeded(job)
+	p.planner.Observe(sesameplanner.Observation{
+		Spec:    job.Spec,
+		RunTime: job.Events[len(job.Events)-1].Time.Sub(job.Opened),
+	})
+}
+
 // setCell gives the planner a newer cell, and has the attempts stopped that
 // lost a target of it.
 func (p *planning) setCell(cell sesamestore.Versioned[sesamemodel.Cell]) {
--- a/sesameentry/round.go
+++ b/sesameentry/round.go
@@ -43,6 +43,38 @@
 	}
 }
 
+// repair moves guaranteed shapes off lost workers, and reports those that no
+// cell can form.
+func (p *planning) repair(ctx context.Context) {
+	p.mu.Lock()
+	if p.planner == nil {
+		p.mu.Unlock()
+		return
+	}
+	moved := p.planner.Repair()
+	risks := p.planner.AtRisk()
+	p.mu.Unlock()
+	p.scope.Gauge("guarantees_at_risk").Update(float64(len(risks)))
+	for _, r := range risks {
+		p.log.Emit(eventAtRisk, sesamelog.Fields{
+			"team":   r.Guarantee.Team,
+			"shape":  r.Guarantee.Shape.String(),
+			"cell":   r.Cell,
+			"reason": r.Reason,
+		})
+	}
+	if len(moved) == 0 {
+		return
+	}
+	d := sesameplanner.Decision{
+		Verdict: sesameplanner.Move,
+		Cells:   moved,
+	}
+	if err := p.commit(ctx, []sesameplanner.Decision{d}); err != nil {
+		p.conflicted(ctx, []sesameplanner.Decision{d}, err)
+	}
+}
+
 // commit writes a group of decisions in one transaction.
 func (p *planning) commit(ctx context.Context, group []sesameplanner.Decision) error {
 	b, err := p.ledger.Commit(ctx, func() (sesamestore.Batch, error) {
@@ -92,11 +124,12 @@
 	jobs := map[sesamemodel.JobID]sesamemodel.Job{}
 	cells := map[sesamemodel.CellID]sesamemodel.Cell{}
 	for _, d := range group {
-		job := d.Job
-		if d.Verdict == sesameplanner.Place {
-			job = job.WithEvicts(d.Victims)
+		switch d.Verdict {
+		case sesameplanner.Place:
+			jobs[d.Job.ID] = d.Job.WithEvicts(d.Victims)
+		case sesameplanner.Refuse:
+			jobs[d.Job.ID] = d.Job
 		}
-		jobs[job.ID] = job
 		for _, v := range d.Victims {
 			jobs[v.ID] = v
 		}
@@ -145,7 +178,9 @@
 	})
 	var h hint
 	for _, d := range undone {
-		h.Jobs = append(h.Jobs, d.Job.ID)
+		if d.Job.ID != "" {
+			h.Jobs = append(h.Jobs, d.Job.ID)
+		}
 		for _, v := range d.Victims {
 			h.Jobs = append(h.Jobs, v.ID)
 		}
--- a/sesamegang/conclude.go
+++ b/sesamegang/conclude.go
@@ -8,9 +8,9 @@
 	"github.com/sesamestack/sesamestack/sesamewire"
 )
 
-// MaxFailures is how many attempts of a repeatable job may fail by an error of
-// its tasks before the job fails.
-const MaxFailures = 3
+// Judge decides what becomes of a repeatable job whose tasks failed on those
+// targets: queued for another attempt, or failed with the reason.
+type Judge func(job sesamemodel.Job, on []sesamemodel.TargetID, detail string) sesamemodel.Job
 
 // Report is what is known of one member of an attempt.
 type Report struct {
@@ -86,7 +86,7 @@
 // Conclude decides what becomes of an attempt from its members' reports, one
 // for each assignment and in their order. While a member has not settled it
 // returns the job unchanged and false.
-func Conclude(now time.Time, job sesamemodel.Job, reports []Report) (sesamemodel.Job, bool) {
+func Conclude(now time.Time, job sesamemodel.Job, reports []Report, judge Judge) (sesamemodel.Job, bool) {
 	if !job.Started {
 		return concludeUnstarted(now, job), true
 	}
@@ -104,7 +104,7 @@
 	if job.Spec.Once {
 		return concludeOnce(now, job, t), true
 	}
-	return concludeRepeatable(now, job, t), true
+	return concludeRepeatable(now, job, t, judge), true
 }
 
 // concludeUnstarted ends an attempt of which no member was ever started.
@@ -131,18 +131,12 @@
 }
 
 // concludeRepeatable ends an attempt that may be followed by another.
-func concludeRepeatable(now time.Time, job sesamemodel.Job, t tally) sesamemodel.Job {
+func concludeRepeatable(now time.Time, job sesamemodel.Job, t tally, judge Judge) sesamemodel.Job {
 	if job.Next == sesamemodel.Cancelled {
 		return job.WithEvent(now, sesamemodel.Cancelled, "stopped after it had started")
 	}
 	if t.failed == 0 {
 		return job.WithRequeue(now, job.Reason)
 	}
-	job.Failures++
-	job.Avoid = append(append([]sesamemodel.TargetID{}, job.Avoid...), t.blamed...)
-	if job.Failures < MaxFailures {
-		return job.WithRequeue(now, t.detail)
-	}
-	reason := fmt.Sprintf("failed on %d attempts, last: %s", job.Failures, t.detail)
-	return job.WithEvent(now, sesamemodel.Failed, reason)
+	return judge(job, t.blamed, t.detail)
 }
--- a/sesamekeeper/book.go
+++ b/sesamekeeper/book.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesameplanner"
 )
 
 // forgetAfter is how long a lost target stays in its cell's row.
@@ -36,6 +37,8 @@
 type pulse struct {
 	target sesamemodel.Target
 	heard  time.Time
+	// quarantined is when the book first saw the target in quarantine.
+	quarantined time.Time
 }
 
 // keep is what the book holds of one cell.
@@ -45,6 +48,8 @@
 	targets map[sesamemodel.TargetID]*pulse
 	changes map[sesamemodel.TargetID]sesamemodel.Target
 	removed map[sesamemodel.TargetID]bool
+	// released are the targets whose probation has ended.
+	released map[sesamemodel.TargetID]bool
 }
 
 // Book holds the heartbeats of the cells that one entry keeps. It is not safe
@@ -87,9 +92,10 @@
 	k, ok := b.cells[cell]
 	if !ok {
 		k = &keep{
-			targets: map[sesamemodel.TargetID]*pulse{},
-			changes: map[sesamemodel.TargetID]sesamemodel.Target{},
-			removed: map[sesamemodel.TargetID]bool{},
+			targets:  map[sesamemodel.TargetID]*pulse{},
+			changes:  map[sesamemodel.TargetID]sesamemodel.Target{},
+			removed:  map[sesamemodel.TargetID]bool{},
+			released: map[sesamemodel.TargetID]bool{},
 		}
 		b.cells[cell] = k
 	}
@@ -151,6 +157,7 @@
 			continue
 		}
 		for id, p := range k.targets {
+			k.probe(now, id, p)
 			silence := now.Sub(p.heard)
 			if p.target.Health == sesamemodel.Lost {
 				k.removed[id] = silence > forgetAfter
@@ -169,6 +176,20 @@
 	}
 }
 
+// probe follows a target's quarantine, and releases it after its probation.
+func (k *keep) probe(now time.Time, id sesamemodel.TargetID, p *pulse) {
+	if p.target.Health != sesamemodel.Quarantined {
+		p.quarantined = time.Time{}
+		return
+	}
+	if p.quarantined.IsZero() {
+		p.quarantined = now
+	}
+	if now.Sub(p.quarantined) >= sesameplanner.Probation(p.target.Strikes) {
+		k.released[id] = true
+	}
+}
+
 // Pending returns the cells whose rows have to be written, in order.
 func (b *Book) Pending() []sesamemodel.CellID {
 	var cells []sesamemodel.CellID
@@ -206,6 +227,11 @@
 		}
 		next = next.WithTarget(target)
 	}
+	for id := range k.released {
+		if target, ok := next.Target(id); ok && target.Health == sesamemodel.Quarantined {
+			next = next.WithTarget(sesameplanner.Release(target))
+		}
+	}
 	if next.Zone == "" && len(next.Targets) > 0 {
 		next.Zone = next.Targets[0].Zone
 	}
@@ -235,14 +261,15 @@
 	k.removed = map[sesamemodel.TargetID]bool{}
 }
 
-// forgets reports whether a target is to be removed from the row.
+// forgets reports whether a target is to be removed from the row, or its
+// quarantine is to end.
 func (k *keep) forgets() bool {
 	for _, remove := range k.removed {
 		if remove {
 			return true
 		}
 	}
-	return false
+	return len(k.released) > 0
 }
 
 // holds reports whether an allocation on the target is still in the row.
@@ -263,6 +290,7 @@
 	k.owned = row.Keeper == b.self
 	k.epoch = row.Epoch
 	k.removed = map[sesamemodel.TargetID]bool{}
+	k.released = map[sesamemodel.TargetID]bool{}
 	k.targets = map[sesamemodel.TargetID]*pulse{}
 	for _, target := range row.Targets {
 		p, ok := known[target.ID]
--- a/sesamekeeper/book_test.go
+++ b/sesamekeeper/book_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesameplanner"
 )
 
 const (
@@ -109,6 +110,29 @@
 		assertHealth(is, row, "w1", sesamemodel.Quarantined)
 		is.Equal(len(b.Pending()), 0)
 	})
+	t.Run("a quarantined target is released after its probation", func(t *testing.T) {
+		is := is.New(t)
+		b := NewBook("e1", testLease, testMargin)
+		b.Heartbeat(start, announced("w1", "i1"))
+		row := flush(b, start, empty)
+		target, _ := row.Target("w1")
+		target.Health = sesamemodel.Quarantined
+		target.Strikes = 1
+		row = row.WithTarget(target)
+		b.Committed(start, row)
+		b.Sweep(start)
+		end := start.Add(sesameplanner.Probation(1))
+		for now := start; now.Before(end); now = now.Add(testLease) {
+			b.Heartbeat(now, announced("w1", "i1"))
+			b.Sweep(now)
+			row = flush(b, now, row)
+			assertHealth(is, row, "w1", sesamemodel.Quarantined)
+		}
+		b.Heartbeat(end, announced("w1", "i1"))
+		b.Sweep(end)
+		row = flush(b, end, row)
+		assertHealth(is, row, "w1", sesamemodel.Ready)
+	})
 	t.Run("a lost target is forgotten once nothing is allocated there", func(t *testing.T) {
 		is := is.New(t)
 		b := NewBook("e1", testLease, testMargin)
--- a/sesamekeeper/service.go
+++ b/sesamekeeper/service.go
@@ -121,13 +121,16 @@
 	return beat
 }
 
-// Consider takes over the cell if this entry is the preferred keeper and the
-// row names another, and yields it when another entry has taken it.
+// Consider takes in the row as it was just read: it takes over the cell if this
+// entry is the preferred keeper and the row names another, and yields it when
+// another entry has taken it.
 func (s *Service) Consider(cell sesamemodel.Cell) {
 	mine := s.leads(cell.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case s.book.current(cell):
+		s.book.Committed(s.options.Clock.Now(), cell)
 	case mine:
 		s.book.Want(cell.ID)
 	case cell.Keeper != s.options.Self.ID:
--- a/sesameplanner/decision.go
+++ b/sesameplanner/decision.go
@@ -11,12 +11,14 @@
 	Place Verdict = "place"
 	// Refuse ends a job that can never run.
 	Refuse Verdict = "refuse"
+	// Move gives guaranteed shapes to other cells; it has no job.
+	Move Verdict = "move"
 )
 
 // Decision is one change that must take effect whole.
 type Decision struct {
 	Verdict Verdict
-	// Job is the job as it becomes.
+	// Job is the job as it becomes; empty when the verdict has none.
 	Job sesamemodel.Job
 	// Victims are other jobs as they become: stopping, to be queued again.
 	// Their allocations are gone from the cells where the job takes their
