--- a/sesameplanner/planner.go
+++ b/sesameplanner/planner.go
@@ -25,6 +25,8 @@
 	reservations []*reservation
 	// held are the reservations by target.
 	held map[sesamemodel.TargetID]*reservation
+	// candidates is scratch space for the choice of victims.
+	candidates []candidate
 }
 
 // New returns a planner that knows no contracts, cells or jobs.
@@ -73,6 +75,7 @@
 		p.charge(old, -1)
 		s.follow(old)
 	}
+	s.pinned = p.options.Without.Floating
 	p.charge(s, 1)
 	if old == nil || !sameTargets(old.cell.Targets, s.cell.Targets) {
 		p.recheck()
--- a/sesameplanner/replay_test.go
+++ b/sesameplanner/replay_test.go
@@ -50,7 +50,7 @@
 			if parts == nil {
 				break
 			}
-			r.place(e, parts, &victims{}, false)
+			r.place(e, parts, &victims{})
 		}
 		for _, t := range p.teams {
 			t.compact()
@@ -258,9 +258,6 @@
 		case Refuse:
 			r.result.refused++
 			r.end(w, "")
-		case Move:
-			r.result.moves++
-			r.stop(d.Job)
 		case Place:
 			r.start(w, len(d.Victims) > 0)
 		}
