--- a/sesameagent/watching.go
+++ b/sesameagent/watching.go
@@ -244,23 +244,37 @@
 	if err != nil {
 		return err
 	}
-	kept := map[sesamegang.AttemptKey][]int32{}
+	kept := map[sesamegang.AttemptKey]sesamegang.Legacy{}
 	for _, status := range statuses {
 		k, rank, ok := parseTaskID(status.ID)
 		switch {
 		case !ok:
 		case status.Keep:
-			kept[k] = append(kept[k], rank)
+			kept[k] = withStatus(kept[k], k, int(rank), status)
 		case status.Phase == sesametarget.PhaseRunning:
 			a.clear(ctx, status.ID)
 		}
 	}
-	for k, ranks := range kept {
-		a.adopt(k, ranks)
+	for _, legacy := range kept {
+		a.adopt(legacy)
 	}
 	return nil
 }
 
+// withStatus returns the attempt with one more of its tasks.
+func withStatus(l sesamegang.Legacy, k sesamegang.AttemptKey, rank int, s sesametarget.Status) sesamegang.Legacy {
+	if l.Tasks == 0 {
+		l.Key, l.First = k, rank
+	}
+	l.First = min(l.First, rank)
+	l.Tasks++
+	if s.Phase == sesametarget.PhaseRunning {
+		l.Slots += s.Used.Slots
+		l.Accelerators |= s.Accelerators
+	}
+	return l
+}
+
 // clear stops a task that does not outlive its agent.
 func (a *Agent) clear(ctx context.Context, id sesametarget.TaskID) {
 	_, err := a.deps.Target.Stop(ctx, id, 0)
@@ -270,17 +284,13 @@
 	})
 }
 
-func (a *Agent) adopt(k sesamegang.AttemptKey, ranks []int32) {
-	first := ranks[0]
-	for _, rank := range ranks {
-		first = min(first, rank)
-	}
+func (a *Agent) adopt(l sesamegang.Legacy) {
 	a.state.apply(func(_ time.Duration, s sesamegang.Agent) (sesamegang.Agent, sesamegang.Effects) {
-		return s.Adopt(k, int(first), len(ranks)), sesamegang.Effects{}
+		return s.Adopt(l), sesamegang.Effects{}
 	})
 	a.deps.Log.Emit(eventAdopted, sesamelog.Fields{
-		"job":     k.Job,
-		"attempt": k.Attempt,
-		"tasks":   len(ranks),
+		"job":     l.Key.Job,
+		"attempt": l.Key.Attempt,
+		"tasks":   l.Tasks,
 	})
 }
--- a/sesamegang/agent.go
+++ b/sesamegang/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -23,7 +22,7 @@
 	// calls its own parent without the missing children.
 	gatherTime = 150 * time.Millisecond
 	// retryTime is the pause after a call to the parent that failed.
-	retryTime = 200 * time.Millisecond
+	retryTime = 250 * time.Millisecond
 )
 
 // AgentOptions is what an Agent starts with.
@@ -40,8 +39,9 @@
 	slots       int
 	leaving     bool
 	lease       time.Duration
-	members     map[AttemptKey]Member
-	tombs       *tombstones
+	// members are in the order of their keys.
+	members []*Member
+	tombs   *tombstones
 }
 
 // Halt asks to stop the tasks of an attempt that have not ended.
@@ -62,7 +62,6 @@
 	return Agent{
 		incarnation: o.Incarnation,
 		times:       o.Times,
-		members:     map[AttemptKey]Member{},
 		tombs:       &tombstones{},
 	}
 }
@@ -119,14 +118,26 @@
 
 // Member returns the agent's part of an attempt.
 func (a Agent) Member(k AttemptKey) (Member, bool) {
-	m, ok := a.members[k]
-	return m, ok
+	i, ok := a.find(k)
+	if !ok {
+		return Member{}, false
+	}
+	return *a.members[i], true
 }
 
 // Members returns all parts that the agent holds or has to report, in order.
 func (a Agent) Members() []Member {
-	return slices.SortedFunc(maps.Values(a.members), func(x, y Member) int {
-		return cmp.Or(cmp.Compare(x.Key.Job, y.Key.Job), cmp.Compare(x.Key.Attempt, y.Key.Attempt))
+	members := make([]Member, 0, len(a.members))
+	for _, m := range a.members {
+		members = append(members, *m)
+	}
+	return members
+}
+
+// find returns where the attempt is or would be.
+func (a Agent) find(k AttemptKey) (int, bool) {
+	return slices.BinarySearchFunc(a.members, k, func(m *Member, k AttemptKey) int {
+		return cmp.Or(cmp.Compare(m.Key.Job, k.Job), cmp.Compare(m.Key.Attempt, k.Attempt))
 	})
 }
 
@@ -140,14 +151,20 @@
 }
 
 func (a Agent) with(m Member) Agent {
-	a.members = maps.Clone(a.members)
-	a.members[m.Key] = m
+	i, ok := a.find(m.Key)
+	a.members = slices.Clone(a.members)
+	if ok {
+		a.members[i] = &m
+	} else {
+		a.members = slices.Insert(a.members, i, &m)
+	}
 	return a
 }
 
 func (a Agent) without(k AttemptKey) Agent {
-	a.members = maps.Clone(a.members)
-	delete(a.members, k)
+	if i, ok := a.find(k); ok {
+		a.members = slices.Delete(slices.Clone(a.members), i, i+1)
+	}
 	return a
 }
 
@@ -195,7 +212,7 @@
 // TaskEnded records the end of a task that this agent watched. A task that did
 // not end done stops the others of its attempt.
 func (a Agent) TaskEnded(now time.Duration, k AttemptKey, end TaskEnd) (Agent, Effects) {
-	m, ok := a.members[k]
+	m, ok := a.Member(k)
 	if !ok || m.Phase == Prepared || m.Phase == Ended {
 		return a, Effects{}
 	}
@@ -224,7 +241,7 @@
 
 // Recorded forgets an attempt whose outcome is recorded, but for its tombstone.
 func (a Agent) Recorded(k AttemptKey) Agent {
-	m, ok := a.members[k]
+	m, ok := a.Member(k)
 	if !ok {
 		return a
 	}
@@ -235,21 +252,33 @@
 	return a.bury(m, true)
 }
 
-// Adopt returns the agent watching tasks that an earlier incarnation started
-// and that outlived its lease.
-func (a Agent) Adopt(k AttemptKey, first, tasks int) Agent {
-	if _, ok := a.members[k]; ok {
+// Legacy is an attempt that an earlier incarnation started and that outlived
+// its lease.
+type Legacy struct {
+	Key AttemptKey
+	// First is the rank of the first task, Tasks their number.
+	First, Tasks int
+	// Slots and Accelerators are what all its tasks that run hold.
+	Slots        int
+	Accelerators uint64
+}
+
+// Adopt returns the agent watching an attempt of an earlier incarnation.
+func (a Agent) Adopt(l Legacy) Agent {
+	if _, ok := a.Member(l.Key); ok {
 		return a
 	}
 	return a.with(Member{
-		Key:     k,
-		Size:    1,
-		First:   first,
-		Tasks:   tasks,
-		Total:   tasks,
-		Once:    true,
-		Phase:   Running,
-		Adopted: true,
+		Key:          l.Key,
+		Size:         1,
+		First:        l.First,
+		Tasks:        l.Tasks,
+		Total:        l.Tasks,
+		Accelerators: l.Accelerators,
+		Once:         true,
+		Phase:        Running,
+		Adopted:      true,
+		legacySlots:  l.Slots,
 	})
 }
 
--- /dev/null
+++ b/sesamegang/agent_test.go
@@ -0,0 +1,256 @@
+package sesamegang
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// machine is an agent with its target, driven by calls that may be repeated,
+// late and in any order.
+type machine struct {
+	now      time.Duration
+	agent    Agent
+	starts   int
+	requests []*sesamewire.PrepareRequest
+	// runs has the attempts that the target runs, started counts all starts.
+	runs    map[AttemptKey]Member
+	halting map[AttemptKey]bool
+	started map[AttemptKey]int
+	never   map[AttemptKey]bool
+}
+
+func newMachine() *machine {
+	m := &machine{
+		runs:    map[AttemptKey]Member{},
+		halting: map[AttemptKey]bool{},
+		started: map[AttemptKey]int{},
+		never:   map[AttemptKey]bool{},
+	}
+	m.restart(nil)
+	return m
+}
+
+// restart loses the agent's state. The target keeps what outlives a lease.
+func (m *machine) restart(*rapid.T) {
+	m.starts++
+	m.halting = map[AttemptKey]bool{}
+	m.agent = NewAgent(AgentOptions{
+		Incarnation: fmt.Sprint(m.starts),
+		Times:       testTimes,
+	})
+	for k, member := range m.runs {
+		if !member.Keep() {
+			delete(m.runs, k)
+			continue
+		}
+		m.agent = m.agent.Adopt(Legacy{
+			Key:          k,
+			First:        member.First,
+			Tasks:        member.Tasks,
+			Accelerators: member.Accelerators,
+		})
+	}
+}
+
+func (m *machine) place(t *rapid.T) {
+	req := &sesamewire.PrepareRequest{
+		Id: &sesamewire.AttemptID{
+			Job:     rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job"),
+			Attempt: uint32(len(m.requests) + 1),
+		},
+		Task: &sesamewire.Resources{
+			Accelerators: 2,
+		},
+		Members: worldMembers(rapid.IntRange(1, 2).Draw(t, "size")),
+		Once:    rapid.Bool().Draw(t, "once"),
+		GraceMs: testTimes.Grace.Milliseconds(),
+		HoldMs:  testTimes.Lease.Milliseconds(),
+	}
+	req.Members[0].Incarnation = m.agent.Incarnation()
+	req.Members[0].Accelerators = rapid.SampledFrom([]uint64{0b11, 0b110, 0b1100}).Draw(t, "accelerators")
+	if len(m.requests) > 0 && rapid.Bool().Draw(t, "evicts") {
+		req.Evict = append(req.Evict, rapid.SampledFrom(m.requests).Draw(t, "evict").GetId())
+	}
+	m.requests = append(m.requests, req)
+}
+
+func (m *machine) request(t *rapid.T) *sesamewire.PrepareRequest {
+	recent := m.requests[max(len(m.requests)-4, 0):]
+	return rapid.SampledFrom(recent).Draw(t, "request")
+}
+
+func (m *machine) prepare(t *rapid.T) { m.prepareOne(t, m.request(t)) }
+
+func (m *machine) open(t *rapid.T) { m.openOne(t, m.request(t)) }
+
+func (m *machine) both(t *rapid.T) {
+	req := m.request(t)
+	m.prepareOne(t, req)
+	m.openOne(t, req)
+}
+
+func (m *machine) prepareOne(t *rapid.T, req *sesamewire.PrepareRequest) {
+	next, effects, _ := m.agent.Prepare(m.now, req, nil)
+	for _, h := range effects.Halt {
+		named := len(req.GetEvict()) > 0 && KeyOf(req.GetEvict()[0]) == h.Key
+		if m.runs[h.Key].Once && !named {
+			t.Fatalf("%v must not be repeated and is stopped unasked", h.Key)
+		}
+	}
+	m.apply(t, next, effects)
+}
+
+func (m *machine) openOne(t *rapid.T, req *sesamewire.PrepareRequest) {
+	next, effects, _ := m.agent.Open(m.now, KeyOf(req.GetId()), req.GetMembers()[0].GetIncarnation())
+	m.apply(t, next, effects)
+}
+
+func (m *machine) stop(t *rapid.T) {
+	req := m.request(t)
+	next, effects, verdict := m.agent.Stop(m.now, &sesamewire.StopRequest{
+		Id:          req.GetId(),
+		Incarnation: req.GetMembers()[0].GetIncarnation(),
+	})
+	m.apply(t, next, effects)
+	if verdict.Report.GetProgress() != sesamewire.Progress_PROGRESS_NEVER {
+		return
+	}
+	k := KeyOf(req.GetId())
+	if m.started[k] > 0 {
+		t.Fatalf("%v is said never to have started", k)
+	}
+	m.never[k] = true
+}
+
+// apply carries out effects on the target.
+func (m *machine) apply(t *rapid.T, next Agent, effects Effects) {
+	m.agent = next
+	for _, h := range effects.Halt {
+		m.halting[h.Key] = true
+	}
+	for _, k := range effects.Start {
+		member, _ := m.agent.Member(k)
+		if m.agent.TaskRemaining(member, m.now) == 0 {
+			t.Fatalf("%v starts without a lease", k)
+		}
+		for other, running := range m.runs {
+			if running.Accelerators&member.Accelerators != 0 {
+				t.Fatalf("%v takes accelerators of %v", k, other)
+			}
+		}
+		m.started[k]++
+		m.runs[k] = member
+	}
+}
+
+// end lets one of the target's tasks end, as asked or by itself.
+func (m *machine) end(t *rapid.T) {
+	attempts := slices.SortedFunc(maps.Keys(m.runs), func(x, y AttemptKey) int {
+		return cmp.Compare(x.Attempt, y.Attempt)
+	})
+	for _, k := range attempts {
+		progress := sesamewire.Progress_PROGRESS_DONE
+		if m.halting[k] {
+			progress = sesamewire.Progress_PROGRESS_STOPPED
+		}
+		if !rapid.Bool().Draw(t, "ends") {
+			continue
+		}
+		delete(m.runs, k)
+		next, effects := m.agent.TaskEnded(m.now, k, TaskEnd{
+			Progress: progress,
+			Result:   &sesamewire.Result{},
+		})
+		m.apply(t, next, effects)
+	}
+}
+
+func (m *machine) recorded(t *rapid.T) {
+	for _, o := range m.agent.Outcomes(m.now) {
+		m.agent = m.agent.Recorded(KeyOf(o.GetId()))
+	}
+}
+
+func (m *machine) pass(t *rapid.T) {
+	m.now += time.Duration(rapid.SampledFrom([]int{1, 100, 1000, 6000}).Draw(t, "pass")) * time.Millisecond
+}
+
+func (m *machine) tick(t *rapid.T) {
+	next, effects := m.agent.Tick(m.now)
+	m.apply(t, next, effects)
+}
+
+func (m *machine) renew(*rapid.T) {
+	m.agent = m.agent.WithLease(m.now + testTimes.Lease)
+}
+
+func (m *machine) check(t *rapid.T) {
+	for k, n := range m.started {
+		if n > 1 {
+			t.Fatalf("%v started %d times", k, n)
+		}
+		if m.never[k] {
+			t.Fatalf("%v started after it was said never to", k)
+		}
+	}
+}
+
+func TestAgentUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		often := []func(*rapid.T){
+			m.place, m.prepare, m.open, m.both, m.both, m.both, m.stop, m.end,
+			m.recorded, m.pass, m.tick, m.renew, m.renew,
+		}
+		m.place(t)
+		for range 150 {
+			action := rapid.SampledFrom(often).Draw(t, "action")
+			if rapid.IntRange(0, 60).Draw(t, "fault") == 0 {
+				action = m.restart
+			}
+			action(t)
+			m.check(t)
+		}
+	})
+}
+
+func TestTombstonesAreBounded(t *testing.T) {
+	is := is.New(t)
+	a := NewAgent(AgentOptions{
+		Incarnation: "1",
+		Times:       testTimes,
+	}).WithLease(testTimes.Lease)
+	stop := func(job string) *sesamewire.StopRequest {
+		return &sesamewire.StopRequest{
+			Id: &sesamewire.AttemptID{
+				Job: job,
+			},
+		}
+	}
+	for i := range maxTombstones {
+		a, _, _ = a.Stop(0, stop(fmt.Sprint(i)))
+	}
+	req := &sesamewire.PrepareRequest{
+		Id: &sesamewire.AttemptID{
+			Job: "new",
+		},
+		Members: worldMembers(1),
+	}
+	req.Members[0].Incarnation = "1"
+	_, _, verdict := a.Prepare(0, req, nil)
+	is.Equal(verdict.Refusal, sesamewire.Refusal_REFUSAL_LEAVING)
+	is.True(a.Renewable())
+	a = a.Renew("2").WithLease(testTimes.Lease)
+	req.Id.Job = "0"
+	_, _, verdict = a.Prepare(0, req, nil)
+	is.Equal(verdict.Refusal, sesamewire.Refusal_REFUSAL_INCARNATION)
+}
--- a/sesamegang/beat.go
+++ b/sesamegang/beat.go
@@ -19,9 +19,10 @@
 
 // GangCall records a heartbeat from a child. The answer waits until the
 // receiver has renewed its own lease, so that one renewal runs through all
-// levels of the tree at once.
+// levels of the tree at once; a child that came late for the last one is
+// answered at once.
 func (a Agent) GangCall(now time.Duration, req *sesamewire.GangRequest) (Agent, Effects, GangVerdict) {
-	m, ok := a.members[KeyOf(req.GetId())]
+	m, ok := a.Member(KeyOf(req.GetId()))
 	if !ok || !m.relay.hasChild(req) {
 		return a, Effects{}, GangVerdict{
 			Reply: a.GangAnswer(now, req),
@@ -35,8 +36,8 @@
 		}
 	}
 	a, effects := a.lapse(now, m)
-	m = a.members[m.Key]
-	broken := m.relay.broken
+	m, _ = a.Member(m.Key)
+	broken, late := m.relay.broken, m.relay.missed(int(req.GetMember()))
 	m.relay = m.relay.withCall(now, req)
 	a = a.with(m)
 	if m.relay.broken && !broken {
@@ -45,7 +46,7 @@
 	v := GangVerdict{
 		Renewals: m.relay.renewals,
 	}
-	if m.relay.broken || m.relay.recorded {
+	if m.relay.broken || m.relay.recorded || late {
 		v.Reply = a.GangAnswer(now, req)
 	}
 	return a, effects, v
@@ -60,14 +61,14 @@
 // Renewals returns the count of the attempt's renewals, and false when the
 // attempt is not held.
 func (a Agent) Renewals(k AttemptKey) (uint64, bool) {
-	m, ok := a.members[k]
+	m, ok := a.Member(k)
 	return m.relay.renewals, ok
 }
 
 // GangAnswer replies to a child's heartbeat.
 func (a Agent) GangAnswer(now time.Duration, req *sesamewire.GangRequest) *sesamewire.GangReply {
 	k := KeyOf(req.GetId())
-	m, ok := a.members[k]
+	m, ok := a.Member(k)
 	if !ok {
 		s, _ := a.tombs.find(k)
 		return &sesamewire.GangReply{
@@ -106,10 +107,11 @@
 // others have a call to send, whose outcome goes to BeatAnswered or BeatFailed.
 func (a Agent) Beats(now time.Duration) (Agent, []Beat) {
 	var beats []Beat
-	for _, m := range a.Members() {
-		if !m.beats() || m.relay.calling || now < m.relay.next() {
+	for _, held := range a.members {
+		if !held.beats() || held.relay.calling || now < held.relay.next() {
 			continue
 		}
+		m := *held
 		m.relay.urgent = false
 		if m.relay.root() {
 			m.relay = m.relay.withRootRenewal(now, a.times)
@@ -129,15 +131,16 @@
 }
 
 // beats reports whether the member takes part in its gang's heartbeats.
-func (m Member) beats() bool {
+func (m *Member) beats() bool {
 	return m.Gang() && m.Phase != Prepared && !m.relay.recorded
 }
 
 func (r relay) withRootRenewal(now time.Duration, t Times) relay {
-	if !r.broken && now < r.deadline {
+	before := r.deadline
+	if !r.broken {
 		r.deadline = max(r.deadline, r.oldest(now)+t.Lease)
 	}
-	return r.renewed(now + t.Heartbeat)
+	return r.renewed(now, r.deadline > before, t)
 }
 
 // NextBeat returns when Beats has something to do next, and false when no
@@ -158,12 +161,12 @@
 
 // BeatAnswered applies a parent's reply.
 func (a Agent) BeatAnswered(now time.Duration, b Beat, reply *sesamewire.GangReply) (Agent, Effects) {
-	m, ok := a.members[b.Key]
+	m, ok := a.Member(b.Key)
 	if !ok {
 		return a, Effects{}
 	}
 	a, effects := a.lapse(now, m)
-	m = a.members[b.Key]
+	m, _ = a.Member(b.Key)
 	broken := m.relay.broken
 	m.relay = m.relay.withAnswer(now, b.Sent, b.Request, reply, a.times)
 	a = a.with(m)
@@ -178,7 +181,7 @@
 
 // BeatFailed notes that a parent did not answer; the call is repeated soon.
 func (a Agent) BeatFailed(now time.Duration, b Beat) Agent {
-	m, ok := a.members[b.Key]
+	m, ok := a.Member(b.Key)
 	if !ok {
 		return a
 	}
@@ -194,7 +197,7 @@
 // whose parent fell silent after the gang broke.
 func (a Agent) Outcomes(now time.Duration) []*sesamewire.FinishRequest {
 	var outcomes []*sesamewire.FinishRequest
-	for _, m := range a.Members() {
+	for _, m := range a.members {
 		reports := m.outcome(now, a.times)
 		if len(reports) == 0 {
 			continue
@@ -208,7 +211,7 @@
 	return outcomes
 }
 
-func (m Member) outcome(now time.Duration, t Times) []*sesamewire.MemberReport {
+func (m *Member) outcome(now time.Duration, t Times) []*sesamewire.MemberReport {
 	if m.Phase != Ended || m.relay.recorded {
 		return nil
 	}
--- a/sesamegang/member.go
+++ b/sesamegang/member.go
@@ -73,10 +73,11 @@
 	// Prepared and Opened are the readings at those steps.
 	Prepared, Opened time.Duration
 
-	hold   time.Duration
-	ends   []TaskEnd
-	report *sesamewire.MemberReport
-	relay  relay
+	hold        time.Duration
+	legacySlots int
+	ends        []TaskEnd
+	report      *sesamewire.MemberReport
+	relay       relay
 }
 
 // Keep reports whether the attempt runs on when the agent's lease lapses: work
@@ -123,6 +124,9 @@
 
 // slots returns what all tasks here take of an executor.
 func (m Member) slots() int {
+	if m.Adopted {
+		return m.legacySlots
+	}
 	return int(m.Need.GetSlots()) * m.Tasks
 }
 
--- a/sesamegang/prepare.go
+++ b/sesamegang/prepare.go
@@ -73,7 +73,7 @@
 	if v := a.admit(now, m.Key, req.GetMembers()[m.Index].GetIncarnation()); v.Refusal != sesamewire.Refusal_REFUSAL_NONE {
 		return a, Effects{}, v
 	}
-	if held, ok := a.members[m.Key]; ok {
+	if held, ok := a.Member(m.Key); ok {
 		return a.again(held, m)
 	}
 	if a.Leaving() {
@@ -103,8 +103,8 @@
 
 // newerThan reports whether a later attempt of the job is held.
 func (a Agent) newerThan(k AttemptKey) bool {
-	for held := range a.members {
-		if held.Job == k.Job && held.Attempt > k.Attempt {
+	for _, held := range a.members {
+		if held.Key.Job == k.Job && held.Key.Attempt > k.Attempt {
 			return true
 		}
 	}
@@ -146,7 +146,7 @@
 		effects.Halt = append(effects.Halt, e.Halt...)
 	}
 	for k := range named {
-		if _, ok := a.members[k]; !ok && k.Job != m.Key.Job {
+		if _, ok := a.Member(k); !ok && k.Job != m.Key.Job {
 			a.tombs = a.tombs.promised(k)
 		}
 	}
@@ -183,7 +183,7 @@
 // Open starts a prepared attempt, once. Only the first Open has a Start among
 // its effects.
 func (a Agent) Open(now time.Duration, k AttemptKey, incarnation string) (Agent, Effects, Verdict) {
-	m, ok := a.members[k]
+	m, ok := a.Member(k)
 	if ok && m.Phase != Prepared {
 		return a, Effects{}, Verdict{}
 	}
@@ -204,7 +204,7 @@
 // Stop ends an attempt and promises that it never starts here later.
 func (a Agent) Stop(now time.Duration, req *sesamewire.StopRequest) (Agent, Effects, Verdict) {
 	k := KeyOf(req.GetId())
-	m, ok := a.members[k]
+	m, ok := a.Member(k)
 	if !ok {
 		return a.stopUnknown(k, req.GetIncarnation())
 	}
--- a/sesamegang/relay.go
+++ b/sesamegang/relay.go
@@ -21,8 +21,10 @@
 	// oldest is a reading at which every member of the child's part that has
 	// not ended was surely alive.
 	oldest time.Duration
-	// heard is true when the child has called since the last renewal.
-	heard bool
+	// heard is true when the child has called since the last renewal, missed
+	// when that renewal went without it.
+	heard  bool
+	missed bool
 	// left counts the members of the child's part without a report.
 	left int
 }
@@ -156,7 +158,7 @@
 			alive := min(milliseconds(req.GetEchoMs()+req.GetHeldMs()), now)
 			c.oldest = max(c.oldest, alive-milliseconds(req.GetAgeMs()))
 		}
-		c.heard = true
+		c.heard, c.missed = true, false
 		r.children[i] = c
 	}
 	return r.withReports(now, req.GetReports())
@@ -195,17 +197,29 @@
 	return r.due + time.Duration(r.height)*gatherTime
 }
 
-// renewed clears what one renewal covers.
-func (r relay) renewed(due time.Duration) relay {
-	r.due = due
+// renewed clears what one renewal covers. One that did not extend the lease is
+// repeated soon.
+func (r relay) renewed(now time.Duration, extended bool, t Times) relay {
+	r.due = now + retryTime
+	if extended || r.broken {
+		r.due = now + t.Heartbeat
+	}
 	r.renewals++
 	r.children = slices.Clone(r.children)
-	for i := range r.children {
+	for i, c := range r.children {
+		r.children[i].missed = !c.heard
 		r.children[i].heard = false
 	}
 	return r
 }
 
+// missed reports whether the last renewal went without that child.
+func (r relay) missed(member int) bool {
+	return slices.ContainsFunc(r.children, func(c child) bool {
+		return c.index == member && c.missed
+	})
+}
+
 // request builds the call to the parent.
 func (r relay) request(now time.Duration, m Member, incarnation string) *sesamewire.GangRequest {
 	req := &sesamewire.GangRequest{
@@ -239,10 +253,11 @@
 	for _, report := range req.GetReports() {
 		delete(r.unsent, report.GetMember())
 	}
-	if !r.broken && now < r.deadline {
+	before := r.deadline
+	if !r.broken {
 		r.deadline = max(r.deadline, sent+milliseconds(reply.GetRemainingMs()))
 	}
-	r = r.renewed(now + t.Heartbeat)
+	r = r.renewed(now, r.deadline > before, t)
 	if reply.GetStop() {
 		r = r.withBreak(now, reply.GetDetail())
 		r.urgent = false
--- a/sesamestandin/task.go
+++ b/sesamestandin/task.go
@@ -76,10 +76,11 @@
 		script:  script,
 		started: now,
 		status: sesametarget.Status{
-			ID:    t.ID,
-			Phase: sesametarget.PhaseRunning,
-			Keep:  t.Keep,
-			Used:  t.Need,
+			ID:           t.ID,
+			Phase:        sesametarget.PhaseRunning,
+			Keep:         t.Keep,
+			Accelerators: t.Accelerators,
+			Used:         t.Need,
 		},
 	}
 }
--- a/sesametarget/target.go
+++ b/sesametarget/target.go
@@ -90,6 +90,8 @@
 	// Keep repeats the task's own, so that a new agent can tell the tasks that
 	// outlive a lease.
 	Keep bool `json:"keep,omitempty"`
+	// Accelerators repeats the task's own.
+	Accelerators uint64 `json:"accelerators,omitempty"`
 	// Used is the most that the task has used so far.
 	Used sesamemodel.Resources `json:"used"`
 }
