--- a/sesameentry/planning_test.go
+++ b/sesameentry/planning_test.go
@@ -322,7 +322,14 @@
 				}
 				w.hand(is, rapid.IntRange(0, 1).Draw(t, "planner"), h)
 			},
-			"wait": func(t *rapid.T) {
+			"read elsewhere": func(t *rapid.T) {
+				// Another duty of the entry reads the cell before the planner does.
+				ledger := w.duties[rapid.IntRange(0, 1).Draw(t, "planner")].ledger
+				ledger.DropCell(testCellID)
+				_, err := ledger.Cell(context.Background(), testCellID)
+				is.NoErr(err)
+			},
+			"wait": func(*rapid.T) {
 				w.clock.Advance(reconcileInterval)
 			},
 			"": func(*rapid.T) {
--- a/sesameplanner/owed.go
+++ b/sesameplanner/owed.go
@@ -18,7 +18,6 @@
 // by urgency and then by lateness.
 func (r *round) placeOwed() {
 	cursors := r.owedCursors()
-	failed := map[int]bool{}
 	for len(cursors) > 0 && !r.full() {
 		at := 0
 		for i := range cursors {
@@ -28,11 +27,11 @@
 		}
 		c := cursors[at]
 		e := c.head()
-		if failed[e.signature] || !r.owe(e) {
-			failed[e.signature] = true
+		if e.request.owedFailed == r.number || !r.owe(e) {
+			e.request.owedFailed = r.number
 			c.next++
 		}
-		if c.next >= len(c.team.queue) {
+		if !c.skipGone() {
 			cursors = slices.Delete(cursors, at, at+1)
 		}
 	}
@@ -48,13 +47,25 @@
 	return c.team.queue[c.next]
 }
 
+// skipGone moves on to a job that waits and reports whether there is one.
+func (c *cursor) skipGone() bool {
+	for c.next < len(c.team.queue) && c.team.queue[c.next].gone {
+		c.next++
+	}
+	return c.next < len(c.team.queue)
+}
+
 func (r *round) owedCursors() []*cursor {
 	var cursors []*cursor
 	for _, t := range r.planner.teams {
-		if t.contract != nil && len(t.queue) > 0 && len(t.cells) > 0 {
-			cursors = append(cursors, &cursor{
-				team: t,
-			})
+		if t.contract == nil || len(t.cells) == 0 {
+			continue
+		}
+		c := &cursor{
+			team: t,
+		}
+		if c.skipGone() {
+			cursors = append(cursors, c)
 		}
 	}
 	slices.SortFunc(cursors, func(a, b *cursor) int {
@@ -63,7 +74,11 @@
 	return cursors
 }
 
-// owe places a job inside its team's guarantees, stopping borrowers.
+// owe places a job inside its team's guarantees, stopping borrowers where it
+// must: on the targets that cost the least work while all guarantees can still
+// be formed, else on those that the present packing sets aside for the team.
+// Rather than stop others it borrows what is free elsewhere; its guarantee
+// stays unused for when that is reclaimed.
 func (r *round) owe(e *entry) bool {
 	if e.job.Spec.Kind != sesamemodel.Worker {
 		return false
@@ -72,13 +87,34 @@
 	if parts == nil {
 		return false
 	}
-	v := &victims{}
+	e.task = e.job.Spec.Task
+	set := &victims{}
 	for _, part := range parts {
-		if !v.clear(r.planner, r.now, part, e.job) {
+		if !set.clear(r.planner, r.now, part, e.task) {
 			return false
 		}
 	}
-	r.place(e, parts, v, true)
+	chosen := r.cheaper(e, r.propose(e, parts, set, true))
+	if r.lendInstead(e, chosen) {
+		return true
+	}
+	r.accept(chosen)
+	return true
+}
+
+// lendInstead borrows for an owed job when that stops no work, or breaks less
+// of what is whole. Work that must not be stopped stays inside its guarantee.
+func (r *round) lendInstead(e *entry, chosen *proposal) bool {
+	need := e.job.Spec.Need().Accelerators
+	if fixed(e.job.Spec) || !r.planner.team(e.job.Spec.Team).mayBorrow(need) {
+		return false
+	}
+	d := r.planner.borrowDemand(e, r.now)
+	parts := r.planner.cells.find(d)
+	if parts == nil || chosen.victims.cost == 0 && d.totalWaste(parts) >= chosen.waste {
+		return false
+	}
+	r.place(e, parts, &victims{}, false)
 	return true
 }
 
