Measure what heartbeats and a gang's tree cost each agent

The target is in memory here, so calls to it are not counted.

Tests took free ports by closing a listener, which an outgoing connection could take before the agent did; a benchmark hung on that. They now listen on loopback addresses that no outgoing connection leaves from.

--- /dev/null
+++ b/sesameagent/gang_bench_test.go
@@ -0,0 +1,310 @@
+package sesameagent_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesameagent"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+	"github.com/sesamestack/sesamestack/sesametarget"
+	"github.com/sesamestack/sesamestack/sesamewire"
+)
+
+// segmentHeader is what TCP over IPv4 with timestamps adds to each write; the
+// acknowledgement of each costs as much again in the other direction.
+const segmentHeader = 52
+
+// idleTarget runs whatever it is given for ever.
+type idleTarget struct {
+	mu    sync.Mutex
+	tasks []sesametarget.Status
+}
+
+func (*idleTarget) Describe(context.Context) (sesametarget.Description, error) {
+	return sesametarget.Description{
+		Kind: sesamemodel.Worker,
+		Capacity: sesamemodel.Resources{
+			Accelerators: 8,
+		},
+	}, nil
+}
+
+func (*idleTarget) Renew(context.Context, sesametarget.Lease) error { return nil }
+
+func (i *idleTarget) Start(_ context.Context, t sesametarget.Task) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.tasks = append(i.tasks, sesametarget.Status{
+		ID:    t.ID,
+		Phase: sesametarget.PhaseRunning,
+	})
+	return nil
+}
+
+func (i *idleTarget) Tasks(context.Context) ([]sesametarget.Status, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]sesametarget.Status{}, i.tasks...), nil
+}
+
+func (*idleTarget) Output(context.Context, sesametarget.TaskID) ([]byte, error) { return nil, nil }
+
+func (*idleTarget) Stop(_ context.Context, id sesametarget.TaskID, _ time.Duration) (sesametarget.Status, error) {
+	return sesametarget.Status{
+		ID:    id,
+		Phase: sesametarget.PhaseStopped,
+	}, nil
+}
+
+// traffic counts what passes between the processes, by address of the one
+// that serves and by the one that dials.
+type traffic struct {
+	bytes  sync.Map
+	writes sync.Map
+}
+
+func add(m *sync.Map, key string, n int) {
+	value, _ := m.LoadOrStore(key, new(atomic.Int64))
+	value.(*atomic.Int64).Add(int64(n))
+}
+
+func sum(m *sync.Map, key string) int64 {
+	value, ok := m.Load(key)
+	if !ok {
+		return 0
+	}
+	return value.(*atomic.Int64).Load()
+}
+
+func (c *traffic) dial(from string) sesamewire.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &countedConn{
+			Conn:    conn,
+			traffic: c,
+			ends:    [2]string{from, address},
+		}, err
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+	ends    [2]string
+}
+
+func (c *countedConn) count(n int) {
+	for _, end := range c.ends {
+		add(&c.traffic.bytes, end, n)
+		add(&c.traffic.writes, end, 1)
+	}
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count(n)
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count(n)
+	return n, err
+}
+
+// fleet is many agents in one process.
+type fleet struct {
+	traffic traffic
+	members []*sesamewire.Member
+	dialer  *sesamewire.Dialer
+	group   errgroup.Group
+	stop    context.CancelFunc
+}
+
+func startFleet(b *testing.B, size int, entry string) *fleet {
+	b.Helper()
+	f := &fleet{
+		dialer: sesamewire.NewDialer(sesamewire.DialOptions{
+			Timeout: time.Minute,
+		}),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	agents := make([]*sesameagent.Agent, size)
+	for i := range size {
+		settings := sesamesettings.DefaultAgent()
+		settings.ID = fmt.Sprintf("r1-worker-%04d", i)
+		settings.Wire = freeAddress(b)
+		settings.Entries = []string{entry}
+		settings.Drain = time.Second
+		agents[i] = sesameagent.New(settings, sesameagent.Deps{
+			Target:  &idleTarget{},
+			Objects: newObjects(),
+			Dialer: sesamewire.NewDialer(sesamewire.DialOptions{
+				Dial: f.traffic.dial(settings.Wire),
+			}),
+			Clock: clockwork.NewRealClock(),
+			Log:   sesamelog.Discard(),
+			Scope: tally.NoopScope,
+		})
+		f.members = append(f.members, &sesamewire.Member{
+			Target:       settings.ID,
+			Address:      settings.Wire,
+			Incarnation:  agents[i].Incarnation(),
+			First:        int32(i),
+			Tasks:        1,
+			Accelerators: 1,
+		})
+		f.group.Go(func() error { return agents[i].Run(ctx) })
+	}
+	for _, a := range agents {
+		for !a.Ready() {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return f
+}
+
+func (f *fleet) each(b *testing.B, call func(i int, m *sesamewire.Member) (sesamewire.Refusal, error)) {
+	b.Helper()
+	var group errgroup.Group
+	group.SetLimit(64)
+	for i, m := range f.members {
+		group.Go(func() error {
+			refusal, err := call(i, m)
+			if err == nil && refusal != sesamewire.Refusal_REFUSAL_NONE {
+				b.Errorf("member %d refuses: %v", i, refusal)
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// openGang opens one gang over the whole fleet.
+func (f *fleet) openGang(b *testing.B) {
+	b.Helper()
+	id := &sesamewire.AttemptID{
+		Job:     "r1.0123456789abcdef0123456789abcdef",
+		Attempt: 1,
+	}
+	f.each(b, func(i int, m *sesamewire.Member) (sesamewire.Refusal, error) {
+		reply, err := f.dialer.Agent(m.GetAddress()).Prepare(b.Context(), &sesamewire.PrepareRequest{
+			Id:      id,
+			Member:  int32(i),
+			Members: f.members,
+			Task: &sesamewire.Resources{
+				Accelerators: 1,
+			},
+			HoldMs: time.Minute.Milliseconds(),
+		})
+		return reply.GetRefusal(), err
+	})
+	f.each(b, func(_ int, m *sesamewire.Member) (sesamewire.Refusal, error) {
+		reply, err := f.dialer.Agent(m.GetAddress()).Open(b.Context(), &sesamewire.OpenRequest{
+			Id:          id,
+			Incarnation: m.GetIncarnation(),
+		})
+		return reply.GetRefusal(), err
+	})
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// measure reports what one agent costs in a second.
+func (f *fleet) measure(b *testing.B, roles map[string]int) {
+	b.Helper()
+	const seconds = 10
+	time.Sleep(3 * time.Second)
+	bytes, writes := map[string]int64{}, map[string]int64{}
+	for role, i := range roles {
+		bytes[role] = sum(&f.traffic.bytes, f.members[i].GetAddress())
+		writes[role] = sum(&f.traffic.writes, f.members[i].GetAddress())
+	}
+	before := processorTime()
+	time.Sleep(seconds * time.Second)
+	spent := processorTime() - before
+	for role, i := range roles {
+		n := float64(sum(&f.traffic.bytes, f.members[i].GetAddress())-bytes[role]) / seconds
+		k := float64(sum(&f.traffic.writes, f.members[i].GetAddress())-writes[role]) / seconds
+		b.ReportMetric(n+2*k*segmentHeader, role+"_B/s")
+		b.ReportMetric(k, role+"_writes/s")
+	}
+	share := 100 * spent.Seconds() / seconds / float64(len(f.members))
+	b.ReportMetric(share, "core%/agent")
+}
+
+func benchmarkFleet(b *testing.B, size int, gang bool, roles map[string]int) {
+	entry, address := benchKeeper(b)
+	entry.lease = 5 * time.Second
+	f := startFleet(b, size, address)
+	if gang {
+		f.openGang(b)
+	}
+	for b.Loop() {
+		f.measure(b, roles)
+	}
+	f.stop()
+	_ = f.group.Wait()
+}
+
+func benchKeeper(b *testing.B) (*keeper, string) {
+	b.Helper()
+	k := &keeper{
+		epoch: 1,
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := sesamewire.NewServer(time.Second)
+	if err := sesamewire.DRPCRegisterKeeper(server.Mux(), k); err != nil {
+		b.Fatal(err)
+	}
+	var group errgroup.Group
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Go(func() error { return server.Serve(ctx, listener) })
+	b.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+	return k, listener.Addr().String()
+}
+
+// BenchmarkHeartbeats has agents without work.
+func BenchmarkHeartbeats(b *testing.B) {
+	benchmarkFleet(b, 128, false, map[string]int{
+		"agent": 0,
+	})
+}
+
+// BenchmarkGang has one gang over all agents.
+func BenchmarkGang(b *testing.B) {
+	for _, size := range []int{16, 128, 1024} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			benchmarkFleet(b, size, true, map[string]int{
+				"root":  0,
+				"inner": 1,
+				"leaf":  size - 1,
+			})
+		})
+	}
+}
--- a/sesameagent/helpers_test.go
+++ b/sesameagent/helpers_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -179,10 +181,18 @@
 	id      string
 }
 
-func freeAddress(t *testing.T) string {
+var addresses atomic.Int32
+
+// freeAddress returns an address that nothing else takes: outgoing connections
+// leave from 127.0.0.1 and have no part in this loopback network.
+func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
+	n := addresses.Add(1)
+	host := fmt.Sprintf("127.%d.%d.%d:0", 20+os.Getpid()%200, n/250, n%250+1)
+	listener, err := net.Listen("tcp", host)
+	if err != nil {
+		t.Fatal(err)
+	}
 	defer listener.Close()
 	return listener.Addr().String()
 }
