Prove that a request which waited is not taken for a fresh one

Whole agents are tested too: one that loses its keeper stops repeatable work and keeps once work, and each of three members is ended in turn, the others stopping within the lease and the grace.

Tests: go test -race -count=2 ./sesameagent, go test ./sesamegang pass.

--- a/sesameagent/agent_test.go
+++ b/sesameagent/agent_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -196,3 +197,60 @@
 	eventually(t, "the kept task is reported", func() bool { return k.outcome("r1.kept") != nil })
 	is.New(t).Equal(k.outcome("r1.kept").GetReports()[0].GetProgress(), sesamewire.Progress_PROGRESS_DONE)
 }
+
+func TestAgentLosesKeeper(t *testing.T) {
+	k, address := serveKeeper(t)
+	b := startAgent(t, newTarget(t), newObjects(), address)
+	b.ready(t)
+	kept := attempt("r1.kept", hang, b)
+	kept.Once = true
+	repeatable := attempt("r1.repeatable", hang, b)
+	repeatable.Members[0].Accelerators = 2
+	for _, req := range []*sesamewire.PrepareRequest{kept, repeatable} {
+		prepare(t, req, b)
+		open(t, req, b)
+	}
+	k.set(func(k *keeper) { k.silent = true })
+	eventually(t, "the repeatable task stops", func() bool {
+		return b.phase(t, "r1.repeatable") == sesametarget.PhaseStopped
+	})
+	is := is.New(t)
+	is.Equal(b.phase(t, "r1.kept"), sesametarget.PhaseRunning)
+	reply, err := b.client.Prepare(t.Context(), attempt("r1.late", echo, b))
+	is.NoErr(err)
+	is.True(reply.GetRefusal() != sesamewire.Refusal_REFUSAL_NONE)
+	_, err = b.client.Stop(t.Context(), &sesamewire.StopRequest{
+		Id: kept.GetId(),
+	})
+	is.NoErr(err)
+}
+
+func TestGangLosesMember(t *testing.T) {
+	for lost := range 3 {
+		_, address := serveKeeper(t)
+		store := newObjects()
+		gang := []*bench{
+			startAgent(t, newTarget(t), store, address),
+			startAgent(t, newTarget(t), store, address),
+			startAgent(t, newTarget(t), store, address),
+		}
+		for _, b := range gang {
+			b.ready(t)
+		}
+		req := attempt("r1.gang", hang, gang...)
+		prepare(t, req, gang...)
+		open(t, req, gang...)
+		gang[lost].agent.Abort()
+		began := time.Now()
+		for _, b := range gang {
+			eventually(t, "every member stops", func() bool {
+				return b.phase(t, "r1.gang") == sesametarget.PhaseStopped
+			})
+		}
+		bound := testLeases.Lease + testLeases.Grace
+		slack := time.Second // for a busy machine
+		if took := time.Since(began); took > bound+slack {
+			t.Errorf("members run %v after member %d was lost, bound %v", took, lost, bound)
+		}
+	}
+}
--- a/sesamegang/gang_test.go
+++ b/sesamegang/gang_test.go
@@ -91,6 +91,12 @@
 				w.nodes[p].paused = w.now + 4900*time.Millisecond
 			}
 		},
+		"lost, parent paused for less than its lease": func(w *world, n *node) {
+			w.lose(n)
+			if p := Parent(n.index); p >= 0 {
+				w.pause(w.nodes[p], 3500*time.Millisecond)
+			}
+		},
 		"lost, leaves paused": func(w *world, n *node) {
 			w.lose(n)
 			for _, leaf := range w.nodes[2:] {
