--- a/sesamedemo/demo.go
+++ b/sesamedemo/demo.go
@@ -167,8 +167,11 @@
 	for _, c := range parsed {
 		d.say("contract of %s: guarantees %v", c.Team, c.Guarantees)
 	}
-	d.say("accepted as change %d", result.Number)
-	return nil
+	err = d.system.eventually(ctx, "the contracts on every entry", func() (bool, error) {
+		return d.system.inForce(ctx, result.Number)
+	})
+	d.say("change %d is in force on every entry", result.Number)
+	return err
 }
 
 // work runs all jobs and returns how they ended.
--- /dev/null
+++ b/sesamedemo/demo_test.go
@@ -0,0 +1,28 @@
+package sesamedemo_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamedemo"
+	"github.com/sesamestack/sesamestack/sesamelog"
+)
+
+func TestRun(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(sesamedemo.Run(context.Background(), &out, sesamelog.Discard()))
+	for _, part := range []string{
+		"was stopped: ", // a preemption and its reason
+		"too-large of crews is refused",
+		"given-up of crews is cancelled",
+		"TEAM",
+		"every job ended as it should",
+	} {
+		is.True(strings.Contains(out.String(), part))
+	}
+}
--- a/sesamedemo/jobs.go
+++ b/sesamedemo/jobs.go
@@ -23,7 +23,7 @@
 const (
 	workerAccelerators = 8
 
-	surveyTime = 4 * time.Second
+	surveyTime = 2 * time.Second
 	shortTime  = 500 * time.Millisecond
 )
 
--- a/sesamedemo/system.go
+++ b/sesamedemo/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -209,6 +210,27 @@
 	})
 }
 
+// inForce reports whether every entry holds the contracts of that change.
+func (s *system) inForce(ctx context.Context, number uint64) (bool, error) {
+	for _, entry := range s.entries {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, entry+"/readyz", nil)
+		if err != nil {
+			return false, err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false, err
+		}
+		var readiness sesameapi.Readiness
+		err = json.NewDecoder(response.Body).Decode(&readiness)
+		err = errors.CombineErrors(err, response.Body.Close())
+		if err != nil || readiness.Contracts < number {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
 // TimeoutError says that a condition did not come about in time.
 type TimeoutError struct {
 	Condition string
