--- a/sesamecommand/contracts.go
+++ b/sesamecommand/contracts.go
@@ -102,7 +102,7 @@
 		send = client.Diff
 	}
 	result, err := send(c.Context(), request)
-	return f.report(s, result, err)
+	return f.report(s, inForce.Number, result, err)
 }
 
 // baseOr returns the base that the operator stated, or the number in force.
@@ -180,11 +180,11 @@
 		To:   to,
 		Team: team,
 	}, f.dry)
-	return f.report(s, result, err)
+	return f.report(s, inForce.Number, result, err)
 }
 
 // report shows a change, or the changes of others that it conflicts with.
-func (f *changeFlags) report(s streams, result sesameapi.ChangeResult, err error) error {
+func (f *changeFlags) report(s streams, inForce uint64, result sesameapi.ChangeResult, err error) error {
 	var problem *sesameapi.ProblemError
 	if errors.As(err, &problem) && len(problem.Problem.Changes) > 0 {
 		return errors.CombineErrors(err, historyText(problem.Problem.Changes)(s.out))
@@ -193,16 +193,18 @@
 		return err
 	}
 	return f.print(s.out, result, func(w io.Writer) error {
-		return writeChange(w, result, f.dry)
+		return writeChange(w, inForce, result, f.dry)
 	})
 }
 
-func writeChange(w io.Writer, result sesameapi.ChangeResult, dry bool) error {
+func writeChange(w io.Writer, inForce uint64, result sesameapi.ChangeResult, dry bool) error {
 	var text strings.Builder
 	for _, d := range result.Differences {
 		text.WriteString(differenceText(d))
 	}
 	switch {
+	case len(result.Differences) == 0 && result.Number < inForce:
+		fmt.Fprintf(&text, "accepted before as change %d; change %d is in force\n", result.Number, inForce)
 	case len(result.Differences) == 0:
 		fmt.Fprintf(&text, "nothing changes; change %d is in force\n", result.Number)
 	case dry:
--- a/sesamecommand/errors.go
+++ b/sesamecommand/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -69,6 +70,27 @@
 	return ExitFailure
 }
 
+// errorText returns the lines that tell of an error. An entry's answer has a
+// line for each wrong field, and one that says what is known of the work.
+func errorText(err error) string {
+	var text strings.Builder
+	fmt.Fprintln(&text, err)
+	var problem *sesameapi.ProblemError
+	if !errors.As(err, &problem) {
+		return text.String()
+	}
+	for _, f := range problem.Problem.Faults {
+		fmt.Fprintf(&text, "%s: %s\n", f.Field, f.Detail)
+	}
+	if problem.Problem.Outcome != "" {
+		fmt.Fprintf(&text, "outcome: %s\n", problem.Problem.Outcome)
+	}
+	if problem.Problem.RetryAfter > 0 {
+		fmt.Fprintf(&text, "try again after %s\n", problem.Problem.RetryAfter)
+	}
+	return text.String()
+}
+
 // problemExitCode returns the code for an entry's answer with that status.
 func problemExitCode(status int) int {
 	switch status {
