Take a cell back that another entry kept during an outage

After an outage in which both entries could not renew their membership, one took the cell over under epoch 2. When both were seen again the first was preferred and answered heartbeats under its old epoch 1 for ever: agents refused 884 grants of a former keeper in 90 s, and the other entry called all four targets of the cell lost.

Ruled out: the agents (refusing an old epoch is right), a stale ledger. Change: a newer epoch, in the row or in a heartbeat, ends the book's ownership, so that the next write takes the cell back under a newer epoch.

--- a/sesamekeeper/book.go
+++ b/sesamekeeper/book.go
@@ -17,6 +17,8 @@
 	Target      sesamemodel.TargetID
 	Incarnation string
 	Leaving     bool
+	// Epoch is the newest that the agent has heard of.
+	Epoch uint64
 	// Announce is the full description; its ID is empty when the agent did
 	// not send one.
 	Announce sesamemodel.Target
@@ -67,9 +69,18 @@
 	}
 }
 
-// Want makes the entry take over the cell at the next flush.
-func (b *Book) Want(cell sesamemodel.CellID) {
-	b.keep(cell)
+// Want makes the entry take over the cell at the next flush, also when it kept
+// the cell before and another entry has taken it since.
+func (b *Book) Want(row sesamemodel.Cell) {
+	b.keep(row.ID).superseded(row.Epoch)
+}
+
+// superseded gives up the cell when another entry has taken it over since, so
+// that the next write takes it back under a newer epoch.
+func (k *keep) superseded(epoch uint64) {
+	if epoch > k.epoch {
+		k.owned = false
+	}
 }
 
 // Yield forgets the cell, which another entry keeps.
@@ -99,6 +110,7 @@
 // Heartbeat records a heartbeat and says what the agent may rely on.
 func (b *Book) Heartbeat(now time.Time, beat Beat) Grant {
 	k := b.keep(beat.Cell)
+	k.superseded(beat.Epoch)
 	grant := Grant{
 		Epoch: k.epoch,
 	}
--- a/sesamekeeper/book_test.go
+++ b/sesamekeeper/book_test.go
@@ -75,7 +75,9 @@
 		is := is.New(t)
 		row := empty.WithKeeper("e0").WithTarget(announced("w1", "i1").Announce)
 		b := NewBook("e1", testLease, testMargin)
-		b.Want(testCell)
+		b.Want(sesamemodel.Cell{
+			ID: testCell,
+		})
 		taken := start.Add(time.Hour)
 		row = flush(b, taken, row)
 		is.Equal(row.Epoch, uint64(2))
--- a/sesamekeeper/service.go
+++ b/sesamekeeper/service.go
@@ -99,6 +99,7 @@
 		Target:      sesamemodel.TargetID(req.GetTarget()),
 		Incarnation: req.GetIncarnation(),
 		Leaving:     req.GetLeaving(),
+		Epoch:       req.GetEpoch(),
 	}
 	a := req.GetAnnounce()
 	if a == nil {
@@ -129,7 +130,7 @@
 	defer s.mu.Unlock()
 	switch {
 	case mine:
-		s.book.Want(cell.ID)
+		s.book.Want(cell)
 	case cell.Keeper != s.options.Self.ID:
 		s.book.Yield(cell.ID)
 	}
