--- a/sesamecommand/path_test.go
+++ b/sesamecommand/path_test.go
@@ -378,11 +378,24 @@
 	ended, err := c.client(0, bookkeepers).Wait(context.Background(), sesamemodel.JobID(job))
 	is.NoErr(err)
 	is.Equal(ended.State, sesamemodel.Done)
-	for name, p := range c.processes {
-		select {
-		case <-p.exited:
-		default:
-			if name != "platform" {
+	c.stopInOrder(t)
+}
+
+// stopInOrder stops what is left: agents before their targets, entries after
+// the agents, the platform last.
+func (c *cluster) stopInOrder(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	for _, order := range []func(name string) bool{
+		func(name string) bool {
+			return !strings.HasSuffix(name, "-target") && !strings.HasPrefix(name, "entry-") && name != "platform"
+		},
+		func(name string) bool { return strings.HasSuffix(name, "-target") },
+		func(name string) bool { return strings.HasPrefix(name, "entry-") },
+		func(name string) bool { return name == "platform" },
+	} {
+		for name, p := range c.processes {
+			if order(name) && p.runs() {
 				is.Equal(p.stop(t), 0)
 			}
 		}
--- a/sesamecommand/processes_test.go
+++ b/sesamecommand/processes_test.go
@@ -90,6 +90,16 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// runs reports whether the process has not exited.
+func (p *process) runs() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // cluster is a set of processes on loopback.
 type cluster struct {
 	t         *testing.T
