Accept connections for a second longer while an entry stops

The test of separate processes found a long poll cut by a graceful stop: EOF for 1 of 20 open requests in 1 of 4 full runs (go test ./sesamecommand -run TestProcesses -count=1). A connection that the caller has opened and written to, but that the server has not begun to read, is not waited for.

Ruled out: the handler (no answer at all was sent), the drain limit (the entry stopped within a second).

--- a/sesameentry/entry.go
+++ b/sesameentry/entry.go
@@ -30,6 +30,10 @@
 const (
 	// ringSize bounds the hints that wait in each ring.
 	ringSize = 4096
+	// acceptLonger is how long a stopping entry still accepts connections:
+	// the balancer sees /readyz fail meanwhile, and connections that callers
+	// have opened already are answered.
+	acceptLonger = time.Second
 	// tickInterval is how often the planner looks without a hint.
 	tickInterval = time.Second
 )
@@ -347,6 +351,10 @@
 	defer cancel()
 	e.api.Drain()
 	e.membership.leave(ctx)
+	select {
+	case <-ctx.Done():
+	case <-e.deps.Clock.After(acceptLonger):
+	}
 	if err := server.Shutdown(ctx); err != nil {
 		e.deps.Log.Emit(eventCut, sesamelog.Fields{
 			"error": err,
