--- a/sesameattempt/release_test.go
+++ b/sesameattempt/release_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamestack/sesamestack/sesameattempt"
 	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesameplanner"
 	"github.com/sesamestack/sesamestack/sesamestandin"
 	"github.com/sesamestack/sesamestack/sesamestore"
 )
@@ -32,7 +33,7 @@
 			},
 		},
 	}))
-	ledger := sesameattempt.NewLedger(store, clock)
+	ledger := sesameattempt.NewLedger(store, clock, sesameplanner.JudgeSuccess)
 	_, err := ledger.Cell(ctx, empty.ID)
 	is.NoErr(err)
 
