--- a/sesamekeeper/book.go
+++ b/sesamekeeper/book.go
@@ -226,18 +226,7 @@
 		k.forgiveAll()
 	}
 	for _, id := range sortedTargets(k.changes) {
-		target := k.changes[id]
-		if present, ok := row.Target(id); ok {
-			target.Strikes = present.Strikes
-			target.Blames = present.Blames
-			if present.Health == sesamemodel.Quarantined && target.Health == sesamemodel.Ready {
-				target.Health = sesamemodel.Quarantined
-			}
-			if present == target {
-				continue
-			}
-		}
-		next = next.WithTarget(target)
+		next = next.WithTarget(judgedBefore(k.changes[id], row))
 	}
 	for id := range k.released {
 		if target, ok := next.Target(id); ok && target.Health == sesamemodel.Quarantined {
@@ -255,6 +244,21 @@
 	return next, !b.current(row) || !slices.Equal(next.Targets, row.Targets)
 }
 
+// judgedBefore returns the changed target with the counts of blames and strikes
+// and the quarantine that the row has for it.
+func judgedBefore(target sesamemodel.Target, row sesamemodel.Cell) sesamemodel.Target {
+	present, ok := row.Target(target.ID)
+	if !ok {
+		return target
+	}
+	target.Strikes = present.Strikes
+	target.Blames = present.Blames
+	if present.Health == sesamemodel.Quarantined && target.Health == sesamemodel.Ready {
+		target.Health = sesamemodel.Quarantined
+	}
+	return target
+}
+
 // current reports whether the row still has the epoch in which this entry kept
 // the cell, so that the book's judgements count.
 func (b *Book) current(row sesamemodel.Cell) bool {
