--- a/sesamegang/relay.go
+++ b/sesamegang/relay.go
@@ -195,9 +195,13 @@
 	return r.due + time.Duration(r.height)*gatherTime
 }
 
-// renewed clears what one renewal covers.
-func (r relay) renewed(due time.Duration) relay {
-	r.due = due
+// renewed clears what one renewal covers. One that did not extend the lease is
+// repeated soon.
+func (r relay) renewed(now time.Duration, extended bool, t Times) relay {
+	r.due = now + retryTime
+	if extended || r.broken {
+		r.due = now + t.Heartbeat
+	}
 	r.renewals++
 	r.children = slices.Clone(r.children)
 	for i := range r.children {
@@ -239,10 +243,11 @@
 	for _, report := range req.GetReports() {
 		delete(r.unsent, report.GetMember())
 	}
-	if !r.broken && now < r.deadline {
+	before := r.deadline
+	if !r.broken {
 		r.deadline = max(r.deadline, sent+milliseconds(reply.GetRemainingMs()))
 	}
-	r = r.renewed(now + t.Heartbeat)
+	r = r.renewed(now, r.deadline > before, t)
 	if reply.GetStop() {
 		r = r.withBreak(now, reply.GetDetail())
 		r.urgent = false
--- /dev/null
+++ b/sesametable/kinds.go
@@ -0,0 +1,14 @@
+package sesametable
+
+import "github.com/cockroachdb/errors"
+
+// isA reports whether err is or wraps an error of type T.
+func isA[T error](err error) bool {
+	var target T
+	return errors.As(err, &target)
+}
+
+// isDefinite reports whether an attempt was answered.
+func isDefinite(err error) bool {
+	return !isA[*UnavailableError](err) && !isA[*OutcomeUnknownError](err)
+}
--- a/sesametable/retry.go
+++ b/sesametable/retry.go
@@ -30,7 +30,8 @@
 	Clock clockwork.Clock
 	Log   *sesamelog.Logger
 	// Patience and Resolution; 0 means the defaults. A call's context may
-	// end it sooner.
+	// end it sooner. A commit that has to read rows back after it got its
+	// answer may take twice Resolution.
 	Patience   time.Duration
 	Resolution time.Duration
 }
@@ -72,7 +73,7 @@
 // Get returns the row as Table.Get does; it repeats a failed read.
 func (r *Retrying) Get(ctx context.Context, key string) (Row, error) {
 	var row Row
-	err := r.repeat(ctx, r.options.Patience, func() error {
+	err := r.repeat(ctx, r.ordinary(), func() error {
 		var err error
 		row, err = r.raw.Get(ctx, key)
 		return err
@@ -86,7 +87,7 @@
 // Scan returns rows as Table.Scan does; it repeats a failed read.
 func (r *Retrying) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	var rows []Row
-	err := r.repeat(ctx, r.options.Patience, func() error {
+	err := r.repeat(ctx, r.ordinary(), func() error {
 		var err error
 		rows, err = r.raw.Scan(ctx, prefix, after, limit)
 		return err
@@ -136,7 +137,7 @@
 
 // write is one transaction with all that settles its outcome.
 type write struct {
-	token  string
+	token  uuid.UUID
 	sealed Transaction
 	// histories of the rows put, as they are before the write.
 	histories map[string]history
@@ -145,7 +146,7 @@
 // prepare seals the values with the token and the tokens of earlier writes.
 func (r *Retrying) prepare(ctx context.Context, t Transaction) (write, error) {
 	w := write{
-		token:     uuid.NewString(),
+		token:     uuid.New(),
 		histories: make(map[string]history, len(t.Puts)),
 	}
 	w.sealed = Transaction{
@@ -186,7 +187,7 @@
 		return h, nil
 	}
 	row, err := r.Get(ctx, key)
-	if err != nil && !isNotFound(err) {
+	if err != nil && !isA[*NotFoundError](err) {
 		return history{}, err
 	}
 	if row.Version != version {
@@ -212,25 +213,23 @@
 // attempt repeats the sealed transaction until its outcome is known.
 func (r *Retrying) attempt(ctx context.Context, w write) error {
 	lost := false
+	e := r.ordinary()
 	started := r.options.Clock.Now()
 	waits := newBackoff()
 	for {
 		err := r.raw.Commit(ctx, w.sealed)
-		if isOutcomeUnknown(err) && !lost {
+		if isA[*OutcomeUnknownError](err) && !lost {
 			lost = true
+			e = r.persistent()
 			r.emit(eventLost, w, err)
 		}
-		if !lost && (!isUnavailable(err) || isBreakerOpen(err)) {
+		if !lost && (!isA[*UnavailableError](err) || isA[*BreakerOpenError](err)) {
 			return err
 		}
 		if lost && isDefinite(err) {
 			return r.settle(ctx, w, err)
 		}
-		patience := r.options.Patience
-		if lost {
-			patience = r.options.Resolution
-		}
-		left := patience - r.options.Clock.Since(started)
+		left := e.limit - r.options.Clock.Since(started)
 		if !r.pause(ctx, waits, err, left) {
 			return r.giveUp(w, lost, err)
 		}
@@ -248,85 +247,41 @@
 	}
 }
 
-// settle decides about a write that lost an answer, once a later attempt got
-// a definite one.
-func (r *Retrying) settle(ctx context.Context, w write, err error) error {
-	if err == nil {
-		r.emit(eventResolved, w, nil)
-		return nil
-	}
-	var conflict *ConflictError
-	if !errors.As(err, &conflict) {
-		return r.giveUp(w, true, err)
-	}
-	found, readErr := r.readBack(ctx, w)
-	if readErr != nil {
-		return r.giveUp(w, true, readErr)
-	}
-	// A version once passed never returns, so no attempt that is still
-	// under way can take effect. An absent row may be absent again.
-	over := conflict.Expected > 0
-	switch {
-	case found == applied:
-		r.emit(eventResolved, w, nil)
-		return nil
-	case found == superseded, found == absent && over:
-		r.emit(eventResolved, w, conflict)
-		return conflict
-	default:
-		return r.giveUp(w, true, conflict)
-	}
+// effort says how long a call is repeated.
+type effort struct {
+	limit time.Duration
+	// persistent efforts go on while the circuit breaker is open.
+	persistent bool
 }
 
-// readBack returns the strongest standing that any row of the write shows.
-func (r *Retrying) readBack(ctx context.Context, w write) (standing, error) {
-	strongest := unclear
-	for key, before := range w.histories {
-		found, err := r.standing(ctx, key, w.token, before)
-		if err != nil {
-			return unclear, err
-		}
-		strongest = max(strongest, found)
-		if found == applied {
-			return applied, nil
-		}
+// ordinary is the effort for calls that had no effect.
+func (r *Retrying) ordinary() effort {
+	return effort{
+		limit: r.options.Patience,
 	}
-	return strongest, nil
 }
 
-func (r *Retrying) standing(ctx context.Context, key, token string, before history) (standing, error) {
-	var row Row
-	err := r.repeat(ctx, r.options.Resolution, func() error {
-		var err error
-		row, err = r.raw.Get(ctx, key)
-		return err
-	})
-	if isNotFound(err) {
-		return unclear, nil
+// persistent is the effort for finding out about a write.
+func (r *Retrying) persistent() effort {
+	return effort{
+		limit:      r.options.Resolution,
+		persistent: true,
 	}
-	if err != nil {
-		return unclear, err
-	}
-	_, h, err := open(row)
-	if err != nil {
-		return unclear, err
-	}
-	return h.standingOf(token, before.newest()), nil
 }
 
-// repeat calls read until it gets an answer or patience is over.
-func (r *Retrying) repeat(ctx context.Context, patience time.Duration, read func() error) error {
+// repeat calls read until it gets an answer or the effort is over.
+func (r *Retrying) repeat(ctx context.Context, e effort, read func() error) error {
 	started := r.options.Clock.Now()
 	waits := newBackoff()
 	for {
 		err := read()
-		if !isUnavailable(err) {
+		if !isA[*UnavailableError](err) {
 			return err
 		}
-		if isBreakerOpen(err) && patience == r.options.Patience {
+		if isA[*BreakerOpenError](err) && !e.persistent {
 			return err
 		}
-		left := patience - r.options.Clock.Since(started)
+		left := e.limit - r.options.Clock.Since(started)
 		if !r.pause(ctx, waits, err, left) {
 			return err
 		}
@@ -365,28 +320,3 @@
 		"error": err,
 	})
 }
-
-func isNotFound(err error) bool {
-	var missing *NotFoundError
-	return errors.As(err, &missing)
-}
-
-func isUnavailable(err error) bool {
-	var unavailable *UnavailableError
-	return errors.As(err, &unavailable)
-}
-
-func isOutcomeUnknown(err error) bool {
-	var unknown *OutcomeUnknownError
-	return errors.As(err, &unknown)
-}
-
-func isBreakerOpen(err error) bool {
-	var open *BreakerOpenError
-	return errors.As(err, &open)
-}
-
-// isDefinite reports whether an attempt was answered.
-func isDefinite(err error) bool {
-	return !isUnavailable(err) && !isOutcomeUnknown(err)
-}
