--- a/sesamekeeper/book.go
+++ b/sesamekeeper/book.go
@@ -18,6 +18,8 @@
 	Target      sesamemodel.TargetID
 	Incarnation string
 	Leaving     bool
+	// Epoch is the newest that the agent has heard of.
+	Epoch uint64
 	// Announce is the full description; its ID is empty when the agent did
 	// not send one.
 	Announce sesamemodel.Target
@@ -72,9 +74,18 @@
 	}
 }
 
-// Want makes the entry take over the cell at the next flush.
-func (b *Book) Want(cell sesamemodel.CellID) {
-	b.keep(cell)
+// Want makes the entry take over the cell at the next flush, also when it kept
+// the cell before and another entry has taken it since.
+func (b *Book) Want(row sesamemodel.Cell) {
+	b.keep(row.ID).superseded(row.Epoch)
+}
+
+// superseded gives up the cell when another entry has taken it over since, so
+// that the next write takes it back under a newer epoch.
+func (k *keep) superseded(epoch uint64) {
+	if epoch > k.epoch {
+		k.owned = false
+	}
 }
 
 // Yield forgets the cell, which another entry keeps.
@@ -105,6 +116,7 @@
 // Heartbeat records a heartbeat and says what the agent may rely on.
 func (b *Book) Heartbeat(now time.Time, beat Beat) Grant {
 	k := b.keep(beat.Cell)
+	k.superseded(beat.Epoch)
 	grant := Grant{
 		Epoch: k.epoch,
 	}
@@ -214,18 +226,7 @@
 		k.forgiveAll()
 	}
 	for _, id := range sortedTargets(k.changes) {
-		target := k.changes[id]
-		if present, ok := row.Target(id); ok {
-			target.Strikes = present.Strikes
-			target.Blames = present.Blames
-			if present.Health == sesamemodel.Quarantined && target.Health == sesamemodel.Ready {
-				target.Health = sesamemodel.Quarantined
-			}
-			if present == target {
-				continue
-			}
-		}
-		next = next.WithTarget(target)
+		next = next.WithTarget(judgedBefore(k.changes[id], row))
 	}
 	for id := range k.released {
 		if target, ok := next.Target(id); ok && target.Health == sesamemodel.Quarantined {
@@ -243,6 +244,21 @@
 	return next, !b.current(row) || !slices.Equal(next.Targets, row.Targets)
 }
 
+// judgedBefore returns the changed target with the counts of blames and strikes
+// and the quarantine that the row has for it.
+func judgedBefore(target sesamemodel.Target, row sesamemodel.Cell) sesamemodel.Target {
+	present, ok := row.Target(target.ID)
+	if !ok {
+		return target
+	}
+	target.Strikes = present.Strikes
+	target.Blames = present.Blames
+	if present.Health == sesamemodel.Quarantined && target.Health == sesamemodel.Ready {
+		target.Health = sesamemodel.Quarantined
+	}
+	return target
+}
+
 // current reports whether the row still has the epoch in which this entry kept
 // the cell, so that the book's judgements count.
 func (b *Book) current(row sesamemodel.Cell) bool {
--- a/sesamekeeper/service.go
+++ b/sesamekeeper/service.go
@@ -99,6 +99,7 @@
 		Target:      sesamemodel.TargetID(req.GetTarget()),
 		Incarnation: req.GetIncarnation(),
 		Leaving:     req.GetLeaving(),
+		Epoch:       req.GetEpoch(),
 	}
 	a := req.GetAnnounce()
 	if a == nil {
@@ -132,7 +133,7 @@
 	case s.book.current(cell):
 		s.book.Committed(s.options.Clock.Now(), cell)
 	case mine:
-		s.book.Want(cell.ID)
+		s.book.Want(cell)
 	case cell.Keeper != s.options.Self.ID:
 		s.book.Yield(cell.ID)
 	}
