--- /dev/null
+++ b/sesamecommand/footprint_test.go
@@ -0,0 +1,73 @@
+package sesamecommand_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// footprintWindow is how long idle processes are watched.
+	footprintWindow = 10 * time.Second
+	// ticksPerSecond is the unit of processor time under /proc.
+	ticksPerSecond = 100
+	// maxCorePart and maxMemory are what a daemon may spend on control.
+	maxCorePart = 0.025
+	maxMemory   = 128 << 10 // in KB
+)
+
+// processorTicks returns the processor time that the process has used.
+func (p *process) processorTicks(t *testing.T) int {
+	t.Helper()
+	is := is.New(t)
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	is.NoErr(err)
+	fields := strings.Fields(string(stat[strings.LastIndex(string(stat), ")")+1:]))
+	user, err := strconv.Atoi(fields[11])
+	is.NoErr(err)
+	system, err := strconv.Atoi(fields[12])
+	is.NoErr(err)
+	return user + system
+}
+
+// memory returns the resident memory of the process, in KB.
+func (p *process) memory(t *testing.T) int {
+	t.Helper()
+	is := is.New(t)
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	is.NoErr(err)
+	_, rest, _ := strings.Cut(string(status), "VmRSS:")
+	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+	is.NoErr(err)
+	return kilobytes
+}
+
+// TestFootprint measures what idle daemons cost, against what the target
+// grants a daemon for control.
+func TestFootprint(t *testing.T) {
+	c := newFailureCluster(t)
+	names := []string{"entry-a", "entry-b", "worker-1", "executor-1"}
+	ticks := map[string]int{}
+	for _, name := range names {
+		ticks[name] = c.processes[name].processorTicks(t)
+	}
+	before := c.counters(t)
+	<-time.After(footprintWindow)
+	after := c.counters(t)
+	seconds := footprintWindow.Seconds()
+	t.Logf("table, all processes: %.1f transactions, %.1f rows written, %.1f reads a second",
+		float64(after.Writes-before.Writes)/seconds, float64(after.Rows-before.Rows)/seconds, float64(after.Reads-before.Reads)/seconds)
+	for _, name := range names {
+		p := c.processes[name]
+		part := float64(p.processorTicks(t)-ticks[name]) / ticksPerSecond / seconds
+		memory := p.memory(t)
+		t.Logf("%s: %.2f%% of a core, %d KB", name, 100*part, memory)
+		is.New(t).True(part < maxCorePart)
+		is.New(t).True(memory < maxMemory)
+	}
+}
--- /dev/null
+++ b/sesameentry/reconcile_bench_test.go
@@ -0,0 +1,99 @@
+package sesameentry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+)
+
+// BenchmarkReconcile measures one reading of all rows of a region that has
+// that many open jobs, which wait on one cell.
+func BenchmarkReconcile(b *testing.B) {
+	for _, jobs := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("%d jobs", jobs), func(b *testing.B) {
+			is := is.New(b)
+			w := newPlanningWorld(is, 1, 3)
+			for range jobs {
+				w.submit(is, 8)
+			}
+			p := w.duties[0]
+			is.NoErr(p.load(context.Background()))
+			before := w.table.Counters().Reads
+			b.ReportAllocs()
+			for b.Loop() {
+				is.NoErr(p.load(context.Background()))
+			}
+			b.ReportMetric(float64(w.table.Counters().Reads-before)/float64(b.N), "reads/op")
+		})
+	}
+}
+
+// TestRowSizes prints what the rows of jobs and cells take.
+func TestRowSizes(t *testing.T) {
+	for _, targets := range []int{1, 16, 128} {
+		job := sesamemodel.Job{
+			ID: "north.27461ccfdb5503af584fe332bd65570f92aaedc65c16684a",
+		}
+		for i := range targets {
+			job.Assignments = append(job.Assignments, sesamemodel.Assignment{
+				Target:       sesamemodel.TargetID(fmt.Sprintf("worker-%05d", i)),
+				Cell:         testCellID,
+				Address:      "10.20.30.40:7100",
+				Incarnation:  "1a44bcb5-926d-4e7c-bc5d-60daaf14708a",
+				First:        i * 8,
+				Tasks:        8,
+				Accelerators: 255,
+			})
+		}
+		t.Logf("job on %d targets: %d bytes", targets, size(t, job))
+	}
+	for _, workers := range []int{8, 16, 32} {
+		t.Logf("cell of %d workers with 15 tasks each: %d bytes", workers, size(t, busyCell(workers)))
+	}
+}
+
+// busyCell is a cell whose workers run tasksPerWorker attempts each.
+func busyCell(workers int) sesamemodel.Cell {
+	const tasksPerWorker = 15
+	cell := sesamemodel.Cell{
+		ID: testCellID,
+	}
+	for i := range workers {
+		id := sesamemodel.TargetID(fmt.Sprintf("worker-%05d", i))
+		cell = cell.WithTarget(sesamemodel.Target{
+			ID:          id,
+			Kind:        sesamemodel.Worker,
+			Zone:        "a",
+			Rack:        "a17",
+			Address:     "10.20.30.40:7100",
+			Incarnation: "1a44bcb5-926d-4e7c-bc5d-60daaf14708a",
+			Health:      sesamemodel.Ready,
+		})
+		for range tasksPerWorker {
+			cell = cell.WithAllocations(sesamemodel.Allocation{
+				Job:     "north.27461ccfdb5503af584fe332bd65570f92aaedc65c16684a",
+				Attempt: 1,
+				Team:    "team-123",
+				Target:  id,
+				Tasks:   1,
+				Resources: sesamemodel.Resources{
+					Cores:  4,
+					Memory: 16384,
+				},
+			})
+		}
+	}
+	return cell
+}
+
+func size(t *testing.T, value any) int {
+	t.Helper()
+	row, err := json.Marshal(value)
+	is.New(t).NoErr(err)
+	return len(row)
+}
--- /dev/null
+++ b/sesameplanner/seed_test.go
@@ -0,0 +1,16 @@
+package sesameplanner
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the
+// same verdict; -rapid.seed on the command line chooses another.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		os.Exit(2)
+	}
+	os.Exit(m.Run())
+}
--- a/sesamesettings/options.go
+++ b/sesamesettings/options.go
@@ -115,6 +115,8 @@
 	defaultTimeout     = 2 * time.Second
 	defaultReads       = 600
 	defaultWrites      = 100
+	defaultAgentReads  = 40
+	defaultAgentWrites = 20
 	defaultHeartbeat   = time.Second
 	defaultLease       = 5 * time.Second
 	defaultMargin      = 500 * time.Millisecond
@@ -136,11 +138,11 @@
 	}
 }
 
-func defaultPlatform() Platform {
+func defaultPlatform(reads, writes float64) Platform {
 	return Platform{
 		Timeout: defaultTimeout,
-		Reads:   defaultReads,
-		Writes:  defaultWrites,
+		Reads:   reads,
+		Writes:  writes,
 	}
 }
 
@@ -154,7 +156,7 @@
 // DefaultEntry returns the settings of an entry that sets none.
 func DefaultEntry() Entry {
 	return Entry{
-		Platform: defaultPlatform(),
+		Platform: defaultPlatform(defaultReads, defaultWrites),
 		Leases:   DefaultLeases(),
 		Policy: Policy{
 			Packing: defaultPacking,
@@ -171,7 +173,7 @@
 	return Agent{
 		Kind:        "worker",
 		Connections: defaultConnections,
-		Platform:    defaultPlatform(),
+		Platform:    defaultPlatform(defaultAgentReads, defaultAgentWrites),
 		Leases:      DefaultLeases(),
 		Log:         defaultLog(),
 		Drain:       defaultDrain,
