Let work that must not be repeated outlive a restart of its agent

Cause: TestAgentRestarted killed the agent beside a running reconciliation and started another. The new one found the task and watched it, but the planning duty saw another incarnation, called the attempt broken, and had the task stopped in the middle: outcome unknown, an operator to settle it, although nothing was wrong with the work. Ruled out: the lease (the target kept the task), a second start (starts: 1). Change: an agent that announces itself names the attempts that it watches, the keeper notes them with the target, and such an attempt is not broken. Before: unknown after 5 s. After: done, one start, the whole result (14.4 s for a run of 12 s).

--- a/sesamecommand/failures_test.go
+++ b/sesamecommand/failures_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -233,6 +235,66 @@
 	is.New(t).Equal(c.status(t, bookkeepers, job).State, sesamemodel.Done)
 }
 
+// TestAgentRestarted kills the agent beside a reconciliation that goes on, and
+// starts another in its place.
+func TestAgentRestarted(t *testing.T) {
+	c := newFailureCluster(t)
+	file := c.write("slow", `{"work": "sum", "run": "12s", "output": 1000}`)
+	job := c.submit(t, 0, bookkeepers, "--class", "reconciliation", "--kind", "executor", "--payload", file)
+	eventually(t, "the reconciliation to run", func() bool {
+		return c.status(t, bookkeepers, job).State == sesamemodel.Running
+	})
+	target := string(c.status(t, bookkeepers, job).Targets[0])
+	c.kill(target)
+	c.restart(target, "agent")
+	eventually(t, "the result of the one run", func() bool {
+		return c.status(t, bookkeepers, job).State == sesamemodel.Done
+	})
+	starts := 0
+	for _, n := range c.starts(t, job) {
+		starts += n
+	}
+	is.New(t).Equal(starts, 1)
+	c.assertResult(t, bookkeepers, job, 0, sesamestandin.Output([]byte(`{"work": "sum", "run": "12s", "output": 1000}`), 0))
+}
+
+// restart runs a process again with the settings that it had.
+func (c *cluster) restart(name string, args ...string) {
+	settings, err := os.ReadFile(filepath.Join(c.directory, name+".yaml"))
+	is.New(c.t).NoErr(err)
+	c.start(name, string(settings), args...)
+}
+
+// TestPlannerFrozen stops each entry in turn without ending it, so that its
+// connections stay open and nothing answers.
+func TestPlannerFrozen(t *testing.T) {
+	c := newFailureCluster(t)
+	is := is.New(t)
+	for i, name := range []string{"entry-a", "entry-b"} {
+		c.signal(name, syscall.SIGSTOP)
+		client := c.client(1-i, buyers)
+		submitted := time.Now()
+		job, err := client.Submit(context.Background(), "", sesameapi.JobRequest{
+			Class: "pricing",
+			Kind:  sesamemodel.Executor,
+			Tasks: 1,
+			Task: sesamemodel.Resources{
+				Slots: 1,
+			},
+		})
+		is.NoErr(err)
+		ended, err := client.Wait(context.Background(), job.ID)
+		is.NoErr(err)
+		is.Equal(ended.State, sesamemodel.Done)
+		t.Logf("with %s frozen: submit to start %v", name, ended.Opened.Sub(submitted).Round(time.Millisecond))
+		is.True(ended.Opened.Sub(submitted) < urgentStart)
+		c.signal(name, syscall.SIGCONT)
+		eventually(t, "the contracts on all entries", func() bool {
+			return c.inForce(t, i) == 4
+		})
+	}
+}
+
 func TestPlannerLost(t *testing.T) {
 	c := newFailureCluster(t)
 	is := is.New(t)
--- a/sesameentry/entry.go
+++ b/sesameentry/entry.go
@@ -36,6 +36,8 @@
 	acceptLonger = time.Second
 	// tickInterval is how often the planner looks without a hint.
 	tickInterval = time.Second
+	// considerInterval is how often an entry looks for cells to keep.
+	considerInterval = 5 * time.Second
 )
 
 // Deps is what an entry is built on.
@@ -323,7 +325,7 @@
 		e.send(hint{
 			Tick: true,
 		})
-		if now := e.deps.Clock.Now(); now.Sub(considered) >= reconcileInterval {
+		if now := e.deps.Clock.Now(); now.Sub(considered) >= considerInterval {
 			considered = now
 			e.considerCells(ctx)
 		}
--- a/sesameentry/planning.go
+++ b/sesameentry/planning.go
@@ -367,7 +367,7 @@
 }
 
 // broken reports whether the allocation's target was lost, or its agent has
-// started anew since the attempt was placed.
+// started anew since the attempt was placed and does not watch it.
 func (p *planning) broken(cell sesamemodel.Cell, a sesamemodel.Allocation) (string, bool) {
 	target, ok := cell.Target(a.Target)
 	if !ok || target.Health == sesamemodel.Lost {
@@ -378,7 +378,10 @@
 		return "", false
 	}
 	for _, member := range job.Assignments {
-		if member.Target == a.Target && member.Incarnation != target.Incarnation {
+		if member.Target != a.Target || target.Keeps(a.Job, a.Attempt) {
+			continue
+		}
+		if member.Incarnation != target.Incarnation {
 			return fmt.Sprintf("agent of target %q was restarted", a.Target), true
 		}
 	}
--- a/sesameentry/planning_test.go
+++ b/sesameentry/planning_test.go
@@ -339,3 +339,37 @@
 		})
 	})
 }
+
+// TestRestartedAgent shows which attempts survive a new start of the agent.
+func TestRestartedAgent(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		t.Run(fmt.Sprintf("the agent watches the attempt: %t", kept), func(t *testing.T) {
+			is := is.New(t)
+			w := newPlanningWorld(is, 1, 1)
+			id := w.submit(is, 8)
+			w.hand(is, 0, hint{
+				Jobs: []sesamemodel.JobID{id},
+			})
+			cell, err := w.store.Cell(context.Background(), testCellID)
+			is.NoErr(err)
+			restarted := cell.Value.Targets[0]
+			restarted.Incarnation = "i2"
+			if kept {
+				restarted.Kept = []sesamemodel.AttemptRef{
+					{
+						Job:     id,
+						Attempt: 1,
+					},
+				}
+			}
+			is.NoErr(w.store.Update(context.Background(), sesamestore.Batch{
+				Cells: []sesamestore.Versioned[sesamemodel.Cell]{cell.With(cell.Value.WithTarget(restarted))},
+			}))
+			w.hand(is, 0, hint{
+				Cells: []sesamemodel.CellID{testCellID},
+				Stale: true,
+			})
+			is.Equal(w.attempts[0].broken[id], !kept)
+		})
+	}
+}
--- a/sesamekeeper/book.go
+++ b/sesamekeeper/book.go
@@ -241,7 +241,7 @@
 			next = next.WithoutTarget(id)
 		}
 	}
-	return next, !b.current(row) || !slices.Equal(next.Targets, row.Targets)
+	return next, !b.current(row) || !slices.EqualFunc(next.Targets, row.Targets, sesamemodel.Target.Equal)
 }
 
 // judgedBefore returns the changed target with the counts of blames and strikes
--- a/sesamekeeper/service.go
+++ b/sesamekeeper/service.go
@@ -118,10 +118,26 @@
 			Accelerators: int(a.GetCapacity().GetAccelerators()),
 			Slots:        int(a.GetCapacity().GetSlots()),
 		},
+		Kept: keptOf(req.GetAttempts()),
 	}
 	return beat
 }
 
+// keptOf returns the attempts that run or have ended with results.
+func keptOf(statuses []*sesamewire.AttemptStatus) []sesamemodel.AttemptRef {
+	var kept []sesamemodel.AttemptRef
+	for _, s := range statuses {
+		switch s.GetProgress() {
+		case sesamewire.Progress_PROGRESS_RUNNING, sesamewire.Progress_PROGRESS_DONE, sesamewire.Progress_PROGRESS_FAILED:
+			kept = append(kept, sesamemodel.AttemptRef{
+				Job:     sesamemodel.JobID(s.GetId().GetJob()),
+				Attempt: s.GetId().GetAttempt(),
+			})
+		}
+	}
+	return kept
+}
+
 // Consider takes in the row as it was just read: it takes over the cell if this
 // entry is the preferred keeper and the row names another, and yields it when
 // another entry has taken it.
--- a/sesamemodel/cell.go
+++ b/sesamemodel/cell.go
@@ -1,6 +1,10 @@
 package sesamemodel
 
-import "time"
+import (
+	"reflect"
+	"slices"
+	"time"
+)
 
 // TargetID names a target.
 type TargetID string
@@ -36,6 +40,23 @@
 	// Blames counts jobs that failed here and succeeded elsewhere since the
 	// last success here.
 	Blames int `json:"blames,omitempty"`
+	// Kept are the attempts of earlier incarnations that the agent found
+	// running or done at its start, and watches to their end.
+	Kept []AttemptRef `json:"kept,omitempty"`
+}
+
+// Equal reports whether both are the same in every part.
+func (t Target) Equal(o Target) bool {
+	return reflect.DeepEqual(t, o)
+}
+
+// Keeps reports whether the agent watches that attempt of an earlier
+// incarnation.
+func (t Target) Keeps(job JobID, attempt uint32) bool {
+	return slices.Contains(t.Kept, AttemptRef{
+		Job:     job,
+		Attempt: attempt,
+	})
 }
 
 // Allocation is what one attempt holds on one target.
--- a/sesameplanner/replay_test.go
+++ b/sesameplanner/replay_test.go
@@ -332,7 +332,7 @@
 		})
 		for _, s := range r.planner.cells.byID {
 			cell := JudgeSuccess(s.cell, w.job)
-			if !slices.Equal(cell.Targets, s.cell.Targets) {
+			if !slices.EqualFunc(cell.Targets, s.cell.Targets, sesamemodel.Target.Equal) {
 				r.planner.SetCell(cell)
 				r.planner.Repair()
 				r.probation(cell)
