--- a/sesamecommand/load_test.go
+++ b/sesamecommand/load_test.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/sesameapi"
-	"github.com/sesamestack/sesamestack/sesamemodel"
 )
 
 // jobsPerCaller is how many jobs one caller submits, one after another.
@@ -43,14 +42,7 @@
 	ctx := context.Background()
 	for range jobsPerCaller {
 		submitted := time.Now()
-		job, err := client.Submit(ctx, "", sesameapi.JobRequest{
-			Class: "pricing",
-			Kind:  sesamemodel.Executor,
-			Tasks: 1,
-			Task: sesamemodel.Resources{
-				Slots: 1,
-			},
-		})
+		job, err := client.Submit(ctx, "", pricing())
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/sesamecommand/replacement_test.go
@@ -0,0 +1,204 @@
+package sesamecommand_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesameapi"
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesametarget"
+)
+
+// pricing is an urgent request to an executor.
+func pricing() sesameapi.JobRequest {
+	return sesameapi.JobRequest{
+		Class: "pricing",
+		Kind:  sesamemodel.Executor,
+		Tasks: 1,
+		Task: sesamemodel.Resources{
+			Slots: 1,
+		},
+	}
+}
+
+// startsInTime fails the test unless an urgent job starts in time and is done.
+func startsInTime(t *testing.T, client *sesameapi.Client, when string) {
+	t.Helper()
+	is := is.New(t)
+	submitted := time.Now()
+	job, err := client.Submit(context.Background(), "", pricing())
+	is.NoErr(err)
+	ended, err := client.Wait(context.Background(), job.ID)
+	is.NoErr(err)
+	is.Equal(ended.State, sesamemodel.Done)
+	start := ended.Opened.Sub(submitted)
+	t.Logf("%s: submit to start %v", when, start.Round(time.Millisecond))
+	is.True(start < urgentStart)
+}
+
+// TestPlannerFrozen stops each entry in turn without ending it, so that its
+// connections stay open and nothing answers.
+func TestPlannerFrozen(t *testing.T) {
+	c := newFailureCluster(t)
+	for i, name := range []string{"entry-a", "entry-b"} {
+		c.signal(name, syscall.SIGSTOP)
+		startsInTime(t, c.client(1-i, buyers), "with "+name+" frozen")
+		c.signal(name, syscall.SIGCONT)
+		eventually(t, "the contracts on all entries", func() bool {
+			return c.inForce(t, i) == 4
+		})
+	}
+}
+
+func TestPlannerLost(t *testing.T) {
+	c := newFailureCluster(t)
+	for i, name := range []string{"entry-a", "entry-b"} {
+		c.kill(name)
+		startsInTime(t, c.client(1-i, buyers), "with "+name+" killed")
+		http := strings.TrimPrefix(c.entries[i], "http://")
+		c.startEntryAt(name, "a", http, c.wires[i])
+		c.dial(http)
+	}
+}
+
+// faults makes the platform's stand-in fail as asked.
+func (c *cluster) faults(t *testing.T, f sesamestandin.FaultsRequest) {
+	t.Helper()
+	body, err := json.Marshal(f)
+	is.New(t).NoErr(err)
+	response, err := http.Post(c.platform+"/v1/faults", "application/json", bytes.NewReader(body))
+	is.New(t).NoErr(err)
+	response.Body.Close()
+}
+
+func TestStoreOutage(t *testing.T) {
+	c := newFailureCluster(t)
+	is := is.New(t)
+	job, members := c.startGang(t)
+	c.faults(t, sesamestandin.FaultsRequest{
+		Down: true,
+	})
+	restored := time.NewTimer(outage)
+	defer restored.Stop()
+	_, err := c.client(0, buyers).Submit(context.Background(), "outage", pricing())
+	var problem *sesameapi.ProblemError
+	is.True(errors.As(err, &problem))
+	t.Logf("a submission during the outage: %v", err)
+	<-restored.C
+	for _, member := range members {
+		is.Equal(c.running(t, member, job), 1) // running work goes on
+	}
+	c.faults(t, sesamestandin.FaultsRequest{})
+	began := time.Now()
+	eventually(t, "a submission after the outage to be done", func() bool {
+		ended, err := c.client(0, buyers).Submit(context.Background(), "outage", pricing())
+		return err == nil && ended.State == sesamemodel.Done
+	})
+	t.Logf("recovered %v after an outage of %v", time.Since(began).Round(time.Millisecond), outage)
+	for _, member := range members {
+		is.Equal(c.running(t, member, job), 1)
+	}
+	c.cancelJob(t, crews, job)
+}
+
+func TestRollingReplacement(t *testing.T) {
+	c := newFailureCluster(t)
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var load errgroup.Group
+	var done atomic.Int64
+	const callers = 8
+	for range callers {
+		client := c.both(buyers)
+		load.Go(func() error {
+			for ctx.Err() == nil {
+				if err := priceOnce(client); err != nil {
+					return err
+				}
+				done.Add(1)
+			}
+			return nil
+		})
+	}
+	eventually(t, "the load to run", func() bool {
+		return done.Load() > callers
+	})
+	t.Logf("load runs %d", done.Load())
+	for i, name := range []string{"entry-a", "entry-b"} {
+		before := time.Now()
+		is.Equal(c.processes[name].stop(t), 0)
+		t.Logf("stopped in %v, done %d", time.Since(before), done.Load())
+		c.startEntryAt(name, "a", strings.TrimPrefix(c.entries[i], "http://"), c.wires[i])
+		c.dial(strings.TrimPrefix(c.entries[i], "http://"))
+		passed := done.Load()
+		eventually(t, "the load to go on", func() bool {
+			return done.Load() > passed+callers
+		})
+	}
+	is.Equal(c.processes["executor-1"].stop(t), 0)
+	passed := done.Load()
+	eventually(t, "the load to go on", func() bool {
+		return done.Load() > passed+callers
+	})
+	cancel()
+	is.NoErr(load.Wait())
+	t.Logf("%d jobs done while both entries and an agent were replaced", done.Load())
+	c.assertNoViolations(t)
+}
+
+// priceOnce submits one job and waits until it is done.
+func priceOnce(client *sesameapi.Client) error {
+	job, err := client.Submit(context.Background(), "", pricing())
+	if err != nil {
+		return err
+	}
+	ended, err := client.Wait(context.Background(), job.ID)
+	if err != nil {
+		return err
+	}
+	if ended.State != sesamemodel.Done {
+		return fmt.Errorf("job %s ended %s: %s", job.ID, ended.State, ended.Reason)
+	}
+	return nil
+}
+
+func TestLeavingTarget(t *testing.T) {
+	c := newFailureCluster(t)
+	file := c.write("slow", `{"work": "sum", "run": "4s"}`)
+	job := c.submit(t, 0, bookkeepers, "--class", "reconciliation", "--kind", "executor", "--payload", file)
+	eventually(t, "the reconciliation to run", func() bool {
+		return c.status(t, bookkeepers, job).State == sesamemodel.Running
+	})
+	target := string(c.status(t, bookkeepers, job).Targets[0])
+	c.signal(target, syscall.SIGTERM)
+	left := time.Now()
+	eventually(t, "the target to be marked as leaving", func() bool {
+		return strings.Contains(c.run(0, operatorToken, "targets").out, " leaving ")
+	})
+	t.Logf("marked as leaving after %v", time.Since(left).Round(time.Millisecond))
+	is.New(t).True(time.Since(left) < leavingBound)
+	client := c.client(0, buyers)
+	for range 20 {
+		is.New(t).NoErr(priceOnce(client))
+	}
+	c.assertRun(t, 0, 0, bookkeepers, "wait", job)
+	for id := range fetch[map[sesametarget.TaskID]int](t, c.targets[target]+"/v1/starts") {
+		if !strings.HasPrefix(string(id), job+":") {
+			t.Errorf("task %s was started on the leaving target", id)
+		}
+	}
+}
