Show by a fixed case that a planner takes nothing twice

Change: the case stands beside it as a test of its own, which fails with the version check and the catching up out. With either of them in, it passes: each covers for the other.

--- a/sesameentry/planning_test.go
+++ b/sesameentry/planning_test.go
@@ -280,6 +280,27 @@
 		})
 		is.Equal(w.states(is)[sesamemodel.Placed], 1)
 	})
+	t.Run("takes nothing that another planner took meanwhile", func(t *testing.T) {
+		is := is.New(t)
+		w := newPlanningWorld(is, 2, 1)
+		w.hand(is, 0, hint{
+			Tick: true,
+		})
+		first := w.submit(is, 8)
+		w.hand(is, 1, hint{
+			Jobs: []sesamemodel.JobID{first},
+		})
+		// Another duty of the first entry reads the cell before its planner.
+		w.duties[0].ledger.DropCell(testCellID)
+		_, err := w.duties[0].ledger.Cell(context.Background(), testCellID)
+		is.NoErr(err)
+		second := w.submit(is, 8)
+		w.hand(is, 0, hint{
+			Jobs: []sesamemodel.JobID{second},
+		})
+		w.assertConsistent(is)
+		is.Equal(w.states(is)[sesamemodel.Queued], 1)
+	})
 	t.Run("has the attempts on a lost target stopped", func(t *testing.T) {
 		is := is.New(t)
 		w := newPlanningWorld(is, 1, 1)
