Know the jobs that another planner placed

Ruled out: the table's rate, lost hints, the agents' grace (0.8 s in each run). Change: a cell that names unknown jobs has them read. The new case in TestPlanning fails without it.

--- a/sesamecommand/replacement_test.go
+++ b/sesamecommand/replacement_test.go
@@ -202,3 +202,44 @@
 		}
 	}
 }
+
+// TestReclaim fills every worker and has a team take back the shape that it is
+// owed, from work that needs most of its grace for a checkpoint.
+func TestReclaim(t *testing.T) {
+	c := newFailureCluster(t)
+	file := c.write("hang", `{"work": "hang", "checkpoint": "800ms"}`)
+	arguments := []string{"--accelerators", "8", "--checkpoints", "--payload", file}
+	jobs := map[string]string{
+		c.submit(t, 0, crews, append(arguments, "--class", "estimate", "--tasks", "6")...): crews,
+		c.submit(t, 0, "example-models", append(arguments, "--class", "training")...):      "example-models",
+	}
+	eventually(t, "every worker to be in use", func() bool {
+		used := 0
+		for job := range jobs {
+			for i := range 7 {
+				used += c.running(t, fmt.Sprintf("worker-%d", i+1), job)
+			}
+		}
+		return used == 7
+	})
+	owed := pricing()
+	owed.Kind = sesamemodel.Worker
+	owed.Task = sesamemodel.Resources{
+		Accelerators: 8,
+	}
+	client := c.client(1, buyers)
+	submitted := time.Now()
+	job, err := client.Submit(context.Background(), "", owed)
+	is := is.New(t)
+	is.NoErr(err)
+	ended, err := client.Wait(context.Background(), job.ID)
+	is.NoErr(err)
+	is.Equal(ended.State, sesamemodel.Done)
+	elapsed := time.Since(submitted)
+	t.Logf("submit to done %v, with a checkpoint of 800 ms in between", elapsed.Round(time.Millisecond))
+	for _, e := range ended.Events {
+		t.Logf("%v %s attempt %d %s", e.Time.Sub(submitted).Round(time.Millisecond), e.State, e.Attempt, e.Reason)
+	}
+	is.True(elapsed < urgentStart)
+	c.assertNoViolations(t)
+}
--- a/sesameentry/planning.go
+++ b/sesameentry/planning.go
@@ -297,6 +297,20 @@
 		return err
 	}
 	p.setCell(cell)
+	return p.takeHolders(ctx, cell.Value)
+}
+
+// takeHolders takes in the jobs that hold a part of the cell and are not known
+// here, since another entry placed them: any may be a victim.
+func (p *planning) takeHolders(ctx context.Context, cell sesamemodel.Cell) error {
+	for _, a := range cell.Allocations {
+		if _, known := p.jobs[a.Job]; known {
+			continue
+		}
+		if err := p.takeJob(ctx, a.Job); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/sesameentry/planning_test.go
+++ b/sesameentry/planning_test.go
@@ -301,6 +301,23 @@
 		w.assertConsistent(is)
 		is.Equal(w.states(is)[sesamemodel.Queued], 1)
 	})
+	t.Run("knows the jobs that another planner placed", func(t *testing.T) {
+		is := is.New(t)
+		w := newPlanningWorld(is, 2, 1)
+		w.hand(is, 1, hint{
+			Tick: true,
+		})
+		id := w.submit(is, 8)
+		w.hand(is, 0, hint{
+			Jobs: []sesamemodel.JobID{id},
+		})
+		w.hand(is, 1, hint{
+			Cells: []sesamemodel.CellID{testCellID},
+			Stale: true,
+		})
+		_, known := w.duties[1].jobs[id]
+		is.True(known)
+	})
 	t.Run("has the attempts on a lost target stopped", func(t *testing.T) {
 		is := is.New(t)
 		w := newPlanningWorld(is, 1, 1)
