--- a/sesamecommand/path_test.go
+++ b/sesamecommand/path_test.go
@@ -308,6 +308,14 @@
 }
 
 func (c *cluster) testHealth(t *testing.T) {
+	for _, base := range []string{c.platform, c.targets["worker-1"]} {
+		for _, path := range []string{"/healthz", "/readyz"} {
+			response, err := http.Get(base + path)
+			is.New(t).NoErr(err)
+			response.Body.Close()
+			is.New(t).Equal(response.StatusCode, http.StatusOK)
+		}
+	}
 	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
--- a/sesamecommand/serve.go
+++ b/sesamecommand/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
@@ -32,6 +33,19 @@
 	return sesamelog.New(w, levels[l.Level], sesamelog.Format(l.Format))
 }
 
+// withHealth adds the health and readiness of a stand-in, which is ready as
+// soon as it answers.
+func withHealth(h http.Handler) http.Handler {
+	r := chi.NewRouter()
+	ok := func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	}
+	r.Get("/healthz", ok)
+	r.Get("/readyz", ok)
+	r.Mount("/", h)
+	return r
+}
+
 // serveHTTP serves the handler until ctx ends, then lets open requests finish
 // within the standinDrain.
 func serveHTTP(ctx context.Context, address string, h http.Handler, log *sesamelog.Logger) error {
@@ -41,7 +55,7 @@
 		return err
 	}
 	server := &http.Server{
-		Handler:           h,
+		Handler:           withHealth(h),
 		ReadHeaderTimeout: headerTimeout,
 	}
 	log.Emit(eventServing, sesamelog.Fields{
