Weigh a refusal on fresh rows before it takes effect

A refusal rests on every target, and no row's version guards that. The same could come from contracts one change behind. Ruled out: wrong need, lost targets (all were ready). Change: before the first refusal of a job the contracts and all rows are read anew and the job is decided again. TestRefusal was refused before and is placed after; a job that fits nothing is still refused.

--- a/sesameentry/planning.go
+++ b/sesameentry/planning.go
@@ -42,6 +42,8 @@
 type contracts interface {
 	// Set returns the contracts, or an error before the store was read.
 	Set() (*sesamecontract.Set, error)
+	// Poll reads the store, and takes what is newer.
+	Poll(ctx context.Context) error
 }
 
 // attempts drives the attempts of jobs.
@@ -78,11 +80,13 @@
 	log       *sesamelog.Logger
 	scope     tally.Scope
 
-	mu         sync.Mutex
-	planner    *sesameplanner.Planner
-	number     uint64
-	jobs       map[sesamemodel.JobID]uint64
-	cells      map[sesamemodel.CellID]uint64
+	mu      sync.Mutex
+	planner *sesameplanner.Planner
+	number  uint64
+	jobs    map[sesamemodel.JobID]uint64
+	cells   map[sesamemodel.CellID]uint64
+	// checked are the jobs whose refusal was weighed on fresh rows.
+	checked    map[sesamemodel.JobID]bool
 	loaded     time.Time
 	askedUntil time.Time
 	unplanned  int
@@ -185,9 +189,12 @@
 	}
 }
 
-// load reads all rows of the region, and gives the planner those that are new
+// load reads the contracts and all rows of the region, and gives the planner those that are new
 // to it.
 func (p *planning) load(ctx context.Context) error {
+	if err := p.contracts.Poll(ctx); err != nil {
+		return err
+	}
 	cells, err := p.store.Cells(ctx, p.region)
 	if err != nil {
 		return err
@@ -224,6 +231,7 @@
 	p.number = 0
 	p.jobs = map[sesamemodel.JobID]uint64{}
 	p.cells = map[sesamemodel.CellID]uint64{}
+	p.checked = map[sesamemodel.JobID]bool{}
 }
 
 // setJobs takes in the open jobs as listed; one that is listed no more is
@@ -319,6 +327,7 @@
 	defer p.mu.Unlock()
 	p.planner.RemoveJob(id)
 	delete(p.jobs, id)
+	delete(p.checked, id)
 }
 
 // setJob gives the planner a newer job, and has a moving attempt driven.
--- a/sesameentry/planning_test.go
+++ b/sesameentry/planning_test.go
@@ -69,6 +69,10 @@
 	}), nil
 }
 
+func (fakeContracts) Poll(context.Context) error {
+	return nil
+}
+
 // fakeQueue holds messages until the test handles them.
 type fakeQueue struct {
 	messages []*message.Message
--- /dev/null
+++ b/sesameentry/refusal_test.go
@@ -0,0 +1,62 @@
+package sesameentry
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamemodel"
+	"github.com/sesamestack/sesamestack/sesamestore"
+)
+
+// addWorker writes a cell that the planners have not read yet.
+func (w *planningWorld) addWorker(is *is.I, accelerators int) {
+	is.Helper()
+	cell := sesamemodel.Cell{
+		ID:     "north/late",
+		Region: testRegion,
+		Zone:   "late",
+	}
+	cell = cell.WithTarget(sesamemodel.Target{
+		ID:          "late",
+		Kind:        sesamemodel.Worker,
+		Address:     "late:1",
+		Incarnation: "i1",
+		Health:      sesamemodel.Ready,
+		Capacity: sesamemodel.Resources{
+			Accelerators: accelerators,
+		},
+	})
+	is.NoErr(w.store.Update(context.Background(), sesamestore.Batch{
+		Cells: []sesamestore.Versioned[sesamemodel.Cell]{
+			{
+				Value: cell,
+			},
+		},
+	}))
+}
+
+func TestRefusal(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		is := is.New(t)
+		w := newPlanningWorld(is, 1, 1)
+		w.hand(is, 0, hint{
+			Tick: true,
+		})
+		if late {
+			w.addWorker(is, 16)
+		}
+		id := w.submit(is, 16)
+		w.hand(is, 0, hint{
+			Jobs: []sesamemodel.JobID{id},
+		})
+		job, err := w.store.Job(context.Background(), id)
+		is.NoErr(err)
+		if late {
+			is.Equal(job.Value.State, sesamemodel.Placed) // on a worker unknown until then
+		} else {
+			is.Equal(job.Value.State, sesamemodel.Refused)
+		}
+	}
+}
--- a/sesameentry/round.go
+++ b/sesameentry/round.go
@@ -40,6 +40,9 @@
 		watch := p.scope.Timer("plan_round").Start()
 		group = plan(p.planner, p.clock.Now(), maxGroup)
 		watch.Stop()
+		if err := p.checkRefusals(group); err != nil {
+			return sesamestore.Batch{}, err
+		}
 		return p.batch(ctx, group)
 	})
 	if err != nil {
@@ -50,6 +53,22 @@
 	return len(group), nil
 }
 
+// checkRefusals has all rows read anew before the first refusal of a job takes
+// effect: a refusal rests on every target, and no version of a row guards that.
+func (p *planning) checkRefusals(group []sesameplanner.Decision) error {
+	for _, d := range group {
+		if d.Verdict != sesameplanner.Refuse || p.checked[d.Job.ID] {
+			continue
+		}
+		p.checked[d.Job.ID] = true
+		p.loaded = time.Time{}
+		return &UncheckedRefusalError{
+			Job: d.Job.ID,
+		}
+	}
+	return nil
+}
+
 // catchUp gives the planner the rows that other duties wrote meanwhile.
 func (p *planning) catchUp() {
 	for _, cell := range p.ledger.NewerCells(p.cells) {
@@ -105,6 +124,7 @@
 	for _, job := range b.Jobs {
 		if job.Value.State.Ended() {
 			delete(p.jobs, job.Value.ID)
+			delete(p.checked, job.Value.ID)
 			continue
 		}
 		p.jobs[job.Value.ID] = job.Version + 1
