--- a/sesameentry/planning_test.go
+++ b/sesameentry/planning_test.go
@@ -76,9 +76,15 @@
 // fakeQueue holds messages until the test handles them.
 type fakeQueue struct {
 	messages []*message.Message
+	// handedOver are for the entry that plans instead.
+	handedOver []*message.Message
 }
 
-func (q *fakeQueue) Publish(_ string, messages ...*message.Message) error {
+func (q *fakeQueue) Publish(topic string, messages ...*message.Message) error {
+	if topic == topicNotice {
+		q.handedOver = append(q.handedOver, messages...)
+		return nil
+	}
 	q.messages = append(q.messages, messages...)
 	return nil
 }
