Remove an unused question of the keeper's book

Book.Owns had no caller left, in the code or in tests; a comment is wrapped. Looked at and left: error types of one shape in sesametable, sesametarget and sesamering (each names its own values), generated code, and the short set-ups that the planning duty's test cases share in shape only.

--- a/sesameentry/planning.go
+++ b/sesameentry/planning.go
@@ -189,8 +189,8 @@
 	}
 }
 
-// load reads the contracts and all rows of the region, and gives the planner those that are new
-// to it.
+// load reads the contracts and all rows of the region, and gives the planner
+// those that are new to it.
 func (p *planning) load(ctx context.Context) error {
 	if err := p.contracts.Poll(ctx); err != nil {
 		return err
--- a/sesamekeeper/book.go
+++ b/sesamekeeper/book.go
@@ -93,12 +93,6 @@
 	delete(b.cells, cell)
 }
 
-// Owns reports whether the entry's last write made it the cell's keeper.
-func (b *Book) Owns(cell sesamemodel.CellID) bool {
-	k, ok := b.cells[cell]
-	return ok && k.owned
-}
-
 func (b *Book) keep(cell sesamemodel.CellID) *keep {
 	k, ok := b.cells[cell]
 	if !ok {
