--- a/sesamecommand/events.go
+++ b/sesamecommand/events.go
@@ -3,6 +3,7 @@
 import "github.com/sesamestack/sesamestack/sesamelog"
 
 var (
-	eventServing = sesamelog.Define(6000, sesamelog.Info, "process serves")
-	eventStopped = sesamelog.Define(6001, sesamelog.Info, "process stopped")
+	eventServing  = sesamelog.Define(6000, sesamelog.Info, "process serves")
+	eventStopped  = sesamelog.Define(6001, sesamelog.Info, "process stopped")
+	eventDraining = sesamelog.Define(6002, sesamelog.Info, "process drains")
 )
--- /dev/null
+++ b/sesamecommand/hosted.go
@@ -0,0 +1,146 @@
+package sesamecommand
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/platform"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+)
+
+const (
+	// logLines bounds the lines that wait to be written.
+	logLines = 4096
+	// heapShare is the part of a process's memory that Go may use before it
+	// collects garbage harder; the rest is for stacks and sockets.
+	heapShare = 0.7
+	// metricsPath is where metrics are shown.
+	metricsPath = "/metrics"
+)
+
+func newHosted(s streams) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "hosted",
+		Short: "Run a process on a platform that provides the store",
+		Long: `Runs an entry or an agent on a platform that provides the store, the balancer and
+the operators' policy. Nothing is kept on the VM.`,
+		Example: `  sesamestack hosted entry --settings /etc/sesamestack/entry.yaml
+  sesamestack hosted agent --settings /etc/sesamestack/agent.yaml`,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return c.Help()
+		},
+	}
+	c.AddCommand(newHostedEntry(s), newHostedAgent(s))
+	return c
+}
+
+// hostedSettings is the flag for a settings file that the platform may name.
+func hostedSettings(c *cobra.Command, file *string) {
+	c.Flags().StringVar(file, "settings", os.Getenv(platform.SettingsVariable),
+		"settings file, in YAML (default $"+platform.SettingsVariable+")")
+}
+
+// process is what all hosted processes have.
+type process struct {
+	log *sesamelog.Logger
+	// group holds the process's duties; its context ends when one fails.
+	group  *errgroup.Group
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// newProcess limits the process to its memory and one core, and starts its
+// log. The duties go on after a termination signal until stop is called.
+func newProcess(c *cobra.Command, s streams, l sesamesettings.Log, memory int64) (*process, func() error) {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(float64(memory<<20) * heapShare))
+	ring := sesamelog.NewRing(s.out, logLines)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(c.Context()))
+	logging, endLog := context.WithCancel(context.WithoutCancel(c.Context()))
+	var writer errgroup.Group
+	writer.Go(func() error {
+		return ring.Run(logging)
+	})
+	group, ctx := errgroup.WithContext(ctx)
+	p := &process{
+		log:    newLogger(ring, l),
+		group:  group,
+		ctx:    ctx,
+		cancel: cancel,
+	}
+	return p, func() error {
+		cancel()
+		err := group.Wait()
+		if errors.Is(err, context.Canceled) {
+			err = nil
+		}
+		p.log.Emit(eventStopped, sesamelog.Fields{
+			"error": err,
+		})
+		endLog()
+		return errors.CombineErrors(err, writer.Wait())
+	}
+}
+
+// serve listens and serves until stop is called on the server.
+func (p *process) serve(address string, server *http.Server) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(p.ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	p.group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// serveMetrics shows the metrics if the settings have an address for them.
+func (p *process) serveMetrics(address string, metrics http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle(metricsPath, metrics)
+	return p.serve(address, plainServer(mux))
+}
+
+// plainServer serves the platform's own calls.
+func plainServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+	}
+}
+
+// awaitStop returns when the process is told to stop, or when a duty failed.
+func (p *process) awaitStop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-p.ctx.Done():
+	}
+}
+
+// shutdownAll lets open requests of the servers end.
+func shutdownAll(timeout time.Duration, servers ...*http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var err error
+	for _, server := range servers {
+		err = errors.CombineErrors(err, server.Shutdown(ctx))
+	}
+	return err
+}
--- /dev/null
+++ b/sesamecommand/hostedagent.go
@@ -0,0 +1,92 @@
+package sesamecommand
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/platform"
+	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerunner"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+)
+
+// agentShutdown bounds the end of an agent: its target goes on without it, and
+// the sooner a new agent comes the better.
+const agentShutdown = 200 * time.Millisecond
+
+func newHostedAgent(s streams) *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:     "agent",
+		Short:   "Run the agent beside a target of a platform",
+		Long:    "Runs an agent: it orders runs from the target beside it and records their ends.",
+		Example: `  sesamestack hosted agent --settings /etc/sesamestack/agent.yaml`,
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := settingsFile(c, file); err != nil {
+				return err
+			}
+			settings, err := sesamesettings.LoadHostedAgent(file)
+			if err != nil {
+				return err
+			}
+			return runHostedAgent(c, s, settings)
+		},
+	}
+	hostedSettings(c, &file)
+	return c
+}
+
+func runHostedAgent(c *cobra.Command, s streams, settings sesamesettings.HostedAgent) error {
+	scope, metrics, closer := newMetrics()
+	p, stop := newProcess(c, s, settings.Log, settings.Memory)
+	runner := newRunner(p, settings, scope)
+	reports := plainServer(platform.NewReports(runner, settings.Service, p.log))
+	err := startAgent(p, settings, runner, reports, metrics)
+	if err == nil {
+		p.awaitStop(c.Context())
+		err = shutdownAll(agentShutdown, reports)
+	}
+	return errors.CombineErrors(err, errors.CombineErrors(stop(), closer.Close()))
+}
+
+func newRunner(p *process, settings sesamesettings.HostedAgent, scope tally.Scope) *sesamerunner.Runner {
+	clock := sesameclock.Boot{}
+	return sesamerunner.New(sesamerunner.Options{
+		Node:     settings.ID,
+		Zone:     settings.Place.Zone,
+		Store:    platform.NewStore(settings.Store, clock, scope),
+		Dial:     platform.NewExecutor,
+		Clock:    clock,
+		Log:      p.log,
+		Scope:    scope,
+		MaxLease: settings.Lease,
+	})
+}
+
+func startAgent(
+	p *process, settings sesamesettings.HostedAgent, runner *sesamerunner.Runner,
+	reports *http.Server, metrics http.Handler,
+) error {
+	p.group.Go(func() error {
+		return runner.Run(p.ctx)
+	})
+	err := errors.CombineErrors(
+		p.serve(settings.Reports, reports),
+		p.serveMetrics(settings.Metrics, metrics),
+	)
+	p.log.Emit(eventServing, sesamelog.Fields{
+		"id":      settings.ID,
+		"zone":    settings.Place.Zone,
+		"http":    settings.Reports,
+		"service": settings.Service,
+		"store":   settings.Store,
+		"error":   err,
+	})
+	return err
+}
--- /dev/null
+++ b/sesamecommand/hostedentry.go
@@ -0,0 +1,167 @@
+package sesamecommand
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/platform"
+	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesamedispatch"
+	"github.com/sesamestack/sesamestack/sesameintake"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamesettings"
+)
+
+const (
+	// leaveShare is the part of the drain in which the balancer learns that
+	// this entry takes no more connections; the rest is for open requests.
+	leaveShare = 0.55
+	// shutdownShare is the part of the drain for open requests after that.
+	shutdownShare = 0.3
+	// maxHeader and idleTime bound clients' connections before a policy is
+	// known, in bytes and time.
+	maxHeader = 16 << 10
+	idleTime  = time.Minute
+)
+
+func newHostedEntry(s streams) *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:     "entry",
+		Short:   "Run an entry on a platform",
+		Long:    "Runs an entry: it serves callers, and plans while no other entry does.",
+		Example: `  sesamestack hosted entry --settings /etc/sesamestack/entry.yaml`,
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := settingsFile(c, file); err != nil {
+				return err
+			}
+			settings, err := sesamesettings.LoadHostedEntry(file)
+			if err != nil {
+				return err
+			}
+			return runHostedEntry(c, s, settings)
+		},
+	}
+	hostedSettings(c, &file)
+	return c
+}
+
+// hostedEntry is an entry that runs.
+type hostedEntry struct {
+	*process
+	settings sesamesettings.HostedEntry
+	intake   *sesameintake.Intake
+	planner  *sesamedispatch.Planner
+	// draining is closed once the entry is stopping.
+	draining chan struct{}
+	callers  *http.Server
+	ready    *http.Server
+}
+
+func runHostedEntry(c *cobra.Command, s streams, settings sesamesettings.HostedEntry) error {
+	scope, metrics, closer := newMetrics()
+	p, stop := newProcess(c, s, settings.Log, settings.Memory)
+	e := newHostedEntryProcess(p, settings, scope)
+	err := e.start(metrics)
+	if err == nil {
+		e.awaitStop(c.Context())
+		err = e.drain()
+	}
+	return errors.CombineErrors(err, errors.CombineErrors(stop(), closer.Close()))
+}
+
+func newHostedEntryProcess(p *process, settings sesamesettings.HostedEntry, scope tally.Scope) *hostedEntry {
+	clock := sesameclock.Boot{}
+	store := platform.NewStore(settings.Store, clock, scope)
+	intake := sesameintake.New(sesameintake.Options{
+		Store:  store,
+		Source: platform.NewPolicies(store),
+		Clock:  clock,
+		Log:    p.log,
+		Scope:  scope,
+	})
+	e := &hostedEntry{
+		process:  p,
+		settings: settings,
+		intake:   intake,
+		planner: sesamedispatch.NewPlanner(sesamedispatch.Options{
+			Name:     settings.ID,
+			Store:    store,
+			Policies: intake.Policies(),
+			Clock:    clock,
+			Log:      p.log,
+			Scope:    scope,
+		}),
+		draining: make(chan struct{}),
+	}
+	e.callers = plainServer(platform.NewJobs(intake, e.draining))
+	e.callers.MaxHeaderBytes = maxHeader
+	e.callers.IdleTimeout = idleTime
+	e.ready = plainServer(platform.NewReadiness(e.isReady))
+	return e
+}
+
+// isReady returns why the entry takes no connections now, or nil.
+func (e *hostedEntry) isReady() error {
+	select {
+	case <-e.draining:
+		return &sesameintake.NotReadyError{
+			Reason: "the process is stopping",
+		}
+	default:
+		return e.intake.Ready()
+	}
+}
+
+func (e *hostedEntry) start(metrics http.Handler) error {
+	planning, endPlanning := context.WithCancel(e.ctx)
+	e.group.Go(func() error {
+		defer endPlanning()
+		select {
+		case <-e.draining:
+		case <-planning.Done():
+		}
+		return nil
+	})
+	e.group.Go(func() error {
+		return e.intake.Run(e.ctx)
+	})
+	e.group.Go(func() error {
+		return e.planner.Run(planning)
+	})
+	err := errors.CombineErrors(
+		e.serve(e.settings.Callers, e.callers),
+		e.serve(e.settings.Ready, e.ready),
+	)
+	err = errors.CombineErrors(err, e.serveMetrics(e.settings.Metrics, metrics))
+	e.log.Emit(eventServing, sesamelog.Fields{
+		"id":    e.settings.ID,
+		"zone":  e.settings.Place.Zone,
+		"http":  e.settings.Callers,
+		"store": e.settings.Store,
+		"error": err,
+	})
+	return err
+}
+
+// drain hands planning over at once, waits until the balancer sends no more
+// connections, and lets open requests end.
+func (e *hostedEntry) drain() error {
+	close(e.draining)
+	e.log.Emit(eventDraining, sesamelog.Fields{
+		"drain": e.settings.Drain.String(),
+	})
+	share := func(part float64) time.Duration {
+		return time.Duration(part * float64(e.settings.Drain))
+	}
+	leaving, cancel := context.WithTimeout(e.ctx, share(leaveShare))
+	defer cancel()
+	<-leaving.Done()
+	return shutdownAll(share(shutdownShare), e.callers, e.ready)
+}
--- a/sesamecommand/run.go
+++ b/sesamecommand/run.go
@@ -114,6 +114,7 @@
 	root.AddCommand(
 		newEntry(s),
 		newAgent(s),
+		newHosted(s),
 		newDemo(s),
 		newStandin(s),
 		newCheck(s),
--- /dev/null
+++ b/sesamedispatch/book.go
@@ -0,0 +1,293 @@
+package sesamedispatch
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// Book is what the planner knows, made of the store's rows. It belongs to one
+// goroutine.
+type Book struct {
+	log     *sesamelog.Logger
+	policy  *sesamework.Policy
+	jobs    map[string]*job
+	units   map[sesamework.UnitID]*unit
+	targets map[string]*target
+	// removed holds rows that the planner still has to remove.
+	ends map[sesamerows.Key]bool
+	now  Now
+}
+
+// Now is the time of a decision on each of the clocks.
+type Now struct {
+	// Steady is the process's own clock, and Store the store's.
+	Steady time.Duration
+	Store  time.Duration
+	// Wall is the time of day in Unix milliseconds, without jumps.
+	Wall int64
+}
+
+// job is an accepted job with its progress.
+type job struct {
+	sesamework.Job
+	cancelled bool
+	failed    bool
+	// shown is the state in the job's row, and ended since when it is final.
+	shown sesamework.JobState
+	ended time.Duration
+	// occurrences holds the units of each time, by step.
+	occurrences [][][]*unit
+	objective   time.Duration
+}
+
+// NewBook returns an empty book.
+func NewBook(log *sesamelog.Logger) *Book {
+	return &Book{
+		log:     log,
+		jobs:    map[string]*job{},
+		units:   map[sesamework.UnitID]*unit{},
+		targets: map[string]*target{},
+		ends:    map[sesamerows.Key]bool{},
+	}
+}
+
+// SetPolicy puts a policy into force.
+func (b *Book) SetPolicy(p *sesamework.Policy) {
+	b.policy = p
+}
+
+// Load fills an empty book from the whole tables.
+func (b *Book) Load(work, runs, states []sesamerows.Row, now Now) {
+	b.now = now
+	b.applyKind(work, sesamework.JobPrefix, b.setJob)
+	for _, row := range states {
+		b.setState(row)
+	}
+	b.applyKind(work, sesamework.CancelPrefix, b.setCancel)
+	b.applyKind(work, sesamework.TargetPrefix, b.setTarget)
+	for _, row := range runs {
+		b.setRun(row)
+	}
+	b.applyKind(work, sesamework.EndPrefix, b.setEnd)
+	b.settleLives()
+}
+
+// Apply takes note of rows of the work table that changed.
+func (b *Book) Apply(rows []sesamerows.Row, now Now) {
+	b.now = now
+	b.applyKind(rows, sesamework.JobPrefix, b.setJob)
+	b.applyKind(rows, sesamework.CancelPrefix, b.setCancel)
+	b.applyKind(rows, sesamework.EndPrefix, b.setEnd)
+	b.applyKind(rows, sesamework.TargetPrefix, b.setTarget)
+	b.settleLives()
+}
+
+func (b *Book) applyKind(rows []sesamerows.Row, prefix string, set func(name string, row sesamerows.Row)) {
+	for _, row := range rows {
+		if name, ok := strings.CutPrefix(row.Key.Name, prefix); ok {
+			set(name, row)
+		}
+	}
+}
+
+// decode reads a row's value, or logs why it can't be used.
+func (b *Book) decode(row sesamerows.Row, value []byte, into any) bool {
+	err := json.Unmarshal(value, into)
+	if err != nil {
+		b.log.Emit(eventBadRow, sesamelog.Fields{
+			"row":   row.Key.String(),
+			"error": err,
+		})
+	}
+	return err == nil
+}
+
+func (b *Book) setJob(id string, row sesamerows.Row) {
+	if _, ok := b.jobs[id]; ok || row.Removed {
+		return
+	}
+	j := &job{
+		shown: sesamework.JobQueued,
+	}
+	if !b.decode(row, row.Value, &j.Job) || j.Validate() != nil || j.ID != id {
+		return
+	}
+	j.objective = j.Objective()
+	b.jobs[id] = j
+	if !j.Recurs() {
+		b.open(j)
+	}
+}
+
+// open adds the units of the job's next occurrence.
+func (b *Book) open(j *job) {
+	occurrence := len(j.occurrences)
+	steps := make([][]*unit, len(j.Steps))
+	for i, s := range j.Steps {
+		count := s.Count
+		first := 0
+		if s.Gang {
+			count = 1
+			first = sesamework.GangIndex
+		}
+		for k := range count {
+			u := &unit{
+				id: sesamework.UnitID{
+					Job:        j.ID,
+					Occurrence: occurrence,
+					Step:       i,
+					Index:      first + k,
+				},
+				job:  j,
+				step: s,
+			}
+			steps[i] = append(steps[i], u)
+			b.units[u.id] = u
+		}
+	}
+	j.occurrences = append(j.occurrences, steps)
+}
+
+func (b *Book) setState(row sesamerows.Row) {
+	j, ok := b.jobs[row.Key.Name]
+	var s sesamework.Shown
+	if !ok || !b.decode(row, row.Value, &s) {
+		return
+	}
+	b.show(j, s.State)
+}
+
+// show notes the state that callers see by now.
+func (b *Book) show(j *job, s sesamework.JobState) {
+	if s.Ended() && !j.shown.Ended() {
+		j.ended = b.now.Steady
+	}
+	j.shown = s
+	j.failed = j.failed || s == sesamework.JobFailed
+	j.cancelled = j.cancelled || s == sesamework.JobCancelled
+}
+
+func (b *Book) setCancel(id string, row sesamerows.Row) {
+	if j, ok := b.jobs[id]; ok && !row.Removed && !j.shown.Ended() {
+		j.cancelled = true
+	}
+}
+
+func (b *Book) setRun(row sesamerows.Row) {
+	id, err := sesamework.ParseUnit(row.Key.Name)
+	var r sesamework.Run
+	if err != nil || !b.decode(row, row.Value, &r) {
+		return
+	}
+	j, ok := b.jobs[id.Job]
+	if !ok || id.Occurrence >= j.Occurrences() {
+		return
+	}
+	for len(j.occurrences) <= id.Occurrence {
+		b.open(j)
+	}
+	if u, ok := b.units[id]; ok {
+		u.adopt(r, b.now.Steady)
+	}
+}
+
+// unitOf returns the unit that a task belongs to.
+func (b *Book) unitOf(t sesamework.TaskID) (*unit, bool) {
+	if u, ok := b.units[sesamework.UnitID(t)]; ok {
+		return u, true
+	}
+	gang := sesamework.UnitID(t)
+	gang.Index = sesamework.GangIndex
+	u, ok := b.units[gang]
+	return u, ok
+}
+
+func (b *Book) setEnd(name string, row sesamerows.Row) {
+	if row.Removed {
+		delete(b.ends, row.Key)
+		return
+	}
+	b.ends[row.Key] = true
+	task, number, ok := cutRun(name)
+	var e sesamework.End
+	if !ok || !b.decode(row, row.Value, &e) {
+		return
+	}
+	u, ok := b.unitOf(task)
+	if !ok || u.run.Number != number {
+		return
+	}
+	for _, m := range u.members {
+		if m.Index == task.Index && m.Target == e.Target && m.Life == e.Life {
+			b.conclude(u, m, e)
+			return
+		}
+	}
+}
+
+// conclude takes note of the end of a member, and of what it says of its target.
+func (b *Book) conclude(u *unit, m member, e sesamework.End) {
+	if m.how != "" {
+		return
+	}
+	over := u.conclude(m.Index, e)
+	b.log.Emit(eventEnded, sesamelog.Fields{
+		"job":    u.id.Job,
+		"task":   u.id.Task(m.Index).String(),
+		"run":    u.run.Number,
+		"how":    e.How,
+		"reason": e.Reason,
+		"target": m.Target,
+		"after":  (b.now.Steady - u.started).Milliseconds(),
+		"over":   over,
+	})
+	if t, ok := b.targets[m.Target]; ok && t.Life == m.Life {
+		t.judge(u, e, b.now.Steady)
+	}
+	if over && e.How == sesamework.EndFailed && len(u.avoid) > 1 {
+		b.forgive(u)
+	}
+}
+
+// forgive takes back what a unit's failures said of its targets, once it has
+// failed on several.
+func (b *Book) forgive(u *unit) {
+	for _, name := range u.avoid {
+		if t, ok := b.targets[name]; ok {
+			delete(t.strikes, u.id)
+		}
+	}
+}
+
+// settleLives ends the members whose target is gone or has begun another life.
+func (b *Book) settleLives() {
+	for _, u := range b.units {
+		for _, m := range u.members {
+			t, ok := b.targets[m.Target]
+			if m.how != "" || ok && t.Life == m.Life && t.State != sesamework.TargetGone {
+				continue
+			}
+			b.conclude(u, m, sesamework.End{
+				How:        sesamework.EndLost,
+				Checkpoint: b.saved(t, u, m.Index),
+			})
+		}
+	}
+}
+
+// saved returns the newest checkpoint that a target reported of a task.
+func (b *Book) saved(t *target, u *unit, index int) string {
+	if t == nil {
+		return ""
+	}
+	p, ok := t.progress[u.id.Task(index).String()]
+	if !ok || p.Run != u.run.Number {
+		return ""
+	}
+	return p.Checkpoint
+}
--- /dev/null
+++ b/sesamedispatch/decide.go
@@ -0,0 +1,252 @@
+package sesamedispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// Decision is what the planner wants to write.
+type Decision struct {
+	Starts []Start
+	Stops  []Stop
+	States []State
+	// Lost are targets to give up, as their rows were.
+	Lost []*target
+}
+
+// Start orders a run.
+type Start struct {
+	unit *unit
+	run  sesamework.Run
+}
+
+// Stop ends a run.
+type Stop struct {
+	unit   *unit
+	reason string
+}
+
+// State shows callers another state of a job.
+type State struct {
+	job   *job
+	state sesamework.JobState
+}
+
+// Reasons to stop a run.
+const (
+	stopCancelled = "cancelled"
+	stopFailed    = "job failed"
+	stopDone      = "another member is done"
+	stopOwed      = "room for owed work"
+	stopStalled   = "no progress"
+	stopDraining  = "target leaves"
+)
+
+// IsEmpty reports whether there is nothing to write.
+func (d Decision) IsEmpty() bool {
+	return len(d.Starts)+len(d.Stops)+len(d.States)+len(d.Lost) == 0
+}
+
+// Decide returns what should change now.
+func (b *Book) Decide(now Now) Decision {
+	b.now = now
+	var d Decision
+	b.giveUpSilent(&d)
+	b.openDue()
+	for _, j := range b.jobs {
+		b.stopEnded(j, &d)
+	}
+	b.stopStalled(&d)
+	b.stopDraining(&d)
+	b.place(&d)
+	b.showStates(&d)
+	return d
+}
+
+// openDue adds the occurrences whose time has come.
+func (b *Book) openDue() {
+	for _, j := range b.jobs {
+		if !j.Recurs() || j.isOver() {
+			continue
+		}
+		for len(j.occurrences) < j.Times && j.Due(len(j.occurrences)) <= b.now.Wall {
+			b.open(j)
+		}
+	}
+}
+
+// isOver reports whether nothing of the job is to run any more.
+func (j *job) isOver() bool {
+	return j.cancelled || j.failed || j.shown.Ended()
+}
+
+// stopEnded stops what runs of a job that is over.
+func (b *Book) stopEnded(j *job, d *Decision) {
+	j.failed = j.failed || !j.cancelled && j.hasFailed()
+	if !j.isOver() {
+		return
+	}
+	reason := stopFailed
+	if j.cancelled {
+		reason = stopCancelled
+	}
+	j.each(func(u *unit) {
+		d.stop(u, reason)
+	})
+}
+
+// stop orders the unit's run to end, unless that was ordered before.
+func (d *Decision) stop(u *unit, reason string) {
+	if !u.isActive() || u.run.Stop != "" || d.stops(u) {
+		return
+	}
+	d.Stops = append(d.Stops, Stop{
+		unit:   u,
+		reason: reason,
+	})
+}
+
+func (d *Decision) stops(u *unit) bool {
+	return slices.ContainsFunc(d.Stops, func(s Stop) bool {
+		return s.unit == u
+	})
+}
+
+// each calls visit for all units so far.
+func (j *job) each(visit func(*unit)) {
+	for _, steps := range j.occurrences {
+		for _, units := range steps {
+			for _, u := range units {
+				visit(u)
+			}
+		}
+	}
+}
+
+func (j *job) hasFailed() bool {
+	failed := false
+	j.each(func(u *unit) {
+		failed = failed || u.hasFailed()
+	})
+	return failed
+}
+
+func (j *job) isCompleted() bool {
+	if len(j.occurrences) < j.Occurrences() {
+		return false
+	}
+	completed := true
+	j.each(func(u *unit) {
+		completed = completed && u.done
+	})
+	return completed
+}
+
+func (j *job) hasStarted() bool {
+	started := false
+	j.each(func(u *unit) {
+		started = started || u.run.Number > 0
+	})
+	return started
+}
+
+// state returns what callers should see.
+func (j *job) state() sesamework.JobState {
+	switch {
+	case j.shown.Ended():
+		return j.shown
+	case j.cancelled:
+		return sesamework.JobCancelled
+	case j.failed:
+		return sesamework.JobFailed
+	case j.isCompleted():
+		return sesamework.JobCompleted
+	case j.hasStarted():
+		return sesamework.JobRunning
+	}
+	return sesamework.JobQueued
+}
+
+// showStates shows what changed, and what the starts of the decision change.
+func (b *Book) showStates(d *Decision) {
+	starting := map[*job]bool{}
+	for _, s := range d.Starts {
+		starting[s.unit.job] = true
+	}
+	for _, j := range b.jobs {
+		s := j.state()
+		if s == sesamework.JobQueued && starting[j] {
+			s = sesamework.JobRunning
+		}
+		if s != j.shown {
+			d.States = append(d.States, State{
+				job:   j,
+				state: s,
+			})
+		}
+	}
+}
+
+// waiting returns the units that could run, the most pressing first.
+func (b *Book) waiting() []*unit {
+	var all []*unit
+	for _, j := range b.jobs {
+		if j.isOver() {
+			continue
+		}
+		for _, steps := range j.occurrences {
+			all = appendReady(all, steps, b.now.Steady)
+		}
+	}
+	slices.SortFunc(all, func(a, c *unit) int {
+		return cmp.Or(
+			cmp.Compare(a.job.Terms.Priority, c.job.Terms.Priority),
+			cmp.Compare(b.deadline(a), b.deadline(c)),
+			cmp.Compare(a.job.ID, c.job.ID),
+			cmp.Compare(a.id.Step, c.id.Step),
+			cmp.Compare(a.id.Index, c.id.Index),
+		)
+	})
+	return all
+}
+
+// appendReady adds the waiting units whose earlier steps are done.
+func appendReady(all []*unit, steps [][]*unit, now time.Duration) []*unit {
+	for _, units := range steps {
+		for _, u := range units {
+			if !u.isWaiting() || !areDone(steps, u.step.After) {
+				u.ready = 0
+				continue
+			}
+			if u.ready == 0 {
+				u.ready = now
+			}
+			all = append(all, u)
+		}
+	}
+	return all
+}
+
+func areDone(steps [][]*unit, after []int) bool {
+	for _, i := range after {
+		for _, u := range steps[i] {
+			if !u.done {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// deadline returns when the unit's occurrence should end, on the store's clock.
+func (b *Book) deadline(u *unit) time.Duration {
+	j := u.job
+	if !j.Recurs() {
+		return time.Duration(j.Accepted)*time.Millisecond + j.objective
+	}
+	late := time.Duration(b.now.Wall-j.Due(u.id.Occurrence)) * time.Millisecond
+	return b.now.Store - late + j.objective
+}
--- /dev/null
+++ b/sesamedispatch/events.go
@@ -0,0 +1,31 @@
+package sesamedispatch
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+)
+
+var (
+	eventLeads    = sesamelog.Define(7100, sesamelog.Info, "planning begins")
+	eventYields   = sesamelog.Define(7101, sesamelog.Warn, "planning ends")
+	eventBadRow   = sesamelog.Define(7102, sesamelog.Error, "row can't be read")
+	eventOrdered  = sesamelog.Define(7103, sesamelog.Info, "run ordered")
+	eventStopping = sesamelog.Define(7104, sesamelog.Info, "run is to stop")
+	eventEnded    = sesamelog.Define(7105, sesamelog.Info, "run ended")
+	eventState    = sesamelog.Define(7106, sesamelog.Info, "state of job changed")
+	eventTarget   = sesamelog.Define(7107, sesamelog.Info, "target changed")
+	eventLost     = sesamelog.Define(7108, sesamelog.Warn, "target given up")
+	eventConflict = sesamelog.Define(7109, sesamelog.Info, "decision met another change")
+	eventClaimed  = sesamelog.Define(7110, sesamelog.Info, "targets claimed for owed work")
+	eventSuspect  = sesamelog.Define(7111, sesamelog.Warn, "task shows no progress")
+	eventWaiting  = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
+)
+
+// waitBuckets run from 5 ms to about 80 s.
+var waitBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
+
+// conflictPause lets the feed bring the change that a decision met.
+const conflictPause = 20 * time.Millisecond
--- /dev/null
+++ b/sesamedispatch/gang.go
@@ -0,0 +1,135 @@
+package sesamedispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// chooseGang returns a target for each member: all in one rack if the gang
+// needs that, on as few targets as possible.
+func (p *pass) chooseGang(u *unit, usable []*target) []*target {
+	if best := p.chooseRack(u, usable); best != nil {
+		return best
+	}
+	if u.step.SameRack && p.rackCouldHold(u, usable) && !p.hasWaited(u) {
+		return nil
+	}
+	if u.step.DataRack != "" && !p.acceptsRack(u, "") {
+		return nil
+	}
+	return p.pack(u, usable)
+}
+
+// chooseRack returns the rack in which the gang leaves the least room.
+func (p *pass) chooseRack(u *unit, usable []*target) []*target {
+	var best []*target
+	left := int64(0)
+	byRack := groupByRack(usable)
+	for _, rack := range slices.Sorted(maps.Keys(byRack)) {
+		if !p.acceptsRack(u, rack) {
+			continue
+		}
+		found := p.pack(u, byRack[rack])
+		if found == nil {
+			continue
+		}
+		room := p.freeAccelerators(byRack[rack])
+		if best == nil || room < left {
+			best = found
+			left = room
+		}
+	}
+	return best
+}
+
+func groupByRack(targets []*target) map[string][]*target {
+	groups := map[string][]*target{}
+	for _, t := range targets {
+		groups[t.Rack] = append(groups[t.Rack], t)
+	}
+	return groups
+}
+
+func (p *pass) freeAccelerators(targets []*target) int64 {
+	var sum int64
+	for _, t := range targets {
+		sum += p.room[t.name].Accelerators
+	}
+	return sum
+}
+
+// pack returns a target for each member, or nil. It fills the target that
+// just holds what is left, or else the one that holds most.
+func (p *pass) pack(u *unit, targets []*target) []*target {
+	slots := map[*target]int{}
+	total := 0
+	for _, t := range targets {
+		slots[t] = p.copies(u, t)
+		total += slots[t]
+	}
+	left := u.tasks()
+	if total < left {
+		return nil
+	}
+	var chosen []*target
+	for left > 0 {
+		t := tightest(targets, slots, left, p)
+		n := min(left, slots[t])
+		for range n {
+			chosen = append(chosen, t)
+		}
+		left -= n
+		slots[t] = 0
+	}
+	return chosen
+}
+
+// tightest returns the target with the fewest slots that suffice, or the most
+// slots when none suffices.
+func tightest(targets []*target, slots map[*target]int, need int, p *pass) *target {
+	return slices.MinFunc(targets, func(a, b *target) int {
+		enoughA, enoughB := slots[a] >= need, slots[b] >= need
+		if enoughA != enoughB {
+			return order(enoughA, enoughB)
+		}
+		if !enoughA {
+			return cmp.Compare(slots[b], slots[a])
+		}
+		return cmp.Or(
+			cmp.Compare(slots[a], slots[b]),
+			cmp.Compare(p.room[a.name].Accelerators, p.room[b.name].Accelerators),
+		)
+	})
+}
+
+// order puts true first.
+func order(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if a {
+		return -1
+	}
+	return 1
+}
+
+// rackCouldHold reports whether some rack would hold the gang if it were empty.
+func (p *pass) rackCouldHold(u *unit, usable []*target) bool {
+	for _, targets := range groupByRack(usable) {
+		empty := &pass{
+			book:     p.book,
+			room:     map[string]sesamework.Need{},
+			onTarget: map[spreadKey]int{},
+		}
+		for _, t := range targets {
+			empty.room[t.name] = t.Room
+		}
+		if empty.pack(u, targets) != nil {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/sesamedispatch/owed.go
@@ -0,0 +1,216 @@
+package sesamedispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// isOwed reports whether the team's guarantee covers the unit beside what the
+// team's urgent jobs use already.
+func (p *pass) isOwed(u *unit) bool {
+	guaranteed := p.book.policy.Guaranteed(u.job.Team)
+	return u.job.Terms.Priority == 0 && guaranteed > 0 &&
+		p.used[u.job.Team]+u.accelerators() <= guaranteed
+}
+
+// eviction is what a place for a unit costs.
+type eviction struct {
+	targets []string
+	victims []*unit
+	cost    float64
+}
+
+// reclaim stops runs so that the unit fits soon, with the least work lost. It
+// reports whether targets are kept for the unit now.
+func (p *pass) reclaim(u *unit) bool {
+	best, ok := p.cheapest(u)
+	if !ok {
+		return false
+	}
+	for _, v := range best.victims {
+		p.d.stop(v, stopOwed)
+	}
+	u.claim = claim{
+		targets: best.targets,
+		until:   p.book.now.Steady + claimTime,
+	}
+	p.keep(u, best.targets, time.Hour)
+	p.used[u.job.Team] += u.accelerators()
+	p.book.log.Emit(eventClaimed, sesamelog.Fields{
+		"job":     u.id.Job,
+		"unit":    u.id.String(),
+		"team":    u.job.Team,
+		"used":    p.used[u.job.Team],
+		"targets": best.targets,
+		"victims": len(best.victims),
+		"cost":    best.cost,
+	})
+	return true
+}
+
+// cheapest returns the eviction that loses the least work, in one rack if a
+// gang needs that and a rack can hold it.
+func (p *pass) cheapest(u *unit) (eviction, bool) {
+	usable := p.usable(u)
+	groups := [][]*target{usable}
+	if u.step.Gang && u.step.SameRack {
+		byRack := groupByRack(usable)
+		groups = nil
+		for _, rack := range slices.Sorted(maps.Keys(byRack)) {
+			groups = append(groups, byRack[rack])
+		}
+	}
+	best, ok := p.cheapestOf(u, groups)
+	if !ok && len(groups) > 1 {
+		best, ok = p.cheapestOf(u, [][]*target{usable})
+	}
+	return best, ok
+}
+
+func (p *pass) cheapestOf(u *unit, groups [][]*target) (eviction, bool) {
+	var best eviction
+	found := false
+	for _, targets := range groups {
+		e, ok := p.evict(u, targets)
+		if ok && (!found || e.cost < best.cost) {
+			best = e
+			found = true
+		}
+	}
+	return best, found
+}
+
+// evict finds room for each task of the unit among the targets, one after the
+// other, each at the least additional cost.
+func (p *pass) evict(u *unit, targets []*target) (eviction, bool) {
+	var e eviction
+	room := maps.Clone(p.room)
+	for name, kept := range p.kept {
+		room[name] = room[name].Minus(kept)
+	}
+	p.returnStopped(room)
+	for range u.tasks() {
+		var best eviction
+		var name string
+		found := false
+		for _, t := range targets {
+			step, ok := p.evictFrom(u, t, room, e)
+			if ok && (!found || step.cost < best.cost) {
+				best = step
+				name = t.name
+				found = true
+			}
+		}
+		if !found {
+			return eviction{}, false
+		}
+		for _, v := range best.victims {
+			returnRoom(room, v)
+		}
+		room[name] = room[name].Minus(u.step.Room())
+		e.targets = append(e.targets, name)
+		e.victims = append(e.victims, best.victims...)
+		e.cost += best.cost
+	}
+	return e, true
+}
+
+// returnStopped adds the room that stops in progress will free.
+func (p *pass) returnStopped(room map[string]sesamework.Need) {
+	for _, u := range p.book.units {
+		if u.isActive() && (u.run.Stop != "" || p.d.stops(u)) {
+			returnRoom(room, u)
+		}
+	}
+}
+
+func returnRoom(room map[string]sesamework.Need, u *unit) {
+	for _, m := range u.members {
+		if m.how == "" {
+			room[m.Target] = room[m.Target].Plus(u.step.Room())
+		}
+	}
+}
+
+// evictFrom returns the victims on one target that make room for one task.
+func (p *pass) evictFrom(u *unit, t *target, room map[string]sesamework.Need, before eviction) (eviction, bool) {
+	var e eviction
+	if u.step.Spread > 0 && p.onTarget[u.spreadKey(t.name)]+count(before.targets, t.name) >= u.step.Spread {
+		return e, false
+	}
+	need := u.step.Room()
+	left := room[t.name]
+	for _, v := range p.victims(t) {
+		if need.Fits(left) {
+			break
+		}
+		if slices.Contains(before.victims, v) {
+			continue
+		}
+		left = left.Plus(v.step.Room().Times(int64(v.tasksOn(t.name))))
+		e.victims = append(e.victims, v)
+		e.cost += p.book.loss(v)
+	}
+	return e, need.Fits(left)
+}
+
+func count(names []string, name string) int {
+	n := 0
+	for _, other := range names {
+		if other == name {
+			n++
+		}
+	}
+	return n
+}
+
+func (u *unit) tasksOn(target string) int {
+	n := 0
+	for _, m := range u.members {
+		if m.how == "" && m.Target == target {
+			n++
+		}
+	}
+	return n
+}
+
+// victims returns the runs on the target that owed work may stop, the cheapest
+// for each accelerator first.
+func (p *pass) victims(t *target) []*unit {
+	var all []*unit
+	for _, u := range p.book.units {
+		if u.tasksOn(t.name) == 0 || u.run.Stop != "" || p.d.stops(u) || u.job.Terms.Priority == 0 {
+			continue
+		}
+		all = append(all, u)
+	}
+	slices.SortFunc(all, func(a, b *unit) int {
+		return cmp.Or(
+			cmp.Compare(p.book.lossPerAccelerator(a), p.book.lossPerAccelerator(b)),
+			cmp.Compare(a.id.String(), b.id.String()),
+		)
+	})
+	return all
+}
+
+func (b *Book) lossPerAccelerator(u *unit) float64 {
+	return b.loss(u) / float64(max(1, u.accelerators()))
+}
+
+// restartCost is what a stopped run loses at least, in seconds of its work:
+// the stop, the start and the way between them.
+const restartCost = time.Second
+
+// loss returns the core-seconds that are lost when the unit's run is stopped.
+func (b *Book) loss(u *unit) float64 {
+	lost := restartCost
+	if !u.step.Checkpoints {
+		lost += b.now.Steady - u.started
+	}
+	return u.step.Need.Weight() * float64(u.tasks()) * lost.Seconds()
+}
--- /dev/null
+++ b/sesamedispatch/place.go
@@ -0,0 +1,307 @@
+package sesamedispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+const (
+	// maxReservations bounds the blocked units that keep room free.
+	maxReservations = 2
+	// minRackWait is the least time that a unit waits for the rack in which
+	// it is fast.
+	minRackWait = 2 * time.Second
+	// claimTime is how long targets are kept for a unit while runs there are
+	// being stopped; stops take less than a second each.
+	claimTime = 4 * time.Second
+)
+
+// pass is one round of placing. It holds what is left of each target.
+type pass struct {
+	book *Book
+	d    *Decision
+	room map[string]sesamework.Need
+	// kept is room that blocked units wait for, by target.
+	kept map[string]sesamework.Need
+	// keptFor is how long the room is kept from others.
+	keptFor map[string]time.Duration
+	// onTarget counts the tasks of a step and occurrence by target.
+	onTarget     map[spreadKey]int
+	reservations int
+	// used counts the accelerators of each team's urgent jobs.
+	used map[string]int64
+}
+
+// spreadKey names the tasks that must not crowd on one target.
+type spreadKey struct {
+	job        string
+	occurrence int
+	step       int
+	target     string
+}
+
+func (u *unit) spreadKey(target string) spreadKey {
+	return spreadKey{
+		job:        u.id.Job,
+		occurrence: u.id.Occurrence,
+		step:       u.id.Step,
+		target:     target,
+	}
+}
+
+// place starts what fits, in order, and makes room for owed work.
+func (b *Book) place(d *Decision) {
+	units := b.waiting()
+	if len(units) == 0 {
+		return
+	}
+	p := b.newPass(d)
+	for _, u := range units {
+		p.consider(u)
+	}
+}
+
+func (b *Book) newPass(d *Decision) *pass {
+	p := &pass{
+		book:     b,
+		d:        d,
+		room:     map[string]sesamework.Need{},
+		kept:     map[string]sesamework.Need{},
+		keptFor:  map[string]time.Duration{},
+		onTarget: map[spreadKey]int{},
+		used:     map[string]int64{},
+	}
+	for name, t := range b.targets {
+		p.room[name] = t.Room
+	}
+	for _, u := range b.units {
+		for _, m := range u.members {
+			if m.how == "" {
+				p.take(u, m.Target)
+			}
+		}
+		if u.isActive() && u.job.Terms.Priority == 0 {
+			p.used[u.job.Team] += u.accelerators()
+		}
+		if u.isWaiting() && b.now.Steady < u.claim.until {
+			p.keep(u, u.claim.targets, time.Hour)
+			p.used[u.job.Team] += u.accelerators()
+		}
+	}
+	return p
+}
+
+func (p *pass) take(u *unit, target string) {
+	p.room[target] = p.room[target].Minus(u.step.Room())
+	p.onTarget[u.spreadKey(target)]++
+}
+
+// keep keeps room on the targets from units that come later in order.
+func (p *pass) keep(u *unit, targets []string, until time.Duration) {
+	for _, name := range targets {
+		p.kept[name] = p.kept[name].Plus(u.step.Room())
+		p.keptFor[name] = max(p.keptFor[name], until)
+	}
+}
+
+// consider starts the unit, or keeps room for it.
+func (p *pass) consider(u *unit) {
+	b := p.book
+	if len(u.claim.targets) > 0 {
+		p.redeem(u)
+		return
+	}
+	if targets := p.choose(u); targets != nil {
+		p.start(u, targets)
+		return
+	}
+	if p.isOwed(u) && p.reclaim(u) {
+		return
+	}
+	if p.reservations < maxReservations {
+		if targets, wait := p.soonest(u); targets != nil {
+			p.reservations++
+			p.keep(u, targets, wait)
+		}
+	}
+	b.log.Emit(eventWaiting, sesamelog.Fields{
+		"job":  u.id.Job,
+		"unit": u.id.String(),
+	})
+}
+
+// redeem starts a unit on the targets that were kept for it, once they are
+// free, and gives the claim up when it has lasted too long.
+func (p *pass) redeem(u *unit) {
+	p.release(u)
+	targets := p.claimed(u)
+	if targets != nil {
+		p.start(u, targets)
+		return
+	}
+	if p.book.now.Steady >= u.claim.until {
+		u.claim = claim{}
+		return
+	}
+	p.keep(u, u.claim.targets, time.Hour)
+}
+
+// release gives back the room that newPass kept for the unit's claim.
+func (p *pass) release(u *unit) {
+	if p.book.now.Steady >= u.claim.until {
+		return
+	}
+	for _, name := range u.claim.targets {
+		p.kept[name] = p.kept[name].Minus(u.step.Room())
+	}
+}
+
+// claimed returns the claimed targets when all have room by now.
+func (p *pass) claimed(u *unit) []*target {
+	taken := map[string]sesamework.Need{}
+	var targets []*target
+	for _, name := range u.claim.targets {
+		t, ok := p.book.targets[name]
+		if !ok || !t.takes(u.job.Terms.Service, p.book.now.Steady) {
+			return nil
+		}
+		taken[name] = taken[name].Plus(u.step.Room())
+		if !taken[name].Fits(p.room[name]) {
+			return nil
+		}
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+func (p *pass) start(u *unit, targets []*target) {
+	for _, t := range targets {
+		p.take(u, t.name)
+	}
+	if u.job.Terms.Priority == 0 {
+		p.used[u.job.Team] += u.accelerators()
+	}
+	p.d.Starts = append(p.d.Starts, Start{
+		unit: u,
+		run:  u.next(targets, p.book.now.Store),
+	})
+}
+
+// choose returns a target for each task of the unit, or nil when the unit has
+// to wait.
+func (p *pass) choose(u *unit) []*target {
+	usable := p.usable(u)
+	if u.step.Gang {
+		return p.chooseGang(u, usable)
+	}
+	return p.chooseSingle(u, usable)
+}
+
+// usable returns the targets that may run the unit, those on which it hasn't
+// failed before if there are any.
+func (p *pass) usable(u *unit) []*target {
+	var fresh, all []*target
+	for _, t := range p.book.targets {
+		if !t.takes(u.job.Terms.Service, p.book.now.Steady) || !t.hasLabel(u.step) {
+			continue
+		}
+		all = append(all, t)
+		if !slices.Contains(u.avoid, t.name) {
+			fresh = append(fresh, t)
+		}
+	}
+	if len(fresh) > 0 {
+		all = fresh
+	}
+	slices.SortFunc(all, func(a, b *target) int {
+		return cmp.Compare(a.name, b.name)
+	})
+	return all
+}
+
+// copies returns how many more tasks of the unit fit on the target.
+func (p *pass) copies(u *unit, t *target) int {
+	room := p.room[t.name]
+	if u.step.Duration() >= p.keptFor[t.name] {
+		room = room.Minus(p.kept[t.name])
+	}
+	n := u.tasks()
+	need := u.step.Room()
+	for _, d := range [][2]int64{
+		{room.Cores, need.Cores},
+		{room.Memory, need.Memory},
+		{room.Accelerators, need.Accelerators},
+	} {
+		if d[0] < d[1] {
+			return 0
+		}
+		if d[1] > 0 {
+			n = min(n, int(d[0]/d[1]))
+		}
+	}
+	if u.step.Spread > 0 {
+		n = min(n, u.step.Spread-p.onTarget[u.spreadKey(t.name)])
+	}
+	return max(0, n)
+}
+
+// chooseSingle returns the target with the least room left that fits, near the
+// unit's data if possible.
+func (p *pass) chooseSingle(u *unit, usable []*target) []*target {
+	var best *target
+	for _, t := range usable {
+		if p.copies(u, t) == 0 || !p.acceptsRack(u, t.Rack) {
+			continue
+		}
+		if best == nil || p.compare(u, t, best) < 0 {
+			best = t
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*target{best}
+}
+
+// compare orders targets by how well they suit the unit.
+func (p *pass) compare(u *unit, a, b *target) int {
+	return cmp.Or(
+		cmp.Compare(far(u, a), far(u, b)),
+		cmp.Compare(p.room[a.name].Accelerators, p.room[b.name].Accelerators),
+		cmp.Compare(p.room[a.name].Cores, p.room[b.name].Cores),
+	)
+}
+
+// far is 1 when the target is not near the unit's data.
+func far(u *unit, t *target) int {
+	if u.step.DataRack == "" || u.step.DataRack == t.Rack {
+		return 0
+	}
+	return 1
+}
+
+// acceptsRack reports whether the unit should run in that rack now rather than
+// wait for the one that holds its data.
+func (p *pass) acceptsRack(u *unit, rack string) bool {
+	if u.step.DataRack == "" || rack == u.step.DataRack {
+		return true
+	}
+	return p.hasWaited(u) || !p.rackExists(u, u.step.DataRack)
+}
+
+// hasWaited reports whether waiting for the right rack has taken as long as
+// the work itself.
+func (p *pass) hasWaited(u *unit) bool {
+	return p.book.now.Steady-u.ready >= max(minRackWait, u.step.Duration())
+}
+
+// rackExists reports whether a usable target of the rack could ever run a task.
+func (p *pass) rackExists(u *unit, rack string) bool {
+	return slices.ContainsFunc(p.usable(u), func(t *target) bool {
+		return t.Rack == rack && u.step.Room().Fits(t.Room)
+	})
+}
--- /dev/null
+++ b/sesamedispatch/watch.go
@@ -0,0 +1,103 @@
+package sesamedispatch
+
+import (
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// giveUpSilent gives up targets that have been silent so long that all they
+// ran has lapsed.
+func (b *Book) giveUpSilent(d *Decision) {
+	for _, t := range b.targets {
+		if t.State == sesamework.TargetGone || b.now.Steady-t.heard < sesamework.SilenceUntilLost {
+			continue
+		}
+		d.Lost = append(d.Lost, t)
+	}
+}
+
+// stopStalled stops tasks that have stood still, and suspects their targets.
+func (b *Book) stopStalled(d *Decision) {
+	for _, u := range b.units {
+		if !u.isActive() || u.run.Stop != "" || u.step.Lasting {
+			continue
+		}
+		for _, m := range u.members {
+			if m.how == "" && b.isStalled(u, m) {
+				b.log.Emit(eventSuspect, sesamelog.Fields{
+					"job":    u.id.Job,
+					"task":   u.id.Task(m.Index).String(),
+					"run":    u.run.Number,
+					"target": m.Target,
+				})
+				b.targets[m.Target].suspect(b.now.Steady)
+				d.stop(u, stopStalled)
+				break
+			}
+		}
+	}
+}
+
+// isStalled reports whether the target reports the task with the same progress
+// for too long. Silence of the target is another matter.
+func (b *Book) isStalled(u *unit, m member) bool {
+	t, ok := b.targets[m.Target]
+	if !ok || b.now.Steady-t.heard > maxReportAge {
+		return false
+	}
+	p, ok := t.progress[u.id.Task(m.Index).String()]
+	return ok && p.Run == u.run.Number && p.Percent < 100 && b.now.Steady-p.moved > u.stallTime()
+}
+
+// stallTime allows a slow task one percent of progress in ten times its
+// declared duration.
+func (u *unit) stallTime() time.Duration {
+	const slowestPercent = 10
+	return max(stallTime, u.step.Duration()*slowestPercent/100)
+}
+
+// stopDraining stops what can't end before its target leaves.
+func (b *Book) stopDraining(d *Decision) {
+	for _, u := range b.units {
+		if !u.isActive() || u.run.Stop != "" {
+			continue
+		}
+		for _, m := range u.members {
+			t, ok := b.targets[m.Target]
+			if !ok || m.how != "" || t.State != sesamework.TargetDraining {
+				continue
+			}
+			stays := time.Duration(t.Leaves)*time.Millisecond - (b.now.Steady - t.heard)
+			if b.remaining(u) > stays {
+				d.stop(u, stopDraining)
+			}
+		}
+	}
+}
+
+// remaining estimates how long the unit's run still takes.
+func (b *Book) remaining(u *unit) time.Duration {
+	var longest time.Duration
+	for _, m := range u.members {
+		if m.how == "" {
+			longest = max(longest, b.remainingOf(u, m))
+		}
+	}
+	return longest
+}
+
+func (b *Book) remainingOf(u *unit, m member) time.Duration {
+	elapsed := b.now.Steady - u.started
+	t, ok := b.targets[m.Target]
+	if ok {
+		p, reported := t.progress[u.id.Task(m.Index).String()]
+		if reported && p.Run == u.run.Number && p.Percent > 0 {
+			return elapsed * time.Duration(100-p.Percent) / time.Duration(p.Percent)
+		}
+	}
+	// A task that takes longer than declared is likely to go on for a while.
+	const leastShare = 4
+	return max(u.step.Duration()-elapsed, u.step.Duration()/leastShare)
+}
--- /dev/null
+++ b/sesamedispatch/write.go
@@ -0,0 +1,250 @@
+package sesamedispatch
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// maxChange leaves room for the fence's own entries and those of one more run.
+const maxChange = sesamerows.MaxEntries - 8
+
+// decide takes decisions and writes them until there is nothing more to do.
+func (r *reign) decide(ctx context.Context) error {
+	d := r.book.Decide(r.now())
+	if d.IsEmpty() {
+		return r.renew(ctx)
+	}
+	for _, t := range d.Lost {
+		if err := r.giveUp(ctx, t); err != nil {
+			return err
+		}
+	}
+	batch := &changes{}
+	if err := r.collect(d, batch); err != nil {
+		return err
+	}
+	for _, c := range batch.all {
+		if err := r.commit(ctx, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// renew writes the leader's row when it is time to.
+func (r *reign) renew(ctx context.Context) error {
+	if r.o.Clock.Steady()-r.wrote < renewInterval {
+		return nil
+	}
+	return r.commit(ctx, &change{})
+}
+
+// change is one transaction and what it means for the book.
+type change struct {
+	sesamerows.Change
+	applied []func()
+}
+
+// changes gathers writes into as few transactions as possible.
+type changes struct {
+	all []*change
+}
+
+// add puts the writes into the newest transaction that has room for them.
+func (c *changes) add(expects []sesamerows.Expect, write sesamerows.Write, applied func()) {
+	size := len(expects) + 1
+	var last *change
+	if len(c.all) > 0 {
+		last = c.all[len(c.all)-1]
+	}
+	if last == nil || len(last.Expects)+len(last.Writes)+size > maxChange {
+		last = &change{}
+		c.all = append(c.all, last)
+	}
+	for _, e := range expects {
+		last.expect(e)
+	}
+	last.Writes = append(last.Writes, write)
+	last.applied = append(last.applied, applied)
+}
+
+// expect adds a condition once.
+func (c *change) expect(e sesamerows.Expect) {
+	for _, other := range c.Expects {
+		if other == e {
+			return
+		}
+	}
+	c.Expects = append(c.Expects, e)
+}
+
+func (r *reign) collect(d Decision, batch *changes) error {
+	for _, s := range d.Stops {
+		if err := r.collectStop(s, batch); err != nil {
+			return err
+		}
+	}
+	for _, s := range d.Starts {
+		if err := r.collectStart(s, batch); err != nil {
+			return err
+		}
+	}
+	for _, s := range d.States {
+		if err := r.collectState(s, batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *reign) collectStop(s Stop, batch *changes) error {
+	run := s.unit.run
+	run.Stop = s.reason
+	value, err := json.Marshal(run)
+	if err != nil {
+		return err
+	}
+	batch.add(nil, sesamerows.Write{
+		Key:   sesamework.RunKey(s.unit.id),
+		Value: value,
+	}, func() {
+		s.unit.run = run
+		r.o.Log.Emit(eventStopping, sesamelog.Fields{
+			"job":    s.unit.id.Job,
+			"unit":   s.unit.id.String(),
+			"run":    run.Number,
+			"reason": s.reason,
+		})
+		r.o.Scope.Tagged(map[string]string{
+			"reason": s.reason,
+		}).Counter("stops").Inc(1)
+	})
+	return nil
+}
+
+// collectStart orders a run while nobody has cancelled its job.
+func (r *reign) collectStart(s Start, batch *changes) error {
+	value, err := json.Marshal(s.run)
+	if err != nil {
+		return err
+	}
+	uncancelled := sesamerows.Expect{
+		Key: sesamework.CancelKey(s.unit.id.Job),
+	}
+	batch.add([]sesamerows.Expect{uncancelled}, sesamerows.Write{
+		Key:   sesamework.RunKey(s.unit.id),
+		Value: value,
+	}, func() {
+		waited := r.o.Clock.Steady() - s.unit.ready
+		s.unit.adopt(s.run, r.o.Clock.Steady())
+		r.o.Log.Emit(eventOrdered, sesamelog.Fields{
+			"job":     s.unit.id.Job,
+			"unit":    s.unit.id.String(),
+			"run":     s.run.Number,
+			"members": s.run.Members,
+			"fails":   s.run.Failures,
+			"waited":  waited.Milliseconds(),
+		})
+		r.o.Scope.Tagged(map[string]string{
+			"queue": s.unit.job.Queue,
+		}).Histogram("start_wait", waitBuckets).RecordDuration(waited)
+	})
+	return nil
+}
+
+func (r *reign) collectState(s State, batch *changes) error {
+	value, err := json.Marshal(sesamework.Shown{
+		State: s.state,
+		Queue: s.job.Queue,
+		Team:  s.job.Team,
+		Timed: s.job.Recurs(),
+	})
+	if err != nil {
+		return err
+	}
+	batch.add(nil, sesamerows.Write{
+		Key:   sesamework.StateKey(s.job.ID),
+		Value: value,
+	}, func() {
+		r.o.Log.Emit(eventState, sesamelog.Fields{
+			"job":  s.job.ID,
+			"from": s.job.shown,
+			"to":   s.state,
+			"at":   r.storeNow.Now().Milliseconds() - s.job.Accepted,
+		})
+		r.book.show(s.job, s.state)
+		r.o.Scope.Tagged(map[string]string{
+			"queue": s.job.Queue,
+			"state": string(s.state),
+		}).Counter("jobs").Inc(1)
+	})
+	return nil
+}
+
+// commit writes one transaction. A conflict with a cancel means that the next
+// decision will know of it; all other errors end the reign.
+func (r *reign) commit(ctx context.Context, c *change) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	err := r.fence.Commit(ctx, r.value, c.Change)
+	var conflict *sesamerows.ConflictError
+	if errors.As(err, &conflict) {
+		r.o.Log.Emit(eventConflict, sesamelog.Fields{
+			"error": err,
+		})
+		pause(ctx, conflictPause)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	r.wrote = r.o.Clock.Steady()
+	for _, applied := range c.applied {
+		applied()
+	}
+	return nil
+}
+
+// giveUp ends the life of a silent target, unless it has reported meanwhile.
+func (r *reign) giveUp(ctx context.Context, t *target) error {
+	gone := t.Target
+	gone.State = sesamework.TargetGone
+	gone.Running = nil
+	value, err := json.Marshal(gone)
+	if err != nil {
+		return err
+	}
+	key := sesamerows.Key{
+		Table: sesamework.WorkTable,
+		Part:  t.part,
+		Name:  t.name,
+	}
+	c := &change{
+		Change: sesamerows.Change{
+			Expects: []sesamerows.Expect{{
+				Key:     key,
+				Version: t.version,
+			}},
+			Writes: []sesamerows.Write{{
+				Key:   key,
+				Value: sesamerows.Unfenced(value),
+			}},
+		},
+	}
+	c.applied = append(c.applied, func() {
+		t.State = sesamework.TargetGone
+		r.book.settleLives()
+		r.o.Log.Emit(eventLost, sesamelog.Fields{
+			"target": t.name,
+			"life":   t.Life,
+			"silent": (r.o.Clock.Steady() - t.heard).Milliseconds(),
+		})
+	})
+	return r.commit(ctx, c)
+}
--- /dev/null
+++ b/sesameintake/errors.go
@@ -0,0 +1,77 @@
+package sesameintake
+
+import (
+	"fmt"
+	"time"
+)
+
+// NotReadyError says that the process can't serve callers now.
+type NotReadyError struct {
+	Reason string
+	// After is when a further try makes sense.
+	After time.Duration
+}
+
+// Error says why.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("not ready: %s", e.Reason)
+}
+
+// NoQueueError says that no queue takes requests for a path.
+type NoQueueError struct {
+	Host string
+	Path string
+}
+
+// Error names the host and the path.
+func (e *NoQueueError) Error() string {
+	return fmt.Sprintf("no queue for %s%s", e.Host, e.Path)
+}
+
+// UnknownKeyError says that no team has the access key.
+type UnknownKeyError struct{}
+
+// Error does not repeat the key, which may be a mistyped valid one.
+func (e *UnknownKeyError) Error() string {
+	return "the access key belongs to no team"
+}
+
+// MissingError says that there is no such job.
+type MissingError struct {
+	ID string
+}
+
+// Error names the job.
+func (e *MissingError) Error() string {
+	return fmt.Sprintf("job %q does not exist", e.ID)
+}
+
+// DifferentError says that the ID stands for another job already.
+type DifferentError struct {
+	ID string
+}
+
+// Error names the job.
+func (e *DifferentError) Error() string {
+	return fmt.Sprintf("job %q was accepted with another body", e.ID)
+}
+
+// policyChangedError says that a newer policy came into force meanwhile.
+type policyChangedError struct{}
+
+// Error says so.
+func (e *policyChangedError) Error() string {
+	return "a newer policy came into force"
+}
+
+// UnreadablePolicyError says that the newest policy can't be read; the one
+// before it stays in force.
+type UnreadablePolicyError struct {
+	Row   string
+	Cause error
+}
+
+// Error names the row and the cause.
+func (e *UnreadablePolicyError) Error() string {
+	return fmt.Sprintf("policy in row %s can't be read: %v", e.Row, e.Cause)
+}
--- /dev/null
+++ b/sesameintake/events.go
@@ -0,0 +1,15 @@
+package sesameintake
+
+import "github.com/sesamestack/sesamestack/sesamelog"
+
+var (
+	eventAccepted  = sesamelog.Define(7000, sesamelog.Info, "job accepted")
+	eventRepeated  = sesamelog.Define(7001, sesamelog.Info, "job was accepted before")
+	eventRefused   = sesamelog.Define(7002, sesamelog.Warn, "request refused")
+	eventCancelled = sesamelog.Define(7003, sesamelog.Info, "cancelling accepted")
+	eventPolicy    = sesamelog.Define(7004, sesamelog.Info, "policy in force")
+	eventBadPolicy = sesamelog.Define(7005, sesamelog.Error, "policy can't be read")
+	eventStoreLost = sesamelog.Define(7006, sesamelog.Warn, "store lost")
+	eventStoreBack = sesamelog.Define(7007, sesamelog.Info, "store regained")
+	eventBadState  = sesamelog.Define(7008, sesamelog.Error, "state row can't be read")
+)
--- /dev/null
+++ b/sesameintake/hasty.go
@@ -0,0 +1,40 @@
+package sesameintake
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesamerows"
+)
+
+// retryAfter is when a caller should come back after a refusal: most trouble of
+// the store that one process meets is over for another one by then.
+const retryAfter = time.Second
+
+// hasty gives up refused commits after a moment, unless an earlier attempt of
+// the same transaction may have taken effect.
+type hasty struct {
+	sesamerows.Store
+	clock   sesameclock.Clock
+	until   time.Duration
+	unknown bool
+}
+
+// Commit tries once; see sesamerows.Store.
+func (h *hasty) Commit(ctx context.Context, t sesamerows.Transaction) (sesamerows.Version, error) {
+	version, err := h.Store.Commit(ctx, t)
+	if errors.HasType(err, (*sesamerows.UnknownError)(nil)) {
+		h.unknown = true
+	}
+	refused := errors.HasType(err, (*sesamerows.UnavailableError)(nil))
+	if refused && !h.unknown && h.clock.Steady() > h.until {
+		return 0, &NotReadyError{
+			Reason: err.Error(),
+			After:  retryAfter,
+		}
+	}
+	return version, err
+}
--- /dev/null
+++ b/sesameintake/policies.go
@@ -0,0 +1,139 @@
+package sesameintake
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// PolicySource hands out policies as they come into force.
+type PolicySource interface {
+	// Next waits a while for a newer policy. It returns nil when there was
+	// none, and an error when the newest one could not be learnt.
+	Next(ctx context.Context) (*sesamework.Policy, error)
+}
+
+// Policies holds the newest policy that this process has learnt.
+type Policies struct {
+	source PolicySource
+	clock  sesameclock.Clock
+	log    *sesamelog.Logger
+
+	current atomic.Pointer[sesamework.Policy]
+	mu      sync.Mutex
+	changed chan struct{}
+	// heard is when the store last answered, and lost whether it has failed
+	// since.
+	heard time.Duration
+	lost  bool
+}
+
+// NewPolicies returns a holder without a policy.
+func NewPolicies(source PolicySource, clock sesameclock.Clock, log *sesamelog.Logger) *Policies {
+	return &Policies{
+		source:  source,
+		clock:   clock,
+		log:     log,
+		changed: make(chan struct{}),
+		heard:   -time.Hour,
+	}
+}
+
+// Current returns the newest policy, or nil before the first.
+func (p *Policies) Current() *sesamework.Policy {
+	return p.current.Load()
+}
+
+// Changed is closed when a newer policy has come.
+func (p *Policies) Changed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+// Age returns how long ago the store last confirmed what is newest.
+func (p *Policies) Age() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clock.Steady() - p.heard
+}
+
+// sourcePause is the pause after a failed call for policies.
+const sourcePause = 100 * time.Millisecond
+
+// Run learns policies until ctx ends.
+func (p *Policies) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		policy, err := p.source.Next(ctx)
+		var unreadable *UnreadablePolicyError
+		if errors.As(err, &unreadable) {
+			p.log.Emit(eventBadPolicy, sesamelog.Fields{
+				"error": unreadable,
+			})
+			continue
+		}
+		if err != nil {
+			p.failed(err)
+			pause(ctx, sourcePause)
+			continue
+		}
+		p.answered()
+		if policy != nil {
+			p.Offer(policy)
+		}
+	}
+	return nil
+}
+
+// Offer puts the policy into force unless a newer one is.
+func (p *Policies) Offer(policy *sesamework.Policy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.current.Load(); old != nil && old.Number >= policy.Number {
+		return
+	}
+	p.current.Store(policy)
+	close(p.changed)
+	p.changed = make(chan struct{})
+	p.log.Emit(eventPolicy, sesamelog.Fields{
+		"policy": policy.Number,
+		"queues": len(policy.Queues),
+		"teams":  len(policy.Teams),
+	})
+}
+
+func (p *Policies) answered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard = p.clock.Steady()
+	if p.lost {
+		p.lost = false
+		p.log.Emit(eventStoreBack, nil)
+	}
+}
+
+func (p *Policies) failed(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lost {
+		return
+	}
+	p.lost = true
+	p.log.Emit(eventStoreLost, sesamelog.Fields{
+		"error": err,
+		"age":   p.clock.Steady() - p.heard,
+	})
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
--- /dev/null
+++ b/sesameintake/states.go
@@ -0,0 +1,137 @@
+package sesameintake
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// states is a view of the rows that callers' questions are answered from.
+type states struct {
+	log *sesamelog.Logger
+
+	mu    sync.Mutex
+	shown map[string]shown
+	// waiting counts queued jobs by queue.
+	waiting map[string]int
+}
+
+type shown struct {
+	sesamework.Shown
+	version sesamerows.Version
+}
+
+func newStates(log *sesamelog.Logger) *states {
+	return &states{
+		log:     log,
+		shown:   map[string]shown{},
+		waiting: map[string]int{},
+	}
+}
+
+// statesWait is how long one call for changes waits, which is also how long a
+// silent connection goes unnoticed beyond the call's own timeout.
+const statesWait = time.Second
+
+// run follows the table until ctx ends.
+func (s *states) run(ctx context.Context, store sesamerows.Store, keeper sesamerows.Timekeeper) error {
+	part := ""
+	follower := sesamerows.NewFollower(store, sesamerows.FollowOptions{
+		Table: sesamework.StateTable,
+		Part:  &part,
+		Wait:  statesWait,
+	})
+	for ctx.Err() == nil {
+		batch, err := follower.Next(ctx)
+		if err != nil {
+			// The loss itself is logged by Policies, which ask the same store.
+			pause(ctx, sourcePause)
+			continue
+		}
+		keeper.Heard(batch.Now)
+		s.apply(batch)
+	}
+	return nil
+}
+
+func (s *states) apply(b sesamerows.Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b.Whole {
+		s.forget(b)
+	}
+	for _, row := range b.Rows {
+		s.set(row)
+	}
+}
+
+// forget drops what a whole reading no longer has.
+func (s *states) forget(b sesamerows.Batch) {
+	present := make(map[string]bool, len(b.Rows))
+	for _, row := range b.Rows {
+		present[row.Key.Name] = true
+	}
+	for id, old := range s.shown {
+		if !present[id] && old.version <= b.Version {
+			s.remove(id)
+		}
+	}
+}
+
+func (s *states) set(row sesamerows.Row) {
+	id := row.Key.Name
+	if row.Version < s.shown[id].version {
+		return
+	}
+	s.remove(id)
+	if row.Removed {
+		return
+	}
+	value := shown{
+		version: row.Version,
+	}
+	if err := json.Unmarshal(row.Value, &value.Shown); err != nil {
+		s.log.Emit(eventBadState, sesamelog.Fields{
+			"job":   id,
+			"error": err,
+		})
+		return
+	}
+	s.shown[id] = value
+	if counts(value.Shown) {
+		s.waiting[value.Queue]++
+	}
+}
+
+func (s *states) remove(id string) {
+	old, ok := s.shown[id]
+	if !ok {
+		return
+	}
+	delete(s.shown, id)
+	if counts(old.Shown) {
+		s.waiting[old.Queue]--
+	}
+}
+
+func counts(s sesamework.Shown) bool {
+	return s.State == sesamework.JobQueued && !s.Timed
+}
+
+func (s *states) get(id string) (sesamework.Shown, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.shown[id]
+	return found.Shown, ok
+}
+
+func (s *states) pending(queue string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting[queue]
+}
--- /dev/null
+++ b/sesameintake/submit.go
@@ -0,0 +1,197 @@
+package sesameintake
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+const (
+	// patience is how long a submission that the store has refused is
+	// repeated: a quarter of the shortest latency objective that is served.
+	patience = 60 * time.Millisecond
+	// policyWait is how long a submission waits for the newer policy that
+	// stopped it.
+	policyWait = time.Second
+	// maxReadmissions bounds how often newer policies may stop a submission.
+	maxReadmissions = 4
+)
+
+// Submit accepts the job under its ID, once. Errors are a
+// *sesamework.InvalidError, a *DifferentError, those of Admit, and those of
+// Store.Commit; after all but an *sesamerows.UnknownError the job has not been
+// accepted by this call and never will be.
+func (in *Intake) Submit(ctx context.Context, a Admission, j sesamework.Job, specification string) error {
+	if err := j.Validate(); err != nil {
+		return err
+	}
+	for range maxReadmissions {
+		err := in.accept(ctx, a, j, specification)
+		if !isPolicyChange(err) {
+			return err
+		}
+		if a, err = in.readmit(ctx, a); err != nil {
+			return err
+		}
+	}
+	return &NotReadyError{
+		Reason: "the policy keeps changing",
+		After:  time.Second,
+	}
+}
+
+// readmit judges the request under the policy that replaced the admission's.
+func (in *Intake) readmit(ctx context.Context, a Admission) (Admission, error) {
+	ctx, cancel := context.WithTimeout(ctx, policyWait)
+	defer cancel()
+	for in.policies.Current().Number <= a.Policy.Number {
+		changed := in.policies.Changed()
+		if in.policies.Current().Number > a.Policy.Number {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Admission{}, &NotReadyError{
+				Reason: "a newer policy is in force that was not read yet",
+				After:  time.Second,
+			}
+		}
+	}
+	return in.repeatAdmission(a)
+}
+
+// repeatAdmission finds the queue and the team of the admission again.
+func (in *Intake) repeatAdmission(a Admission) (Admission, error) {
+	policy := in.policies.Current()
+	queue, ok := policy.Route(a.Queue.Host, a.Queue.Prefix)
+	if !ok {
+		return Admission{}, &NoQueueError{
+			Host: a.Queue.Host,
+			Path: a.Queue.Prefix,
+		}
+	}
+	if _, ok := policy.Holder(a.Key); !ok && !queue.Public {
+		return Admission{}, &UnknownKeyError{}
+	}
+	a.Queue = queue
+	a.Policy = policy
+	return a, nil
+}
+
+// accept writes the job's rows while the admission's policy is the newest.
+func (in *Intake) accept(ctx context.Context, a Admission, j sesamework.Job, specification string) error {
+	j.Queue = a.Queue.Name
+	j.Team = a.Team
+	j.Terms = a.Queue.Terms
+	now := in.storeNow.Now()
+	j.Accepted = now.Milliseconds()
+	writes, err := rowsOf(j, specification)
+	if err != nil {
+		return err
+	}
+	t := sesamerows.Transaction{
+		Expects: []sesamerows.Expect{
+			{
+				Key: sesamework.JobKey(j.ID),
+			},
+			a.Policy.Guard,
+		},
+		Writes: writes,
+	}
+	repeated := false
+	version, err := in.settle(ctx, t, func(c *sesamerows.ConflictError) (sesamerows.Version, error) {
+		row, ok := c.Row(sesamework.JobKey(j.ID))
+		if !ok {
+			return 0, &policyChangedError{}
+		}
+		repeated = true
+		return row.Version, sameJob(row, j)
+	})
+	if err != nil {
+		return err
+	}
+	in.accepted(a, j, version, repeated)
+	return nil
+}
+
+// settle repeats a refused transaction for a short time only, and one that may
+// have taken effect until the caller's time is over.
+func (in *Intake) settle(
+	ctx context.Context, t sesamerows.Transaction,
+	judge func(*sesamerows.ConflictError) (sesamerows.Version, error),
+) (sesamerows.Version, error) {
+	return sesamerows.Settle(ctx, &hasty{
+		Store: in.store,
+		until: in.clock.Steady() + patience,
+		clock: in.clock,
+	}, t, judge)
+}
+
+func (in *Intake) accepted(a Admission, j sesamework.Job, version sesamerows.Version, repeated bool) {
+	event := eventAccepted
+	outcome := "accepted"
+	if repeated {
+		event = eventRepeated
+		outcome = "repeated"
+	}
+	in.log.Emit(event, sesamelog.Fields{
+		"job":     j.ID,
+		"queue":   j.Queue,
+		"team":    j.Team,
+		"policy":  a.Policy.Number,
+		"version": version,
+		"steps":   j.Steps,
+		"times":   j.Times,
+	})
+	in.count(outcome, a)
+}
+
+// rowsOf returns the rows of a new job.
+func rowsOf(j sesamework.Job, specification string) ([]sesamerows.Write, error) {
+	job, err := json.Marshal(j)
+	if err != nil {
+		return nil, err
+	}
+	state, err := json.Marshal(sesamework.Shown{
+		State: sesamework.JobQueued,
+		Queue: j.Queue,
+		Team:  j.Team,
+		Timed: j.Recurs(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return []sesamerows.Write{
+		{
+			Key:   sesamework.JobKey(j.ID),
+			Value: job,
+		},
+		{
+			Key:   sesamework.SpecKey(j.ID),
+			Value: []byte(specification),
+		},
+		{
+			Key:   sesamework.StateKey(j.ID),
+			Value: state,
+		},
+	}, nil
+}
+
+// sameJob returns a *DifferentError when the row holds another request.
+func sameJob(row sesamerows.Row, j sesamework.Job) error {
+	var earlier sesamework.Job
+	if err := json.Unmarshal(row.Value, &earlier); err != nil {
+		return err
+	}
+	if earlier.Digest != j.Digest {
+		return &DifferentError{
+			ID: j.ID,
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/sesamerows/fence.go
@@ -0,0 +1,192 @@
+package sesamerows
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+// LostError says that another process wrote the fence's row, so that nothing
+// more can be written under it.
+type LostError struct {
+	Key Key
+	// Found is the row as it is now; its Version is 0 when it is gone.
+	Found Row
+}
+
+// Error names the row.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("row %s was written by another process at version %d", e.Key, e.Found.Version)
+}
+
+// Change is what a fenced transaction does besides writing its fence.
+type Change struct {
+	Expects []Expect
+	Writes  []Write
+	Removes []Key
+}
+
+// Fence writes rows under the condition that a row, the fence, is as this
+// process wrote it last. Each transaction writes the fence too, so that an
+// attempt whose answer was lost can be repeated: it takes effect once at most.
+//
+// A Fence is used by one goroutine.
+type Fence struct {
+	store   Store
+	key     Key
+	version Version
+	// token makes the values of one process unique, and count those of its
+	// transactions.
+	token string
+	count int
+}
+
+// NewFence returns a fence that holds nothing yet.
+func NewFence(store Store, key Key) *Fence {
+	return &Fence{
+		store: store,
+		key:   key,
+		token: uuid.NewString()[:8],
+	}
+}
+
+// Version returns the version of the fence's row when it was written last.
+func (f *Fence) Version() Version {
+	return f.version
+}
+
+// Take writes the fence when it still has the version that the caller read.
+func (f *Fence) Take(ctx context.Context, read Version, value []byte) error {
+	f.version = read
+	return f.Commit(ctx, value, Change{})
+}
+
+// Pauses between attempts of one transaction.
+const (
+	firstPause = 20 * time.Millisecond
+	maxPause   = 400 * time.Millisecond
+)
+
+// Commit writes the fence's value and the change together. It repeats the
+// transaction until its outcome is known or ctx ends. The errors are those of
+// Store.Commit, and a *LostError when the fence is another's now. After an
+// *UnknownError the change may take effect until the next Commit has.
+func (f *Fence) Commit(ctx context.Context, value []byte, c Change) error {
+	f.count++
+	err := f.attempt(ctx, seal(f.token, f.count, value), c)
+	var lost *LostError
+	if errors.As(err, &lost) && f.isOwn(lost.Found) {
+		// An earlier transaction that was given up took effect after all.
+		f.version = lost.Found.Version
+		return f.attempt(ctx, seal(f.token, f.count, value), c)
+	}
+	return err
+}
+
+// isOwn reports whether this fence wrote the row.
+func (f *Fence) isOwn(row Row) bool {
+	return bytes.HasPrefix(row.Value, []byte(f.token+"."))
+}
+
+func (f *Fence) attempt(ctx context.Context, sealed []byte, c Change) error {
+	t := Transaction{
+		Expects: append([]Expect{{
+			Key:     f.key,
+			Version: f.version,
+		}}, c.Expects...),
+		Writes: append([]Write{{
+			Key:   f.key,
+			Value: sealed,
+		}}, c.Writes...),
+		Removes: c.Removes,
+	}
+	version, err := Settle(ctx, f.store, t, func(conflict *ConflictError) (Version, error) {
+		return f.judge(conflict, sealed)
+	})
+	if err == nil {
+		f.version = version
+	}
+	return err
+}
+
+// judge tells an own earlier attempt from another process's write.
+func (f *Fence) judge(conflict *ConflictError, sealed []byte) (Version, error) {
+	found, _ := conflict.Row(f.key)
+	if bytes.Equal(found.Value, sealed) {
+		return found.Version, nil
+	}
+	if found.Version != f.version {
+		return 0, &LostError{
+			Key:   f.key,
+			Found: found,
+		}
+	}
+	return 0, conflict
+}
+
+// Settle repeats a transaction until it has an outcome. On a conflict, judge
+// returns the version when the transaction had taken effect before, or the
+// error to report. A transaction must not be able to take effect twice.
+func Settle(ctx context.Context, s Store, t Transaction, judge func(*ConflictError) (Version, error)) (Version, error) {
+	unknown := false
+	pause := firstPause
+	for {
+		version, err := s.Commit(ctx, t)
+		var conflict *ConflictError
+		switch {
+		case err == nil:
+			return version, nil
+		case errors.As(err, &conflict):
+			return judge(conflict)
+		case errors.HasType(err, (*UnknownError)(nil)):
+			unknown = true
+		case !errors.HasType(err, (*UnavailableError)(nil)):
+			return 0, err
+		}
+		if !sleep(ctx, pause) {
+			return 0, outcome(unknown, err)
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// outcome says unknown when any attempt may have taken effect.
+func outcome(unknown bool, err error) error {
+	if !unknown || errors.HasType(err, (*UnknownError)(nil)) {
+		return err
+	}
+	return &UnknownError{
+		Operation: "commit",
+		Cause:     err,
+	}
+}
+
+// sleep reports whether the pause went by before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	pause, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-pause.Done()
+	return ctx.Err() == nil
+}
+
+// seal puts the token and count in front of the value.
+func seal(token string, count int, value []byte) []byte {
+	head := token + "." + strconv.Itoa(count) + " "
+	return append([]byte(head), value...)
+}
+
+// Open returns the value of a fence's row as it was given to Commit.
+func Open(sealed []byte) []byte {
+	_, value, _ := bytes.Cut(sealed, []byte(" "))
+	return value
+}
+
+// Unfenced returns a value that Open accepts and that no fence has written.
+func Unfenced(value []byte) []byte {
+	return append([]byte("- "), value...)
+}
--- /dev/null
+++ b/sesamerows/follow.go
@@ -0,0 +1,133 @@
+package sesamerows
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Batch is a step of a table's state.
+type Batch struct {
+	Rows []Row
+	// Whole says that the rows are all there are: what is not among them does
+	// not exist.
+	Whole bool
+	// Now is the store's steady clock when the batch was read.
+	Now time.Duration
+	// Version is the newest version that the batch covers.
+	Version Version
+}
+
+// Follower reads a table and then its changes.
+type Follower struct {
+	store Store
+	table string
+	// part limits the follower to one part when onePart is set.
+	onePart bool
+	part    string
+	wait    time.Duration
+	after   Version
+	started bool
+}
+
+// FollowOptions are what a Follower needs.
+type FollowOptions struct {
+	Table string
+	// Parts: nil means all parts of the table, otherwise the only one used.
+	Part *string
+	// Wait is how long one call waits for a change.
+	Wait time.Duration
+}
+
+// NewFollower returns a follower that begins with the whole table.
+func NewFollower(store Store, o FollowOptions) *Follower {
+	f := &Follower{
+		store: store,
+		table: o.Table,
+		wait:  o.Wait,
+	}
+	if o.Part != nil {
+		f.onePart = true
+		f.part = *o.Part
+	}
+	return f
+}
+
+// Next returns the next batch; it is empty when nothing changed while the
+// call waited. After an error the same call may be repeated.
+func (f *Follower) Next(ctx context.Context) (Batch, error) {
+	if !f.started {
+		return f.readAll(ctx)
+	}
+	page, err := f.store.Changes(ctx, f.table, f.after, f.wait)
+	if errors.HasType(err, (*HistoryError)(nil)) {
+		f.started = false
+		return f.readAll(ctx)
+	}
+	if err != nil {
+		return Batch{}, err
+	}
+	f.after = max(f.after, page.Version)
+	return Batch{
+		Rows:    page.Rows,
+		Now:     page.Now,
+		Version: f.after,
+	}, nil
+}
+
+// readAll reads every part. Changes are followed from the first page's
+// version on, so rows that change meanwhile come once more.
+func (f *Follower) readAll(ctx context.Context) (Batch, error) {
+	parts := []string{f.part}
+	if !f.onePart {
+		var err error
+		if parts, err = f.store.Parts(ctx, f.table); err != nil {
+			return Batch{}, err
+		}
+	}
+	// A table without parts still needs a version to follow from.
+	if len(parts) == 0 {
+		parts = []string{""}
+	}
+	batch := Batch{
+		Whole: true,
+	}
+	for _, part := range parts {
+		pages, err := ReadAll(ctx, f.store, Range{
+			Table: f.table,
+			Part:  part,
+		})
+		if err != nil {
+			return Batch{}, err
+		}
+		batch.Rows = append(batch.Rows, pages.Rows...)
+		batch.Now = pages.Now
+		if batch.Version == 0 {
+			batch.Version = pages.Version
+		}
+	}
+	f.after = batch.Version
+	f.started = true
+	return batch, nil
+}
+
+// ReadAll reads a range page by page. The version is that of the first page.
+func ReadAll(ctx context.Context, s Store, r Range) (Page, error) {
+	var all Page
+	for {
+		page, err := s.Read(ctx, r)
+		if err != nil {
+			return Page{}, err
+		}
+		if all.Version == 0 {
+			all.Version = page.Version
+		}
+		all.Rows = append(all.Rows, page.Rows...)
+		all.Now = page.Now
+		if !page.More || len(page.Rows) == 0 {
+			return all, nil
+		}
+		r.From = page.Rows[len(page.Rows)-1].Key.Name + "\x00"
+	}
+}
--- /dev/null
+++ b/sesamerows/memory.go
@@ -0,0 +1,180 @@
+package sesamerows
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesameclock"
+)
+
+// MaxPageRows is the most rows that one page holds.
+const MaxPageRows = 500
+
+// Memory is a Store in one process, for tests and stand-ins.
+type Memory struct {
+	clock sesameclock.Clock
+
+	mu      sync.Mutex
+	version Version
+	rows    map[Key]Row
+	log     []Row
+	// forgotten is the version up to which the log was dropped.
+	forgotten Version
+	changed   chan struct{}
+}
+
+var _ Store = (*Memory)(nil)
+
+// NewMemory returns an empty store.
+func NewMemory(clock sesameclock.Clock) *Memory {
+	return &Memory{
+		clock:   clock,
+		rows:    map[Key]Row{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Read returns rows of the range; see Store.
+func (m *Memory) Read(_ context.Context, r Range) (Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	page := m.page()
+	for key, row := range m.rows {
+		inside := key.Table == r.Table && key.Part == r.Part && key.Name >= r.From
+		if inside && (r.To == "" || key.Name < r.To) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b Row) int {
+		return cmp.Compare(a.Key.Name, b.Key.Name)
+	})
+	if len(page.Rows) > MaxPageRows {
+		page.Rows = page.Rows[:MaxPageRows]
+		page.More = true
+	}
+	return page, nil
+}
+
+// Parts returns the parts of a table; see Store.
+func (m *Memory) Parts(_ context.Context, table string) ([]string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var parts []string
+	for key := range m.rows {
+		if key.Table == table && !slices.Contains(parts, key.Part) {
+			parts = append(parts, key.Part)
+		}
+	}
+	slices.Sort(parts)
+	return parts, nil
+}
+
+// Commit applies the transaction; see Store.
+func (m *Memory) Commit(_ context.Context, t Transaction) (Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if conflict := m.check(t.Expects); conflict != nil {
+		return 0, conflict
+	}
+	m.version++
+	for _, w := range t.Writes {
+		m.set(Row{
+			Key:     w.Key,
+			Value:   slices.Clone(w.Value),
+			Version: m.version,
+		})
+	}
+	for _, key := range t.Removes {
+		m.set(Row{
+			Key:     key,
+			Version: m.version,
+			Removed: true,
+		})
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return m.version, nil
+}
+
+func (m *Memory) check(expects []Expect) error {
+	holds := true
+	var rows []Row
+	for _, e := range expects {
+		row, ok := m.rows[e.Key]
+		holds = holds && row.Version == e.Version
+		if ok {
+			rows = append(rows, row)
+		}
+	}
+	if holds {
+		return nil
+	}
+	return &ConflictError{
+		Rows: rows,
+	}
+}
+
+func (m *Memory) set(row Row) {
+	if row.Removed {
+		if _, ok := m.rows[row.Key]; !ok {
+			return
+		}
+		delete(m.rows, row.Key)
+	} else {
+		m.rows[row.Key] = row
+	}
+	m.log = append(m.log, row)
+}
+
+// Changes returns what changed after the version; see Store.
+func (m *Memory) Changes(ctx context.Context, table string, after Version, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		page, changed, err := m.since(table, after)
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return page, nil
+		}
+	}
+}
+
+func (m *Memory) since(table string, after Version) (Page, chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if after < m.forgotten {
+		return Page{}, nil, &HistoryError{
+			Table: table,
+			After: after,
+		}
+	}
+	page := m.page()
+	for _, row := range m.log {
+		if row.Version > after && row.Key.Table == table {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, m.changed, nil
+}
+
+func (m *Memory) page() Page {
+	return Page{
+		Version: m.version,
+		Now:     m.clock.Steady(),
+	}
+}
+
+// Forget drops the history so far.
+func (m *Memory) Forget() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forgotten = m.version
+	m.log = nil
+}
--- /dev/null
+++ b/sesamerows/time.go
@@ -0,0 +1,53 @@
+package sesamerows
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesameclock"
+)
+
+// Timekeeper estimates the store's steady clock from its answers.
+type Timekeeper struct {
+	clock sesameclock.Clock
+	state *timeState
+}
+
+type timeState struct {
+	mu     sync.Mutex
+	offset time.Duration
+	known  bool
+}
+
+// NewTimekeeper returns a timekeeper that has heard nothing.
+func NewTimekeeper(clock sesameclock.Clock) Timekeeper {
+	return Timekeeper{
+		clock: clock,
+		state: &timeState{},
+	}
+}
+
+// Heard notes the clock of an answer that has just arrived. The answer was on
+// its way for a while, so the largest offset is the nearest to the truth.
+func (t Timekeeper) Heard(now time.Duration) {
+	if now == 0 {
+		return
+	}
+	t.state.mu.Lock()
+	defer t.state.mu.Unlock()
+	offset := now - t.clock.Steady()
+	if !t.state.known || offset > t.state.offset {
+		t.state.offset = offset
+		t.state.known = true
+	}
+}
+
+// Now returns the store's clock, or 0 before the first answer.
+func (t Timekeeper) Now() time.Duration {
+	t.state.mu.Lock()
+	defer t.state.mu.Unlock()
+	if !t.state.known {
+		return 0
+	}
+	return t.clock.Steady() + t.state.offset
+}
--- /dev/null
+++ b/sesamerunner/events.go
@@ -0,0 +1,31 @@
+package sesamerunner
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+)
+
+var (
+	eventTarget    = sesamelog.Define(7200, sesamelog.Info, "target reports")
+	eventSession   = sesamelog.Define(7201, sesamelog.Info, "session with target begins")
+	eventOver      = sesamelog.Define(7202, sesamelog.Info, "session with target ends")
+	eventStarted   = sesamelog.Define(7203, sesamelog.Info, "run started")
+	eventStartFail = sesamelog.Define(7204, sesamelog.Warn, "run not started")
+	eventStopped   = sesamelog.Define(7205, sesamelog.Info, "stop ordered")
+	eventStopFail  = sesamelog.Define(7206, sesamelog.Warn, "stop not answered")
+	eventEnd       = sesamelog.Define(7207, sesamelog.Info, "run ended on target")
+	eventVoid      = sesamelog.Define(7208, sesamelog.Warn, "run will not start")
+	eventHoldFail  = sesamelog.Define(7209, sesamelog.Warn, "target does not answer")
+	eventHoldBack  = sesamelog.Define(7210, sesamelog.Info, "target answers again")
+	eventStoreLost = sesamelog.Define(7211, sesamelog.Warn, "report not confirmed")
+	eventStoreBack = sesamelog.Define(7212, sesamelog.Info, "report confirmed again")
+	eventUnasked   = sesamelog.Define(7213, sesamelog.Warn, "target runs what nobody wants")
+	eventBadRow    = sesamelog.Define(7214, sesamelog.Error, "row can't be read")
+	eventStale     = sesamelog.Define(7215, sesamelog.Info, "late report ignored")
+)
+
+// callBuckets run from 1 ms to about 8 s.
+var callBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
--- /dev/null
+++ b/sesamerunner/runs.go
@@ -0,0 +1,140 @@
+package sesamerunner
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+const (
+	// runsWait is how long one call for changes of runs waits.
+	runsWait = time.Second
+	// maxRunsAge is how old the view of the runs may be when a run is
+	// started: it may have been cancelled meanwhile.
+	maxRunsAge = 2500 * time.Millisecond
+)
+
+// wanted is a run that the planner has ordered from a target.
+type wanted struct {
+	task       sesamework.TaskID
+	run        int
+	stop       string
+	checkpoint string
+}
+
+// runs is a view of the newest runs that concern the targets of this node.
+type runs struct {
+	store  sesamerows.Store
+	clock  sesameclock.Clock
+	log    *sesamelog.Logger
+	prefix string
+
+	mu sync.Mutex
+	// heard is when the store last confirmed the view; 0 before the first
+	// reading.
+	heard   time.Duration
+	rows    map[string]sesamework.Run
+	changed chan struct{}
+}
+
+func newRuns(o Options) *runs {
+	return &runs{
+		store:   o.Store,
+		clock:   o.Clock,
+		log:     o.Log,
+		prefix:  sesamework.TargetKey(o.Zone, o.Node, "").Name,
+		rows:    map[string]sesamework.Run{},
+		changed: make(chan struct{}),
+	}
+}
+
+// follow keeps the view up to date until ctx ends.
+func (r *runs) follow(ctx context.Context) error {
+	part := ""
+	follower := sesamerows.NewFollower(r.store, sesamerows.FollowOptions{
+		Table: sesamework.RunTable,
+		Part:  &part,
+		Wait:  runsWait,
+	})
+	for ctx.Err() == nil {
+		asked := r.clock.Steady()
+		batch, err := follower.Next(ctx)
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		r.apply(batch, asked)
+	}
+	return nil
+}
+
+// apply takes a batch that was asked for at that time.
+func (r *runs) apply(b sesamerows.Batch, asked time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b.Whole {
+		clear(r.rows)
+	}
+	for _, row := range b.Rows {
+		r.set(row)
+	}
+	r.heard = max(r.heard, asked)
+	if b.Whole || len(b.Rows) > 0 {
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+}
+
+func (r *runs) set(row sesamerows.Row) {
+	delete(r.rows, row.Key.Name)
+	if row.Removed {
+		return
+	}
+	var run sesamework.Run
+	if err := json.Unmarshal(row.Value, &run); err != nil {
+		r.log.Emit(eventBadRow, sesamelog.Fields{
+			"row":   row.Key.String(),
+			"error": err,
+		})
+		return
+	}
+	for _, m := range run.Members {
+		if len(m.Target) > len(r.prefix) && m.Target[:len(r.prefix)] == r.prefix {
+			r.rows[row.Key.Name] = run
+			return
+		}
+	}
+}
+
+// of returns what is wanted of one life of a target, and a channel that is
+// closed at the next change. It returns false while the view is too old to
+// start anything from.
+func (r *runs) of(target string, life int64) (all []wanted, changed <-chan struct{}, fresh bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, run := range r.rows {
+		unit, err := sesamework.ParseUnit(name)
+		if err != nil {
+			continue
+		}
+		for _, m := range run.Members {
+			if m.Target != target || m.Life != life {
+				continue
+			}
+			all = append(all, wanted{
+				task:       unit.Task(m.Index),
+				run:        run.Number,
+				stop:       run.Stop,
+				checkpoint: run.Checkpoint,
+			})
+		}
+	}
+	fresh = r.heard > 0 && r.clock.Steady()-r.heard < maxRunsAge
+	return all, r.changed, fresh
+}
--- /dev/null
+++ b/sesamerunner/session.go
@@ -0,0 +1,214 @@
+package sesamerunner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// runKey names a run of a task.
+type runKey struct {
+	task string
+	run  int
+}
+
+// phase is how far a run has come on the target, as the session knows.
+type phase int
+
+const (
+	// phaseNew runs have not been ordered by this process.
+	phaseNew phase = iota
+	// phaseOrdered runs may start, or have started.
+	phaseOrdered
+	// phaseRunning runs were listed by the target.
+	phaseRunning
+	// phaseEnded runs have an end that is recorded or about to be.
+	phaseEnded
+)
+
+// known is what the session knows of a run.
+type known struct {
+	phase phase
+	// busy is true while an order for the run is under way.
+	busy bool
+	// stopped is the number of the first hold that was sent after a stop was
+	// answered; 0 before.
+	stopped  int64
+	refusals int
+	// unwanted says why the run is given back; empty while it isn't.
+	unwanted string
+}
+
+// session serves one life of a target.
+type session struct {
+	*Runner
+	id       string
+	key      sesamerows.Key
+	executor Executor
+	fence    *sesamerows.Fence
+	// wake makes the order loop look, and record the report loop write.
+	wake   chan struct{}
+	record chan struct{}
+	over   chan struct{}
+
+	mu       sync.Mutex
+	report   Report
+	reported time.Duration
+	ended    string
+	holder   int64
+	beat     int64
+	// confirmed is when the last report was sent that the store confirmed.
+	confirmed time.Duration
+	// clock is the target's at the time clockAt.
+	clock   time.Duration
+	clockAt time.Duration
+	// holds counts the holds sent.
+	holds    int64
+	known    map[runKey]*known
+	running  map[runKey]sesamework.Progress
+	ends     map[sesamerows.Key]end
+	recorded int64
+	refusing time.Duration
+	// lost is true while reports are not confirmed.
+	lost bool
+}
+
+// end is an end that has to be recorded.
+type end struct {
+	key runKey
+	// place is the key of the end's row.
+	place sesamerows.Key
+	// number is the target's, 0 for a run that never was there.
+	number int64
+	value  sesamework.End
+}
+
+func newSession(r *Runner, report Report) *session {
+	key := sesamework.TargetKey(r.o.Zone, r.o.Node, report.ID)
+	return &session{
+		Runner:   r,
+		id:       report.ID,
+		key:      key,
+		executor: r.o.Dial(report.Address, report.ID),
+		fence:    sesamerows.NewFence(r.o.Store, key),
+		wake:     make(chan struct{}, 1),
+		record:   make(chan struct{}, 1),
+		over:     make(chan struct{}),
+		report:   report,
+		reported: r.o.Clock.Steady(),
+		known:    map[runKey]*known{},
+		running:  map[runKey]sesamework.Progress{},
+		ends:     map[sesamerows.Key]end{},
+	}
+}
+
+// signal wakes a loop that waits, or lets it go on once more.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) life() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report.Life
+}
+
+// isStale reports whether a report is older than what is known of the target.
+func (s *session) isStale(r Report) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Life != s.report.Life {
+		return r.Life < s.report.Life
+	}
+	return r.Sequence < s.report.Sequence
+}
+
+func (s *session) update(r Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.report.Draining != r.Draining
+	s.report = r
+	s.reported = s.o.Clock.Steady()
+	if changed {
+		s.o.Log.Emit(eventTarget, sesamelog.Fields{
+			"target":   s.id,
+			"draining": r.Draining,
+			"leaves":   r.Leaves.Milliseconds(),
+			"sequence": r.Sequence,
+		})
+		signal(s.record)
+		signal(s.wake)
+	}
+}
+
+// end finishes the session: the target runs nothing any more.
+func (s *session) end(reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended != "" {
+		return
+	}
+	s.ended = reason
+	close(s.over)
+	signal(s.record)
+}
+
+// run serves the target until its life is over or ctx ends.
+func (s *session) run(ctx context.Context) error {
+	defer s.executor.Close()
+	if !s.take(ctx) {
+		s.forget(s)
+		return nil
+	}
+	serving, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error {
+		s.holdLoop(serving)
+		return nil
+	})
+	group.Go(func() error {
+		s.orderLoop(serving)
+		return nil
+	})
+	group.Go(func() error {
+		defer cancel()
+		s.reportLoop(ctx)
+		return nil
+	})
+	err := group.Wait()
+	s.o.Log.Emit(eventOver, sesamelog.Fields{
+		"target": s.id,
+		"life":   s.life(),
+		"reason": s.reason(),
+	})
+	s.forget(s)
+	return err
+}
+
+func (s *session) reason() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended == "" {
+		return "process stops"
+	}
+	return s.ended
+}
+
+func (s *session) isOver() bool {
+	select {
+	case <-s.over:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/sesamework/job.go
@@ -0,0 +1,235 @@
+// Package sesamework holds the values of jobs that consist of steps, in the
+// form in which they lie in the store's rows: jobs, runs, ends, targets and
+// the states that callers see. It does no input or output.
+//
+// # Usage
+//
+//	job := sesamework.Job{
+//		ID:    "5c0e7a21d94b36f8",
+//		Steps: steps,
+//	}
+//	if err := job.Validate(); err != nil {
+//		return err
+//	}
+package sesamework
+
+import (
+	"fmt"
+	"time"
+)
+
+// Need is what a task takes and what a target offers.
+type Need struct {
+	// Cores is in thousandths of a core.
+	Cores int64 `json:"c,omitempty"`
+	// Memory is in MiB.
+	Memory       int64 `json:"m,omitempty"`
+	Accelerators int64 `json:"a,omitempty"`
+}
+
+// Plus returns the sum of both.
+func (n Need) Plus(o Need) Need {
+	return Need{
+		Cores:        n.Cores + o.Cores,
+		Memory:       n.Memory + o.Memory,
+		Accelerators: n.Accelerators + o.Accelerators,
+	}
+}
+
+// Minus returns n less o.
+func (n Need) Minus(o Need) Need {
+	return n.Plus(o.Times(-1))
+}
+
+// Times returns n multiplied.
+func (n Need) Times(k int64) Need {
+	return Need{
+		Cores:        n.Cores * k,
+		Memory:       n.Memory * k,
+		Accelerators: n.Accelerators * k,
+	}
+}
+
+// Fits reports whether no part of n exceeds the same part of room.
+func (n Need) Fits(room Need) bool {
+	return n.Cores <= room.Cores && n.Memory <= room.Memory && n.Accelerators <= room.Accelerators
+}
+
+// AcceleratorCores is what one accelerator counts in cores when work is
+// weighed; the platform's price of lost work.
+const AcceleratorCores = 8
+
+// Weight returns the need in cores, accelerators included.
+func (n Need) Weight() float64 {
+	return float64(n.Cores)/1000 + AcceleratorCores*float64(n.Accelerators)
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count int  `json:"n"`
+	Need  Need `json:"need"`
+	// Estimate is the declared duration of a task, in milliseconds.
+	Estimate int64 `json:"est,omitempty"`
+	// After lists earlier steps that must be done first.
+	After []int `json:"after,omitempty"`
+	// Checkpoints says that a stopped task can go on from where it was.
+	Checkpoints bool `json:"ckpt,omitempty"`
+	// Gang says that the tasks only work together.
+	Gang bool `json:"gang,omitempty"`
+	// SameRack says that a gang is much slower over several racks.
+	SameRack bool `json:"rack,omitempty"`
+	// Label must be among the target's labels, if set.
+	Label string `json:"label,omitempty"`
+	// DataRack is where the tasks are fast, if set.
+	DataRack string `json:"data,omitempty"`
+	// Spread is the most tasks on one target; 0 means no bound.
+	Spread int `json:"spread,omitempty"`
+	// Speculative says that copies of a task may run at once.
+	Speculative bool `json:"copies,omitempty"`
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool `json:"lasts,omitempty"`
+	// Fills says that the tasks use cores that others leave.
+	Fills bool `json:"fills,omitempty"`
+}
+
+// Room returns what a task of the step takes of a target's capacity.
+func (s Step) Room() Need {
+	n := s.Need
+	if s.Fills {
+		n.Cores = 0
+	}
+	return n
+}
+
+// Duration returns the declared duration of a task.
+func (s Step) Duration() time.Duration {
+	return time.Duration(s.Estimate) * time.Millisecond
+}
+
+// Terms are what the policy in force at its acceptance says of a job.
+type Terms struct {
+	Service string `json:"service"`
+	// Priority 0 comes first.
+	Priority int `json:"prio"`
+	// Attempts is how often a task may fail.
+	Attempts int `json:"tries"`
+	// Stretch times the longest chain of steps, and Latency more, is the time
+	// in which the job should end. Latency is in milliseconds.
+	Stretch float64 `json:"stretch"`
+	Latency int64   `json:"latency"`
+}
+
+// Job is accepted work.
+type Job struct {
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	Team  string `json:"team,omitempty"`
+	Terms Terms  `json:"terms"`
+	Steps []Step `json:"steps"`
+	// Times is how often the steps run, the first time at First in Unix
+	// milliseconds and then each Interval milliseconds; 0 means once, now.
+	Times    int   `json:"times,omitempty"`
+	First    int64 `json:"first,omitempty"`
+	Interval int64 `json:"interval,omitempty"`
+	// Accepted is the time of acceptance on the store's steady clock, in
+	// milliseconds.
+	Accepted int64 `json:"at"`
+	// Digest tells requests with the same ID apart.
+	Digest string `json:"digest"`
+}
+
+// Occurrences returns how often the steps run in all.
+func (j Job) Occurrences() int {
+	return max(1, j.Times)
+}
+
+// Recurs reports whether the steps run at set times.
+func (j Job) Recurs() bool {
+	return j.Times > 0
+}
+
+// Due returns when the occurrence may start, in Unix milliseconds.
+func (j Job) Due(occurrence int) int64 {
+	return j.First + int64(occurrence)*j.Interval
+}
+
+// Chain returns the declared duration of the longest chain of steps.
+func (j Job) Chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, s := range j.Steps {
+		for _, earlier := range s.After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += s.Duration()
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Objective returns the time in which an occurrence should end.
+func (j Job) Objective() time.Duration {
+	chain := time.Duration(j.Terms.Stretch * float64(j.Chain()))
+	return chain + time.Duration(j.Terms.Latency)*time.Millisecond
+}
+
+// Bounds on what one job may ask for; the row of a job is at most 64 KiB.
+const (
+	maxSteps     = 256
+	maxTasks     = 1 << 16
+	maxTimes     = 1 << 20
+	maxDimension = 1 << 40
+)
+
+// InvalidError says which part of a job cannot be taken.
+type InvalidError struct {
+	Field   string
+	Problem string
+}
+
+// Error names the field and the problem.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("%s %s", e.Field, e.Problem)
+}
+
+// Validate returns an *InvalidError when the job makes no sense.
+func (j Job) Validate() error {
+	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+		return &InvalidError{
+			Field:   "steps",
+			Problem: fmt.Sprintf("has %d entries, expected 1 to %d", len(j.Steps), maxSteps),
+		}
+	}
+	if j.Times < 0 || j.Times > maxTimes || j.First < 0 || j.Interval < 0 {
+		return &InvalidError{
+			Field:   "times",
+			Problem: fmt.Sprintf("is %d from %d each %d ms", j.Times, j.First, j.Interval),
+		}
+	}
+	for i, s := range j.Steps {
+		if problem := s.problem(i); problem != "" {
+			return &InvalidError{
+				Field:   fmt.Sprintf("step %d", i),
+				Problem: problem,
+			}
+		}
+	}
+	return nil
+}
+
+func (s Step) problem(position int) string {
+	if s.Count < 1 || s.Count > maxTasks {
+		return fmt.Sprintf("has %d tasks, expected 1 to %d", s.Count, maxTasks)
+	}
+	for _, amount := range []int64{s.Need.Cores, s.Need.Memory, s.Need.Accelerators, s.Estimate, int64(s.Spread)} {
+		if amount < 0 || amount > maxDimension {
+			return fmt.Sprintf("asks for %d", amount)
+		}
+	}
+	for _, earlier := range s.After {
+		if earlier < 0 || earlier >= position {
+			return fmt.Sprintf("comes after step %d, which is not an earlier one", earlier)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/sesamework/rows.go
@@ -0,0 +1,179 @@
+package sesamework
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/sesamestack/sesamestack/sesamerows"
+)
+
+// Tables of the store. Work is what the planner reads, runs what agents read,
+// and states what entries read.
+const (
+	WorkTable   = "work"
+	RunTable    = "runs"
+	StateTable  = "states"
+	SpecTable   = "specs"
+	LeaderTable = "leader"
+)
+
+// Prefixes of names in the work table.
+const (
+	JobPrefix    = "j/"
+	CancelPrefix = "c/"
+	TargetPrefix = "t/"
+	EndPrefix    = "e/"
+)
+
+// JobKey names the row of an accepted job.
+func JobKey(id string) sesamerows.Key {
+	return sesamerows.Key{
+		Table: WorkTable,
+		Name:  JobPrefix + id,
+	}
+}
+
+// CancelKey names the row that exists once a job's cancelling was accepted.
+func CancelKey(id string) sesamerows.Key {
+	return sesamerows.Key{
+		Table: WorkTable,
+		Name:  CancelPrefix + id,
+	}
+}
+
+// SpecKey names the row with what a job's tasks are told to run.
+func SpecKey(id string) sesamerows.Key {
+	return sesamerows.Key{
+		Table: SpecTable,
+		Name:  id,
+	}
+}
+
+// StateKey names the row with the state that callers see.
+func StateKey(id string) sesamerows.Key {
+	return sesamerows.Key{
+		Table: StateTable,
+		Name:  id,
+	}
+}
+
+// RunKey names the row of a unit's newest run.
+func RunKey(u UnitID) sesamerows.Key {
+	return sesamerows.Key{
+		Table: RunTable,
+		Name:  u.String(),
+	}
+}
+
+// TargetKey names the row of one target. Targets of a zone share a part.
+func TargetKey(zone, node, id string) sesamerows.Key {
+	return sesamerows.Key{
+		Table: WorkTable,
+		Part:  zone,
+		Name:  TargetPrefix + node + "/" + id,
+	}
+}
+
+// EndKey names the row of a run's end on a target of the zone.
+func EndKey(zone string, task TaskID, run int) sesamerows.Key {
+	return sesamerows.Key{
+		Table: WorkTable,
+		Part:  zone,
+		Name:  EndPrefix + task.String() + "/" + strconv.Itoa(run),
+	}
+}
+
+// LeaderKey names the row of the process that plans.
+func LeaderKey() sesamerows.Key {
+	return sesamerows.Key{
+		Table: LeaderTable,
+		Name:  "planner",
+	}
+}
+
+// GangIndex stands for all tasks of a step together.
+const GangIndex = -1
+
+// UnitID names what is started as one: a task, or all tasks of a gang.
+type UnitID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	// Index is the task, or GangIndex.
+	Index int
+}
+
+// String returns job.occurrence.step.index, without an index for a gang.
+func (u UnitID) String() string {
+	name := fmt.Sprintf("%s.%d.%d", u.Job, u.Occurrence, u.Step)
+	if u.Index == GangIndex {
+		return name
+	}
+	return name + "." + strconv.Itoa(u.Index)
+}
+
+// Task returns the name of one task of the unit.
+func (u UnitID) Task(index int) TaskID {
+	return TaskID{
+		Job:        u.Job,
+		Occurrence: u.Occurrence,
+		Step:       u.Step,
+		Index:      index,
+	}
+}
+
+// TaskID names a task.
+type TaskID UnitID
+
+// String returns job.occurrence.step.index.
+func (t TaskID) String() string {
+	return UnitID(t).String()
+}
+
+// NameError says that a text is no name of a unit or a task.
+type NameError struct {
+	Name string
+}
+
+// Error names the text.
+func (e *NameError) Error() string {
+	return fmt.Sprintf("%q is not the name of a task", e.Name)
+}
+
+// ParseUnit reads what UnitID.String wrote.
+func ParseUnit(name string) (UnitID, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) < 3 || len(parts) > 4 || parts[0] == "" {
+		return UnitID{}, &NameError{
+			Name: name,
+		}
+	}
+	numbers := []int{0, 0, GangIndex}
+	for i, text := range parts[1:] {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			return UnitID{}, &NameError{
+				Name: name,
+			}
+		}
+		numbers[i] = n
+	}
+	return UnitID{
+		Job:        parts[0],
+		Occurrence: numbers[0],
+		Step:       numbers[1],
+		Index:      numbers[2],
+	}, nil
+}
+
+// ParseTask reads what TaskID.String wrote.
+func ParseTask(name string) (TaskID, error) {
+	u, err := ParseUnit(name)
+	if err == nil && u.Index == GangIndex {
+		err = &NameError{
+			Name: name,
+		}
+	}
+	return TaskID(u), err
+}
