Order runs once, keep claimed room, and remember recorded ends

Now kept room says until when shorter work may use it, and claims say never. - An agent that restarted ordered runs again whose end was recorded. - SIGHUP ended processes (code 129). It reads the settings again now.

--- a/sesamecommand/events.go
+++ b/sesamecommand/events.go
@@ -6,4 +6,5 @@
 	eventServing  = sesamelog.Define(6000, sesamelog.Info, "process serves")
 	eventStopped  = sesamelog.Define(6001, sesamelog.Info, "process stopped")
 	eventDraining = sesamelog.Define(6002, sesamelog.Info, "process drains")
+	eventReloaded = sesamelog.Define(6003, sesamelog.Info, "settings read again")
 )
--- a/sesamecommand/hosted.go
+++ b/sesamecommand/hosted.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -126,6 +128,26 @@
 	}
 }
 
+// onHangup reads the settings file again on each SIGHUP. Addresses and limits
+// stay as they were at the start; a file with faults changes nothing.
+func (p *process) onHangup(reload func() error) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	p.group.Go(func() error {
+		defer signal.Stop(hangups)
+		for {
+			select {
+			case <-hangups:
+				p.log.Emit(eventReloaded, sesamelog.Fields{
+					"error": reload(),
+				})
+			case <-p.ctx.Done():
+				return nil
+			}
+		}
+	})
+}
+
 // awaitStop returns when the process is told to stop, or when a duty failed.
 func (p *process) awaitStop(ctx context.Context) {
 	select {
--- a/sesamecommand/hostedagent.go
+++ b/sesamecommand/hostedagent.go
@@ -35,16 +35,20 @@
 			if err != nil {
 				return err
 			}
-			return runHostedAgent(c, s, settings)
+			return runHostedAgent(c, s, file, settings)
 		},
 	}
 	hostedSettings(c, &file)
 	return c
 }
 
-func runHostedAgent(c *cobra.Command, s streams, settings sesamesettings.HostedAgent) error {
+func runHostedAgent(c *cobra.Command, s streams, file string, settings sesamesettings.HostedAgent) error {
 	scope, metrics, closer := newMetrics()
 	p, stop := newProcess(c, s, settings.Log, settings.Memory)
+	p.onHangup(func() error {
+		_, err := sesamesettings.LoadHostedAgent(file)
+		return err
+	})
 	runner := newRunner(p, settings, scope)
 	reports := plainServer(platform.NewReports(runner, settings.Service, p.log))
 	err := startAgent(p, settings, runner, reports, metrics)
--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -45,7 +45,7 @@
 			if err != nil {
 				return err
 			}
-			return runHostedEntry(c, s, settings)
+			return runHostedEntry(c, s, file, settings)
 		},
 	}
 	hostedSettings(c, &file)
@@ -64,9 +64,13 @@
 	ready    *http.Server
 }
 
-func runHostedEntry(c *cobra.Command, s streams, settings sesamesettings.HostedEntry) error {
+func runHostedEntry(c *cobra.Command, s streams, file string, settings sesamesettings.HostedEntry) error {
 	scope, metrics, closer := newMetrics()
 	p, stop := newProcess(c, s, settings.Log, settings.Memory)
+	p.onHangup(func() error {
+		_, err := sesamesettings.LoadHostedEntry(file)
+		return err
+	})
 	e := newHostedEntryProcess(p, settings, scope)
 	err := e.start(metrics)
 	if err == nil {
--- a/sesamedispatch/book.go
+++ b/sesamedispatch/book.go
@@ -207,13 +207,13 @@
 	return u, ok
 }
 
-func (b *Book) setEnd(name string, row sesamerows.Row) {
+func (b *Book) setEnd(_ string, row sesamerows.Row) {
 	if row.Removed {
 		delete(b.ends, row.Key)
 		return
 	}
 	b.ends[row.Key] = true
-	task, number, ok := cutRun(name)
+	task, number, ok := sesamework.ParseEnd(row.Key)
 	var e sesamework.End
 	if !ok || !b.decode(row, row.Value, &e) {
 		return
--- a/sesamedispatch/owed.go
+++ b/sesamedispatch/owed.go
@@ -39,7 +39,7 @@
 		targets: best.targets,
 		until:   p.book.now.Steady + claimTime,
 	}
-	p.keep(u, best.targets, time.Hour)
+	p.keep(u, best.targets, 0)
 	p.used[u.job.Team] += u.accelerators()
 	p.book.log.Emit(eventClaimed, sesamelog.Fields{
 		"job":     u.id.Job,
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -27,7 +27,8 @@
 	room map[string]sesamework.Need
 	// kept is room that blocked units wait for, by target.
 	kept map[string]sesamework.Need
-	// keptFor is how long the room is kept from others.
+	// keptFor is when the first of those units may fit; what ends before that
+	// may use the room.
 	keptFor map[string]time.Duration
 	// onTarget counts the tasks of a step and occurrence by target.
 	onTarget     map[spreadKey]int
@@ -88,7 +89,7 @@
 			p.used[u.job.Team] += u.accelerators()
 		}
 		if u.isWaiting() && b.now.Steady < u.claim.until {
-			p.keep(u, u.claim.targets, time.Hour)
+			p.keep(u, u.claim.targets, 0)
 			p.used[u.job.Team] += u.accelerators()
 		}
 	}
@@ -100,11 +101,15 @@
 	p.onTarget[u.spreadKey(target)]++
 }
 
-// keep keeps room on the targets from units that come later in order.
-func (p *pass) keep(u *unit, targets []string, until time.Duration) {
+// keep keeps room on the targets from units that come later in order, but for
+// those that end within wait.
+func (p *pass) keep(u *unit, targets []string, wait time.Duration) {
 	for _, name := range targets {
 		p.kept[name] = p.kept[name].Plus(u.step.Room())
-		p.keptFor[name] = max(p.keptFor[name], until)
+		if earlier, ok := p.keptFor[name]; ok {
+			wait = min(wait, earlier)
+		}
+		p.keptFor[name] = wait
 	}
 }
 
@@ -147,7 +152,7 @@
 		u.claim = claim{}
 		return
 	}
-	p.keep(u, u.claim.targets, time.Hour)
+	p.keep(u, u.claim.targets, 0)
 }
 
 // release gives back the room that newPass kept for the unit's claim.
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -1,8 +1,6 @@
 package sesamedispatch
 
 import (
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
@@ -149,14 +147,3 @@
 	}
 	return false
 }
-
-// cutRun splits task/run.
-func cutRun(name string) (sesamework.TaskID, int, bool) {
-	text, digits, ok := strings.Cut(name, "/")
-	number, err := strconv.Atoi(digits)
-	if !ok || err != nil {
-		return sesamework.TaskID{}, 0, false
-	}
-	task, err := sesamework.ParseTask(text)
-	return task, number, err == nil
-}
--- a/sesamerunner/hold.go
+++ b/sesamerunner/hold.go
@@ -119,6 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.heard(l.Clock)
+	s.observed = number
 	clear(s.running)
 	for _, p := range l.Running {
 		key := runKey{
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -23,6 +23,12 @@
 	maxRefusals = 3
 	// refusingTime is how long a target counts as refusing after that.
 	refusingTime = 3 * time.Second
+	// firstRetry is the pause after an order that failed; it doubles with each
+	// failure in a row up to maxRetry, which a gang's other members outwait.
+	firstRetry = 50 * time.Millisecond
+	maxRetry   = 500 * time.Millisecond
+	// maxFailures bounds the doubling.
+	maxFailures = 8
 	// keepEnded is how many runs the session remembers beyond those wanted.
 	keepEnded = 4096
 )
@@ -86,17 +92,15 @@
 // the lock.
 func (s *session) action(w wanted, key runKey, fresh bool) func(context.Context) {
 	k := s.entry(key)
-	if k.busy || k.phase == phaseEnded {
+	if k.busy || k.phase == phaseEnded || s.o.Clock.Steady() < k.retryAt {
 		return nil
 	}
 	if reason := cmp.Or(w.stop, k.unwanted); reason != "" {
 		return s.stopAction(w.task, key, k, reason)
 	}
-	if _, runs := s.running[key]; runs || !fresh || s.confirmed == 0 {
-		return nil
-	}
-	if k.phase == phaseRunning {
-		// It was listed before; its end is about to be.
+	if !fresh || k.stopped > 0 || k.phase == phaseRunning || s.observed <= k.accepted {
+		// A run that was accepted, listed or stopped before is settled by a
+		// later listing.
 		return nil
 	}
 	if s.report.Draining && k.phase == phaseNew {
@@ -160,8 +164,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entry(key).busy = false
+	k := s.entry(key)
+	k.busy = false
 	if err == nil {
+		k.failures = 0
+		k.accepted = s.holds
 		s.o.Log.Emit(eventStarted, sesamelog.Fields{
 			"job":        w.task.Job,
 			"task":       key.task,
@@ -212,6 +219,7 @@
 		"error":  err,
 	})
 	k := s.entry(key)
+	s.postpone(k)
 	var refused *RefusedError
 	var busy *BusyError
 	switch {
@@ -229,6 +237,12 @@
 	}
 }
 
+// postpone sets when a failed order is repeated. The caller holds the lock.
+func (s *session) postpone(k *known) {
+	k.retryAt = s.o.Clock.Steady() + min(firstRetry<<k.failures, maxRetry)
+	k.failures = min(k.failures+1, maxFailures)
+}
+
 func (s *session) startRefused(key runKey, reason Refusal) {
 	switch reason {
 	case RefusedOld:
@@ -268,8 +282,10 @@
 	event := eventStopped
 	if err == nil {
 		k.stopped = s.holds + 1
+		k.failures = 0
 	} else {
 		event = eventStopFail
+		s.postpone(k)
 	}
 	s.o.Log.Emit(event, sesamelog.Fields{
 		"job":    task.Job,
@@ -283,6 +299,9 @@
 
 // specification reads what the job's tasks are told to run.
 func (s *session) specification(ctx context.Context, job string) (string, error) {
+	if text, ok := s.specifications.Get(job); ok {
+		return text, nil
+	}
 	key := sesamework.SpecKey(job)
 	page, err := s.o.Store.Read(ctx, sesamerows.Range{
 		Table: key.Table,
@@ -298,7 +317,9 @@
 			Job: job,
 		}
 	}
-	return string(page.Rows[0].Value), nil
+	text := string(page.Rows[0].Value)
+	s.specifications.Add(job, text)
+	return text, nil
 }
 
 // NoSpecificationError says that a job's specification is not in the store.
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -73,12 +73,49 @@
 	if err := s.fence.Take(ctx, version, value); err != nil {
 		return err
 	}
+	recorded, err := s.recordedEnds(ctx, earlier)
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmed = sent
+	for _, key := range recorded {
+		s.entry(key).phase = phaseEnded
+	}
 	return nil
 }
 
+// recordedEnds returns the runs of this life whose end an earlier process has
+// recorded, so that they are not ordered again.
+func (s *session) recordedEnds(ctx context.Context, earlier sesamework.Target) ([]runKey, error) {
+	if earlier.Life != s.life() {
+		return nil, nil
+	}
+	page, err := sesamerows.ReadAll(ctx, s.o.Store, sesamerows.Range{
+		Table: sesamework.WorkTable,
+		Part:  s.o.Zone,
+		From:  sesamework.EndPrefix,
+		To:    sesamework.TargetPrefix,
+	})
+	if err != nil {
+		return nil, err
+	}
+	var keys []runKey
+	for _, row := range page.Rows {
+		var e sesamework.End
+		task, run, ok := sesamework.ParseEnd(row.Key)
+		if !ok || json.Unmarshal(row.Value, &e) != nil || e.Target != s.key.Name || e.Life != earlier.Life {
+			continue
+		}
+		keys = append(keys, runKey{
+			task: task.String(),
+			run:  run,
+		})
+	}
+	return keys, nil
+}
+
 // row returns the target's row. The caller holds the lock.
 func (s *session) row() ([]byte, error) {
 	s.beat++
--- a/sesamerunner/runner.go
+++ b/sesamerunner/runner.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
@@ -37,6 +38,8 @@
 	runs *runs
 	// begin hands new sessions to Run, which owns their goroutines.
 	begin chan *session
+	// specifications caches what jobs' tasks are told to run, by job.
+	specifications *lru.Cache[string, string]
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -45,13 +48,21 @@
 // maxNewSessions bounds the sessions that wait to begin.
 const maxNewSessions = 16
 
+// maxSpecifications bounds the cached specifications, of 4 KB each at most.
+const maxSpecifications = 512
+
 // New returns a runner; Run makes it work.
 func New(o Options) *Runner {
+	specifications, err := lru.New[string, string](maxSpecifications)
+	if err != nil {
+		panic(err)
+	}
 	return &Runner{
-		o:        o,
-		runs:     newRuns(o),
-		begin:    make(chan *session, maxNewSessions),
-		sessions: map[string]*session{},
+		specifications: specifications,
+		o:              o,
+		runs:           newRuns(o),
+		begin:          make(chan *session, maxNewSessions),
+		sessions:       map[string]*session{},
 	}
 }
 
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -39,8 +39,14 @@
 	busy bool
 	// stopped is the number of the first hold that was sent after a stop was
 	// answered; 0 before.
-	stopped  int64
+	stopped int64
+	// accepted is the same for a start.
+	accepted int64
 	refusals int
+	// failures counts the orders in a row that failed, and retryAt is when
+	// the next one may go out.
+	failures int
+	retryAt  time.Duration
 	// unwanted says why the run is given back; empty while it isn't.
 	unwanted string
 }
@@ -68,8 +74,9 @@
 	// clock is the target's at the time clockAt.
 	clock   time.Duration
 	clockAt time.Duration
-	// holds counts the holds sent.
+	// holds counts the holds sent, and observed is the newest one answered.
 	holds    int64
+	observed int64
 	known    map[runKey]*known
 	running  map[runKey]sesamework.Progress
 	ends     map[sesamerows.Key]end
--- a/sesamework/rows.go
+++ b/sesamework/rows.go
@@ -84,6 +84,18 @@
 	}
 }
 
+// ParseEnd reads the task and the run from a key that EndKey made.
+func ParseEnd(key sesamerows.Key) (TaskID, int, bool) {
+	name, ok := strings.CutPrefix(key.Name, EndPrefix)
+	text, digits, cut := strings.Cut(name, "/")
+	run, err := strconv.Atoi(digits)
+	if !ok || !cut || err != nil {
+		return TaskID{}, 0, false
+	}
+	task, err := ParseTask(text)
+	return task, run, err == nil
+}
+
 // LeaderKey names the row of the process that plans.
 func LeaderKey() sesamerows.Key {
 	return sesamerows.Key{
