Order work by its latest start, and stop cheap work for pressing work

Ruled out: idle room (usage by 2 s from the logs). Urgent work that no guarantee covers waited up to 5 s for room.

Change: jobs that can't end in time come last in their priority; the others by their latest start. An urgent job that would be late stops other work, if that loses less than twice its own work. Owed work may stop urgent work beyond another team's guarantee, without which a guarantee could not be reclaimed.

--- a/sesamedispatch/book.go
+++ b/sesamedispatch/book.go
@@ -43,6 +43,8 @@
 	// occurrences holds the units of each time, by step.
 	occurrences [][][]*unit
 	objective   time.Duration
+	// tails holds the declared duration of the longest chain from each step on.
+	tails []time.Duration
 }
 
 // NewBook returns an empty book.
@@ -118,6 +120,7 @@
 		return
 	}
 	j.objective = j.Objective()
+	j.tails = j.Tails()
 	b.jobs[id] = j
 	if !j.Recurs() {
 		b.open(j)
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -204,7 +204,8 @@
 	slices.SortFunc(all, func(a, c *unit) int {
 		return cmp.Or(
 			cmp.Compare(a.job.Terms.Priority, c.job.Terms.Priority),
-			cmp.Compare(b.deadline(a), b.deadline(c)),
+			order(!b.isHopeless(a), !b.isHopeless(c)),
+			cmp.Compare(b.latestStart(a), b.latestStart(c)),
 			cmp.Compare(a.job.ID, c.job.ID),
 			cmp.Compare(a.id.Step, c.id.Step),
 			cmp.Compare(a.id.Index, c.id.Index),
@@ -250,3 +251,19 @@
 	late := time.Duration(b.now.Wall-j.Due(u.id.Occurrence)) * time.Millisecond
 	return b.now.Store - late + j.objective
 }
+
+// latestStart returns when the unit has to start for its occurrence to end in
+// time, by the declared durations, on the store's clock.
+func (b *Book) latestStart(u *unit) time.Duration {
+	return b.deadline(u) - u.job.tails[u.id.Step]
+}
+
+// hopelessShare is the part of the declared durations that work may really
+// take when it is still expected to end in time; they are off by half.
+const hopelessShare = 0.6
+
+// isHopeless reports whether the unit's occurrence ends late whatever is done.
+func (b *Book) isHopeless(u *unit) bool {
+	least := time.Duration(hopelessShare * float64(u.job.tails[u.id.Step]))
+	return b.now.Store+least > b.deadline(u)
+}
--- a/sesamedispatch/owed.go
+++ b/sesamedispatch/owed.go
@@ -18,6 +18,41 @@
 		p.used[u.job.Team]+u.accelerators() <= guaranteed
 }
 
+// borrowing returns the active runs of urgent jobs that their teams' guarantees
+// don't cover, the newest ones of each team.
+func (b *Book) borrowing() map[*unit]bool {
+	var urgent []*unit
+	for _, u := range b.units {
+		if u.isActive() && u.job.Terms.Priority == 0 {
+			urgent = append(urgent, u)
+		}
+	}
+	slices.SortFunc(urgent, func(a, c *unit) int {
+		return cmp.Or(cmp.Compare(a.run.Ordered, c.run.Ordered), cmp.Compare(a.id.String(), c.id.String()))
+	})
+	used := map[string]int64{}
+	beyond := map[*unit]bool{}
+	for _, u := range urgent {
+		if used[u.job.Team]+u.accelerators() > b.policy.Guaranteed(u.job.Team) {
+			beyond[u] = true
+			continue
+		}
+		used[u.job.Team] += u.accelerators()
+	}
+	return beyond
+}
+
+// isPressing reports whether an urgent unit ends late unless it starts before
+// room for it is likely to come, and in time if it starts now.
+func (p *pass) isPressing(u *unit, wait time.Duration) bool {
+	b := p.book
+	return u.job.Terms.Priority == 0 && !b.isHopeless(u) && b.now.Store+wait > b.latestStart(u)
+}
+
+// maxLossRatio is how much work may be lost for work that is not owed, as a
+// multiple of that work.
+const maxLossRatio = 2
+
 // eviction is what a place for a unit costs.
 type eviction struct {
 	targets []string
@@ -27,9 +62,9 @@
 
 // reclaim stops runs so that the unit fits soon, with the least work lost. It
 // reports whether targets are kept for the unit now.
-func (p *pass) reclaim(u *unit) bool {
-	best, ok := p.cheapest(u)
-	if !ok {
+func (p *pass) reclaim(u *unit, owed bool) bool {
+	best, ok := p.cheapest(u, owed)
+	if !ok || !owed && best.cost > maxLossRatio*u.work() {
 		return false
 	}
 	for _, v := range best.victims {
@@ -45,6 +80,7 @@
 		"job":     u.id.Job,
 		"unit":    u.id.String(),
 		"team":    u.job.Team,
+		"owed":    owed,
 		"used":    p.used[u.job.Team],
 		"targets": best.targets,
 		"victims": len(best.victims),
@@ -55,7 +91,7 @@
 
 // cheapest returns the eviction that loses the least work, in one rack if a
 // gang needs that and a rack can hold it.
-func (p *pass) cheapest(u *unit) (eviction, bool) {
+func (p *pass) cheapest(u *unit, owed bool) (eviction, bool) {
 	usable := p.usable(u)
 	groups := [][]*target{usable}
 	if u.step.Gang && u.step.SameRack {
@@ -65,18 +101,18 @@
 			groups = append(groups, byRack[rack])
 		}
 	}
-	best, ok := p.cheapestOf(u, groups)
+	best, ok := p.cheapestOf(u, groups, owed)
 	if !ok && len(groups) > 1 {
-		best, ok = p.cheapestOf(u, [][]*target{usable})
+		best, ok = p.cheapestOf(u, [][]*target{usable}, owed)
 	}
 	return best, ok
 }
 
-func (p *pass) cheapestOf(u *unit, groups [][]*target) (eviction, bool) {
+func (p *pass) cheapestOf(u *unit, groups [][]*target, owed bool) (eviction, bool) {
 	var best eviction
 	found := false
 	for _, targets := range groups {
-		e, ok := p.evict(u, targets)
+		e, ok := p.evict(u, targets, owed)
 		if ok && (!found || e.cost < best.cost) {
 			best = e
 			found = true
@@ -87,7 +123,7 @@
 
 // evict finds room for each task of the unit among the targets, one after the
 // other, each at the least additional cost.
-func (p *pass) evict(u *unit, targets []*target) (eviction, bool) {
+func (p *pass) evict(u *unit, targets []*target, owed bool) (eviction, bool) {
 	var e eviction
 	room := maps.Clone(p.room)
 	for name, kept := range p.kept {
@@ -99,7 +135,7 @@
 		var name string
 		found := false
 		for _, t := range targets {
-			step, ok := p.evictFrom(u, t, room, e)
+			step, ok := p.evictFrom(u, t, room, e, owed)
 			if ok && (!found || step.cost < best.cost) {
 				best = step
 				name = t.name
@@ -138,14 +174,16 @@
 }
 
 // evictFrom returns the victims on one target that make room for one task.
-func (p *pass) evictFrom(u *unit, t *target, room map[string]sesamework.Need, before eviction) (eviction, bool) {
+func (p *pass) evictFrom(
+	u *unit, t *target, room map[string]sesamework.Need, before eviction, owed bool,
+) (eviction, bool) {
 	var e eviction
 	if u.step.Spread > 0 && p.onTarget[u.spreadKey(t.name)]+count(before.targets, t.name) >= u.step.Spread {
 		return e, false
 	}
 	need := u.step.Room()
 	left := room[t.name]
-	for _, v := range p.victims(t) {
+	for _, v := range p.victims(t, owed) {
 		if need.Fits(left) {
 			break
 		}
@@ -179,12 +217,13 @@
 	return n
 }
 
-// victims returns the runs on the target that owed work may stop, the cheapest
-// for each accelerator first.
-func (p *pass) victims(t *target) []*unit {
+// victims returns the runs on the target that may be stopped, the cheapest for
+// each accelerator first. Only owed work stops other urgent work.
+func (p *pass) victims(t *target, owed bool) []*unit {
 	var all []*unit
 	for _, u := range p.book.units {
-		if u.tasksOn(t.name) == 0 || u.run.Stop != "" || p.d.stops(u) || u.job.Terms.Priority == 0 {
+		protected := u.job.Terms.Priority == 0 && !(owed && p.borrowing[u])
+		if protected || u.tasksOn(t.name) == 0 || u.run.Stop != "" || p.d.stops(u) {
 			continue
 		}
 		all = append(all, u)
@@ -202,6 +241,11 @@
 	return b.loss(u) / float64(max(1, u.accelerators()))
 }
 
+// work returns the declared core-seconds of the unit.
+func (u *unit) work() float64 {
+	return u.step.Need.Weight() * float64(u.tasks()) * u.step.Duration().Seconds()
+}
+
 // restartCost is what a stopped run loses at least, in seconds of its work:
 // the stop, the start and the way between them.
 const restartCost = time.Second
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -35,6 +35,8 @@
 	reservations int
 	// used counts the accelerators of each team's urgent jobs.
 	used map[string]int64
+	// borrowing holds the runs of urgent jobs beyond their team's guarantee.
+	borrowing map[*unit]bool
 }
 
 // spreadKey names the tasks that must not crowd on one target.
@@ -79,6 +81,7 @@
 	for name, t := range b.targets {
 		p.room[name] = t.Room
 	}
+	p.borrowing = b.borrowing()
 	for _, u := range b.units {
 		for _, m := range u.members {
 			if m.how == "" {
@@ -124,14 +127,16 @@
 		p.start(u, targets)
 		return
 	}
-	if p.isOwed(u) && p.reclaim(u) {
+	if p.isOwed(u) && p.reclaim(u, true) {
 		return
 	}
-	if p.reservations < maxReservations {
-		if targets, wait := p.soonest(u); targets != nil {
-			p.reservations++
-			p.keep(u, targets, wait)
-		}
+	targets, wait := p.soonest(u)
+	if p.isPressing(u, wait) && p.reclaim(u, false) {
+		return
+	}
+	if targets != nil && p.reservations < maxReservations {
+		p.reservations++
+		p.keep(u, targets, wait)
 	}
 	b.log.Emit(eventWaiting, sesamelog.Fields{
 		"job":  u.id.Job,
--- a/sesamework/job.go
+++ b/sesamework/job.go
@@ -167,6 +167,19 @@
 	return longest
 }
 
+// Tails returns for each step the declared duration of the longest chain that
+// begins with it.
+func (j Job) Tails() []time.Duration {
+	tails := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		tails[i] += j.Steps[i].Duration()
+		for _, earlier := range j.Steps[i].After {
+			tails[earlier] = max(tails[earlier], tails[i])
+		}
+	}
+	return tails
+}
+
 // Objective returns the time in which an occurrence should end.
 func (j Job) Objective() time.Duration {
 	chain := time.Duration(j.Terms.Stretch * float64(j.Chain()))
