--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -86,7 +86,7 @@
 // stopEnded stops what runs of a job that is over.
 func (b *Book) stopEnded(j *job, d *Decision) {
 	j.failed = j.failed || !j.cancelled && j.hasFailed()
-	if !j.isOver() {
+	if !j.isOver() || j.shown == sesamework.JobCompleted {
 		return
 	}
 	reason := stopFailed
--- a/sesamedispatch/gang.go
+++ b/sesamedispatch/gang.go
@@ -99,6 +99,7 @@
 			return cmp.Compare(slots[b], slots[a])
 		}
 		return cmp.Or(
+			cmp.Compare(len(a.strikes), len(b.strikes)),
 			cmp.Compare(slots[a], slots[b]),
 			cmp.Compare(p.room[a.name].Accelerators, p.room[b.name].Accelerators),
 		)
--- a/sesamedispatch/owed.go
+++ b/sesamedispatch/owed.go
@@ -192,7 +192,7 @@
 		}
 		left = left.Plus(v.step.Room().Times(int64(v.tasksOn(t.name))))
 		e.victims = append(e.victims, v)
-		e.cost += p.book.loss(v)
+		e.cost += p.cost(v)
 	}
 	return e, need.Fits(left)
 }
@@ -230,17 +230,40 @@
 	}
 	slices.SortFunc(all, func(a, b *unit) int {
 		return cmp.Or(
-			cmp.Compare(p.book.lossPerAccelerator(a), p.book.lossPerAccelerator(b)),
+			cmp.Compare(b.job.Terms.Priority, a.job.Terms.Priority)*p.urgentLast(a, b),
+			cmp.Compare(p.lossPerAccelerator(a), p.lossPerAccelerator(b)),
 			cmp.Compare(a.id.String(), b.id.String()),
 		)
 	})
 	return all
 }
 
-func (b *Book) lossPerAccelerator(u *unit) float64 {
-	return b.loss(u) / float64(max(1, u.accelerators()))
+// urgentLast is 1 when exactly one of the runs is urgent, and 0 otherwise.
+func (p *pass) urgentLast(a, b *unit) int {
+	if (a.job.Terms.Priority == 0) == (b.job.Terms.Priority == 0) {
+		return 0
+	}
+	return 1
+}
+
+func (p *pass) lossPerAccelerator(u *unit) float64 {
+	return p.cost(u) / float64(max(1, u.accelerators()))
 }
 
+// cost weighs the stop of a run: what is lost, and for an urgent one also that
+// it is likely to end late.
+func (p *pass) cost(u *unit) float64 {
+	cost := p.book.loss(u)
+	if u.job.Terms.Priority == 0 {
+		cost += lateUrgentRatio * u.work()
+	}
+	return cost
+}
+
+// lateUrgentRatio is what an urgent job's lateness weighs as a multiple of its
+// work.
+const lateUrgentRatio = 4
+
 // work returns the declared core-seconds of the unit.
 func (u *unit) work() float64 {
 	return u.step.Need.Weight() * float64(u.tasks()) * u.step.Duration().Seconds()
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -281,6 +281,7 @@
 func (p *pass) compare(u *unit, a, b *target) int {
 	return cmp.Or(
 		cmp.Compare(far(u, a), far(u, b)),
+		cmp.Compare(len(a.strikes), len(b.strikes)),
 		cmp.Compare(p.room[a.name].Accelerators, p.room[b.name].Accelerators),
 		cmp.Compare(p.room[a.name].Cores, p.room[b.name].Cores),
 	)
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -19,9 +19,9 @@
 	// with each suspicion in a row up to maxSuspicion.
 	firstSuspicion = 5 * time.Second
 	maxSuspicion   = time.Minute
-	// stallTime is how long a task may show no progress while its target
-	// reports it.
-	stallTime = 3500 * time.Millisecond
+	// stallTime is the least time that a task may show no progress while its
+	// target reports it: two reports.
+	stallTime = 2100 * time.Millisecond
 )
 
 // target is one life of a target with what the planner has seen of it.
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -51,10 +51,10 @@
 	return ok && p.Run == u.run.Number && p.Percent < 100 && b.now.Steady-p.moved > u.stallTime()
 }
 
-// stallTime allows a slow task one percent of progress in ten times its
-// declared duration.
+// stallTime is how long a slow task may take for one percent of progress, as a
+// share of its declared duration: twenty times as long as declared.
 func (u *unit) stallTime() time.Duration {
-	const slowestPercent = 10
+	const slowestPercent = 20
 	return max(stallTime, u.step.Duration()*slowestPercent/100)
 }
 
--- a/sesamerunner/hold.go
+++ b/sesamerunner/hold.go
@@ -17,7 +17,7 @@
 	// callTimeout bounds a call to the target beyond its wait. The target is
 	// on the same machine; an order without an answer may be carried out
 	// later, and is repeated.
-	callTimeout = 600 * time.Millisecond
+	callTimeout = 300 * time.Millisecond
 	// unrecordedPause is the pause between holds while ends could not be
 	// recorded: the target answers those at once.
 	unrecordedPause = 250 * time.Millisecond
