Judge stalls between reports; play the system in virtual time

Cause: an agent that restarted for 3 s looked like tasks without progress, since their age was counted to the present (TestGrantedRunsOutliveTheirAgent: 8 starts instead of 4). Now it is counted between two reports.

Tests play entries, planners, agents and leased targets in one process under testing/synctest; the targets note what the promises forbid.

--- a/sesameclock/clock.go
+++ b/sesameclock/clock.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 )
 
@@ -90,3 +91,28 @@
 	defer m.mu.Unlock()
 	m.wall = m.wall.Add(d)
 }
+
+// Wrapped is a Clock made of another one, which must not jump itself.
+type Wrapped struct {
+	clock clockwork.Clock
+	start time.Time
+}
+
+// Wrap returns a clock whose steady time begins at an hour, so that no age is
+// larger than the time itself.
+func Wrap(clock clockwork.Clock) *Wrapped {
+	return &Wrapped{
+		clock: clock,
+		start: clock.Now().Add(-time.Hour),
+	}
+}
+
+// Steady returns the time since an hour before the clock was wrapped.
+func (w *Wrapped) Steady() time.Duration {
+	return w.clock.Since(w.start)
+}
+
+// Wall returns the wrapped clock's time of day.
+func (w *Wrapped) Wall() time.Time {
+	return w.clock.Now()
+}
--- /dev/null
+++ b/sesamedispatch/system_test.go
@@ -0,0 +1,189 @@
+package sesamedispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// newAsked returns a job of one step.
+func newAsked(id string, step sesamework.Step, duration time.Duration) *asked {
+	job := sesamework.Job{
+		ID:     id,
+		Digest: id,
+		Steps:  []sesamework.Step{step},
+	}
+	return &asked{
+		job:   job,
+		tasks: plainTasks(job, duration),
+	}
+}
+
+func accelerators(n int64) sesamework.Need {
+	return sesamework.Need{
+		Cores:        1000 * n,
+		Memory:       1000,
+		Accelerators: n,
+	}
+}
+
+// assertKept checks that nothing forbidden was seen and that all jobs ended.
+func assertKept(t *testing.T, w *world, bound time.Duration) {
+	t.Helper()
+	for _, open := range w.awaitEnds(bound) {
+		t.Errorf("not ended: %s", open)
+	}
+	for _, broken := range w.floor.Broken() {
+		t.Error(broken)
+	}
+}
+
+// TestWholePath submits work of each shape on a calm day.
+func TestWholePath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2, 4)
+		w.sleep(3 * time.Second)
+		single := newAsked("single", sesamework.Step{
+			Count:    3,
+			Need:     accelerators(1),
+			Estimate: 2000,
+		}, 2*time.Second)
+		gang := newAsked("gang", sesamework.Step{
+			Count:    4,
+			Need:     accelerators(4),
+			Estimate: 2000,
+			Gang:     true,
+			SameRack: true,
+		}, 2*time.Second)
+		chain := newAsked("chain", sesamework.Step{
+			Count:    2,
+			Need:     accelerators(1),
+			Estimate: 1000,
+		}, time.Second)
+		chain.job.Steps = append(chain.job.Steps, sesamework.Step{
+			Count:    1,
+			Need:     accelerators(8),
+			Estimate: 1000,
+			After:    []int{0},
+		})
+		chain.tasks = plainTasks(chain.job, time.Second)
+		w.submit(single, "normal", "key-a", 0)
+		w.submit(gang, "urgent", "key-a", 1)
+		w.submit(chain, "batch", "key-b", 0)
+		started := w.clock.Now()
+		assertKept(t, w, 30*time.Second)
+		is.True(w.clock.Since(started) < 8*time.Second) // all of it fits at once
+		is.Equal(w.floor.Starts(), 3+4+2+1)
+		for _, id := range []string{"single", "gang", "chain"} {
+			is.Equal(w.state(id), sesamework.JobCompleted)
+		}
+	})
+}
+
+// TestReclaim checks that owed work starts within the platform's bound though
+// all accelerators are in use.
+func TestReclaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2, 4)
+		w.sleep(3 * time.Second)
+		for i := range 4 {
+			w.submit(newAsked(fmt.Sprintf("filler-%d", i), sesamework.Step{
+				Count:       8,
+				Need:        accelerators(1),
+				Estimate:    20000,
+				Checkpoints: true,
+			}, 20*time.Second), "batch", "key-b", 0)
+		}
+		w.sleep(2 * time.Second)
+		begun := make(chan time.Time, 8)
+		owed := newAsked("owed", sesamework.Step{
+			Count:    2,
+			Need:     accelerators(8),
+			Estimate: 3000,
+			Gang:     true,
+			SameRack: true,
+		}, 3*time.Second)
+		plain := owed.tasks
+		owed.tasks = func(task sesamework.TaskID) sesamestandin.FloorTask {
+			begun <- w.clock.Now()
+			return plain(task)
+		}
+		w.submit(owed, "urgent", "key-a", 0)
+		accepted := w.clock.Now()
+		<-begun
+		last := <-begun
+		const reclaimBound = 2900 * time.Millisecond
+		is.True(last.Sub(accepted) < reclaimBound)
+		owed.tasks = plain
+		assertKept(t, w, 2*time.Minute)
+	})
+}
+
+// TestGrantedRunsOutliveTheirAgent restarts an agent while its target works.
+func TestGrantedRunsOutliveTheirAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 1, 1)
+		w.sleep(3 * time.Second)
+		w.submit(newAsked("long", sesamework.Step{
+			Count:    4,
+			Need:     accelerators(2),
+			Estimate: 10000,
+		}, 10*time.Second), "normal", "key-a", 0)
+		w.sleep(2 * time.Second)
+		w.nodes[0].stop()
+		w.sleep(3 * time.Second)
+		w.nodes[0].start()
+		assertKept(t, w, 30*time.Second)
+		is.Equal(w.floor.Starts(), 4) // nothing was started again
+	})
+}
+
+// TestLostTarget takes a node away for good, without a word.
+func TestLostTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 2)
+		w.sleep(3 * time.Second)
+		for i := range 2 {
+			w.submit(newAsked(fmt.Sprintf("job-%d", i), sesamework.Step{
+				Count:    1,
+				Need:     accelerators(8),
+				Estimate: 8000,
+			}, 8*time.Second), "normal", "key-a", 0)
+		}
+		w.sleep(time.Second)
+		w.nodes[0].stop()
+		assertKept(t, w, 40*time.Second)
+	})
+}
+
+// TestCutTarget cuts a node from the store for longer than its leases last:
+// the work runs elsewhere, and never twice at once.
+func TestCutTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 2)
+		w.sleep(3 * time.Second)
+		w.submit(newAsked("long", sesamework.Step{
+			Count:    2,
+			Need:     accelerators(8),
+			Estimate: 30000,
+		}, 30*time.Second), "normal", "key-a", 0)
+		w.sleep(time.Second)
+		w.nodes[0].rows.SetFate(func(bool) sesamestandin.RowFate {
+			return sesamestandin.RowFate{
+				Silent: true,
+			}
+		})
+		w.sleep(40 * time.Second)
+		w.nodes[0].rows.SetFate(nil)
+		assertKept(t, w, 2*time.Minute)
+	})
+}
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -40,15 +40,15 @@
 	}
 }
 
-// isStalled reports whether the target reports the task with the same progress
-// for too long. Silence of the target is another matter.
+// isStalled reports whether the target's reports have shown the same progress
+// for too long. A target that reports nothing is another matter.
 func (b *Book) isStalled(u *unit, m member) bool {
 	t, ok := b.targets[m.Target]
-	if !ok || b.now.Steady-t.heard > maxReportAge {
+	if !ok {
 		return false
 	}
 	p, ok := t.progress[u.id.Task(m.Index).String()]
-	return ok && p.Run == u.run.Number && p.Percent < 100 && b.now.Steady-p.moved > u.stallTime()
+	return ok && p.Run == u.run.Number && p.Percent < 100 && t.heard-p.moved > u.stallTime()
 }
 
 // stallTime is how long a slow task may take for one percent of progress, as a
--- /dev/null
+++ b/sesamedispatch/world_test.go
@@ -0,0 +1,457 @@
+package sesamedispatch_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesamedispatch"
+	"github.com/sesamestack/sesamestack/sesameintake"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamerunner"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// world is a whole system in one process, in virtual time: entries that take
+// jobs and plan, agents, and leased targets, over one store.
+type world struct {
+	t       *testing.T
+	ctx     context.Context
+	group   *errgroup.Group
+	clock   clockwork.Clock
+	steady  sesameclock.Clock
+	store   *sesamerows.Memory
+	floor   *sesamestandin.Floor
+	entries []*entryProcess
+	nodes   []*nodeProcess
+
+	mu   sync.Mutex
+	jobs map[string]*asked
+}
+
+// asked is a job that a client handed in.
+type asked struct {
+	job   sesamework.Job
+	tasks func(sesamework.TaskID) sesamestandin.FloorTask
+	// rejected says that every answer so far promised that it never runs.
+	rejected bool
+	accepted bool
+	// cancelled is when its cancelling was accepted.
+	cancelled time.Time
+}
+
+type entryProcess struct {
+	w      *world
+	name   string
+	rows   *sesamestandin.FaultyRows
+	intake *sesameintake.Intake
+	stop   context.CancelFunc
+}
+
+type nodeProcess struct {
+	w      *world
+	name   string
+	zone   string
+	rack   string
+	rows   *sesamestandin.FaultyRows
+	runner *sesamerunner.Runner
+	target *sesamestandin.LeasedTarget
+	id     string
+	life   int64
+	stop   context.CancelFunc
+}
+
+const (
+	stopTime    = 400 * time.Millisecond
+	gangTimeout = 3 * time.Second
+	maxLease    = 6 * time.Second
+	specText    = "specification of "
+)
+
+// wholeNode is what each target of the world offers.
+func wholeNode() sesamework.Need {
+	return sesamework.Need{
+		Cores:        64000,
+		Memory:       256000,
+		Accelerators: 8,
+	}
+}
+
+// newWorld starts a system with those numbers of entries and nodes. The policy
+// guarantees team-a half of the accelerators.
+func newWorld(t *testing.T, entries, nodes int) *world {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	clock := clockwork.NewRealClock()
+	w := &world{
+		t:      t,
+		ctx:    ctx,
+		group:  group,
+		clock:  clock,
+		steady: sesameclock.Wrap(clock),
+		jobs:   map[string]*asked{},
+	}
+	w.store = sesamerows.NewMemory(w.steady)
+	w.floor = sesamestandin.NewFloor(sesamestandin.FloorOptions{
+		Clock:       clock,
+		Lookup:      w.lookup,
+		StopTime:    stopTime,
+		GangTimeout: gangTimeout,
+		MaxLease:    maxLease,
+	})
+	t.Cleanup(func() {
+		cancel()
+		if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+	w.putPolicy(1)
+	for i := range entries {
+		e := &entryProcess{
+			w:    w,
+			name: fmt.Sprintf("entry-%d", i),
+			rows: sesamestandin.NewFaultyRows(w.store, clock),
+		}
+		w.entries = append(w.entries, e)
+		e.start()
+	}
+	for i := range nodes {
+		n := &nodeProcess{
+			w:    w,
+			name: fmt.Sprintf("node-%d", i),
+			zone: fmt.Sprintf("zone-%d", i%2),
+			rack: fmt.Sprintf("rack-%d", i/2),
+			rows: sesamestandin.NewFaultyRows(w.store, clock),
+		}
+		w.nodes = append(w.nodes, n)
+		n.renew()
+		n.start()
+	}
+	return w
+}
+
+// lookup tells the floor what a task is; a job whose hand-in was rejected each
+// time was asked for by nobody.
+func (w *world) lookup(task sesamework.TaskID) (sesamestandin.FloorTask, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a, ok := w.jobs[task.Job]
+	if !ok || a.rejected {
+		return sesamestandin.FloorTask{}, false
+	}
+	if !a.cancelled.IsZero() && w.clock.Since(a.cancelled) > cancelBound {
+		return sesamestandin.FloorTask{}, false
+	}
+	return a.tasks(task), true
+}
+
+// cancelBound is the platform's: no task starts later than this after its
+// job's cancelling was accepted.
+const cancelBound = 3 * time.Second
+
+// policySource hands out what lies in a row of the store.
+type policySource struct {
+	follower *sesamerows.Follower
+}
+
+var policyKey = sesamerows.Key{
+	Table: "policies",
+	Name:  "newest",
+}
+
+func (w *world) putPolicy(number int64) {
+	_, err := w.store.Commit(w.ctx, sesamerows.Transaction{
+		Writes: []sesamerows.Write{{
+			Key:   policyKey,
+			Value: fmt.Append(nil, number),
+		}},
+	})
+	if err != nil {
+		w.t.Error(err)
+	}
+}
+
+// Next returns the newest policy.
+func (p *policySource) Next(ctx context.Context) (*sesamework.Policy, error) {
+	batch, err := p.follower.Next(ctx)
+	if err != nil || len(batch.Rows) == 0 {
+		return nil, err
+	}
+	row := batch.Rows[len(batch.Rows)-1]
+	var number int64
+	if _, err := fmt.Sscan(string(row.Value), &number); err != nil {
+		return nil, err
+	}
+	return testPolicy(number, row.Version), nil
+}
+
+func testPolicy(number int64, version sesamerows.Version) *sesamework.Policy {
+	p := &sesamework.Policy{
+		Number: number,
+		Guard: sesamerows.Expect{
+			Key:     policyKey,
+			Version: version,
+		},
+		Teams: []sesamework.Team{
+			{
+				Name:       "team-a",
+				Keys:       []string{"key-a"},
+				Guaranteed: 16,
+			},
+			{
+				Name: "team-b",
+				Keys: []string{"key-b"},
+			},
+		},
+	}
+	for i, name := range []string{"urgent", "normal", "batch"} {
+		p.Queues = append(p.Queues, sesamework.Queue{
+			Name:   name,
+			Host:   "host",
+			Prefix: "/" + name + "/",
+			Terms: sesamework.Terms{
+				Service:  "service",
+				Priority: i,
+				Attempts: 3,
+				Stretch:  2,
+				Latency:  1000,
+			},
+		})
+	}
+	return p
+}
+
+func (e *entryProcess) start() {
+	ctx, cancel := context.WithCancel(e.w.ctx)
+	e.stop = cancel
+	e.intake = sesameintake.New(sesameintake.Options{
+		Store: e.rows,
+		Source: &policySource{
+			follower: sesamerows.NewFollower(e.rows, sesamerows.FollowOptions{
+				Table: policyKey.Table,
+				Wait:  time.Second,
+			}),
+		},
+		Clock: e.w.steady,
+		Log:   testLog(),
+		Scope: tally.NoopScope,
+	})
+	planner := sesamedispatch.NewPlanner(sesamedispatch.Options{
+		Name:     e.name,
+		Store:    e.rows,
+		Policies: e.intake.Policies(),
+		Clock:    e.w.steady,
+		Log:      testLog(),
+		Scope:    tally.NoopScope,
+	})
+	intake := e.intake
+	e.w.group.Go(func() error {
+		return ignoreCancel(intake.Run(ctx))
+	})
+	e.w.group.Go(func() error {
+		return ignoreCancel(planner.Run(ctx))
+	})
+}
+
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// renew puts a new target on the node's floor.
+func (n *nodeProcess) renew() {
+	n.life++
+	n.id = fmt.Sprintf("%s-life-%d", n.name, n.life)
+	n.target = n.w.floor.Add(n.id, n.life, wholeNode())
+}
+
+func (n *nodeProcess) start() {
+	ctx, cancel := context.WithCancel(n.w.ctx)
+	n.stop = cancel
+	target := n.target
+	n.runner = sesamerunner.New(sesamerunner.Options{
+		Node:  n.name,
+		Zone:  n.zone,
+		Store: n.rows,
+		Dial: func(_, id string) sesamerunner.Executor {
+			if id == n.id {
+				return n.target
+			}
+			return target
+		},
+		Clock:    n.w.steady,
+		Log:      testLog(),
+		Scope:    tally.NoopScope,
+		MaxLease: maxLease,
+	})
+	runner := n.runner
+	n.w.group.Go(func() error {
+		return ignoreCancel(runner.Run(ctx))
+	})
+	n.w.group.Go(func() error {
+		n.report(ctx, runner)
+		return nil
+	})
+}
+
+const reportEach = 1500 * time.Millisecond
+
+// report sends what the target says of itself.
+func (n *nodeProcess) report(ctx context.Context, runner *sesamerunner.Runner) {
+	for sequence := int64(1); ctx.Err() == nil; sequence++ {
+		runner.Report(sesamerunner.Report{
+			ID:       n.id,
+			Service:  "service",
+			Address:  "address",
+			Rack:     n.rack,
+			Labels:   []string{"kind", n.rack},
+			Room:     wholeNode(),
+			Life:     n.life,
+			Sequence: sequence,
+		})
+		select {
+		case <-n.w.clock.After(reportEach):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// submit hands a job in at one entry after the other until one answers for
+// good, as a client does.
+func (w *world) submit(a *asked, queue, key string, first int) {
+	w.mu.Lock()
+	w.jobs[a.job.ID] = a
+	w.mu.Unlock()
+	a.rejected = true
+	for try := range 5 {
+		e := w.entries[(first+try)%len(w.entries)]
+		err := w.submitOnce(e, a, queue, key)
+		w.mu.Lock()
+		if err == nil {
+			a.accepted = true
+			a.rejected = false
+		}
+		if errors.HasType(err, (*sesamerows.UnknownError)(nil)) {
+			a.rejected = false
+		}
+		w.mu.Unlock()
+		if err == nil {
+			return
+		}
+		w.sleep(time.Second)
+	}
+}
+
+func (w *world) submitOnce(e *entryProcess, a *asked, queue, key string) error {
+	ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
+	defer cancel()
+	admission, err := e.intake.Admit("host", "/"+queue+"/", key)
+	if err != nil {
+		return err
+	}
+	// From here on the job may be accepted at any moment.
+	w.mu.Lock()
+	before := a.rejected
+	a.rejected = false
+	w.mu.Unlock()
+	err = e.intake.Submit(ctx, admission, a.job, specText+a.job.ID)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a.rejected = before && err != nil
+	return err
+}
+
+// cancel cancels an accepted job.
+func (w *world) cancel(a *asked, queue, key string) {
+	for try := range 10 {
+		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
+		e := w.entries[try%len(w.entries)]
+		admission, err := e.intake.Admit("host", "/"+queue+"/", key)
+		if err == nil {
+			err = e.intake.Cancel(ctx, admission, a.job.ID)
+		}
+		cancel()
+		if err == nil {
+			w.mu.Lock()
+			a.cancelled = w.clock.Now()
+			w.mu.Unlock()
+			return
+		}
+		w.sleep(500 * time.Millisecond)
+	}
+}
+
+func (w *world) sleep(d time.Duration) {
+	select {
+	case <-w.clock.After(d):
+	case <-w.ctx.Done():
+	}
+}
+
+// state reads a job's state from the store.
+func (w *world) state(id string) sesamework.JobState {
+	e := w.entries[0]
+	admission := sesameintake.Admission{}
+	for _, queue := range []string{"urgent", "normal", "batch"} {
+		admission.Queue.Name = queue
+		if s, err := e.intake.State(w.ctx, admission, id); err == nil {
+			return s
+		}
+	}
+	return ""
+}
+
+// awaitEnds waits until all accepted jobs have ended.
+func (w *world) awaitEnds(bound time.Duration) []string {
+	deadline := w.clock.Now().Add(bound)
+	for {
+		var open []string
+		w.mu.Lock()
+		jobs := make([]*asked, 0, len(w.jobs))
+		for _, a := range w.jobs {
+			jobs = append(jobs, a)
+		}
+		w.mu.Unlock()
+		for _, a := range jobs {
+			if s := w.state(a.job.ID); a.accepted && !s.Ended() {
+				open = append(open, fmt.Sprintf("%s is %q", a.job.ID, s))
+			}
+		}
+		if len(open) == 0 || w.clock.Now().After(deadline) {
+			return open
+		}
+		w.sleep(500 * time.Millisecond)
+	}
+}
+
+// plainTasks make every task of the job take that long and succeed.
+func plainTasks(job sesamework.Job, duration time.Duration) func(sesamework.TaskID) sesamestandin.FloorTask {
+	return func(task sesamework.TaskID) sesamestandin.FloorTask {
+		return sesamestandin.FloorTask{
+			Step:          job.Steps[task.Step],
+			Duration:      duration,
+			Specification: specText + job.ID,
+		}
+	}
+}
+
+// testLog prints events when SESAMESTACK_TEST_LOG is set.
+func testLog() *sesamelog.Logger {
+	if os.Getenv("SESAMESTACK_TEST_LOG") == "" {
+		return sesamelog.Discard()
+	}
+	return sesamelog.New(os.Stderr, sesamelog.Info, sesamelog.Text)
+}
--- /dev/null
+++ b/sesamestandin/faultyrows.go
@@ -0,0 +1,134 @@
+package sesamestandin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/sesamestack/sesamestack/sesamerows"
+)
+
+// RowFate is what becomes of one call to a store of rows.
+type RowFate struct {
+	// Refused calls have no effect and are answered so.
+	Refused bool
+	// Silent calls have no effect and get no answer.
+	Silent bool
+	// Lost commits take effect Late after the call, if their conditions still
+	// hold then, and get no answer.
+	Lost bool
+	Late time.Duration
+	// Slow is added to the time of an answer.
+	Slow time.Duration
+}
+
+// FaultyRows is a store as one process sees it, with faults.
+type FaultyRows struct {
+	store sesamerows.Store
+	clock clockwork.Clock
+
+	mu   sync.Mutex
+	fate func(write bool) RowFate
+}
+
+var _ sesamerows.Store = (*FaultyRows)(nil)
+
+// NewFaultyRows wraps a store without faults.
+func NewFaultyRows(store sesamerows.Store, clock clockwork.Clock) *FaultyRows {
+	return &FaultyRows{
+		store: store,
+		clock: clock,
+	}
+}
+
+// SetFate decides about the calls from now on; nil serves all.
+func (s *FaultyRows) SetFate(fate func(write bool) RowFate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fate = fate
+}
+
+func (s *FaultyRows) next(write bool) RowFate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fate == nil {
+		return RowFate{}
+	}
+	return s.fate(write)
+}
+
+// answerTimeout is how long a caller waits for an answer that doesn't come.
+const answerTimeout = 1200 * time.Millisecond
+
+// suffer lets a call's fate take its time, and returns why it fails.
+func (s *FaultyRows) suffer(ctx context.Context, fate RowFate, operation string) error {
+	wait := fate.Slow
+	if fate.Silent || fate.Lost {
+		wait = answerTimeout
+	}
+	if wait > 0 {
+		select {
+		case <-s.clock.After(wait):
+		case <-ctx.Done():
+		}
+	}
+	if fate.Refused || fate.Silent || ctx.Err() != nil {
+		return &sesamerows.UnavailableError{
+			Operation: operation,
+			Cause:     &NoAnswerError{},
+		}
+	}
+	return nil
+}
+
+// Read returns rows of a range; see sesamerows.Store.
+func (s *FaultyRows) Read(ctx context.Context, r sesamerows.Range) (sesamerows.Page, error) {
+	if err := s.suffer(ctx, s.next(false), "read"); err != nil {
+		return sesamerows.Page{}, err
+	}
+	return s.store.Read(ctx, r)
+}
+
+// Parts returns the parts of a table; see sesamerows.Store.
+func (s *FaultyRows) Parts(ctx context.Context, table string) ([]string, error) {
+	if err := s.suffer(ctx, s.next(false), "parts"); err != nil {
+		return nil, err
+	}
+	return s.store.Parts(ctx, table)
+}
+
+// Changes waits for changes; see sesamerows.Store.
+func (s *FaultyRows) Changes(
+	ctx context.Context, table string, after sesamerows.Version, wait time.Duration,
+) (sesamerows.Page, error) {
+	if err := s.suffer(ctx, s.next(false), "changes"); err != nil {
+		return sesamerows.Page{}, err
+	}
+	return s.store.Changes(ctx, table, after, wait)
+}
+
+// Commit applies a transaction; see sesamerows.Store.
+func (s *FaultyRows) Commit(ctx context.Context, t sesamerows.Transaction) (sesamerows.Version, error) {
+	fate := s.next(true)
+	if fate.Lost {
+		s.clock.AfterFunc(fate.Late, func() {
+			if _, err := s.store.Commit(context.WithoutCancel(ctx), t); err != nil {
+				// Its conditions don't hold any more.
+				return
+			}
+		})
+	}
+	err := s.suffer(ctx, fate, "commit")
+	if fate.Lost || err != nil && fate.Silent {
+		return 0, &sesamerows.UnknownError{
+			Operation: "commit",
+			Cause:     &NoAnswerError{},
+		}
+	}
+	if err != nil {
+		return 0, err
+	}
+	return s.store.Commit(ctx, t)
+}
--- /dev/null
+++ b/sesamestandin/leased.go
@@ -0,0 +1,302 @@
+package sesamestandin
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamerunner"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// LeasedTarget is one life of a target on a floor. It takes orders from the
+// agent beside it.
+type LeasedTarget struct {
+	floor *Floor
+	id    string
+	life  int64
+	room  sesamework.Need
+	// gone targets answer nothing and run nothing.
+	gone    bool
+	began   time.Time
+	until   time.Time
+	holder  int64
+	running []*floorRun
+	ended   []sesamerunner.Ended
+	numbers int64
+	// highest is the highest run of each task that ended or was stopped.
+	highest map[string]int
+	// lapsed is when runs were last killed by the end of the lease.
+	lapsed time.Time
+	endsAt map[int64]time.Time
+	// Unanswered decides which orders get no answer and how much later they
+	// are carried out; nil answers all.
+	Unanswered func() (late time.Duration, lost bool)
+}
+
+var _ sesamerunner.Executor = (*LeasedTarget)(nil)
+
+// Add puts a target on the floor.
+func (f *Floor) Add(id string, life int64, room sesamework.Need) *LeasedTarget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &LeasedTarget{
+		floor:   f,
+		id:      id,
+		life:    life,
+		room:    room,
+		began:   f.o.Clock.Now(),
+		highest: map[string]int{},
+		endsAt:  map[int64]time.Time{},
+	}
+	f.targets = append(f.targets, t)
+	return t
+}
+
+// Crash ends the target's life and all that it runs.
+func (t *LeasedTarget) Crash() {
+	t.floor.mu.Lock()
+	defer t.floor.mu.Unlock()
+	t.floor.advance()
+	t.gone = true
+	t.running = nil
+	t.ended = nil
+}
+
+// clock returns the target's own clock. It is 2 percent slow, the most that
+// the platform allows.
+func (t *LeasedTarget) clock(at time.Time) time.Duration {
+	return at.Sub(t.began) * 98 / 100
+}
+
+// lapses returns when the lease ends.
+func (t *LeasedTarget) lapses() time.Time {
+	return t.until
+}
+
+// extend takes a lease until a time of the target's clock.
+func (t *LeasedTarget) extend(until time.Duration, now time.Time) {
+	left := min(until-t.clock(now), t.floor.o.MaxLease) * 100 / 98
+	if end := now.Add(left); until > 0 && end.After(t.until) {
+		t.until = end
+	}
+}
+
+// finish lists the end of a run.
+func (t *LeasedTarget) finish(r *floorRun, how sesamework.How, at time.Time) {
+	t.running = slices.DeleteFunc(t.running, func(other *floorRun) bool {
+		return other == r
+	})
+	t.numbers++
+	name := r.task.String()
+	t.highest[name] = max(t.highest[name], r.run)
+	t.endsAt[t.numbers] = at
+	saved := ""
+	if how != sesamework.EndLapsed {
+		saved = r.checkpoint(at)
+	}
+	if how == sesamework.EndLapsed {
+		t.lapsed = at
+	}
+	t.ended = append(t.ended, sesamerunner.Ended{
+		Number:     t.numbers,
+		Task:       name,
+		Run:        r.run,
+		How:        how,
+		Checkpoint: saved,
+	})
+}
+
+// NoAnswerError says that a stand-in gave no answer.
+type NoAnswerError struct{}
+
+// Error says so.
+func (e *NoAnswerError) Error() string {
+	return "no answer"
+}
+
+// Start orders a run; see sesamerunner.Executor.
+func (t *LeasedTarget) Start(ctx context.Context, o sesamerunner.Order) (time.Duration, error) {
+	return t.order(ctx, func() error {
+		return t.start(o)
+	})
+}
+
+// Stop ends a run; see sesamerunner.Executor.
+func (t *LeasedTarget) Stop(ctx context.Context, o sesamerunner.Order) (time.Duration, error) {
+	return t.order(ctx, func() error {
+		return t.stop(o)
+	})
+}
+
+// order carries an order out, now or later.
+func (t *LeasedTarget) order(ctx context.Context, carryOut func() error) (time.Duration, error) {
+	f := t.floor
+	if t.Unanswered != nil {
+		if late, lost := t.Unanswered(); lost {
+			f.o.Clock.AfterFunc(late, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.advance()
+				if err := carryOut(); err != nil {
+					// The order came too late to have an effect.
+					return
+				}
+			})
+			<-ctx.Done()
+			return 0, &NoAnswerError{}
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance()
+	err := carryOut()
+	return t.clock(f.o.Clock.Now()), err
+}
+
+func (t *LeasedTarget) start(o sesamerunner.Order) error {
+	now := t.floor.o.Clock.Now()
+	if t.gone {
+		return &sesamerunner.GoneError{}
+	}
+	if o.Holder < t.holder {
+		return t.refuse(sesamerunner.RefusedHolder)
+	}
+	t.holder = o.Holder
+	t.extend(o.Until, now)
+	name := o.Task.String()
+	if o.Run <= t.highest[name] {
+		return t.refuse(sesamerunner.RefusedOld)
+	}
+	for _, r := range t.running {
+		if r.task == o.Task && r.run == o.Run {
+			return nil
+		}
+	}
+	if o.Until <= t.clock(now) {
+		return t.refuse(sesamerunner.RefusedLate)
+	}
+	t.begin(o, now)
+	return nil
+}
+
+func (t *LeasedTarget) begin(o sesamerunner.Order, now time.Time) {
+	what, asked := t.floor.o.Lookup(o.Task)
+	t.floor.checkStart(t, o, what, asked)
+	t.floor.starts++
+	r := &floorRun{
+		target:  t,
+		task:    o.Task,
+		run:     o.Run,
+		what:    what,
+		arrived: now,
+	}
+	if n, err := strconv.ParseInt(o.Checkpoint, 10, 64); err == nil {
+		r.saved = time.Duration(n) * time.Millisecond
+	}
+	if !what.Step.Gang {
+		r.begun = now
+	}
+	t.running = append(t.running, r)
+	t.floor.beginGangs(now)
+}
+
+func (t *LeasedTarget) refuse(reason sesamerunner.Refusal) error {
+	return &sesamerunner.RefusedError{
+		Reason: reason,
+		Clock:  t.clock(t.floor.o.Clock.Now()),
+	}
+}
+
+func (t *LeasedTarget) stop(o sesamerunner.Order) error {
+	if t.gone {
+		return &sesamerunner.GoneError{}
+	}
+	if o.Holder < t.holder {
+		return t.refuse(sesamerunner.RefusedHolder)
+	}
+	t.holder = o.Holder
+	name := o.Task.String()
+	t.highest[name] = max(t.highest[name], o.Run)
+	for _, r := range t.running {
+		if r.task == o.Task && r.run <= o.Run && r.stopping.IsZero() {
+			r.stopping = t.floor.o.Clock.Now().Add(t.floor.o.StopTime)
+		}
+	}
+	return nil
+}
+
+// holdPoll is how often a waiting hold looks for an end.
+const holdPoll = 20 * time.Millisecond
+
+// Hold extends the lease and lists runs; see sesamerunner.Executor.
+func (t *LeasedTarget) Hold(ctx context.Context, h sesamerunner.Hold) (sesamerunner.Listing, error) {
+	f := t.floor
+	deadline := f.o.Clock.Now().Add(h.Wait)
+	for {
+		l, err := t.hold(h)
+		if err != nil || len(l.Ended) > 0 || !f.o.Clock.Now().Before(deadline) {
+			return l, err
+		}
+		select {
+		case <-f.o.Clock.After(holdPoll):
+		case <-ctx.Done():
+			return l, ctx.Err()
+		}
+	}
+}
+
+func (t *LeasedTarget) hold(h sesamerunner.Hold) (sesamerunner.Listing, error) {
+	f := t.floor
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance()
+	now := f.o.Clock.Now()
+	if t.gone {
+		return sesamerunner.Listing{}, &sesamerunner.GoneError{}
+	}
+	if h.Holder < t.holder {
+		return sesamerunner.Listing{}, t.refuse(sesamerunner.RefusedHolder)
+	}
+	t.holder = h.Holder
+	t.extend(h.Until, now)
+	t.acknowledge(h.Recorded)
+	l := sesamerunner.Listing{
+		Clock: t.clock(now),
+		Life:  t.life,
+		Ended: slices.Clone(t.ended),
+	}
+	for _, r := range t.running {
+		l.Running = append(l.Running, r.report(now))
+	}
+	return l, nil
+}
+
+// acknowledge forgets ends that are recorded. They stand for good, unless the
+// lease has lapsed since.
+func (t *LeasedTarget) acknowledge(number int64) {
+	t.ended = slices.DeleteFunc(t.ended, func(e sesamerunner.Ended) bool {
+		if e.Number > number {
+			return false
+		}
+		if !t.lapsed.After(t.endsAt[e.Number]) {
+			t.floor.stand(e)
+		}
+		delete(t.endsAt, e.Number)
+		return true
+	})
+}
+
+// stand notes an end that stands for good.
+func (f *Floor) stand(e sesamerunner.Ended) {
+	switch e.How {
+	case sesamework.EndDone:
+		f.done[e.Task] = true
+	case sesamework.EndFailed:
+		f.failed[e.Task]++
+	}
+}
+
+// Close does nothing: a stand-in has no connections.
+func (t *LeasedTarget) Close() {}
