--- a/sesamedispatch/gang.go
+++ b/sesamedispatch/gang.go
@@ -120,17 +120,22 @@
 // rackCouldHold reports whether some rack would hold the gang if it were empty.
 func (p *pass) rackCouldHold(u *unit, usable []*target) bool {
 	for _, targets := range groupByRack(usable) {
-		empty := &pass{
-			book:     p.book,
-			room:     map[string]sesamework.Need{},
-			onTarget: map[spreadKey]int{},
-		}
-		for _, t := range targets {
-			empty.room[t.name] = t.Room
-		}
-		if empty.pack(u, targets) != nil {
+		if p.couldHold(u, targets) {
 			return true
 		}
 	}
 	return false
 }
+
+// couldHold reports whether the targets would hold the unit if they were empty.
+func (p *pass) couldHold(u *unit, targets []*target) bool {
+	empty := &pass{
+		book:     p.book,
+		room:     map[string]sesamework.Need{},
+		onTarget: map[spreadKey]int{},
+	}
+	for _, t := range targets {
+		empty.room[t.name] = t.Room
+	}
+	return empty.pack(u, targets) != nil
+}
--- /dev/null
+++ b/sesamedispatch/model_test.go
@@ -0,0 +1,289 @@
+package sesamedispatch_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// modelSeeds is how many random days TestModel plays.
+var modelSeeds = flag.Int("model-seeds", 12, "random days that TestModel plays")
+
+// modelFirst is the seed of the first one.
+var modelFirst = flag.Int("model-first", 1, "first seed that TestModel plays")
+
+// jobPlan is a job that a client hands in.
+type jobPlan struct {
+	At       time.Duration
+	Queue    string
+	Key      string
+	Entry    int
+	Step     sesamework.Step
+	After    bool
+	Duration time.Duration
+	// FailsRun is a run that fails, 0 for none.
+	FailsRun int
+	// CancelAfter is 0 for a job that is not cancelled.
+	CancelAfter time.Duration
+}
+
+// faultPlan is one trouble.
+type faultPlan struct {
+	At   time.Duration
+	For  time.Duration
+	Kind string
+	Who  int
+	// Many is how many processes suffer.
+	Many int
+}
+
+type dayPlan struct {
+	Jobs   []jobPlan
+	Faults []faultPlan
+}
+
+const (
+	modelEntries = 3
+	modelNodes   = 5
+	modelLength  = 30 * time.Second
+)
+
+// troubles lists what a day may bring; each may come more than once.
+var troubles = []string{
+	"entry killed", "agent killed", "target crashed", "all killed", "store silent", "store refuses",
+	"answers lost", "answers late", "store slow", "history lost", "orders late", "policy changes",
+	"entry cut", "agent cut",
+}
+
+func drawJob(t *rapid.T) jobPlan {
+	gang := rapid.Bool().Draw(t, "gang")
+	p := jobPlan{
+		At:       time.Duration(rapid.IntRange(3000, int(modelLength.Milliseconds())).Draw(t, "at")) * time.Millisecond,
+		Queue:    rapid.SampledFrom([]string{"urgent", "normal", "batch"}).Draw(t, "queue"),
+		Key:      rapid.SampledFrom([]string{"key-a", "key-b"}).Draw(t, "key"),
+		Entry:    rapid.IntRange(0, modelEntries-1).Draw(t, "entry"),
+		After:    rapid.Bool().Draw(t, "after"),
+		Duration: time.Duration(rapid.IntRange(500, 9000).Draw(t, "duration")) * time.Millisecond,
+		FailsRun: rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "fails"),
+		Step: sesamework.Step{
+			Count:       rapid.IntRange(1, 5).Draw(t, "count"),
+			Need:        accelerators(rapid.SampledFrom([]int64{1, 2, 4, 8}).Draw(t, "accelerators")),
+			Gang:        gang,
+			SameRack:    gang && rapid.Bool().Draw(t, "rack"),
+			Checkpoints: rapid.Bool().Draw(t, "checkpoints"),
+		},
+	}
+	p.Step.Estimate = p.Duration.Milliseconds() * int64(rapid.IntRange(50, 150).Draw(t, "estimate")) / 100
+	if rapid.IntRange(0, 5).Draw(t, "cancels") == 0 {
+		p.CancelAfter = time.Duration(rapid.IntRange(0, 6000).Draw(t, "cancel")) * time.Millisecond
+	}
+	return p
+}
+
+func drawFault(t *rapid.T) faultPlan {
+	return faultPlan{
+		At:   time.Duration(rapid.IntRange(3000, int(modelLength.Milliseconds())).Draw(t, "at")) * time.Millisecond,
+		For:  time.Duration(rapid.IntRange(300, 9000).Draw(t, "for")) * time.Millisecond,
+		Kind: rapid.SampledFrom(troubles).Draw(t, "kind"),
+		Who:  rapid.IntRange(0, modelNodes-1).Draw(t, "who"),
+		Many: rapid.IntRange(1, 3).Draw(t, "many"),
+	}
+}
+
+func drawDay(t *rapid.T) dayPlan {
+	return dayPlan{
+		Jobs:   rapid.SliceOfN(rapid.Custom(drawJob), 5, 25).Draw(t, "jobs"),
+		Faults: rapid.SliceOfN(rapid.Custom(drawFault), 1, 8).Draw(t, "faults"),
+	}
+}
+
+// TestModel plays random days with troubles that overlap, on the real intake,
+// planner and runner, and checks the promises from what targets and clients
+// saw. A day is named by its seed: -model-first=SEED -model-seeds=1.
+func TestModel(t *testing.T) {
+	for seed := *modelFirst; seed < *modelFirst+*modelSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			day := rapid.Custom(drawDay).Example(seed)
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, modelEntries, modelNodes)
+				w.play(day)
+				assertKept(t, w, 4*time.Minute)
+				if t.Failed() {
+					for _, f := range day.Faults {
+						t.Logf("%+v", f)
+					}
+				}
+			})
+		})
+	}
+}
+
+func (w *world) play(day dayPlan) {
+	for i, p := range day.Jobs {
+		w.group.Go(func() error {
+			w.playJob(fmt.Sprintf("job%02d", i), p)
+			return nil
+		})
+	}
+	for _, f := range day.Faults {
+		w.group.Go(func() error {
+			w.sleep(f.At)
+			w.suffer(f)
+			return nil
+		})
+	}
+	const settling = 20 * time.Second
+	w.sleep(modelLength + settling)
+}
+
+func (w *world) playJob(id string, p jobPlan) {
+	w.sleep(p.At)
+	a := newAsked(id, p.Step, p.Duration)
+	if p.After {
+		a.job.Steps = append(a.job.Steps, sesamework.Step{
+			Count:    2,
+			Need:     accelerators(1),
+			Estimate: p.Step.Estimate,
+			After:    []int{0},
+		})
+	}
+	plain := plainTasks(a.job, p.Duration)
+	a.tasks = func(task sesamework.TaskID) sesamestandin.FloorTask {
+		f := plain(task)
+		f.FailsRun = func(run int) bool {
+			return run == p.FailsRun
+		}
+		return f
+	}
+	w.submit(a, p.Queue, p.Key, p.Entry)
+	if a.accepted && p.CancelAfter > 0 {
+		w.sleep(p.CancelAfter)
+		w.cancel(a, p.Queue, p.Key)
+	}
+}
+
+// suffer brings one trouble and ends it.
+func (w *world) suffer(f faultPlan) {
+	switch f.Kind {
+	case "entry killed":
+		w.killEntry(f.Who%modelEntries, f.For)
+	case "agent killed":
+		w.nodes[f.Who].kill(f.For)
+	case "target crashed":
+		w.nodes[f.Who].crash(f.For)
+	case "all killed":
+		w.killAll(f.For)
+	case "history lost":
+		w.store.Forget()
+	case "orders late":
+		w.nodes[f.Who].delayOrders(f.For)
+	case "policy changes":
+		w.putPolicy(2 + f.At.Milliseconds())
+	default:
+		w.sufferStore(f)
+	}
+}
+
+func (w *world) killEntry(i int, d time.Duration) {
+	w.entries[i].stop()
+	w.sleep(d)
+	w.entries[i].start()
+}
+
+func (n *nodeProcess) kill(d time.Duration) {
+	n.stop()
+	n.w.sleep(d)
+	n.start()
+}
+
+// crash ends the target and its agent; another life begins later.
+func (n *nodeProcess) crash(d time.Duration) {
+	n.stop()
+	n.target.Crash()
+	n.w.sleep(d)
+	n.renew()
+	n.start()
+}
+
+func (w *world) killAll(d time.Duration) {
+	for _, e := range w.entries {
+		e.stop()
+	}
+	for _, n := range w.nodes {
+		n.stop()
+	}
+	w.sleep(d)
+	for _, e := range w.entries {
+		e.start()
+	}
+	for _, n := range w.nodes {
+		n.start()
+	}
+}
+
+// delayOrders leaves each second order unanswered and carries it out late.
+func (n *nodeProcess) delayOrders(d time.Duration) {
+	count := 0
+	n.target.SetUnanswered(func() (time.Duration, bool) {
+		count++
+		return 2500 * time.Millisecond, count%2 == 0
+	})
+	n.w.sleep(d)
+	n.target.SetUnanswered(nil)
+}
+
+// fates are the troubles of the store.
+func fateOf(kind string) func(write bool) sesamestandin.RowFate {
+	count := 0
+	return func(write bool) sesamestandin.RowFate {
+		count++
+		switch kind {
+		case "store silent", "entry cut", "agent cut":
+			return sesamestandin.RowFate{
+				Silent: true,
+			}
+		case "store refuses":
+			return sesamestandin.RowFate{
+				Refused: true,
+			}
+		case "store slow":
+			return sesamestandin.RowFate{
+				Slow: 300 * time.Millisecond,
+			}
+		}
+		late := time.Duration(0)
+		if kind == "answers late" {
+			late = 1500 * time.Millisecond
+		}
+		return sesamestandin.RowFate{
+			Lost: write && count%3 == 0,
+			Late: late,
+		}
+	}
+}
+
+func (w *world) sufferStore(f faultPlan) {
+	var all []*sesamestandin.FaultyRows
+	for i := range f.Many {
+		if f.Kind != "agent cut" {
+			all = append(all, w.entries[(f.Who+i)%modelEntries].rows)
+		}
+		if f.Kind != "entry cut" {
+			all = append(all, w.nodes[(f.Who+i)%modelNodes].rows)
+		}
+	}
+	for _, rows := range all {
+		rows.SetFate(fateOf(f.Kind))
+	}
+	w.sleep(f.For)
+	for _, rows := range all {
+		rows.SetFate(nil)
+	}
+}
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -211,8 +211,8 @@
 	return p.chooseSingle(u, usable)
 }
 
-// usable returns the targets that may run the unit, those on which it hasn't
-// failed before if there are any.
+// usable returns the targets that may run the unit, without those on which it
+// has failed if the others could hold it.
 func (p *pass) usable(u *unit) []*target {
 	var fresh, all []*target
 	for _, t := range p.book.targets {
@@ -224,7 +224,7 @@
 			fresh = append(fresh, t)
 		}
 	}
-	if len(fresh) > 0 {
+	if len(fresh) < len(all) && p.couldHold(u, fresh) {
 		all = fresh
 	}
 	slices.SortFunc(all, func(a, b *target) int {
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -233,6 +233,9 @@
 }
 
 func (e *entryProcess) start() {
+	if e.stop != nil {
+		e.stop()
+	}
 	ctx, cancel := context.WithCancel(e.w.ctx)
 	e.stop = cancel
 	e.intake = sesameintake.New(sesameintake.Options{
@@ -279,18 +282,17 @@
 }
 
 func (n *nodeProcess) start() {
+	if n.stop != nil {
+		n.stop()
+	}
 	ctx, cancel := context.WithCancel(n.w.ctx)
 	n.stop = cancel
-	target := n.target
 	n.runner = sesamerunner.New(sesamerunner.Options{
 		Node:  n.name,
 		Zone:  n.zone,
 		Store: n.rows,
 		Dial: func(_, id string) sesamerunner.Executor {
-			if id == n.id {
-				return n.target
-			}
-			return target
+			return n.w.floor.Target(id)
 		},
 		Clock:    n.w.steady,
 		Log:      testLog(),
--- a/sesamerunner/hold.go
+++ b/sesamerunner/hold.go
@@ -45,16 +45,29 @@
 			continue
 		}
 		failures++
+		s.unobserve()
 		s.holdFailed(err, failures)
 		pause(ctx, retryPause)
 	}
 }
 
+// unobserve lets no run start until the target has answered again: another
+// life under the same ID may have begun.
+func (s *session) unobserve() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observed = 0
+}
+
 func (s *session) holdFailed(err error, failures int) {
 	if errors.HasType(err, (*GoneError)(nil)) {
 		s.end("another life of the target answers")
 		return
 	}
+	if isSupersededCall(err) {
+		s.end(superseded)
+		return
+	}
 	if failures == maxSilentHolds {
 		s.o.Log.Emit(eventHoldFail, sesamelog.Fields{
 			"target": s.id,
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -115,7 +115,7 @@
 
 func (s *session) stopAction(task sesamework.TaskID, key runKey, k *known, reason string) func(context.Context) {
 	_, runs := s.running[key]
-	if k.stopped > 0 && (!runs || s.holds < k.stopped+1) {
+	if k.stopped > 0 && (!runs || s.holds < k.stopped+1) || s.o.Clock.Steady() < k.retryAt {
 		return nil
 	}
 	k.busy = true
@@ -252,11 +252,7 @@
 	case RefusedRoom, RefusedInvalid:
 		s.void(key, "target refused: "+string(reason))
 	case RefusedHolder:
-		s.o.Log.Emit(eventStartFail, sesamelog.Fields{
-			"target": s.id,
-			"holder": s.holder,
-			"error":  "a later agent serves the target",
-		})
+		s.endLocked(superseded)
 	case RefusedLate:
 		// The next try has a newer lease.
 	}
@@ -286,6 +282,9 @@
 	} else {
 		event = eventStopFail
 		s.postpone(k)
+		if isSupersededCall(err) {
+			s.endLocked(superseded)
+		}
 	}
 	s.o.Log.Emit(event, sesamelog.Fields{
 		"job":    task.Job,
@@ -297,6 +296,15 @@
 	})
 }
 
+// superseded is why a session ends once another process serves its target.
+const superseded = "a later agent serves the target"
+
+// isSupersededCall reports whether the target has seen orders of a later agent.
+func isSupersededCall(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Reason == RefusedHolder
+}
+
 // specification reads what the job's tasks are told to run.
 func (s *session) specification(ctx context.Context, job string) (string, error) {
 	if text, ok := s.specifications.Get(job); ok {
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -167,7 +167,7 @@
 		case ctx.Err() != nil:
 			return
 		case s.isSuperseded(err):
-			s.end("a later agent serves the target")
+			s.end(superseded)
 			return
 		case errors.HasType(err, (*sesamerows.LostError)(nil)):
 			// The planner gave the target up: nothing runs there any more.
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -157,10 +157,16 @@
 	}
 }
 
-// end finishes the session: the target runs nothing any more.
+// end finishes the session: the target runs nothing any more, or another
+// process serves it.
 func (s *session) end(reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.endLocked(reason)
+}
+
+// endLocked is end for callers that hold the lock.
+func (s *session) endLocked(reason string) {
 	if s.ended != "" {
 		return
 	}
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -30,9 +30,27 @@
 	// lapsed is when runs were last killed by the end of the lease.
 	lapsed time.Time
 	endsAt map[int64]time.Time
-	// Unanswered decides which orders get no answer and how much later they
+	// unanswered decides which orders get no answer and how much later they
 	// are carried out; nil answers all.
-	Unanswered func() (late time.Duration, lost bool)
+	unanswered func() (late time.Duration, lost bool)
+}
+
+// SetUnanswered decides which orders get no answer from now on, and how much
+// later they are carried out; nil answers all.
+func (t *LeasedTarget) SetUnanswered(decide func() (late time.Duration, lost bool)) {
+	t.floor.mu.Lock()
+	defer t.floor.mu.Unlock()
+	t.unanswered = decide
+}
+
+// isUnanswered decides about one order.
+func (t *LeasedTarget) isUnanswered() (time.Duration, bool) {
+	t.floor.mu.Lock()
+	defer t.floor.mu.Unlock()
+	if t.unanswered == nil {
+		return 0, false
+	}
+	return t.unanswered()
 }
 
 var _ sesamerunner.Executor = (*LeasedTarget)(nil)
@@ -54,6 +72,18 @@
 	return t
 }
 
+// Target returns the target with that ID, or nil.
+func (f *Floor) Target(id string) *LeasedTarget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.targets {
+		if t.id == id {
+			return t
+		}
+	}
+	return nil
+}
+
 // Crash ends the target's life and all that it runs.
 func (t *LeasedTarget) Crash() {
 	t.floor.mu.Lock()
@@ -133,20 +163,18 @@
 // order carries an order out, now or later.
 func (t *LeasedTarget) order(ctx context.Context, carryOut func() error) (time.Duration, error) {
 	f := t.floor
-	if t.Unanswered != nil {
-		if late, lost := t.Unanswered(); lost {
-			f.o.Clock.AfterFunc(late, func() {
-				f.mu.Lock()
-				defer f.mu.Unlock()
-				f.advance()
-				if err := carryOut(); err != nil {
-					// The order came too late to have an effect.
-					return
-				}
-			})
-			<-ctx.Done()
-			return 0, &NoAnswerError{}
-		}
+	if late, lost := t.isUnanswered(); lost {
+		f.o.Clock.AfterFunc(late, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.advance()
+			if err := carryOut(); err != nil {
+				// The order came too late to have an effect.
+				return
+			}
+		})
+		<-ctx.Done()
+		return 0, &NoAnswerError{}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
