Remove the rows of ended jobs; refuse at once while the store is silent

Rows of jobs stayed for ever.

An entry whose store did not answer tried each submission, which left its outcome open until the caller's deadline. It refuses such jobs now with the time to come back, and accepts again what it knows (TestSubmit: lost, late, refused and silent answers, a key that was withdrawn behind a cut).

--- a/sesamedispatch/book.go
+++ b/sesamedispatch/book.go
@@ -18,7 +18,7 @@
 	jobs    map[string]*job
 	units   map[sesamework.UnitID]*unit
 	targets map[string]*target
-	// removed holds rows that the planner still has to remove.
+	// ends holds the rows of all ends, which go with their jobs.
 	ends map[sesamerows.Key]bool
 	now  Now
 }
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -21,6 +21,7 @@
 	eventConflict = sesamelog.Define(7109, sesamelog.Info, "decision met another change")
 	eventClaimed  = sesamelog.Define(7110, sesamelog.Info, "targets claimed for owed work")
 	eventSuspect  = sesamelog.Define(7111, sesamelog.Warn, "task shows no progress")
+	eventSwept    = sesamelog.Define(7113, sesamelog.Info, "rows removed")
 	eventWaiting  = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -18,6 +18,9 @@
 func (r *reign) decide(ctx context.Context) error {
 	d := r.book.Decide(r.now())
 	if d.IsEmpty() {
+		if err := r.sweep(ctx); err != nil {
+			return err
+		}
 		return r.renew(ctx)
 	}
 	for _, t := range d.Lost {
--- a/sesameintake/policies.go
+++ b/sesameintake/policies.go
@@ -66,6 +66,13 @@
 	return p.clock.Steady() - p.heard
 }
 
+// isLost reports whether the store's last answer was a failure.
+func (p *Policies) isLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost
+}
+
 // sourcePause is the pause after a failed call for policies.
 const sourcePause = 100 * time.Millisecond
 
--- a/sesameintake/submit.go
+++ b/sesameintake/submit.go
@@ -12,8 +12,9 @@
 
 const (
 	// patience is how long a submission that the store has refused is
-	// repeated: a quarter of the shortest latency objective that is served.
-	patience = 60 * time.Millisecond
+	// repeated: once, after a pause of 20 ms. A refusal should come within a
+	// quarter of the latency objective, of which the shortest is 250 ms.
+	patience = 15 * time.Millisecond
 	// policyWait is how long a submission waits for the newer policy that
 	// stopped it.
 	policyWait = time.Second
@@ -29,6 +30,18 @@
 	if err := j.Validate(); err != nil {
 		return err
 	}
+	if in.policies.isLost() {
+		if _, known := in.states.get(j.ID); known {
+			in.accepted(a, j, 0, true)
+			return nil
+		}
+		// A refusal now is true; a try that gets no answer would leave the
+		// outcome open until the store is back.
+		return &NotReadyError{
+			Reason: "the store does not answer",
+			After:  retryAfter,
+		}
+	}
 	for range maxReadmissions {
 		err := in.accept(ctx, a, j, specification)
 		if !isPolicyChange(err) {
--- /dev/null
+++ b/sesameintake/submit_test.go
@@ -0,0 +1,232 @@
+package sesameintake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesameintake"
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+var guardKey = sesamerows.Key{
+	Table: "policies",
+	Name:  "newest",
+}
+
+// rowSource hands out the policy whose number is the guard row's length.
+type rowSource struct {
+	follower *sesamerows.Follower
+	keys     []string
+}
+
+// Next returns the newest policy.
+func (s *rowSource) Next(ctx context.Context) (*sesamework.Policy, error) {
+	batch, err := s.follower.Next(ctx)
+	if err != nil || len(batch.Rows) == 0 {
+		return nil, err
+	}
+	row := batch.Rows[len(batch.Rows)-1]
+	policy := &sesamework.Policy{
+		Number: int64(len(row.Value)),
+		Guard: sesamerows.Expect{
+			Key:     row.Key,
+			Version: row.Version,
+		},
+		Queues: []sesamework.Queue{{
+			Name:   "queue",
+			Host:   "host",
+			Prefix: "/queue/",
+		}},
+	}
+	// Each policy withdraws the key of the one before.
+	policy.Teams = []sesamework.Team{{
+		Name: "team",
+		Keys: s.keys[policy.Number-1 : policy.Number],
+	}}
+	return policy, nil
+}
+
+type intakeWorld struct {
+	t      *testing.T
+	memory *sesamerows.Memory
+	rows   *sesamestandin.FaultyRows
+	intake *sesameintake.Intake
+}
+
+func newIntakeWorld(t *testing.T) *intakeWorld {
+	clock := clockwork.NewRealClock()
+	steady := sesameclock.Wrap(clock)
+	memory := sesamerows.NewMemory(steady)
+	rows := sesamestandin.NewFaultyRows(memory, clock)
+	w := &intakeWorld{
+		t:      t,
+		memory: memory,
+		rows:   rows,
+	}
+	w.putPolicy(1)
+	w.intake = sesameintake.New(sesameintake.Options{
+		Store: rows,
+		Source: &rowSource{
+			keys: []string{"key1", "key2", "key3"},
+			follower: sesamerows.NewFollower(rows, sesamerows.FollowOptions{
+				Table: guardKey.Table,
+				Wait:  time.Second,
+			}),
+		},
+		Clock: steady,
+		Log:   sesamelog.Discard(),
+		Scope: tally.NoopScope,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		return w.intake.Run(ctx)
+	})
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(group.Wait())
+	})
+	time.Sleep(100 * time.Millisecond)
+	return w
+}
+
+func (w *intakeWorld) putPolicy(number int) {
+	_, err := w.memory.Commit(context.Background(), sesamerows.Transaction{
+		Writes: []sesamerows.Write{{
+			Key:   guardKey,
+			Value: make([]byte, number),
+		}},
+	})
+	is.New(w.t).NoErr(err)
+}
+
+func (w *intakeWorld) submit(id, key string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	admission, err := w.intake.Admit("host", "/queue/"+id, key)
+	if err != nil {
+		return err
+	}
+	return w.intake.Submit(ctx, admission, sesamework.Job{
+		ID:     id,
+		Digest: id,
+		Steps: []sesamework.Step{{
+			Count: 1,
+		}},
+	}, "specification")
+}
+
+// isStored reports whether the job was accepted.
+func (w *intakeWorld) isStored(id string) bool {
+	page, err := w.memory.Read(context.Background(), sesamerows.Range{
+		Table: sesamework.WorkTable,
+		From:  sesamework.JobPrefix + id,
+		To:    sesamework.JobPrefix + id + "\x00",
+	})
+	is.New(w.t).NoErr(err)
+	return len(page.Rows) == 1
+}
+
+func lostAnswers(late time.Duration) func(bool) sesamestandin.RowFate {
+	first := true
+	return func(write bool) sesamestandin.RowFate {
+		lost := write && first
+		first = first && !write
+		return sesamestandin.RowFate{
+			Lost: lost,
+			Late: late,
+		}
+	}
+}
+
+// TestSubmit checks that what a caller is told of a submission is true.
+func TestSubmit(t *testing.T) {
+	subtest := func(name string, test func(is *is.I, w *intakeWorld)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				test(is.New(t), newIntakeWorld(t))
+			})
+		})
+	}
+	subtest("an answer that was lost is settled", func(is *is.I, w *intakeWorld) {
+		w.rows.SetFate(lostAnswers(0))
+		is.NoErr(w.submit("a", "key1"))
+		is.True(w.isStored("a"))
+	})
+	subtest("a write that takes effect late makes no second job", func(is *is.I, w *intakeWorld) {
+		w.rows.SetFate(lostAnswers(2 * time.Second))
+		is.NoErr(w.submit("a", "key1"))
+		time.Sleep(3 * time.Second)
+		is.NoErr(w.submit("a", "key1"))
+		is.True(w.isStored("a"))
+	})
+	subtest("unknown while no answer comes", func(is *is.I, w *intakeWorld) {
+		w.rows.SetFate(func(write bool) sesamestandin.RowFate {
+			return sesamestandin.RowFate{
+				Lost: write,
+			}
+		})
+		var unknown *sesamerows.UnknownError
+		is.True(errors.As(w.submit("a", "key1"), &unknown))
+	})
+	subtest("a refusal comes soon, is true, and says when to come back", func(is *is.I, w *intakeWorld) {
+		w.rows.SetFate(func(write bool) sesamestandin.RowFate {
+			return sesamestandin.RowFate{
+				Refused: write,
+			}
+		})
+		started := time.Now()
+		var refused *sesameintake.NotReadyError
+		is.True(errors.As(w.submit("a", "key1"), &refused))
+		is.True(refused.After > 0)
+		const quarterOfObjective = 250 * time.Millisecond / 4
+		is.True(time.Since(started) <= quarterOfObjective)
+		w.rows.SetFate(nil)
+		time.Sleep(10 * time.Second)
+		is.True(!w.isStored("a"))
+	})
+	subtest("a key that was withdrawn behind a cut is not used", func(is *is.I, w *intakeWorld) {
+		// The feed is silent, so that this process doesn't hear of the policy.
+		w.rows.SetFate(func(write bool) sesamestandin.RowFate {
+			return sesamestandin.RowFate{
+				Silent: !write,
+			}
+		})
+		// The call that is under way still gets its answer.
+		time.Sleep(1100 * time.Millisecond)
+		w.putPolicy(2)
+		var refused *sesameintake.NotReadyError
+		is.True(errors.As(w.submit("a", "key1"), &refused))
+		is.True(!w.isStored("a"))
+		w.rows.SetFate(nil)
+		time.Sleep(5 * time.Second)
+		var unknownKey *sesameintake.UnknownKeyError
+		is.True(errors.As(w.submit("a", "key1"), &unknownKey))
+		is.NoErr(w.submit("a", "key2"))
+	})
+	subtest("a job that is known is accepted again during an outage", func(is *is.I, w *intakeWorld) {
+		is.NoErr(w.submit("a", "key1"))
+		time.Sleep(time.Second)
+		w.rows.SetFate(func(bool) sesamestandin.RowFate {
+			return sesamestandin.RowFate{
+				Refused: true,
+			}
+		})
+		time.Sleep(2 * time.Second)
+		is.NoErr(w.submit("a", "key1"))
+		var refused *sesameintake.NotReadyError
+		is.True(errors.As(w.submit("b", "key1"), &refused))
+	})
+}
