--- a/sesamecommand/hosted.go
+++ b/sesamecommand/hosted.go
@@ -63,7 +63,7 @@
 
 // newProcess limits the process to its memory and one core, and starts its
 // log. The duties go on after a termination signal until stop is called.
-func newProcess(c *cobra.Command, s streams, l sesamesettings.Log, memory int64) (*process, func() error) {
+func newProcess(c *cobra.Command, s streams, id string, l sesamesettings.Log, memory int64) (*process, func() error) {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(float64(memory<<20) * heapShare))
 	ring := sesamelog.NewRing(s.out, logLines)
@@ -75,7 +75,9 @@
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	p := &process{
-		log:    newLogger(ring, l),
+		log: newLogger(ring, l).With(sesamelog.Fields{
+			"process": id,
+		}),
 		group:  group,
 		ctx:    ctx,
 		cancel: cancel,
--- a/sesamecommand/hostedagent.go
+++ b/sesamecommand/hostedagent.go
@@ -44,7 +44,7 @@
 
 func runHostedAgent(c *cobra.Command, s streams, file string, settings sesamesettings.HostedAgent) error {
 	scope, metrics, closer := newMetrics()
-	p, stop := newProcess(c, s, settings.Log, settings.Memory)
+	p, stop := newProcess(c, s, settings.ID, settings.Log, settings.Memory)
 	p.onHangup(func() error {
 		_, err := sesamesettings.LoadHostedAgent(file)
 		return err
@@ -85,7 +85,6 @@
 		p.serveMetrics(settings.Metrics, metrics),
 	)
 	p.log.Emit(eventServing, sesamelog.Fields{
-		"id":      settings.ID,
 		"zone":    settings.Place.Zone,
 		"http":    settings.Reports,
 		"service": settings.Service,
--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -66,7 +66,7 @@
 
 func runHostedEntry(c *cobra.Command, s streams, file string, settings sesamesettings.HostedEntry) error {
 	scope, metrics, closer := newMetrics()
-	p, stop := newProcess(c, s, settings.Log, settings.Memory)
+	p, stop := newProcess(c, s, settings.ID, settings.Log, settings.Memory)
 	p.onHangup(func() error {
 		_, err := sesamesettings.LoadHostedEntry(file)
 		return err
@@ -145,7 +145,6 @@
 	)
 	err = errors.CombineErrors(err, e.serveMetrics(e.settings.Metrics, metrics))
 	e.log.Emit(eventServing, sesamelog.Fields{
-		"id":    e.settings.ID,
 		"zone":  e.settings.Place.Zone,
 		"http":  e.settings.Callers,
 		"store": e.settings.Store,
--- a/sesamecommand/run.go
+++ b/sesamecommand/run.go
@@ -120,6 +120,7 @@
 		newCheck(s),
 		newToken(s),
 		newEvents(s),
+		newStory(s),
 		newVersion(s),
 	)
 }
--- a/sesamelog/log.go
+++ b/sesamelog/log.go
@@ -13,6 +13,10 @@
 //	4200-4299  sesameattempt
 //	5000-5099  sesameapi
 //	6000-6099  sesamecommand
+//	7000-7099  sesameintake
+//	7100-7199  sesamedispatch
+//	7200-7299  sesamerunner
+//	7300-7399  platform
 //
 // # Usage
 //
@@ -105,13 +109,19 @@
 	entry *logrus.Entry
 }
 
+// jsonTime shows milliseconds, so that lines of several processes can be put
+// in order.
+const jsonTime = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes events of at least that level to w.
 func New(w io.Writer, level Level, format Format) *Logger {
 	l := logrus.New()
 	l.SetOutput(w)
 	l.SetLevel(level)
 	if format == JSON {
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{
+			TimestampFormat: jsonTime,
+		})
 	} else {
 		l.SetFormatter(&logrus.TextFormatter{
 			FullTimestamp: true,
