--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -90,17 +90,22 @@
 		Log:    p.log,
 		Scope:  scope,
 	})
+	var inventory sesamedispatch.Inventory
+	if settings.Inventory != "" {
+		inventory = platform.NewMachines(settings.Inventory, scope)
+	}
 	e := &hostedEntry{
 		process:  p,
 		settings: settings,
 		intake:   intake,
 		planner: sesamedispatch.NewPlanner(sesamedispatch.Options{
-			Name:     settings.ID,
-			Store:    store,
-			Policies: intake.Policies(),
-			Clock:    clock,
-			Log:      p.log,
-			Scope:    scope,
+			Name:      settings.ID,
+			Store:     store,
+			Policies:  intake.Policies(),
+			Inventory: inventory,
+			Clock:     clock,
+			Log:       p.log,
+			Scope:     scope,
 		}),
 		draining: make(chan struct{}),
 	}
--- /dev/null
+++ b/sesamedispatch/inventory_test.go
@@ -0,0 +1,68 @@
+package sesamedispatch_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// Live returns the targets of the nodes that stand.
+func (w *world) Live(context.Context) (map[string]bool, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	live := map[string]bool{}
+	for _, n := range w.nodes {
+		if !n.removed {
+			live[n.id] = true
+		}
+	}
+	return live, nil
+}
+
+// TestRemovedTarget takes a node away for good, and the inventory says so: the
+// work starts elsewhere long before its lease would have lapsed.
+func TestRemovedTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2, 2)
+		w.sleep(3 * time.Second)
+		w.submit(newAsked("urgent", sesamework.Step{
+			Count:    2,
+			Need:     accelerators(8),
+			Estimate: 3000,
+		}, 3*time.Second), "urgent", "key-a", 0)
+		w.sleep(time.Second)
+		started := w.clock.Now()
+		w.mu.Lock()
+		w.nodes[0].removed = true
+		w.mu.Unlock()
+		w.nodes[0].stop()
+		w.nodes[0].target.Crash()
+		assertKept(t, w, time.Minute)
+		const bound = 2*3*time.Second + 3*time.Second // both tasks in turn, and the silence
+		is.True(w.clock.Since(started) < bound)
+	})
+}
+
+// TestSilentTarget checks that the inventory ends nothing that still runs.
+func TestSilentTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 1, 1)
+		w.sleep(3 * time.Second)
+		w.submit(newAsked("long", sesamework.Step{
+			Count:    1,
+			Need:     accelerators(8),
+			Estimate: 9000,
+		}, 9*time.Second), "normal", "key-a", 0)
+		w.sleep(time.Second)
+		w.nodes[0].kill(4 * time.Second)
+		assertKept(t, w, time.Minute)
+		is.Equal(w.floor.Starts(), 1)
+	})
+}
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -47,15 +47,23 @@
 	Changed() <-chan struct{}
 }
 
+// Inventory knows which lives of targets the platform still runs.
+type Inventory interface {
+	// Live returns the IDs of all targets that run.
+	Live(ctx context.Context) (map[string]bool, error)
+}
+
 // Options are what a Planner needs.
 type Options struct {
 	// Name is the process's, for the logs of others.
 	Name     string
 	Store    sesamerows.Store
 	Policies Policies
-	Clock    sesameclock.Clock
-	Log      *sesamelog.Logger
-	Scope    tally.Scope
+	// Inventory; nil means that silent targets are given up by time alone.
+	Inventory Inventory
+	Clock     sesameclock.Clock
+	Log       *sesamelog.Logger
+	Scope     tally.Scope
 }
 
 // Planner plans while no other process does.
@@ -154,10 +162,12 @@
 		row.Noon = p.o.Clock.Wall().UnixMilli() - p.storeNow.Now().Milliseconds()
 	}
 	r := &reign{
-		Planner: p,
-		row:     row,
-		fence:   sesamerows.NewFence(p.o.Store, sesamework.LeaderKey()),
-		book:    NewBook(p.o.Log),
+		Planner:   p,
+		row:       row,
+		questions: make(chan struct{}, 1),
+		answers:   make(chan map[string]bool, 1),
+		fence:     sesamerows.NewFence(p.o.Store, sesamework.LeaderKey()),
+		book:      NewBook(p.o.Log),
 		follower: sesamerows.NewFollower(p.o.Store, sesamerows.FollowOptions{
 			Table: sesamework.WorkTable,
 			Wait:  feedWait,
@@ -187,6 +197,10 @@
 	// feed last answered.
 	wrote time.Duration
 	heard time.Duration
+	// questions asks for the inventory, and answers brings it.
+	questions chan struct{}
+	answers   chan map[string]bool
+	asked     time.Duration
 }
 
 // load fills the book.
@@ -235,6 +249,11 @@
 	group.Go(func() error {
 		return r.feed(ctx, batches)
 	})
+	if r.o.Inventory != nil {
+		group.Go(func() error {
+			return r.inquire(ctx)
+		})
+	}
 	group.Go(func() error {
 		return r.plan(ctx, batches)
 	})
@@ -282,6 +301,7 @@
 		if err := r.decide(ctx); err != nil {
 			return err
 		}
+		r.ask()
 		if silence := r.o.Clock.Steady() - r.heard; silence > maxFeedSilence {
 			return &SilentFeedError{
 				For: silence,
@@ -305,6 +325,8 @@
 		r.storeNow.Heard(batch.Now)
 		r.heard = r.o.Clock.Steady()
 		r.book.Apply(batch.Rows, r.now())
+	case live := <-r.answers:
+		r.book.NoteLive(live)
 	case <-r.o.Policies.Changed():
 	case <-timer.Done():
 	}
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -34,6 +34,8 @@
 	// heard is when the last report arrived.
 	heard    time.Duration
 	progress map[string]progress
+	// removed says that the platform does not run this life any more.
+	removed bool
 	// strikes are the units that failed here since the last success.
 	strikes      map[sesamework.UnitID]bool
 	suspicions   int
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -7,11 +7,12 @@
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
-// giveUpSilent gives up targets that have been silent so long that all they
-// ran has lapsed.
+// giveUpSilent gives up targets that the platform has removed, and those that
+// have been silent so long that all they ran has lapsed.
 func (b *Book) giveUpSilent(d *Decision) {
 	for _, t := range b.targets {
-		if t.State == sesamework.TargetGone || b.now.Steady-t.heard < sesamework.SilenceUntilLost {
+		lapsed := b.now.Steady-t.heard >= sesamework.SilenceUntilLost
+		if t.State == sesamework.TargetGone || !lapsed && !t.removed {
 			continue
 		}
 		d.Lost = append(d.Lost, t)
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -68,6 +68,8 @@
 	id     string
 	life   int64
 	stop   context.CancelFunc
+	// removed nodes are not in the inventory.
+	removed bool
 }
 
 const (
@@ -249,12 +251,13 @@
 		Scope: tally.NoopScope,
 	})
 	planner := sesamedispatch.NewPlanner(sesamedispatch.Options{
-		Name:     e.name,
-		Store:    e.rows,
-		Policies: e.intake.Policies(),
-		Clock:    e.w.steady,
-		Log:      testLog(),
-		Scope:    tally.NoopScope,
+		Name:      e.name,
+		Store:     e.rows,
+		Policies:  e.intake.Policies(),
+		Inventory: e.w,
+		Clock:     e.w.steady,
+		Log:       testLog(),
+		Scope:     tally.NoopScope,
 	})
 	intake := e.intake
 	e.w.group.Go(func() error {
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -244,9 +244,10 @@
 		t.State = sesamework.TargetGone
 		r.book.settleLives()
 		r.o.Log.Emit(eventLost, sesamelog.Fields{
-			"target": t.name,
-			"life":   t.Life,
-			"silent": (r.o.Clock.Steady() - t.heard).Milliseconds(),
+			"target":  t.name,
+			"life":    t.Life,
+			"removed": t.removed,
+			"silent":  (r.o.Clock.Steady() - t.heard).Milliseconds(),
 		})
 	})
 	return r.commit(ctx, c)
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -15,6 +15,9 @@
 	Metrics string `yaml:"metrics"`
 	// Store is the address of the platform's store.
 	Store string `yaml:"store"`
+	// Inventory is the address of the platform's list of machines; empty
+	// means that there is none.
+	Inventory string `yaml:"inventory"`
 	// Memory is what the process may use, in MiB.
 	Memory int64 `yaml:"memory"`
 	// Drain bounds a graceful stop.
@@ -100,6 +103,7 @@
 	d.reachable("callers", e.Callers)
 	d.reachable("ready", e.Ready)
 	d.reachable("store", e.Store)
+	d.optionalAddress("inventory", e.Inventory)
 	d.optionalAddress("metrics", e.Metrics)
 	between(d, "memory", e.Memory, minHostedMemory, maxHostedMemory)
 	between(d, "drain", e.Drain, minHostedDrain, maxDrain)
