Keep the runs of each zone in a table of its own

A run has a row in the table of each zone that it uses now. A target's row stays while a unit's newest run names it, so that its zone is known.

--- a/sesamedispatch/book.go
+++ b/sesamedispatch/book.go
@@ -204,7 +204,7 @@
 	for len(j.occurrences) <= id.Occurrence {
 		b.open(j)
 	}
-	if u, ok := b.units[id]; ok {
+	if u, ok := b.units[id]; ok && r.Number >= u.run.Number {
 		u.adopt(r, b.now.Steady)
 	}
 }
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -208,9 +208,7 @@
 
 // load fills the book.
 func (r *reign) load(ctx context.Context) error {
-	runs, err := sesamerows.ReadAll(ctx, r.o.Store, sesamerows.Range{
-		Table: sesamework.RunTable,
-	})
+	runs, err := r.readRuns(ctx)
 	if err != nil {
 		return err
 	}
@@ -226,16 +224,39 @@
 	}
 	r.storeNow.Heard(work.Now)
 	r.heard = r.o.Clock.Steady()
-	r.book.Load(work.Rows, runs.Rows, states.Rows, r.now())
+	r.book.Load(work.Rows, runs, states.Rows, r.now())
 	r.o.Log.Emit(eventLeads, sesamelog.Fields{
 		"jobs":    len(r.book.jobs),
 		"targets": len(r.book.targets),
-		"runs":    len(runs.Rows),
+		"runs":    len(runs),
 		"version": work.Version,
 	})
 	return nil
 }
 
+// readRuns reads the runs of all zones that ever had a target: its row, or the
+// ends of its runs, lie in the zone's part.
+func (r *reign) readRuns(ctx context.Context) ([]sesamerows.Row, error) {
+	zones, err := r.o.Store.Parts(ctx, sesamework.WorkTable)
+	if err != nil {
+		return nil, err
+	}
+	var all []sesamerows.Row
+	for _, zone := range zones {
+		if zone == "" {
+			continue
+		}
+		page, err := sesamerows.ReadAll(ctx, r.o.Store, sesamerows.Range{
+			Table: sesamework.RunTable(zone),
+		})
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page.Rows...)
+	}
+	return all, nil
+}
+
 func (r *reign) now() Now {
 	store := r.storeNow.Now()
 	return Now{
--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
@@ -50,17 +51,31 @@
 	return active
 }
 
-// leftover returns a target that is gone and that no active run names.
+// leftover returns a target that is gone and that the newest run of no
+// unfinished unit names: what ran there is known to be lost by its row.
 func (b *Book) leftover() *target {
 	for _, t := range b.targets {
-		if t.State != sesamework.TargetGone || b.now.Steady-t.heard < keepGone {
-			continue
+		if t.State == sesamework.TargetGone && b.now.Steady-t.heard >= keepGone && !b.isNamed(t) {
+			return t
 		}
-		return t
 	}
 	return nil
 }
 
+func (b *Book) isNamed(t *target) bool {
+	for _, u := range b.units {
+		if u.done || u.job.shown.Ended() {
+			continue
+		}
+		for _, m := range u.members {
+			if m.Target == t.name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // rowsOf returns the keys of a job's rows. The job's own row comes last, so
 // that a sweep that was interrupted goes on later.
 func (b *Book) rowsOf(j *job) []sesamerows.Key {
@@ -71,8 +86,8 @@
 		}
 	}
 	j.each(func(u *unit) {
-		if u.run.Number > 0 {
-			keys = append(keys, sesamework.RunKey(u.id))
+		for _, zone := range u.run.Zones() {
+			keys = append(keys, sesamework.RunKey(u.id, zone))
 		}
 	})
 	return append(keys,
@@ -104,11 +119,11 @@
 func (b *Book) forget(j *job, keys []sesamerows.Key, last bool) {
 	for _, key := range keys {
 		delete(b.ends, key)
-		if key.Table != sesamework.RunTable {
+		if !sesamework.IsRunTable(key.Table) {
 			continue
 		}
 		if id, err := sesamework.ParseUnit(key.Name); err == nil {
-			b.units[id].run.Number = 0
+			b.units[id].dropRow(key)
 		}
 	}
 	if !last {
@@ -120,6 +135,13 @@
 	delete(b.jobs, j.ID)
 }
 
+// dropRow forgets the members in the zone whose row was removed.
+func (u *unit) dropRow(key sesamerows.Key) {
+	u.run.Members = slices.DeleteFunc(slices.Clone(u.run.Members), func(m sesamework.Member) bool {
+		return sesamework.RunTable(m.Zone) == key.Table
+	})
+}
+
 func (r *reign) sweepTarget(ctx context.Context, t *target) error {
 	key := sesamerows.Key{
 		Table: sesamework.WorkTable,
--- a/sesamedispatch/sweep_test.go
+++ b/sesamedispatch/sweep_test.go
@@ -47,7 +47,8 @@
 		w.nodes[1].crash(time.Second)
 		w.sleep(10 * time.Minute)
 		is.Equal(w.state("wide"), sesamework.JobState(""))
-		is.Equal(w.countRows(sesamework.RunTable), 0)
+		is.Equal(w.countRows(sesamework.RunTable("zone-0")), 0)
+		is.Equal(w.countRows(sesamework.RunTable("zone-1")), 0)
 		is.Equal(w.countRows(sesamework.StateTable), 0)
 		is.Equal(w.countRows(sesamework.SpecTable), 0)
 		is.Equal(w.countRows(sesamework.WorkTable), 2) // the targets that live
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -60,21 +61,45 @@
 }
 
 // add puts the writes into the newest transaction that has room for them.
-func (c *changes) add(expects []sesamerows.Expect, write sesamerows.Write, applied func()) {
-	size := len(expects) + 1
+func (c *changes) add(a change) {
+	size := len(a.Expects) + len(a.Writes) + len(a.Removes)
 	var last *change
 	if len(c.all) > 0 {
 		last = c.all[len(c.all)-1]
 	}
-	if last == nil || len(last.Expects)+len(last.Writes)+size > maxChange {
+	if last == nil || len(last.Expects)+len(last.Writes)+len(last.Removes)+size > maxChange {
 		last = &change{}
 		c.all = append(c.all, last)
 	}
-	for _, e := range expects {
+	for _, e := range a.Expects {
 		last.expect(e)
 	}
-	last.Writes = append(last.Writes, write)
-	last.applied = append(last.applied, applied)
+	last.Writes = append(last.Writes, a.Writes...)
+	last.Removes = append(last.Removes, a.Removes...)
+	last.applied = append(last.applied, a.applied...)
+}
+
+// runRows returns the writes of a run in the tables of its members' zones, and
+// the removals from the tables of zones that only the run before it used.
+func runRows(u *unit, r sesamework.Run) (sesamerows.Change, error) {
+	var c sesamerows.Change
+	value, err := json.Marshal(r)
+	if err != nil {
+		return c, err
+	}
+	zones := r.Zones()
+	for _, zone := range zones {
+		c.Writes = append(c.Writes, sesamerows.Write{
+			Key:   sesamework.RunKey(u.id, zone),
+			Value: value,
+		})
+	}
+	for _, zone := range u.run.Zones() {
+		if !slices.Contains(zones, zone) {
+			c.Removes = append(c.Removes, sesamework.RunKey(u.id, zone))
+		}
+	}
+	return c, nil
 }
 
 // expect adds a condition once.
@@ -109,14 +134,11 @@
 func (r *reign) collectStop(s Stop, batch *changes) error {
 	run := s.unit.run
 	run.Stop = s.reason
-	value, err := json.Marshal(run)
+	rows, err := runRows(s.unit, run)
 	if err != nil {
 		return err
 	}
-	batch.add(nil, sesamerows.Write{
-		Key:   sesamework.RunKey(s.unit.id),
-		Value: value,
-	}, func() {
+	written := func() {
 		s.unit.run = run
 		r.o.Log.Emit(eventStopping, sesamelog.Fields{
 			"job":    s.unit.id.Job,
@@ -127,23 +149,24 @@
 		r.o.Scope.Tagged(map[string]string{
 			"reason": s.reason,
 		}).Counter("stops").Inc(1)
+	}
+	batch.add(change{
+		Change:  rows,
+		applied: []func(){written},
 	})
 	return nil
 }
 
 // collectStart orders a run while nobody has cancelled its job.
 func (r *reign) collectStart(s Start, batch *changes) error {
-	value, err := json.Marshal(s.run)
+	rows, err := runRows(s.unit, s.run)
 	if err != nil {
 		return err
 	}
-	uncancelled := sesamerows.Expect{
+	rows.Expects = []sesamerows.Expect{{
 		Key: sesamework.CancelKey(s.unit.id.Job),
-	}
-	batch.add([]sesamerows.Expect{uncancelled}, sesamerows.Write{
-		Key:   sesamework.RunKey(s.unit.id),
-		Value: value,
-	}, func() {
+	}}
+	written := func() {
 		waited := r.o.Clock.Steady() - s.unit.ready
 		s.unit.adopt(s.run, r.o.Clock.Steady())
 		r.o.Log.Emit(eventOrdered, sesamelog.Fields{
@@ -157,6 +180,10 @@
 		r.o.Scope.Tagged(map[string]string{
 			"queue": s.unit.job.Queue,
 		}).Histogram("start_wait", waitBuckets).RecordDuration(waited)
+	}
+	batch.add(change{
+		Change:  rows,
+		applied: []func(){written},
 	})
 	return nil
 }
@@ -171,10 +198,7 @@
 	if err != nil {
 		return err
 	}
-	batch.add(nil, sesamerows.Write{
-		Key:   sesamework.StateKey(s.job.ID),
-		Value: value,
-	}, func() {
+	written := func() {
 		r.o.Log.Emit(eventState, sesamelog.Fields{
 			"job":  s.job.ID,
 			"from": s.job.shown,
@@ -186,6 +210,15 @@
 			"queue": s.job.Queue,
 			"state": string(s.state),
 		}).Counter("jobs").Inc(1)
+	}
+	batch.add(change{
+		Change: sesamerows.Change{
+			Writes: []sesamerows.Write{{
+				Key:   sesamework.StateKey(s.job.ID),
+				Value: value,
+			}},
+		},
+		applied: []func(){written},
 	})
 	return nil
 }
--- a/sesamerunner/runs.go
+++ b/sesamerunner/runs.go
@@ -36,6 +36,7 @@
 	store  sesamerows.Store
 	clock  sesameclock.Clock
 	log    *sesamelog.Logger
+	zone   string
 	prefix string
 
 	mu sync.Mutex
@@ -51,6 +52,7 @@
 		store:   o.Store,
 		clock:   o.Clock,
 		log:     o.Log,
+		zone:    o.Zone,
 		prefix:  sesamework.TargetKey(o.Zone, o.Node, "").Name,
 		rows:    map[string]sesamework.Run{},
 		changed: make(chan struct{}),
@@ -61,7 +63,7 @@
 func (r *runs) follow(ctx context.Context) error {
 	part := ""
 	follower := sesamerows.NewFollower(r.store, sesamerows.FollowOptions{
-		Table:  sesamework.RunTable,
+		Table:  sesamework.RunTable(r.zone),
 		Part:   &part,
 		Wait:   runsWait,
 		Gather: runsGather,
--- a/sesamework/rows.go
+++ b/sesamework/rows.go
@@ -8,11 +8,10 @@
 	"github.com/sesamestack/sesamestack/sesamerows"
 )
 
-// Tables of the store. Work is what the planner reads, runs what agents read,
-// and states what entries read.
+// Tables of the store. Work is what the planner reads, states what entries
+// read, and a table for each zone, RunTable, what its agents read.
 const (
 	WorkTable   = "work"
-	RunTable    = "runs"
 	StateTable  = "states"
 	SpecTable   = "specs"
 	LeaderTable = "leader"
@@ -58,10 +57,25 @@
 	}
 }
 
-// RunKey names the row of a unit's newest run.
-func RunKey(u UnitID) sesamerows.Key {
+// runTablePrefix is followed by the zone.
+const runTablePrefix = "runs."
+
+// RunTable names the table of the runs that have members in a zone. An agent
+// is woken only by the runs of its own zone.
+func RunTable(zone string) string {
+	return runTablePrefix + zone
+}
+
+// IsRunTable reports whether the table holds runs.
+func IsRunTable(table string) bool {
+	return strings.HasPrefix(table, runTablePrefix)
+}
+
+// RunKey names the row of a unit's newest run in the table of a zone. A run
+// with members in several zones has a row in the table of each.
+func RunKey(u UnitID, zone string) sesamerows.Key {
 	return sesamerows.Key{
-		Table: RunTable,
+		Table: RunTable(zone),
 		Name:  u.String(),
 	}
 }
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -1,5 +1,7 @@
 package sesamework
 
+import "slices"
+
 // Member is one task of a run and where it runs.
 type Member struct {
 	Index int `json:"i"`
@@ -28,6 +30,17 @@
 	Ordered int64 `json:"at"`
 }
 
+// Zones returns the zones of the members, each once, in their order.
+func (r Run) Zones() []string {
+	var zones []string
+	for _, m := range r.Members {
+		if !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
+		}
+	}
+	return zones
+}
+
 // How says how a run ended on its target.
 type How string
 
