--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -34,8 +34,6 @@
 	feedWait = time.Second
 	// feedRing bounds the batches that wait for the planner.
 	feedRing = 16
-	// feedPause is the pause after a failed call for changes.
-	feedPause = 100 * time.Millisecond
 	// feedGather lets changes of a moment come in one call.
 	feedGather = 5 * time.Millisecond
 	// maxFeedSilence is how long planning goes on without an answer to a call
@@ -102,13 +100,13 @@
 	for ctx.Err() == nil {
 		vacant, err := p.isVacant(ctx)
 		if err != nil || !vacant {
-			pause(ctx, watchInterval)
+			sesamerows.Sleep(ctx, watchInterval)
 			continue
 		}
 		reign, err := p.takeOver(ctx)
 		if err != nil {
 			p.yields(err)
-			pause(ctx, watchInterval)
+			sesamerows.Sleep(ctx, watchInterval)
 			continue
 		}
 		err = reign.run(ctx)
@@ -286,12 +284,14 @@
 
 // feed hands the changes of the work table to the planning loop.
 func (r *reign) feed(ctx context.Context, batches chan<- sesamerows.Batch) error {
+	retry := sesamerows.NewRetry()
 	for ctx.Err() == nil {
 		batch, err := r.follower.Next(ctx)
 		if err != nil {
-			pause(ctx, feedPause)
+			retry.Failed(ctx)
 			continue
 		}
+		retry.Succeeded()
 		select {
 		case batches <- batch:
 		case <-ctx.Done():
@@ -389,9 +389,3 @@
 // releaseTimeout bounds the last write of a planner; without it others wait
 // for silenceToTakeOver.
 const releaseTimeout = 500 * time.Millisecond
-
-func pause(ctx context.Context, d time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	<-ctx.Done()
-}
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -234,7 +234,7 @@
 		r.o.Log.Emit(eventConflict, sesamelog.Fields{
 			"error": err,
 		})
-		pause(ctx, conflictPause)
+		sesamerows.Sleep(ctx, conflictPause)
 		return nil
 	}
 	if err != nil {
--- a/sesameintake/policies.go
+++ b/sesameintake/policies.go
@@ -73,11 +73,9 @@
 	return p.lost
 }
 
-// sourcePause is the pause after a failed call for policies.
-const sourcePause = 100 * time.Millisecond
-
 // Run learns policies until ctx ends.
 func (p *Policies) Run(ctx context.Context) error {
+	retry := sesamerows.NewRetry()
 	for ctx.Err() == nil {
 		policy, err := p.source.Next(ctx)
 		var unreadable *UnreadablePolicyError
@@ -91,9 +89,10 @@
 		}
 		if err != nil {
 			p.failed(err)
-			pause(ctx, sourcePause)
+			retry.Failed(ctx)
 			continue
 		}
+		retry.Succeeded()
 		p.answered()
 		if policy != nil {
 			p.Offer(policy)
@@ -159,9 +158,3 @@
 		"age":   p.clock.Steady() - p.heard,
 	})
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	<-ctx.Done()
-}
--- a/sesameintake/states.go
+++ b/sesameintake/states.go
@@ -46,13 +46,15 @@
 		Part:  &part,
 		Wait:  statesWait,
 	})
+	retry := sesamerows.NewRetry()
 	for ctx.Err() == nil {
 		batch, err := follower.Next(ctx)
 		if err != nil {
 			// The loss itself is logged by Policies, which ask the same store.
-			pause(ctx, sourcePause)
+			retry.Failed(ctx)
 			continue
 		}
+		retry.Succeeded()
 		keeper.Heard(batch.Now)
 		s.apply(batch)
 	}
--- a/sesamerows/fence.go
+++ b/sesamerows/fence.go
@@ -148,7 +148,7 @@
 		case !errors.HasType(err, (*UnavailableError)(nil)):
 			return 0, err
 		}
-		if !sleep(ctx, pause) {
+		if !Sleep(ctx, pause) {
 			return 0, outcome(unknown, err)
 		}
 		pause = min(2*pause, maxPause)
@@ -166,14 +166,6 @@
 	}
 }
 
-// sleep reports whether the pause went by before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	pause, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	<-pause.Done()
-	return ctx.Err() == nil
-}
-
 // seal puts the token and count in front of the value.
 func seal(token string, count int, value []byte) []byte {
 	head := token + "." + strconv.Itoa(count) + " "
--- a/sesamerows/follow.go
+++ b/sesamerows/follow.go
@@ -67,7 +67,7 @@
 	if !f.started {
 		return f.readAll(ctx)
 	}
-	if f.changed && f.gather > 0 && !sleep(ctx, f.gather) {
+	if f.changed && f.gather > 0 && !Sleep(ctx, f.gather) {
 		return Batch{}, ctx.Err()
 	}
 	page, err := f.store.Changes(ctx, f.table, f.after, f.wait)
--- a/sesamerunner/hold.go
+++ b/sesamerunner/hold.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -28,6 +29,7 @@
 // holdLoop keeps the lease alive and listens for ends.
 func (s *session) holdLoop(ctx context.Context) {
 	failures := 0
+	retry := sesamerows.NewRetry()
 	for ctx.Err() == nil && !s.isOver() {
 		err := s.hold(ctx)
 		if ctx.Err() != nil {
@@ -41,13 +43,14 @@
 				})
 			}
 			failures = 0
+			retry.Succeeded()
 			s.awaitRecord(ctx)
 			continue
 		}
 		failures++
 		s.unobserve()
 		s.holdFailed(err, failures)
-		pause(ctx, retryPause)
+		retry.Failed(ctx)
 	}
 }
 
@@ -249,7 +252,7 @@
 	ctx, cancel := context.WithTimeout(ctx, unrecordedPause)
 	defer cancel()
 	for ctx.Err() == nil && s.hasListedEnds() {
-		pause(ctx, recordPoll)
+		sesamerows.Sleep(ctx, recordPoll)
 	}
 }
 
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -25,6 +25,7 @@
 // take makes this process the one that serves the target. It returns false
 // when the session is over before.
 func (s *session) take(ctx context.Context) bool {
+	retry := sesamerows.NewRetry()
 	for ctx.Err() == nil && !s.isOver() {
 		err := s.takeOnce(ctx)
 		if err == nil {
@@ -37,7 +38,7 @@
 			return true
 		}
 		s.storeFailed(err)
-		pause(ctx, retryPause)
+		retry.Failed(ctx)
 	}
 	return false
 }
@@ -156,6 +157,7 @@
 // reportLoop writes the target's row and the ends of its runs until the
 // session is over.
 func (s *session) reportLoop(ctx context.Context) {
+	retry := sesamerows.NewRetry()
 	for ctx.Err() == nil {
 		over := s.isOver()
 		err := s.write(ctx)
@@ -163,6 +165,7 @@
 		case err == nil && over && !s.hasEnds():
 			return
 		case err == nil:
+			retry.Succeeded()
 			s.storeAnswered()
 		case ctx.Err() != nil:
 			return
@@ -177,7 +180,7 @@
 			}
 		default:
 			s.storeFailed(err)
-			pause(ctx, retryPause)
+			retry.Failed(ctx)
 			continue
 		}
 		if !s.hasEnds() {
--- a/sesamerunner/runner.go
+++ b/sesamerunner/runner.go
@@ -94,6 +94,7 @@
 // resume begins sessions with the targets that an earlier process served.
 func (r *Runner) resume(ctx context.Context) error {
 	key := sesamework.TargetKey(r.o.Zone, r.o.Node, "")
+	retry := sesamerows.NewRetry()
 	for ctx.Err() == nil {
 		page, err := sesamerows.ReadAll(ctx, r.o.Store, sesamerows.Range{
 			Table: key.Table,
@@ -102,7 +103,7 @@
 			To:    strings.TrimSuffix(key.Name, "/") + "0",
 		})
 		if err != nil {
-			pause(ctx, retryPause)
+			retry.Failed(ctx)
 			continue
 		}
 		for _, row := range page.Rows {
@@ -199,12 +200,3 @@
 		delete(r.sessions, s.id)
 	}
 }
-
-// retryPause is the pause after a failed call to the store or a target.
-const retryPause = 50 * time.Millisecond
-
-func pause(ctx context.Context, d time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	<-ctx.Done()
-}
--- a/sesamerunner/runs.go
+++ b/sesamerunner/runs.go
@@ -68,13 +68,15 @@
 		Wait:   runsWait,
 		Gather: runsGather,
 	})
+	retry := sesamerows.NewRetry()
 	for ctx.Err() == nil {
 		asked := r.clock.Steady()
 		batch, err := follower.Next(ctx)
 		if err != nil {
-			pause(ctx, retryPause)
+			retry.Failed(ctx)
 			continue
 		}
+		retry.Succeeded()
 		r.apply(batch, asked)
 	}
 	return nil
