--- a/sesameintake/intake.go
+++ b/sesameintake/intake.go
@@ -77,7 +77,7 @@
 			After:  time.Second,
 		}
 	}
-	if age := in.policies.Age(); age > maxSilence {
+	if age := in.policies.Age(); in.policies.isLost() || age > maxSilence {
 		return &NotReadyError{
 			Reason: "the store has not answered for " + age.Round(time.Millisecond).String(),
 			After:  time.Second,
