--- a/sesamecommand/hosted.go
+++ b/sesamecommand/hosted.go
@@ -59,6 +59,8 @@
 	group  *errgroup.Group
 	ctx    context.Context
 	cancel context.CancelFunc
+	// servers are closed when the process stops, if they were not before.
+	servers []*http.Server
 }
 
 // newProcess limits the process to its memory and one core, and starts its
@@ -84,6 +86,13 @@
 	}
 	return p, func() error {
 		cancel()
+		for _, server := range p.servers {
+			if err := server.Close(); err != nil {
+				p.log.Emit(eventStopped, sesamelog.Fields{
+					"error": err,
+				})
+			}
+		}
 		err := group.Wait()
 		if errors.Is(err, context.Canceled) {
 			err = nil
@@ -103,6 +112,7 @@
 	if err != nil {
 		return err
 	}
+	p.servers = append(p.servers, server)
 	p.group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/sesamecommand/hosted_test.go
+++ b/sesamecommand/hosted_test.go
@@ -35,6 +35,7 @@
 	callers string
 	ready   string
 	reports string
+	metrics string
 	rows    *sesamerows.Memory
 	floor   *sesamestandin.Floor
 	target  string
@@ -81,6 +82,7 @@
 		callers: freeAddress(t),
 		ready:   freeAddress(t),
 		reports: freeAddress(t),
+		metrics: freeAddress(t),
 	}
 	store := httptest.NewServer(emulator.NewStore(w.rows))
 	t.Cleanup(store.Close)
@@ -107,6 +109,9 @@
 	return w
 }
 
+// hostedDrain is what the settings below allow a process to stop in.
+const hostedDrain = 2 * time.Second
+
 const hostedJob = "5c0e7a21d94b36f8"
 
 func (w *hostedWorld) putPolicy(policy string) {
@@ -137,19 +142,22 @@
 	})
 	w.t.Cleanup(func() {
 		cancel()
+		started := time.Now()
 		is.New(w.t).NoErr(group.Wait())
+		is.New(w.t).True(time.Since(started) < hostedDrain) // within the drain
 	})
 }
 
 func (w *hostedWorld) runBoth() {
 	w.run("entry", fmt.Sprintf(`id: entry-1
 place: {region: r, zone: zone-1}
+metrics: %q
 callers: %q
 ready: %q
 store: %q
 memory: 256
-drain: 1s
-`, w.callers, w.ready, w.store))
+drain: 2s
+`, w.metrics, w.callers, w.ready, w.store))
 	w.run("agent", fmt.Sprintf(`id: side-1
 place: {region: r, zone: zone-1}
 reports: %q
@@ -245,6 +253,7 @@
 	w.await(http.MethodPost, jobs+hostedJob, hostedSteps, http.StatusOK, "")
 	w.await(http.MethodGet, jobs+hostedJob, "", http.StatusOK, "completed")
 	w.await(http.MethodGet, jobs, "", http.StatusOK, `{"pending":0}`)
+	w.await(http.MethodGet, "http://"+w.metrics+"/metrics", "", http.StatusOK, "sesamestack_submissions")
 	is.Equal(w.floor.Starts(), 3)
 	is.Equal(len(w.floor.Broken()), 0)
 	assertContains(t, w.logs.String(), "policy can't be read")
