Soak the real programs under faults; check order, attempts and drains in the model

The model's targets now also note starts before an earlier step was done, after too many failures and on a target that drains.

--- a/sesamedispatch/inventory_test.go
+++ b/sesamedispatch/inventory_test.go
@@ -66,3 +66,30 @@
 		is.Equal(w.floor.Starts(), 1)
 	})
 }
+
+// TestDrainingTarget checks that a target that says it drains is given nothing,
+// and that work which outlasts it goes on elsewhere from its checkpoint.
+func TestDrainingTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2, 2)
+		w.sleep(3 * time.Second)
+		w.submit(newAsked("long", sesamework.Step{
+			Count:       2,
+			Need:        accelerators(8),
+			Estimate:    8000,
+			Checkpoints: true,
+		}, 8*time.Second), "normal", "key-a", 0)
+		w.sleep(4 * time.Second)
+		w.mu.Lock()
+		w.nodes[0].draining = true
+		w.mu.Unlock()
+		const drainBound = 2 * time.Second
+		w.sleep(drainBound)
+		w.nodes[0].target.Forbid()
+		started := w.clock.Now()
+		assertKept(t, w, time.Minute)
+		const rest = 4*time.Second + 4*time.Second + 2*time.Second // what is left of both, and stops
+		is.True(w.clock.Since(started) < rest)
+	})
+}
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -28,7 +28,7 @@
 	Step     sesamework.Step
 	After    bool
 	Duration time.Duration
-	// FailsRun is a run that fails, 0 for none.
+	// FailsRun is a run that fails, 0 for none and failsAlways for all.
 	FailsRun int
 	// CancelAfter is 0 for a job that is not cancelled.
 	CancelAfter time.Duration
@@ -50,6 +50,8 @@
 }
 
 const (
+	// failsAlways marks jobs that can never be done.
+	failsAlways  = -1
 	modelEntries = 3
 	modelNodes   = 5
 	modelLength  = 30 * time.Second
@@ -71,7 +73,7 @@
 		Entry:    rapid.IntRange(0, modelEntries-1).Draw(t, "entry"),
 		After:    rapid.Bool().Draw(t, "after"),
 		Duration: time.Duration(rapid.IntRange(500, 9000).Draw(t, "duration")) * time.Millisecond,
-		FailsRun: rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "fails"),
+		FailsRun: rapid.SampledFrom([]int{0, 0, 0, 0, 1, failsAlways}).Draw(t, "fails"),
 		Step: sesamework.Step{
 			Count:       rapid.IntRange(1, 5).Draw(t, "count"),
 			Need:        accelerators(rapid.SampledFrom([]int64{1, 2, 4, 8}).Draw(t, "accelerators")),
@@ -170,8 +172,10 @@
 	a.tasks = func(task sesamework.TaskID) sesamestandin.FloorTask {
 		f := plain(task)
 		f.FailsRun = func(run int) bool {
-			return run == p.FailsRun
+			return run == p.FailsRun || p.FailsRun == failsAlways
 		}
+		f.Attempts = testAttempts
+		f.Before = before(a.job, task)
 		return f
 	}
 	w.submit(a, p.Queue, p.Key, p.Entry)
@@ -181,6 +185,21 @@
 	}
 }
 
+// before returns the tasks of the steps that come before the task's.
+func before(job sesamework.Job, task sesamework.TaskID) []sesamework.TaskID {
+	var all []sesamework.TaskID
+	for _, step := range job.Steps[task.Step].After {
+		for index := range job.Steps[step].Count {
+			all = append(all, sesamework.TaskID{
+				Job:   task.Job,
+				Step:  step,
+				Index: index,
+			})
+		}
+	}
+	return all
+}
+
 // suffer brings one trouble and ends it.
 func (w *world) suffer(f faultPlan) {
 	switch f.Kind {
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -68,15 +68,17 @@
 	id     string
 	life   int64
 	stop   context.CancelFunc
-	// removed nodes are not in the inventory.
-	removed bool
+	// removed nodes are not in the inventory, and draining ones say so.
+	removed  bool
+	draining bool
 }
 
 const (
-	stopTime    = 400 * time.Millisecond
-	gangTimeout = 3 * time.Second
-	maxLease    = 6 * time.Second
-	specText    = "specification of "
+	testAttempts = 3
+	stopTime     = 400 * time.Millisecond
+	gangTimeout  = 3 * time.Second
+	maxLease     = 6 * time.Second
+	specText     = "specification of "
 )
 
 // wholeNode is what each target of the world offers.
@@ -223,7 +225,7 @@
 			Terms: sesamework.Terms{
 				Service:  "service",
 				Priority: i,
-				Attempts: 3,
+				Attempts: testAttempts,
 				Stretch:  2,
 				Latency:  1000,
 			},
@@ -315,6 +317,9 @@
 // report sends what the target says of itself.
 func (n *nodeProcess) report(ctx context.Context, runner *sesamerunner.Runner) {
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
+		n.w.mu.Lock()
+		draining := n.draining
+		n.w.mu.Unlock()
 		runner.Report(sesamerunner.Report{
 			ID:       n.id,
 			Service:  "service",
@@ -322,6 +327,8 @@
 			Rack:     n.rack,
 			Labels:   []string{"kind", n.rack},
 			Room:     wholeNode(),
+			Draining: draining,
+			Leaves:   2 * time.Second,
 			Life:     n.life,
 			Sequence: sequence,
 		})
--- /dev/null
+++ b/sesamesoak/proxy_test.go
@@ -0,0 +1,123 @@
+package sesamesoak_test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fault is what a proxy does to its connections.
+type fault string
+
+const (
+	faultNone  fault = ""
+	faultDelay fault = "delay"
+	faultReset fault = "reset"
+	// faultSilent swallows both ways, faultOneWay the answers only.
+	faultSilent fault = "silent"
+	faultOneWay fault = "one-way"
+)
+
+const proxyDelay = 120 * time.Millisecond
+
+// proxy stands between one process and the store.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	fault fault
+	open  map[net.Conn]bool
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	p := &proxy{
+		listener: listener,
+		target:   target,
+		open:     map[net.Conn]bool{},
+	}
+	go p.accept()
+	t.Cleanup(func() {
+		listener.Close()
+		p.set(faultReset)
+	})
+	return p
+}
+
+func (p *proxy) address() string {
+	return p.listener.Addr().String()
+}
+
+// set changes the fault; a reset ends all connections, and new ones pass.
+func (p *proxy) set(f fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	if f != faultReset {
+		return
+	}
+	for c := range p.open {
+		c.Close()
+	}
+	p.fault = faultNone
+}
+
+func (p *proxy) current() fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+func (p *proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", p.target)
+		if err != nil {
+			client.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.open[client] = true
+		p.open[server] = true
+		p.mu.Unlock()
+		go p.copy(server, client, false)
+		go p.copy(client, server, true)
+	}
+}
+
+// copy passes bytes on until a side ends; what a silent fault swallows is gone.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	defer func() {
+		p.mu.Lock()
+		delete(p.open, from)
+		p.mu.Unlock()
+		to.Close()
+		from.Close()
+	}()
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		f := p.current()
+		if f == faultDelay {
+			time.Sleep(proxyDelay)
+		}
+		swallowed := f == faultSilent || f == faultOneWay && answers
+		if n > 0 && !swallowed {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err == io.EOF || err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/sesamesoak/soak_test.go
@@ -0,0 +1,181 @@
+package sesamesoak_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+var (
+	soakFirst = flag.Int("soak-first", 1, "first seed that TestSoak plays")
+	soakSeeds = flag.Int("soak-seeds", 1, "seeds that TestSoak plays")
+)
+
+const (
+	// soakLength is how long faults come.
+	soakLength = 12 * time.Second
+	// soakSettle bounds the time in which all accepted jobs end after that:
+	// a lease of 10 s and more, and the work.
+	soakSettle = 45 * time.Second
+	soakJobs   = 14
+	soakFaults = 7
+)
+
+// TestSoak plays random faults on real processes. Faults come in series and
+// overlap; jobs are handed in all the while.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "sesamestack")
+	output, err := exec.Command("go", "build", "-o", binary, "..").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	for seed := *soakFirst; seed < *soakFirst+*soakSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSoak(t, binary)
+			s.play(rand.New(rand.NewPCG(uint64(seed), 0)))
+			s.check()
+			if t.Failed() {
+				s.printLogs()
+			}
+		})
+	}
+}
+
+func (s *soak) play(r *rand.Rand) {
+	time.Sleep(time.Second)
+	var group errgroup.Group
+	for i := range soakJobs {
+		at := time.Duration(r.IntN(int(soakLength)))
+		h := &handed{
+			path: []string{"/urgent/", "/batch/"}[r.IntN(2)] + fmt.Sprintf("%016x", i+1),
+			step: sesamework.Step{
+				Count:       1 + r.IntN(4),
+				Need:        sesamework.Need{Accelerators: int64(1 << r.IntN(4))},
+				Gang:        r.IntN(3) == 0,
+				Checkpoints: r.IntN(2) == 0,
+			},
+		}
+		first := r.IntN(soakEntries)
+		group.Go(func() error {
+			time.Sleep(at)
+			s.handIn(h, first)
+			return nil
+		})
+	}
+	for range soakFaults {
+		at := time.Duration(r.IntN(int(soakLength)))
+		length := 200*time.Millisecond + time.Duration(r.IntN(int(5*time.Second)))
+		kind := r.IntN(8)
+		p := s.processes[r.IntN(len(s.processes))]
+		group.Go(func() error {
+			time.Sleep(at)
+			p.suffer(kind, length)
+			return nil
+		})
+	}
+	is.New(s.t).NoErr(group.Wait())
+}
+
+// suffer brings one fault to a process and ends it.
+func (p *program) suffer(kind int, length time.Duration) {
+	faults := []fault{faultDelay, faultReset, faultSilent, faultOneWay}
+	switch kind {
+	case 4:
+		p.signal(syscall.SIGKILL)
+	case 5:
+		p.signal(syscall.SIGTERM)
+	case 6:
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(length)
+		p.signal(syscall.SIGCONT)
+	case 7:
+		p.signal(syscall.SIGHUP)
+	default:
+		p.proxy.set(faults[kind])
+		time.Sleep(length)
+		p.proxy.set(faultNone)
+	}
+}
+
+// handIn tries entries in turn until one answers for good, as clients do.
+func (s *soak) handIn(h *handed, first int) {
+	id := h.path[strings.LastIndex(h.path, "/")+1:]
+	s.mu.Lock()
+	s.jobs[id] = h
+	s.mu.Unlock()
+	body := fmt.Sprintf(`{"specification":%q,"steps":[{"count":%d,"gpu":%d,"estimated-ms":700,"gang":%t,"checkpointing":%t}]}`,
+		specText, h.step.Count, h.step.Need.Accelerators, h.step.Gang, h.step.Checkpoints)
+	rejected := true
+	for try := range 6 {
+		entry := s.processes[(first+try)%soakEntries]
+		status, _ := s.call(http.MethodPost, "http://"+entry.callers+h.path, body)
+		rejected = rejected && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+		if status == http.StatusOK {
+			s.mu.Lock()
+			h.accepted = true
+			s.mu.Unlock()
+			return
+		}
+		time.Sleep(700 * time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.rejected = rejected
+}
+
+// check waits for the ends of all accepted jobs and reports what was broken.
+func (s *soak) check() {
+	deadline := time.Now().Add(soakSettle)
+	var open []string
+	for time.Now().Before(deadline) {
+		if open = s.unfinished(); len(open) == 0 {
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	for _, job := range open {
+		s.t.Errorf("not completed: %s", job)
+	}
+	for _, broken := range s.floor.Broken() {
+		s.t.Error(broken)
+	}
+}
+
+func (s *soak) unfinished() []string {
+	var accepted []*handed
+	s.mu.Lock()
+	for _, h := range s.jobs {
+		if h.accepted {
+			accepted = append(accepted, h)
+		}
+	}
+	s.mu.Unlock()
+	var open []string
+	for _, h := range accepted {
+		status, body := s.call(http.MethodGet, "http://"+s.processes[0].callers+h.path, "")
+		if status != http.StatusOK || !strings.Contains(body, "completed") {
+			open = append(open, fmt.Sprintf("%s: %d %s", h.path, status, body))
+		}
+	}
+	return open
+}
+
+func (s *soak) printLogs() {
+	for _, p := range s.processes {
+		p.mu.Lock()
+		s.t.Logf("%s:\n%s", p.file, p.output.String())
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/sesamesoak/world_test.go
@@ -0,0 +1,257 @@
+package sesamesoak_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/platform/emulator"
+	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+const (
+	soakEntries = 2
+	soakAgents  = 4
+	taskTime    = 700 * time.Millisecond
+	specText    = "soak"
+	policyText  = `{"version":1,
+ "routes":[{"name":"urgent","host":"soak","path-prefix":"/urgent/","priority":0,"service":"soak","max-attempts":3,"stretch":2,"target-latency-ms":500},
+  {"name":"batch","host":"soak","path-prefix":"/batch/","priority":2,"service":"soak","max-attempts":3,"stretch":4,"target-latency-ms":500}],
+ "tenants":[{"name":"team","api-keys":["key"],"guaranteed-gpus":{"gpu":8}}]}`
+)
+
+// soak is the emulated platform and the processes on it.
+type soak struct {
+	t         *testing.T
+	folder    string
+	floor     *sesamestandin.Floor
+	processes []*program
+
+	mu sync.Mutex
+	// jobs says of each job that was handed in whether it may run.
+	jobs map[string]*handed
+}
+
+type handed struct {
+	path     string
+	step     sesamework.Step
+	rejected bool
+	accepted bool
+}
+
+// program is one process of the system that is started again whenever it ends.
+type program struct {
+	s       *soak
+	kind    string
+	file    string
+	callers string
+	proxy   *proxy
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	output  bytes.Buffer
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func newSoak(t *testing.T, binary string) *soak {
+	clock := clockwork.NewRealClock()
+	s := &soak{
+		t:      t,
+		folder: t.TempDir(),
+		jobs:   map[string]*handed{},
+	}
+	rows := sesamerows.NewMemory(sesameclock.Wrap(clock))
+	_, err := rows.Commit(context.Background(), sesamerows.Transaction{
+		Writes: []sesamerows.Write{{
+			Key: sesamerows.Key{
+				Table: "op",
+				Name:  "config",
+			},
+			Value: []byte(policyText),
+		}},
+	})
+	is.New(t).NoErr(err)
+	store := httptest.NewServer(emulator.NewStore(rows))
+	t.Cleanup(store.Close)
+	s.floor = sesamestandin.NewFloor(sesamestandin.FloorOptions{
+		Clock:       clock,
+		Lookup:      s.lookup,
+		StopTime:    200 * time.Millisecond,
+		GangTimeout: 3 * time.Second,
+		MaxLease:    6 * time.Second,
+	})
+	address := strings.TrimPrefix(store.URL, "http://")
+	for i := range soakEntries {
+		s.addEntry(binary, i, newProxy(t, address))
+	}
+	for i := range soakAgents {
+		s.addAgent(binary, i, newProxy(t, address))
+	}
+	return s
+}
+
+func (s *soak) addEntry(binary string, i int, p *proxy) {
+	callers := freeAddress(s.t)
+	s.start(binary, "entry", callers, p, fmt.Sprintf(`id: entry-%d
+place: {region: r, zone: zone-0}
+callers: %q
+ready: %q
+store: %q
+memory: 256
+drain: 2s
+`, i, callers, freeAddress(s.t), p.address()))
+}
+
+func (s *soak) addAgent(binary string, i int, p *proxy) {
+	reports := freeAddress(s.t)
+	s.start(binary, "agent", "", p, fmt.Sprintf(`id: side-%d
+place: {region: r, zone: zone-%d}
+reports: %q
+service: soak
+store: %q
+memory: 256
+lease: 6s
+`, i, i%2, reports, p.address()))
+	id := fmt.Sprintf("i-%d", i)
+	target := s.floor.Add(id, int64(1700000000000+i), sesamework.Need{
+		Cores:        64000,
+		Memory:       1 << 18,
+		Accelerators: 8,
+	})
+	server := httptest.NewServer(emulator.NewExecutor(id, target))
+	s.t.Cleanup(server.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.t.Cleanup(cancel)
+	go func() {
+		for sequence := 1; ctx.Err() == nil; sequence++ {
+			s.call(http.MethodPut, "http://"+reports+"/instances/"+id, fmt.Sprintf(
+				`{"service":"soak","address":%q,"state":"ready","capacity":{"cpu":64000,"mem-request-mb":262144,"gpu":8},
+ "labels":["a","rack-%d"],"sequence":%d,"born":%d}`, strings.TrimPrefix(server.URL, "http://"), i/2, sequence, 1700000000000+i))
+			time.Sleep(500 * time.Millisecond)
+		}
+	}()
+}
+
+// start runs a process, and again each time that it ends.
+func (s *soak) start(binary, kind, callers string, p *proxy, settings string) {
+	file := filepath.Join(s.folder, fmt.Sprintf("%s-%d.yaml", kind, len(s.processes)))
+	is.New(s.t).NoErr(os.WriteFile(file, []byte(settings), 0o600))
+	process := &program{
+		s:       s,
+		kind:    kind,
+		file:    file,
+		callers: callers,
+		proxy:   p,
+	}
+	s.processes = append(s.processes, process)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			process.runOnce(ctx, binary)
+		}
+	}()
+	s.t.Cleanup(func() {
+		cancel()
+		process.signal(syscall.SIGCONT)
+		process.signal(syscall.SIGKILL)
+		<-ended
+	})
+}
+
+func (p *program) runOnce(ctx context.Context, binary string) {
+	command := exec.CommandContext(ctx, binary, "hosted", p.kind, "--settings", p.file)
+	command.Stdout = p
+	command.Stderr = p
+	p.mu.Lock()
+	if err := command.Start(); err != nil {
+		p.mu.Unlock()
+		p.s.t.Error(err)
+		return
+	}
+	p.command = command
+	p.mu.Unlock()
+	if err := command.Wait(); err != nil && ctx.Err() == nil {
+		// Ended by a signal of the test.
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Write takes the process's log.
+func (p *program) Write(line []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.Write(line)
+}
+
+// signal sends a signal to the process that this test started.
+func (p *program) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.command.Process != nil {
+		if err := p.command.Process.Signal(sig); err != nil && !strings.Contains(err.Error(), "finished") {
+			p.s.t.Log(err)
+		}
+	}
+}
+
+// call makes a call and returns its status, 0 without an answer.
+func (s *soak) call(method, url, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	is.New(s.t).NoErr(err)
+	request.Host = "soak"
+	request.Header.Set("Authorization", "Bearer key")
+	request.Header.Set("X-Time-Remaining-Ms", "3000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(content)
+}
+
+// lookup tells the floor what a task is.
+func (s *soak) lookup(task sesamework.TaskID) (sesamestandin.FloorTask, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.jobs[task.Job]
+	if !ok || h.rejected {
+		return sesamestandin.FloorTask{}, false
+	}
+	return sesamestandin.FloorTask{
+		Step:          h.step,
+		Duration:      taskTime,
+		Specification: specText,
+	}, true
+}
--- a/sesamestandin/floor.go
+++ b/sesamestandin/floor.go
@@ -37,6 +37,10 @@
 	FailsRun func(run int) bool
 	// Specification is what a start must carry.
 	Specification string
+	// Attempts is how often the task may fail; 0 means no bound.
+	Attempts int
+	// Before are the tasks that must have ended as done before.
+	Before []sesamework.TaskID
 }
 
 // Floor is a set of targets that grant leases and run tasks in time only. It
@@ -52,7 +56,9 @@
 	// task has failed by ends that stand.
 	done   map[string]bool
 	failed map[string]int
-	starts int
+	// finished holds the tasks that ended as done, recorded or not.
+	finished map[string]bool
+	starts   int
 }
 
 // NewFloor returns a floor without targets.
@@ -61,6 +67,8 @@
 		o:      o,
 		done:   map[string]bool{},
 		failed: map[string]int{},
+
+		finished: map[string]bool{},
 	}
 }
 
@@ -248,6 +256,14 @@
 	if f.done[name] {
 		f.note("twice: %s run %d was started after its end was recorded as done", name, o.Run)
 	}
+	if what.Attempts > 0 && f.failed[name] >= what.Attempts {
+		f.note("budget: %s run %d was started after %d failures", name, o.Run, f.failed[name])
+	}
+	for _, earlier := range what.Before {
+		if !f.finished[earlier.String()] {
+			f.note("order: %s was started before %s was done", name, earlier)
+		}
+	}
 	for _, other := range f.targets {
 		for _, r := range other.running {
 			if r.task == o.Task {
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -17,6 +17,8 @@
 	id    string
 	life  int64
 	room  sesamework.Need
+	// forbidden targets must not be given anything.
+	forbidden bool
 	// gone targets answer nothing and run nothing.
 	gone    bool
 	began   time.Time
@@ -84,11 +86,29 @@
 	return nil
 }
 
-// Crash ends the target's life and all that it runs.
+// Forbid notes every start from now on, as after a drain's bound.
+func (t *LeasedTarget) Forbid() {
+	t.floor.mu.Lock()
+	defer t.floor.mu.Unlock()
+	t.forbidden = true
+}
+
+// Crash ends the target's life and all that it runs. Other members of its
+// gangs end broken.
 func (t *LeasedTarget) Crash() {
 	t.floor.mu.Lock()
 	defer t.floor.mu.Unlock()
 	t.floor.advance()
+	for _, r := range t.running {
+		if !r.what.Step.Gang || r.begun.IsZero() {
+			continue
+		}
+		for _, m := range t.floor.members(r) {
+			if m.target != t {
+				m.target.finish(m, sesamework.EndBroken, t.floor.o.Clock.Now())
+			}
+		}
+	}
 	t.gone = true
 	t.running = nil
 	t.ended = nil
@@ -129,6 +149,9 @@
 	if how == sesamework.EndLapsed {
 		t.lapsed = at
 	}
+	if how == sesamework.EndDone {
+		t.floor.finished[name] = true
+	}
 	t.ended = append(t.ended, sesamerunner.Ended{
 		Number:     t.numbers,
 		Task:       name,
@@ -212,6 +235,9 @@
 func (t *LeasedTarget) begin(o sesamerunner.Order, now time.Time) {
 	what, asked := t.floor.o.Lookup(o.Task)
 	t.floor.checkStart(t, o, what, asked)
+	if t.forbidden {
+		t.floor.note("drain: %s was started on %s", o.Task, t.id)
+	}
 	t.floor.starts++
 	r := &floorRun{
 		target:  t,
