--- /dev/null
+++ b/sesamedispatch/policy_test.go
@@ -0,0 +1,81 @@
+package sesamedispatch_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// policySource hands out what lies in a row of the store.
+type policySource struct {
+	follower *sesamerows.Follower
+}
+
+var policyKey = sesamerows.Key{
+	Table: "policies",
+	Name:  "newest",
+}
+
+func (w *world) putPolicy(number int64) {
+	_, err := w.store.Commit(w.ctx, sesamerows.Transaction{
+		Writes: []sesamerows.Write{{
+			Key:   policyKey,
+			Value: fmt.Append(nil, number),
+		}},
+	})
+	if err != nil {
+		w.t.Error(err)
+	}
+}
+
+// Next returns the newest policy.
+func (p *policySource) Next(ctx context.Context) (*sesamework.Policy, error) {
+	batch, err := p.follower.Next(ctx)
+	if err != nil || len(batch.Rows) == 0 {
+		return nil, err
+	}
+	row := batch.Rows[len(batch.Rows)-1]
+	var number int64
+	if _, err := fmt.Sscan(string(row.Value), &number); err != nil {
+		return nil, err
+	}
+	return testPolicy(number, row.Version), nil
+}
+
+func testPolicy(number int64, version sesamerows.Version) *sesamework.Policy {
+	p := &sesamework.Policy{
+		Number: number,
+		Guard: sesamerows.Expect{
+			Key:     policyKey,
+			Version: version,
+		},
+		Teams: []sesamework.Team{
+			{
+				Name:       "team-a",
+				Keys:       []string{"key-a"},
+				Guaranteed: 16,
+			},
+			{
+				Name: "team-b",
+				Keys: []string{"key-b"},
+			},
+		},
+	}
+	for i, name := range []string{"urgent", "normal", "batch"} {
+		p.Queues = append(p.Queues, sesamework.Queue{
+			Name:   name,
+			Host:   "host",
+			Prefix: "/" + name + "/",
+			Terms: sesamework.Terms{
+				Service:  "service",
+				Priority: i,
+				Attempts: testAttempts,
+				Stretch:  2,
+				Latency:  1000,
+			},
+		})
+	}
+	return p
+}
--- a/sesamesoak/proxy_test.go
+++ b/sesamesoak/proxy_test.go
@@ -1,13 +1,13 @@
 package sesamesoak_test
 
 import (
-	"io"
 	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 // fault is what a proxy does to its connections.
@@ -28,6 +28,7 @@
 type proxy struct {
 	listener net.Listener
 	target   string
+	group    errgroup.Group
 
 	mu    sync.Mutex
 	fault fault
@@ -42,10 +43,11 @@
 		target:   target,
 		open:     map[net.Conn]bool{},
 	}
-	go p.accept()
+	p.group.Go(p.accept)
 	t.Cleanup(func() {
 		listener.Close()
 		p.set(faultReset)
+		is.New(t).NoErr(p.group.Wait())
 	})
 	return p
 }
@@ -74,11 +76,12 @@
 	return p.fault
 }
 
-func (p *proxy) accept() {
+// accept takes connections until the listener is closed.
+func (p *proxy) accept() error {
 	for {
 		client, err := p.listener.Accept()
 		if err != nil {
-			return
+			return nil
 		}
 		server, err := net.Dial("tcp", p.target)
 		if err != nil {
@@ -89,8 +92,14 @@
 		p.open[client] = true
 		p.open[server] = true
 		p.mu.Unlock()
-		go p.copy(server, client, false)
-		go p.copy(client, server, true)
+		p.group.Go(func() error {
+			p.copy(server, client, false)
+			return nil
+		})
+		p.group.Go(func() error {
+			p.copy(client, server, true)
+			return nil
+		})
 	}
 }
 
@@ -116,7 +125,7 @@
 				return
 			}
 		}
-		if err == io.EOF || err != nil {
+		if err != nil {
 			return
 		}
 	}
--- a/sesamesoak/world_test.go
+++ b/sesamesoak/world_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/platform/emulator"
 	"github.com/sesamestack/sesamestack/sesameclock"
@@ -145,15 +146,20 @@
 	server := httptest.NewServer(emulator.NewExecutor(id, target))
 	s.t.Cleanup(server.Close)
 	ctx, cancel := context.WithCancel(context.Background())
-	s.t.Cleanup(cancel)
-	go func() {
+	var group errgroup.Group
+	group.Go(func() error {
 		for sequence := 1; ctx.Err() == nil; sequence++ {
 			s.call(http.MethodPut, "http://"+reports+"/instances/"+id, fmt.Sprintf(
 				`{"service":"soak","address":%q,"state":"ready","capacity":{"cpu":64000,"mem-request-mb":262144,"gpu":8},
  "labels":["a","rack-%d"],"sequence":%d,"born":%d}`, strings.TrimPrefix(server.URL, "http://"), i/2, sequence, 1700000000000+i))
 			time.Sleep(500 * time.Millisecond)
 		}
-	}()
+		return nil
+	})
+	s.t.Cleanup(func() {
+		cancel()
+		is.New(s.t).NoErr(group.Wait())
+	})
 }
 
 // start runs a process, and again each time that it ends.
@@ -169,18 +175,18 @@
 	}
 	s.processes = append(s.processes, process)
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
+	var group errgroup.Group
+	group.Go(func() error {
 		for ctx.Err() == nil {
 			process.runOnce(ctx, binary)
 		}
-	}()
+		return nil
+	})
 	s.t.Cleanup(func() {
 		cancel()
 		process.signal(syscall.SIGCONT)
 		process.signal(syscall.SIGKILL)
-		<-ended
+		is.New(s.t).NoErr(group.Wait())
 	})
 }
 
