--- a/sesamecommand/hosted_test.go
+++ b/sesamecommand/hosted_test.go
@@ -37,7 +37,7 @@
 	reports string
 	metrics string
 	rows    *sesamerows.Memory
-	floor   *sesamestandin.Floor
+	fleet   *sesamestandin.Fleet
 	target  string
 	logs    syncBuffer
 }
@@ -87,10 +87,10 @@
 	store := httptest.NewServer(emulator.NewStore(w.rows))
 	t.Cleanup(store.Close)
 	w.store = strings.TrimPrefix(store.URL, "http://")
-	w.floor = sesamestandin.NewFloor(sesamestandin.FloorOptions{
+	w.fleet = sesamestandin.NewFleet(sesamestandin.FleetOptions{
 		Clock: clockwork.NewRealClock(),
-		Lookup: func(task sesamework.TaskID) (sesamestandin.FloorTask, bool) {
-			return sesamestandin.FloorTask{
+		Lookup: func(task sesamework.TaskID) (sesamestandin.FleetTask, bool) {
+			return sesamestandin.FleetTask{
 				Duration:      50 * time.Millisecond,
 				Specification: "what to run",
 			}, task.Job == hostedJob
@@ -98,7 +98,7 @@
 		StopTime: 10 * time.Millisecond,
 		MaxLease: 6 * time.Second,
 	})
-	target := w.floor.Add("i-1", 1700000000000, sesamework.Need{
+	target := w.fleet.Add("i-1", 1700000000000, sesamework.Need{
 		Cores:        16000,
 		Memory:       1 << 15,
 		Accelerators: 8,
@@ -254,8 +254,8 @@
 	w.await(http.MethodGet, jobs+hostedJob, "", http.StatusOK, "completed")
 	w.await(http.MethodGet, jobs, "", http.StatusOK, `{"pending":0}`)
 	w.await(http.MethodGet, "http://"+w.metrics+"/metrics", "", http.StatusOK, "sesamestack_submissions")
-	is.Equal(w.floor.Starts(), 3)
-	is.Equal(len(w.floor.Broken()), 0)
+	is.Equal(w.fleet.Starts(), 3)
+	is.Equal(len(w.fleet.Broken()), 0)
 	assertContains(t, w.logs.String(), "policy can't be read")
 	assertContains(t, w.logs.String(), "report of a target can't be used")
 }
--- a/sesamedispatch/inventory.go
+++ b/sesamedispatch/inventory.go
@@ -17,7 +17,7 @@
 )
 
 // ask asks for the inventory while a target is silent.
-func (r *reign) ask() {
+func (r *term) ask() {
 	now := r.o.Clock.Steady()
 	if now-r.asked < askInterval || !r.book.hasSilent(now) {
 		return
@@ -30,7 +30,7 @@
 }
 
 // inquire answers the planning loop's questions.
-func (r *reign) inquire(ctx context.Context) error {
+func (r *term) inquire(ctx context.Context) error {
 	for {
 		select {
 		case <-r.questions:
@@ -66,8 +66,8 @@
 	return t.State != sesamework.TargetGone && now-t.heard >= silenceToAsk
 }
 
-// NoteLive takes the inventory: silent targets that are not in it run nothing.
-func (b *Book) NoteLive(live map[string]bool) {
+// ObserveLive takes the inventory: silent targets that are not in it run nothing.
+func (b *Book) ObserveLive(live map[string]bool) {
 	for _, t := range b.targets {
 		if t.isSilent(b.now.Steady) && !live[t.ID] {
 			t.removed = true
--- a/sesamedispatch/inventory_test.go
+++ b/sesamedispatch/inventory_test.go
@@ -63,7 +63,7 @@
 		w.sleep(time.Second)
 		w.nodes[0].kill(4 * time.Second)
 		assertKept(t, w, time.Minute)
-		is.Equal(w.floor.Starts(), 1)
+		is.Equal(w.fleet.Starts(), 1)
 	})
 }
 
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -169,7 +169,7 @@
 		})
 	}
 	plain := plainTasks(a.job, p.Duration)
-	a.tasks = func(task sesamework.TaskID) sesamestandin.FloorTask {
+	a.tasks = func(task sesamework.TaskID) sesamestandin.FleetTask {
 		f := plain(task)
 		f.FailsRun = func(run int) bool {
 			return run == p.FailsRun || p.FailsRun == failsAlways
--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -23,7 +23,7 @@
 
 // sweep removes the rows of a job that ended long ago, or of a target that is
 // gone and runs nothing, one at a time.
-func (r *reign) sweep(ctx context.Context) error {
+func (r *term) sweep(ctx context.Context) error {
 	if j := r.book.oldest(); j != nil {
 		return r.sweepJob(ctx, j)
 	}
@@ -94,7 +94,7 @@
 		sesamework.CancelKey(j.ID), sesamework.SpecKey(j.ID), sesamework.StateKey(j.ID), sesamework.JobKey(j.ID))
 }
 
-func (r *reign) sweepJob(ctx context.Context, j *job) error {
+func (r *term) sweepJob(ctx context.Context, j *job) error {
 	keys := r.book.rowsOf(j)
 	last := len(keys) <= maxSweep
 	if !last {
@@ -142,7 +142,7 @@
 	})
 }
 
-func (r *reign) sweepTarget(ctx context.Context, t *target) error {
+func (r *term) sweepTarget(ctx context.Context, t *target) error {
 	key := sesamerows.Key{
 		Table: sesamework.WorkTable,
 		Part:  t.part,
--- a/sesamedispatch/system_test.go
+++ b/sesamedispatch/system_test.go
@@ -41,7 +41,7 @@
 	for _, open := range w.awaitEnds(bound) {
 		t.Errorf("not ended: %s", open)
 	}
-	for _, broken := range w.floor.Broken() {
+	for _, broken := range w.fleet.Broken() {
 		t.Error(broken)
 	}
 }
@@ -82,7 +82,7 @@
 		started := w.clock.Now()
 		assertKept(t, w, 30*time.Second)
 		is.True(w.clock.Since(started) < 8*time.Second) // all of it fits at once
-		is.Equal(w.floor.Starts(), 3+4+2+1)
+		is.Equal(w.fleet.Starts(), 3+4+2+1)
 		for _, id := range []string{"single", "gang", "chain"} {
 			is.Equal(w.state(id), sesamework.JobCompleted)
 		}
@@ -114,7 +114,7 @@
 			SameRack: true,
 		}, 3*time.Second)
 		plain := owed.tasks
-		owed.tasks = func(task sesamework.TaskID) sesamestandin.FloorTask {
+		owed.tasks = func(task sesamework.TaskID) sesamestandin.FleetTask {
 			begun <- w.clock.Now()
 			return plain(task)
 		}
@@ -145,7 +145,7 @@
 		w.sleep(3 * time.Second)
 		w.nodes[0].start()
 		assertKept(t, w, 30*time.Second)
-		is.Equal(w.floor.Starts(), 4) // nothing was started again
+		is.Equal(w.fleet.Starts(), 4) // nothing was started again
 	})
 }
 
--- /dev/null
+++ b/sesamedispatch/term.go
@@ -0,0 +1,218 @@
+package sesamedispatch
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// term is the time in which this process plans.
+type term struct {
+	*Planner
+	row      leader
+	value    []byte
+	fence    *sesamerows.Fence
+	book     *Book
+	follower *sesamerows.Follower
+	// wrote is when the leader's row was written last, and heard when the
+	// feed last answered.
+	wrote time.Duration
+	heard time.Duration
+	// questions asks for the inventory, and answers brings it.
+	questions chan struct{}
+	answers   chan map[string]bool
+	asked     time.Duration
+}
+
+// load fills the book.
+func (r *term) load(ctx context.Context) error {
+	runs, err := r.readRuns(ctx)
+	if err != nil {
+		return err
+	}
+	states, err := sesamerows.ReadAll(ctx, r.o.Store, sesamerows.Range{
+		Table: sesamework.StateTable,
+	})
+	if err != nil {
+		return err
+	}
+	work, err := r.follower.Next(ctx)
+	if err != nil {
+		return err
+	}
+	r.storeNow.Heard(work.Now)
+	r.heard = r.o.Clock.Steady()
+	r.book.Load(work.Rows, runs, states.Rows, r.now())
+	r.o.Log.Emit(eventLeads, sesamelog.Fields{
+		"jobs":    len(r.book.jobs),
+		"targets": len(r.book.targets),
+		"runs":    len(runs),
+		"version": work.Version,
+	})
+	return nil
+}
+
+// readRuns reads the runs of all zones that ever had a target: its row, or the
+// ends of its runs, lie in the zone's part.
+func (r *term) readRuns(ctx context.Context) ([]sesamerows.Row, error) {
+	zones, err := r.o.Store.Parts(ctx, sesamework.WorkTable)
+	if err != nil {
+		return nil, err
+	}
+	var all []sesamerows.Row
+	for _, zone := range zones {
+		if zone == "" {
+			continue
+		}
+		page, err := sesamerows.ReadAll(ctx, r.o.Store, sesamerows.Range{
+			Table: sesamework.RunTable(zone),
+		})
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page.Rows...)
+	}
+	return all, nil
+}
+
+func (r *term) now() Now {
+	store := r.storeNow.Now()
+	return Now{
+		Steady: r.o.Clock.Steady(),
+		Store:  store,
+		Wall:   r.row.Epoch + store.Milliseconds(),
+	}
+}
+
+// run plans until ctx ends or the process can't go on.
+func (r *term) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	batches := make(chan sesamerows.Batch, feedRing)
+	group.Go(func() error {
+		return r.feed(ctx, batches)
+	})
+	if r.o.Inventory != nil {
+		group.Go(func() error {
+			return r.inquire(ctx)
+		})
+	}
+	group.Go(func() error {
+		return r.plan(ctx, batches)
+	})
+	return group.Wait()
+}
+
+// feed hands the changes of the work table to the planning loop.
+func (r *term) feed(ctx context.Context, batches chan<- sesamerows.Batch) error {
+	retry := sesamerows.NewRetry()
+	for ctx.Err() == nil {
+		batch, err := r.follower.Next(ctx)
+		if err != nil {
+			retry.Failed(ctx)
+			continue
+		}
+		retry.Succeeded()
+		select {
+		case batches <- batch:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// HistoryLostError says that the feed had to read the table anew, so that the
+// book has to be made anew too.
+type HistoryLostError struct{}
+
+// Error says so.
+func (e *HistoryLostError) Error() string {
+	return "the feed lost its history"
+}
+
+// SilentFeedError says that the feed has not answered for too long.
+type SilentFeedError struct {
+	For time.Duration
+}
+
+// Error says for how long.
+func (e *SilentFeedError) Error() string {
+	return "the feed has not answered for " + e.For.String()
+}
+
+func (r *term) plan(ctx context.Context, batches <-chan sesamerows.Batch) error {
+	for {
+		r.book.SetPolicy(r.o.Policies.Current())
+		if err := r.decide(ctx); err != nil {
+			return err
+		}
+		r.ask()
+		if silence := r.o.Clock.Steady() - r.heard; silence > maxFeedSilence {
+			return &SilentFeedError{
+				For: silence,
+			}
+		}
+		if err := r.wait(ctx, batches); err != nil {
+			return err
+		}
+	}
+}
+
+// wait returns once there may be something to decide.
+func (r *term) wait(ctx context.Context, batches <-chan sesamerows.Batch) error {
+	timer, cancel := context.WithTimeout(ctx, tick)
+	defer cancel()
+	for {
+		select {
+		case batch := <-batches:
+			news, err := r.apply(batch)
+			if news || err != nil {
+				return err
+			}
+			continue
+		case live := <-r.answers:
+			r.book.ObserveLive(live)
+		case <-r.o.Policies.Changed():
+		case <-timer.Done():
+		}
+		return ctx.Err()
+	}
+}
+
+// apply takes a batch; it reports whether that may change a decision.
+func (r *term) apply(batch sesamerows.Batch) (bool, error) {
+	if batch.Whole {
+		return false, &HistoryLostError{}
+	}
+	r.storeNow.Heard(batch.Now)
+	r.heard = r.o.Clock.Steady()
+	return r.book.Apply(batch.Rows, r.now()), nil
+}
+
+// release lets another process plan at once.
+func (r *term) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	row := r.row
+	row.Released = true
+	value, err := json.Marshal(row)
+	if err == nil {
+		err = r.fence.Commit(ctx, value, sesamerows.Change{})
+	}
+	var lost *sesamerows.LostError
+	if err != nil && !errors.As(err, &lost) {
+		r.o.Log.Emit(eventYields, sesamelog.Fields{
+			"error": err,
+		})
+	}
+}
+
+// releaseTimeout bounds the last write of a planner; without it others wait
+// for silenceToTakeOver.
+const releaseTimeout = 500 * time.Millisecond
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -30,7 +30,7 @@
 	clock   clockwork.Clock
 	steady  sesameclock.Clock
 	store   *sesamerows.Memory
-	floor   *sesamestandin.Floor
+	fleet   *sesamestandin.Fleet
 	entries []*entryProcess
 	nodes   []*nodeProcess
 
@@ -41,7 +41,7 @@
 // asked is a job that a client handed in.
 type asked struct {
 	job   sesamework.Job
-	tasks func(sesamework.TaskID) sesamestandin.FloorTask
+	tasks func(sesamework.TaskID) sesamestandin.FleetTask
 	// rejected says that every answer so far promised that it never runs.
 	rejected bool
 	accepted bool
@@ -105,7 +105,7 @@
 		jobs:   map[string]*asked{},
 	}
 	w.store = sesamerows.NewMemory(w.steady)
-	w.floor = sesamestandin.NewFloor(sesamestandin.FloorOptions{
+	w.fleet = sesamestandin.NewFleet(sesamestandin.FleetOptions{
 		Clock:       clock,
 		Lookup:      w.lookup,
 		StopTime:    stopTime,
@@ -143,17 +143,17 @@
 	return w
 }
 
-// lookup tells the floor what a task is; a job whose hand-in was rejected each
+// lookup tells the fleet what a task is; a job whose hand-in was rejected each
 // time was asked for by nobody.
-func (w *world) lookup(task sesamework.TaskID) (sesamestandin.FloorTask, bool) {
+func (w *world) lookup(task sesamework.TaskID) (sesamestandin.FleetTask, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	a, ok := w.jobs[task.Job]
 	if !ok || a.rejected {
-		return sesamestandin.FloorTask{}, false
+		return sesamestandin.FleetTask{}, false
 	}
 	if !a.cancelled.IsZero() && w.clock.Since(a.cancelled) > cancelBound {
-		return sesamestandin.FloorTask{}, false
+		return sesamestandin.FleetTask{}, false
 	}
 	return a.tasks(task), true
 }
@@ -205,11 +205,11 @@
 	return err
 }
 
-// renew puts a new target on the node's floor.
+// renew puts a new target on the node's fleet.
 func (n *nodeProcess) renew() {
 	n.life++
 	n.id = fmt.Sprintf("%s-life-%d", n.name, n.life)
-	n.target = n.w.floor.Add(n.id, n.life, wholeNode())
+	n.target = n.w.fleet.Add(n.id, n.life, wholeNode())
 }
 
 func (n *nodeProcess) start() {
@@ -223,7 +223,7 @@
 		Zone:  n.zone,
 		Store: n.rows,
 		Dial: func(_, id string) sesamerunner.Executor {
-			return n.w.floor.Target(id)
+			return n.w.fleet.Target(id)
 		},
 		Clock:    n.w.steady,
 		Log:      testLog(),
@@ -376,9 +376,9 @@
 }
 
 // plainTasks make every task of the job take that long and succeed.
-func plainTasks(job sesamework.Job, duration time.Duration) func(sesamework.TaskID) sesamestandin.FloorTask {
-	return func(task sesamework.TaskID) sesamestandin.FloorTask {
-		return sesamestandin.FloorTask{
+func plainTasks(job sesamework.Job, duration time.Duration) func(sesamework.TaskID) sesamestandin.FleetTask {
+	return func(task sesamework.TaskID) sesamestandin.FleetTask {
+		return sesamestandin.FleetTask{
 			Step:          job.Steps[task.Step],
 			Duration:      duration,
 			Specification: specText + job.ID,
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -16,7 +16,7 @@
 const maxChange = sesamerows.MaxEntries - 8
 
 // decide takes decisions and writes them until there is nothing more to do.
-func (r *reign) decide(ctx context.Context) error {
+func (r *term) decide(ctx context.Context) error {
 	d := r.book.Decide(r.now())
 	if d.IsEmpty() {
 		if err := r.sweep(ctx); err != nil {
@@ -42,7 +42,7 @@
 }
 
 // renew writes the leader's row when it is time to.
-func (r *reign) renew(ctx context.Context) error {
+func (r *term) renew(ctx context.Context) error {
 	if r.o.Clock.Steady()-r.wrote < renewInterval {
 		return nil
 	}
@@ -112,7 +112,7 @@
 	c.Expects = append(c.Expects, e)
 }
 
-func (r *reign) collect(d Decision, batch *changes) error {
+func (r *term) collect(d Decision, batch *changes) error {
 	for _, s := range d.Stops {
 		if err := r.collectStop(s, batch); err != nil {
 			return err
@@ -131,7 +131,7 @@
 	return nil
 }
 
-func (r *reign) collectStop(s Stop, batch *changes) error {
+func (r *term) collectStop(s Stop, batch *changes) error {
 	run := s.unit.run
 	run.Stop = s.reason
 	rows, err := runRows(s.unit, run)
@@ -158,7 +158,7 @@
 }
 
 // collectStart orders a run while nobody has cancelled its job.
-func (r *reign) collectStart(s Start, batch *changes) error {
+func (r *term) collectStart(s Start, batch *changes) error {
 	rows, err := runRows(s.unit, s.run)
 	if err != nil {
 		return err
@@ -188,7 +188,7 @@
 	return nil
 }
 
-func (r *reign) collectState(s State, batch *changes) error {
+func (r *term) collectState(s State, batch *changes) error {
 	value, err := json.Marshal(sesamework.Shown{
 		State: s.state,
 		Queue: s.job.Queue,
@@ -224,8 +224,8 @@
 }
 
 // commit writes one transaction. A conflict with a cancel means that the next
-// decision will know of it; all other errors end the reign.
-func (r *reign) commit(ctx context.Context, c *change) error {
+// decision will know of it; all other errors end the term.
+func (r *term) commit(ctx context.Context, c *change) error {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	err := r.fence.Commit(ctx, r.value, c.Change)
@@ -248,7 +248,7 @@
 }
 
 // giveUp ends the life of a silent target, unless it has reported meanwhile.
-func (r *reign) giveUp(ctx context.Context, t *target) error {
+func (r *term) giveUp(ctx context.Context, t *target) error {
 	gone := t.Target
 	gone.State = sesamework.TargetGone
 	gone.Running = nil
--- a/sesameintake/hasty.go
+++ b/sesameintake/refusals.go
@@ -14,9 +14,9 @@
 // the store that one process meets is over for another one by then.
 const retryAfter = time.Second
 
-// hasty gives up refused commits after a moment, unless an earlier attempt of
+// boundedRefusals gives up refused commits after a moment, unless an earlier attempt of
 // the same transaction may have taken effect.
-type hasty struct {
+type boundedRefusals struct {
 	sesamerows.Store
 	clock   sesameclock.Clock
 	until   time.Duration
@@ -24,7 +24,7 @@
 }
 
 // Commit tries once; see sesamerows.Store.
-func (h *hasty) Commit(ctx context.Context, t sesamerows.Transaction) (sesamerows.Version, error) {
+func (h *boundedRefusals) Commit(ctx context.Context, t sesamerows.Transaction) (sesamerows.Version, error) {
 	version, err := h.Store.Commit(ctx, t)
 	if errors.HasType(err, (*sesamerows.UnknownError)(nil)) {
 		h.unknown = true
--- a/sesamesoak/world_test.go
+++ b/sesamesoak/world_test.go
@@ -43,7 +43,7 @@
 type soak struct {
 	t         *testing.T
 	folder    string
-	floor     *sesamestandin.Floor
+	fleet     *sesamestandin.Fleet
 	processes []*program
 
 	mu sync.Mutex
@@ -98,7 +98,7 @@
 	is.New(t).NoErr(err)
 	store := httptest.NewServer(emulator.NewStore(rows))
 	t.Cleanup(store.Close)
-	s.floor = sesamestandin.NewFloor(sesamestandin.FloorOptions{
+	s.fleet = sesamestandin.NewFleet(sesamestandin.FleetOptions{
 		Clock:       clock,
 		Lookup:      s.lookup,
 		StopTime:    200 * time.Millisecond,
@@ -138,7 +138,7 @@
 lease: 6s
 `, i, i%2, reports, p.address()))
 	id := fmt.Sprintf("i-%d", i)
-	target := s.floor.Add(id, int64(1700000000000+i), sesamework.Need{
+	target := s.fleet.Add(id, int64(1700000000000+i), sesamework.Need{
 		Cores:        64000,
 		Memory:       1 << 18,
 		Accelerators: 8,
@@ -247,15 +247,15 @@
 	return response.StatusCode, string(content)
 }
 
-// lookup tells the floor what a task is.
-func (s *soak) lookup(task sesamework.TaskID) (sesamestandin.FloorTask, bool) {
+// lookup tells the fleet what a task is.
+func (s *soak) lookup(task sesamework.TaskID) (sesamestandin.FleetTask, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h, ok := s.jobs[task.Job]
 	if !ok || h.rejected {
-		return sesamestandin.FloorTask{}, false
+		return sesamestandin.FleetTask{}, false
 	}
-	return sesamestandin.FloorTask{
+	return sesamestandin.FleetTask{
 		Step:          h.step,
 		Duration:      taskTime,
 		Specification: specText,
--- a/sesamestandin/floor.go
+++ b/sesamestandin/fleet.go
@@ -14,12 +14,12 @@
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
-// FloorOptions say how the targets of a floor behave.
-type FloorOptions struct {
+// FleetOptions say how the targets of a fleet behave.
+type FleetOptions struct {
 	Clock clockwork.Clock
 	// Lookup returns what a task really is, false for one that nobody asked
 	// for.
-	Lookup func(sesamework.TaskID) (FloorTask, bool)
+	Lookup func(sesamework.TaskID) (FleetTask, bool)
 	// StopTime is how long a stopped run takes to end, and GangTimeout how
 	// long a member waits for the others.
 	StopTime    time.Duration
@@ -28,8 +28,8 @@
 	MaxLease time.Duration
 }
 
-// FloorTask is what a task really is.
-type FloorTask struct {
+// FleetTask is what a task really is.
+type FleetTask struct {
 	Step sesamework.Step
 	// Duration is how long the task really takes.
 	Duration time.Duration
@@ -43,10 +43,10 @@
 	Before []sesamework.TaskID
 }
 
-// Floor is a set of targets that grant leases and run tasks in time only. It
+// Fleet is a set of targets that grant leases and run tasks in time only. It
 // notes whatever the promises to callers forbid.
-type Floor struct {
-	o FloorOptions
+type Fleet struct {
+	o FleetOptions
 
 	mu      sync.Mutex
 	targets []*LeasedTarget
@@ -61,9 +61,9 @@
 	starts   int
 }
 
-// NewFloor returns a floor without targets.
-func NewFloor(o FloorOptions) *Floor {
-	return &Floor{
+// NewFleet returns a fleet without targets.
+func NewFleet(o FleetOptions) *Fleet {
+	return &Fleet{
 		o:      o,
 		done:   map[string]bool{},
 		failed: map[string]int{},
@@ -73,29 +73,29 @@
 }
 
 // Broken returns what the promises forbid and was seen nevertheless.
-func (f *Floor) Broken() []string {
+func (f *Fleet) Broken() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.broken)
 }
 
 // Starts returns how many runs were started.
-func (f *Floor) Starts() int {
+func (f *Fleet) Starts() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.starts
 }
 
-func (f *Floor) note(format string, values ...any) {
+func (f *Fleet) note(format string, values ...any) {
 	f.broken = append(f.broken, fmt.Sprintf(format, values...))
 }
 
-// floorRun is a run on a target.
-type floorRun struct {
+// fleetRun is a run on a target.
+type fleetRun struct {
 	target *LeasedTarget
 	task   sesamework.TaskID
 	run    int
-	what   FloorTask
+	what   FleetTask
 	// arrived is when it was started; begun when it began to work, which a
 	// member of a gang does once all others are there.
 	arrived time.Time
@@ -106,15 +106,15 @@
 	stopping time.Time
 }
 
-// floorEvent is the next thing that happens to a run.
-type floorEvent struct {
+// fleetEvent is the next thing that happens to a run.
+type fleetEvent struct {
 	at  time.Time
-	run *floorRun
+	run *fleetRun
 	how sesamework.How
 }
 
 // advance lets all that is due happen, in its order. The caller holds the lock.
-func (f *Floor) advance() {
+func (f *Fleet) advance() {
 	now := f.o.Clock.Now()
 	for {
 		f.beginGangs(now)
@@ -126,24 +126,24 @@
 	}
 }
 
-func (f *Floor) next() (floorEvent, bool) {
-	var all []floorEvent
+func (f *Fleet) next() (fleetEvent, bool) {
+	var all []fleetEvent
 	for _, t := range f.targets {
 		for _, r := range t.running {
 			all = append(all, f.eventOf(r))
 		}
 	}
 	if len(all) == 0 {
-		return floorEvent{}, false
+		return fleetEvent{}, false
 	}
-	return slices.MinFunc(all, func(a, b floorEvent) int {
+	return slices.MinFunc(all, func(a, b fleetEvent) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.run.task.String(), b.run.task.String()))
 	}), true
 }
 
 // eventOf returns what ends the run first.
-func (f *Floor) eventOf(r *floorRun) floorEvent {
-	first := floorEvent{
+func (f *Fleet) eventOf(r *fleetRun) fleetEvent {
+	first := fleetEvent{
 		at:  r.target.lapses(),
 		run: r,
 		how: sesamework.EndLapsed,
@@ -171,8 +171,8 @@
 }
 
 // members returns the runs of one gang.
-func (f *Floor) members(r *floorRun) []*floorRun {
-	var all []*floorRun
+func (f *Fleet) members(r *fleetRun) []*fleetRun {
+	var all []*fleetRun
 	for _, t := range f.targets {
 		for _, other := range t.running {
 			unit := sesamework.UnitID(other.task)
@@ -186,7 +186,7 @@
 }
 
 // beginGangs lets gangs work whose members are all there.
-func (f *Floor) beginGangs(now time.Time) {
+func (f *Fleet) beginGangs(now time.Time) {
 	for _, t := range f.targets {
 		for _, r := range t.running {
 			if !r.begun.IsZero() {
@@ -204,8 +204,8 @@
 }
 
 // end ends a run, and with a gang's member all others.
-func (f *Floor) end(r *floorRun, how sesamework.How, at time.Time) {
-	members := []*floorRun{r}
+func (f *Fleet) end(r *fleetRun, how sesamework.How, at time.Time) {
+	members := []*fleetRun{r}
 	if r.what.Step.Gang && !r.begun.IsZero() {
 		members = f.members(r)
 	}
@@ -219,7 +219,7 @@
 }
 
 // progress returns how much of the work is done and saved.
-func (r *floorRun) progress(now time.Time) time.Duration {
+func (r *fleetRun) progress(now time.Time) time.Duration {
 	if r.begun.IsZero() {
 		return r.saved
 	}
@@ -227,14 +227,14 @@
 }
 
 // checkpoint returns the saved progress as a target names it.
-func (r *floorRun) checkpoint(now time.Time) string {
+func (r *fleetRun) checkpoint(now time.Time) string {
 	if !r.what.Step.Checkpoints {
 		return ""
 	}
 	return strconv.FormatInt(r.progress(now).Milliseconds(), 10)
 }
 
-func (r *floorRun) report(now time.Time) sesamework.Progress {
+func (r *fleetRun) report(now time.Time) sesamework.Progress {
 	return sesamework.Progress{
 		Task:       r.task.String(),
 		Run:        r.run,
@@ -244,7 +244,7 @@
 }
 
 // checkStart notes what a start may not do. The caller holds the lock.
-func (f *Floor) checkStart(t *LeasedTarget, o sesamerunner.Order, what FloorTask, asked bool) {
+func (f *Fleet) checkStart(t *LeasedTarget, o sesamerunner.Order, what FleetTask, asked bool) {
 	name := o.Task.String()
 	if !asked {
 		f.note("unasked: %s was started, which nobody asked for", name)
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -10,10 +10,10 @@
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
-// LeasedTarget is one life of a target on a floor. It takes orders from the
+// LeasedTarget is one life of a target on a fleet. It takes orders from the
 // agent beside it.
 type LeasedTarget struct {
-	floor *Floor
+	fleet *Fleet
 	id    string
 	life  int64
 	room  sesamework.Need
@@ -24,7 +24,7 @@
 	began   time.Time
 	until   time.Time
 	holder  int64
-	running []*floorRun
+	running []*fleetRun
 	ended   []sesamerunner.Ended
 	numbers int64
 	// highest is the highest run of each task that ended or was stopped.
@@ -40,15 +40,15 @@
 // SetUnanswered decides which orders get no answer from now on, and how much
 // later they are carried out; nil answers all.
 func (t *LeasedTarget) SetUnanswered(decide func() (late time.Duration, lost bool)) {
-	t.floor.mu.Lock()
-	defer t.floor.mu.Unlock()
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
 	t.unanswered = decide
 }
 
 // isUnanswered decides about one order.
 func (t *LeasedTarget) isUnanswered() (time.Duration, bool) {
-	t.floor.mu.Lock()
-	defer t.floor.mu.Unlock()
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
 	if t.unanswered == nil {
 		return 0, false
 	}
@@ -57,12 +57,12 @@
 
 var _ sesamerunner.Executor = (*LeasedTarget)(nil)
 
-// Add puts a target on the floor.
-func (f *Floor) Add(id string, life int64, room sesamework.Need) *LeasedTarget {
+// Add puts a target on the fleet.
+func (f *Fleet) Add(id string, life int64, room sesamework.Need) *LeasedTarget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := &LeasedTarget{
-		floor:   f,
+		fleet:   f,
 		id:      id,
 		life:    life,
 		room:    room,
@@ -75,7 +75,7 @@
 }
 
 // Target returns the target with that ID, or nil.
-func (f *Floor) Target(id string) *LeasedTarget {
+func (f *Fleet) Target(id string) *LeasedTarget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
@@ -88,24 +88,24 @@
 
 // Forbid notes every start from now on, as after a drain's bound.
 func (t *LeasedTarget) Forbid() {
-	t.floor.mu.Lock()
-	defer t.floor.mu.Unlock()
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
 	t.forbidden = true
 }
 
 // Crash ends the target's life and all that it runs. Other members of its
 // gangs end broken.
 func (t *LeasedTarget) Crash() {
-	t.floor.mu.Lock()
-	defer t.floor.mu.Unlock()
-	t.floor.advance()
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	t.fleet.advance()
 	for _, r := range t.running {
 		if !r.what.Step.Gang || r.begun.IsZero() {
 			continue
 		}
-		for _, m := range t.floor.members(r) {
+		for _, m := range t.fleet.members(r) {
 			if m.target != t {
-				m.target.finish(m, sesamework.EndBroken, t.floor.o.Clock.Now())
+				m.target.finish(m, sesamework.EndBroken, t.fleet.o.Clock.Now())
 			}
 		}
 	}
@@ -127,15 +127,15 @@
 
 // extend takes a lease until a time of the target's clock.
 func (t *LeasedTarget) extend(until time.Duration, now time.Time) {
-	left := min(until-t.clock(now), t.floor.o.MaxLease) * 100 / 98
+	left := min(until-t.clock(now), t.fleet.o.MaxLease) * 100 / 98
 	if end := now.Add(left); until > 0 && end.After(t.until) {
 		t.until = end
 	}
 }
 
 // finish lists the end of a run.
-func (t *LeasedTarget) finish(r *floorRun, how sesamework.How, at time.Time) {
-	t.running = slices.DeleteFunc(t.running, func(other *floorRun) bool {
+func (t *LeasedTarget) finish(r *fleetRun, how sesamework.How, at time.Time) {
+	t.running = slices.DeleteFunc(t.running, func(other *fleetRun) bool {
 		return other == r
 	})
 	t.numbers++
@@ -150,7 +150,7 @@
 		t.lapsed = at
 	}
 	if how == sesamework.EndDone {
-		t.floor.finished[name] = true
+		t.fleet.finished[name] = true
 	}
 	t.ended = append(t.ended, sesamerunner.Ended{
 		Number:     t.numbers,
@@ -185,7 +185,7 @@
 
 // order carries an order out, now or later.
 func (t *LeasedTarget) order(ctx context.Context, carryOut func() error) (time.Duration, error) {
-	f := t.floor
+	f := t.fleet
 	if late, lost := t.isUnanswered(); lost {
 		f.o.Clock.AfterFunc(late, func() {
 			f.mu.Lock()
@@ -207,7 +207,7 @@
 }
 
 func (t *LeasedTarget) start(o sesamerunner.Order) error {
-	now := t.floor.o.Clock.Now()
+	now := t.fleet.o.Clock.Now()
 	if t.gone {
 		return &sesamerunner.GoneError{}
 	}
@@ -233,13 +233,13 @@
 }
 
 func (t *LeasedTarget) begin(o sesamerunner.Order, now time.Time) {
-	what, asked := t.floor.o.Lookup(o.Task)
-	t.floor.checkStart(t, o, what, asked)
+	what, asked := t.fleet.o.Lookup(o.Task)
+	t.fleet.checkStart(t, o, what, asked)
 	if t.forbidden {
-		t.floor.note("drain: %s was started on %s", o.Task, t.id)
+		t.fleet.note("drain: %s was started on %s", o.Task, t.id)
 	}
-	t.floor.starts++
-	r := &floorRun{
+	t.fleet.starts++
+	r := &fleetRun{
 		target:  t,
 		task:    o.Task,
 		run:     o.Run,
@@ -253,13 +253,13 @@
 		r.begun = now
 	}
 	t.running = append(t.running, r)
-	t.floor.beginGangs(now)
+	t.fleet.beginGangs(now)
 }
 
 func (t *LeasedTarget) refuse(reason sesamerunner.Refusal) error {
 	return &sesamerunner.RefusedError{
 		Reason: reason,
-		Clock:  t.clock(t.floor.o.Clock.Now()),
+		Clock:  t.clock(t.fleet.o.Clock.Now()),
 	}
 }
 
@@ -275,7 +275,7 @@
 	t.highest[name] = max(t.highest[name], o.Run)
 	for _, r := range t.running {
 		if r.task == o.Task && r.run <= o.Run && r.stopping.IsZero() {
-			r.stopping = t.floor.o.Clock.Now().Add(t.floor.o.StopTime)
+			r.stopping = t.fleet.o.Clock.Now().Add(t.fleet.o.StopTime)
 		}
 	}
 	return nil
@@ -286,7 +286,7 @@
 
 // Hold extends the lease and lists runs; see sesamerunner.Executor.
 func (t *LeasedTarget) Hold(ctx context.Context, h sesamerunner.Hold) (sesamerunner.Listing, error) {
-	f := t.floor
+	f := t.fleet
 	deadline := f.o.Clock.Now().Add(h.Wait)
 	for {
 		l, err := t.hold(h)
@@ -302,7 +302,7 @@
 }
 
 func (t *LeasedTarget) hold(h sesamerunner.Hold) (sesamerunner.Listing, error) {
-	f := t.floor
+	f := t.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance()
@@ -335,7 +335,7 @@
 			return false
 		}
 		if !t.lapsed.After(t.endsAt[e.Number]) {
-			t.floor.stand(e)
+			t.fleet.stand(e)
 		}
 		delete(t.endsAt, e.Number)
 		return true
@@ -343,7 +343,7 @@
 }
 
 // stand notes an end that stands for good.
-func (f *Floor) stand(e sesamerunner.Ended) {
+func (f *Fleet) stand(e sesamerunner.Ended) {
 	switch e.How {
 	case sesamework.EndDone:
 		f.done[e.Task] = true
