--- /dev/null
+++ b/sesamelog/ring_test.go
@@ -0,0 +1,29 @@
+package sesamelog_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+)
+
+// TestRing checks that a full ring blocks nobody and says what it left out.
+func TestRing(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	ring := sesamelog.NewRing(&out, 2)
+	for _, line := range []string{"one\n", "two\n", "three\n", "four\n"} {
+		n, err := ring.Write([]byte(line))
+		is.NoErr(err)
+		is.Equal(n, len(line))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.NoErr(ring.Run(ctx))
+	is.True(strings.Contains(out.String(), `"lines":2`))
+	is.True(strings.HasSuffix(out.String(), "one\ntwo\n"))
+}
