--- a/sesamedispatch/owed.go
+++ b/sesamedispatch/owed.go
@@ -50,8 +50,8 @@
 }
 
 // maxLossRatio is how much work may be lost for work that is not owed, as a
-// multiple of that work.
-const maxLossRatio = 2
+// multiple of that work; docs/design/platform.md has the trials.
+const maxLossRatio = 1
 
 // eviction is what a place for a unit costs.
 type eviction struct {
