--- a/sesamecommand/hosted_test.go
+++ b/sesamecommand/hosted_test.go
@@ -295,6 +295,7 @@
 		})
 	}
 	w.await(http.MethodGet, "http://"+w.callers+id, "", http.StatusOK, "cancelled")
+	assertContains(t, w.logs.String(), `"job":"00000000000000aa"`)
 	key := base64.StdEncoding.EncodeToString([]byte("key2"))
 	if strings.Contains(w.logs.String(), `"key2"`) || strings.Contains(w.logs.String(), key) {
 		t.Error("a refused access key stands in the log")
--- a/sesamestandin/doc.go
+++ b/sesamestandin/doc.go
@@ -15,6 +15,13 @@
 //
 //	err := http.ListenAndServe(address, sesamestandin.NewPlatform(store, log))
 //
+// A fleet of targets that grant leases, which notes what the promises forbid,
+// and a store of rows with faults as one process sees it:
+//
+//	fleet := sesamestandin.NewFleet(options)
+//	target := fleet.Add(id, life, room)
+//	rows := sesamestandin.NewFaultyRows(sesamerows.NewMemory(clock), wall)
+//
 // A worker whose tasks do what their payload says:
 //
 //	err := http.ListenAndServe(address, sesamestandin.NewTarget(clock, description))
