--- a/sesamesettings/check.go
+++ b/sesamesettings/check.go
@@ -81,6 +81,14 @@
 	case d.sets("team", "classes", "guarantees", "tokens"):
 		c.contracts.addDocument(d)
 		return
+	case d.sets("callers", "ready"):
+		settings := DefaultHostedEntry()
+		d.decode(&settings)
+		checkHostedEntry(d, settings)
+	case d.sets("reports", "service"):
+		settings := DefaultHostedAgent()
+		d.decode(&settings)
+		checkHostedAgent(d, settings)
 	case d.sets("target", "entries", "connections"):
 		settings := DefaultAgent()
 		d.decode(&settings)
--- /dev/null
+++ b/sesamesettings/hosted_test.go
@@ -0,0 +1,67 @@
+package sesamesettings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamesettings"
+)
+
+const hostedEntry = `id: front-a-1
+place: {region: r, zone: a}
+callers: "10.0.0.1:8001"
+ready: "10.0.0.1:8002"
+store: "10.0.0.9:8003"
+memory: 284
+drain: 6s
+`
+
+const hostedAgent = `id: side-a-1
+place: {region: r, zone: a}
+reports: "10.0.0.2:8001"
+service: svc1
+store: "10.0.0.9:8003"
+memory: 152
+lease: 6000ms
+`
+
+func writeSettings(t *testing.T, text string) string {
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	is.New(t).NoErr(os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+func TestHosted(t *testing.T) {
+	t.Run("an entry", func(t *testing.T) {
+		is := is.New(t)
+		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntry))
+		is.NoErr(err)
+		is.Equal(entry.Drain, 6*time.Second)
+		is.Equal(entry.Log.Format, "json")
+	})
+	t.Run("an agent", func(t *testing.T) {
+		is := is.New(t)
+		agent, err := sesamesettings.LoadHostedAgent(writeSettings(t, hostedAgent))
+		is.NoErr(err)
+		is.Equal(agent.Lease, 6*time.Second)
+	})
+	for name, text := range map[string]string{
+		"unknown key":         hostedEntry + "calers: x\n",
+		"expected IP:port":    strings.Replace(hostedEntry, "10.0.0.9:8003", "store.example:8003", 1),
+		"memory: is 1":        strings.Replace(hostedAgent, "152", "1", 1),
+		"a duration such as":  strings.Replace(hostedAgent, "6000ms", "6000", 1),
+		"service: is missing": strings.Replace(hostedAgent, "service: svc1\n", "", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := sesamesettings.Check(writeSettings(t, text))
+			if err == nil || !strings.Contains(err.Error(), name) {
+				t.Errorf("fault is %v, expected %q", err, name)
+			}
+		})
+	}
+}
