Give entries, the planner and agents parts of the store of their own

Cause: the store handles one part's transactions one after another. With answers 60 times as slow a part takes four a second.

Ruled out: rates of the whole store (15 of 1,200 writes a second), reads.

Change: parts by writer; a planner that takes over reads parts side by side. TestSlowStore (24 targets, 4 entries, each part queues as the platform's does) failed before: a job was not done a minute after its last task.

Left there: lines in the entries' part while entries are replaced, and commits given up too soon.

--- /dev/null
+++ b/sesamedispatch/slow_test.go
@@ -0,0 +1,84 @@
+package sesamedispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+const (
+	// slowTransaction and slowAnswer are the platform's 4 ms on a day on which
+	// its store is 60 times as slow.
+	slowTransaction = 240 * time.Millisecond
+	slowAnswer      = 240 * time.Millisecond
+	// urgentStart bounds the time from hand-in to start of urgent work; the
+	// brief states it.
+	urgentStart = 2600 * time.Millisecond
+)
+
+// slowDown makes every call to the store slow.
+func (w *world) slowDown(transaction, answer time.Duration) {
+	w.lines.SetTime(transaction)
+	fate := func(write bool) sesamestandin.RowFate {
+		if write {
+			return sesamestandin.RowFate{}
+		}
+		return sesamestandin.RowFate{
+			Slow: answer,
+		}
+	}
+	for _, e := range w.entries {
+		e.rows.SetFate(fate)
+	}
+	for _, n := range w.nodes {
+		n.rows.SetFate(fate)
+	}
+}
+
+// TestSlowStore hands urgent work in while each part of the store takes four
+// transactions a second: entries, the planner and agents must not wait for
+// each other there.
+func TestSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs = 12
+		w := newWorld(t, 4, 24)
+		w.sleep(3 * time.Second)
+		for i := range 8 {
+			w.submit(newAsked(fmt.Sprintf("wide-%d", i), sesamework.Step{
+				Count:    18,
+				Need:     accelerators(1),
+				Estimate: 4000,
+			}, time.Duration(4+i)*time.Second), "batch", "key-a", i)
+		}
+		w.slowDown(slowTransaction, slowAnswer)
+		w.sleep(2 * time.Second)
+		waits := make(chan time.Duration, jobs)
+		for i := range jobs {
+			a := newAsked(fmt.Sprintf("job-%02d", i), sesamework.Step{
+				Count:    1,
+				Need:     accelerators(1),
+				Estimate: 1000,
+			}, time.Second)
+			w.group.Go(func() error {
+				handed := w.clock.Now()
+				w.submit(a, "urgent", "key-a", i)
+				for w.state(a.job.ID) == sesamework.JobQueued || w.state(a.job.ID) == "" {
+					w.sleep(20 * time.Millisecond)
+				}
+				waits <- w.clock.Since(handed)
+				return nil
+			})
+			w.sleep(600 * time.Millisecond)
+		}
+		for range jobs {
+			if waited := <-waits; waited > urgentStart {
+				t.Errorf("started after %v, expected %v at the most", waited, urgentStart)
+			}
+		}
+		assertKept(t, w, time.Minute)
+	})
+}
--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -91,7 +91,12 @@
 		}
 	})
 	return append(keys,
-		sesamework.CancelKey(j.ID), sesamework.SpecKey(j.ID), sesamework.StateKey(j.ID), sesamework.JobKey(j.ID))
+		sesamework.CancelKey(j.ID),
+		sesamework.SpecKey(j.ID),
+		sesamework.StateKey(sesamework.EntryPart, j.ID),
+		sesamework.StateKey(sesamework.PlanPart, j.ID),
+		sesamework.JobKey(j.ID),
+	)
 }
 
 func (r *term) sweepJob(ctx context.Context, j *job) error {
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -37,8 +37,9 @@
 	if err != nil {
 		return err
 	}
-	states, err := sesamerows.ReadAll(ctx, r.o.Store, sesamerows.Range{
-		Table: sesamework.StateTable,
+	states, err := sesamerows.ReadParts(ctx, r.o.Store, sesamework.StateTable, []string{
+		sesamework.EntryPart,
+		sesamework.PlanPart,
 	})
 	if err != nil {
 		return err
@@ -62,17 +63,21 @@
 // readRuns reads the runs of all zones that ever had a target: its row, or the
 // ends of its runs, lie in the zone's part.
 func (r *term) readRuns(ctx context.Context) ([]sesamerows.Row, error) {
-	zones, err := r.o.Store.Parts(ctx, sesamework.WorkTable)
+	parts, err := r.o.Store.Parts(ctx, sesamework.WorkTable)
 	if err != nil {
 		return nil, err
 	}
 	var all []sesamerows.Row
-	for _, zone := range zones {
-		if zone == "" {
+	read := map[string]bool{}
+	for _, part := range parts {
+		zone, ok := sesamework.ZoneOf(part)
+		if !ok || read[zone] {
 			continue
 		}
+		read[zone] = true
 		page, err := sesamerows.ReadAll(ctx, r.o.Store, sesamerows.Range{
 			Table: sesamework.RunTable(zone),
+			Part:  sesamework.PlanPart,
 		})
 		if err != nil {
 			return nil, err
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -139,7 +139,7 @@
 		r.Members = append(r.Members, sesamework.Member{
 			Index:  index,
 			Target: t.name,
-			Zone:   t.part,
+			Zone:   t.Zone,
 			Life:   t.Life,
 		})
 	}
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -30,6 +30,7 @@
 	clock   clockwork.Clock
 	steady  sesameclock.Clock
 	store   *sesamerows.Memory
+	lines   *sesamestandin.LinedRows
 	fleet   *sesamestandin.Fleet
 	entries []*entryProcess
 	nodes   []*nodeProcess
@@ -105,6 +106,7 @@
 		jobs:   map[string]*asked{},
 	}
 	w.store = sesamerows.NewMemory(w.steady)
+	w.lines = sesamestandin.NewLinedRows(w.store, clock)
 	w.fleet = sesamestandin.NewFleet(sesamestandin.FleetOptions{
 		Clock:       clock,
 		Lookup:      w.lookup,
@@ -123,7 +125,7 @@
 		e := &entryProcess{
 			w:    w,
 			name: fmt.Sprintf("entry-%d", i),
-			rows: sesamestandin.NewFaultyRows(w.store, clock),
+			rows: sesamestandin.NewFaultyRows(w.lines, clock),
 		}
 		w.entries = append(w.entries, e)
 		e.start()
@@ -134,7 +136,7 @@
 			name: fmt.Sprintf("node-%d", i),
 			zone: fmt.Sprintf("zone-%d", i%2),
 			rack: fmt.Sprintf("rack-%d", i/2),
-			rows: sesamestandin.NewFaultyRows(w.store, clock),
+			rows: sesamestandin.NewFaultyRows(w.lines, clock),
 		}
 		w.nodes = append(w.nodes, n)
 		n.renew()
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -214,7 +214,7 @@
 	batch.add(change{
 		Change: sesamerows.Change{
 			Writes: []sesamerows.Write{{
-				Key:   sesamework.StateKey(s.job.ID),
+				Key:   sesamework.StateKey(sesamework.PlanPart, s.job.ID),
 				Value: value,
 			}},
 		},
--- a/sesameintake/intake.go
+++ b/sesameintake/intake.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -150,27 +149,28 @@
 }
 
 func (in *Intake) readState(ctx context.Context, id string) (sesamework.Shown, error) {
-	key := sesamework.StateKey(id)
-	page, err := in.store.Read(ctx, sesamerows.Range{
-		Table: key.Table,
-		Part:  key.Part,
-		From:  key.Name,
-		To:    key.Name + "\x00",
-	})
-	if err != nil {
-		return sesamework.Shown{}, err
+	for _, part := range []string{sesamework.EntryPart, sesamework.PlanPart} {
+		key := sesamework.StateKey(part, id)
+		page, err := in.store.Read(ctx, sesamerows.Range{
+			Table: key.Table,
+			Part:  key.Part,
+			From:  key.Name,
+			To:    key.Name + "\x00",
+		})
+		if err != nil {
+			return sesamework.Shown{}, err
+		}
+		in.states.apply(sesamerows.Batch{
+			Rows: page.Rows,
+		})
 	}
-	if len(page.Rows) == 0 {
+	found, ok := in.states.get(id)
+	if !ok {
 		return sesamework.Shown{}, &MissingError{
 			ID: id,
 		}
 	}
-	in.states.apply(sesamerows.Batch{
-		Rows: page.Rows,
-	})
-	var s sesamework.Shown
-	err = json.Unmarshal(page.Rows[0].Value, &s)
-	return s, err
+	return found, nil
 }
 
 // Waiting returns how many accepted jobs of a queue no task has started of.
--- a/sesameintake/states.go
+++ b/sesameintake/states.go
@@ -40,10 +40,8 @@
 
 // run follows the table until ctx ends.
 func (s *states) run(ctx context.Context, store sesamerows.Store, keeper sesamerows.Timekeeper) error {
-	part := ""
 	follower := sesamerows.NewFollower(store, sesamerows.FollowOptions{
 		Table: sesamework.StateTable,
-		Part:  &part,
 		Wait:  statesWait,
 	})
 	retry := sesamerows.NewRetry()
--- a/sesameintake/submit.go
+++ b/sesameintake/submit.go
@@ -189,7 +189,7 @@
 			Value: []byte(specification),
 		},
 		{
-			Key:   sesamework.StateKey(j.ID),
+			Key:   sesamework.StateKey(sesamework.EntryPart, j.ID),
 			Value: state,
 		},
 	}, nil
--- a/sesamerows/follow.go
+++ b/sesamerows/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 // Batch is a step of a table's state.
@@ -87,7 +88,7 @@
 	}, nil
 }
 
-// readAll reads every part. Changes are followed from the first page's
+// readAll reads every part. Changes are followed from the earliest page's
 // version on, so rows that change meanwhile come once more.
 func (f *Follower) readAll(ctx context.Context) (Batch, error) {
 	parts := []string{f.part}
@@ -101,26 +102,51 @@
 	if len(parts) == 0 {
 		parts = []string{""}
 	}
-	batch := Batch{
-		Whole: true,
+	page, err := ReadParts(ctx, f.store, f.table, parts)
+	if err != nil {
+		return Batch{}, err
 	}
-	for _, part := range parts {
-		pages, err := ReadAll(ctx, f.store, Range{
-			Table: f.table,
-			Part:  part,
+	f.after = page.Version
+	f.started = true
+	return Batch{
+		Rows:    page.Rows,
+		Whole:   true,
+		Now:     page.Now,
+		Version: page.Version,
+	}, nil
+}
+
+// parallelReads bounds the parts that are read at a time.
+const parallelReads = 8
+
+// ReadParts reads parts of a table, and returns their rows in the order of the
+// parts. The version is that of the earliest page.
+func ReadParts(ctx context.Context, s Store, table string, parts []string) (Page, error) {
+	pages := make([]Page, len(parts))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelReads)
+	for i, part := range parts {
+		group.Go(func() error {
+			var err error
+			pages[i], err = ReadAll(ctx, s, Range{
+				Table: table,
+				Part:  part,
+			})
+			return err
 		})
-		if err != nil {
-			return Batch{}, err
-		}
-		batch.Rows = append(batch.Rows, pages.Rows...)
-		batch.Now = pages.Now
-		if batch.Version == 0 {
-			batch.Version = pages.Version
+	}
+	if err := group.Wait(); err != nil {
+		return Page{}, err
+	}
+	var all Page
+	for i, page := range pages {
+		all.Rows = append(all.Rows, page.Rows...)
+		all.Now = max(all.Now, page.Now)
+		if i == 0 || page.Version < all.Version {
+			all.Version = page.Version
 		}
 	}
-	f.after = batch.Version
-	f.started = true
-	return batch, nil
+	return all, nil
 }
 
 // ReadAll reads a range page by page. The version is that of the first page.
--- a/sesamerunner/hold.go
+++ b/sesamerunner/hold.go
@@ -179,7 +179,7 @@
 		})
 		return
 	}
-	row := sesamework.EndKey(s.o.Zone, task, e.Run)
+	row := sesamework.EndKey(s.key, task, e.Run)
 	if _, queued := s.ends[row]; queued || e.Number <= s.recorded {
 		return
 	}
@@ -227,7 +227,7 @@
 		return
 	}
 	k.phase = phaseEnded
-	row := sesamework.EndKey(s.o.Zone, task, key.run)
+	row := sesamework.EndKey(s.key, task, key.run)
 	s.ends[row] = end{
 		key:   key,
 		place: row,
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -94,8 +94,8 @@
 		return nil, nil
 	}
 	page, err := sesamerows.ReadAll(ctx, s.o.Store, sesamerows.Range{
-		Table: sesamework.WorkTable,
-		Part:  s.o.Zone,
+		Table: s.key.Table,
+		Part:  s.key.Part,
 		From:  sesamework.EndPrefix,
 		To:    sesamework.TargetPrefix,
 	})
--- a/sesamerunner/runs.go
+++ b/sesamerunner/runs.go
@@ -61,7 +61,7 @@
 
 // follow keeps the view up to date until ctx ends.
 func (r *runs) follow(ctx context.Context) error {
-	part := ""
+	part := sesamework.PlanPart
 	follower := sesamerows.NewFollower(r.store, sesamerows.FollowOptions{
 		Table:  sesamework.RunTable(r.zone),
 		Part:   &part,
--- /dev/null
+++ b/sesamestandin/linedrows.go
@@ -0,0 +1,124 @@
+package sesamestandin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/sesamestack/sesamestack/sesamerows"
+)
+
+// maxLine is how much work may wait for a part before the platform's store
+// refuses more; PROTOCOL states one second.
+const maxLine = time.Second
+
+// LinedRows is a store that handles the transactions of one part one after
+// another, as the platform's does.
+type LinedRows struct {
+	sesamerows.Store
+	clock clockwork.Clock
+
+	mu sync.Mutex
+	// takes is the time of one transaction.
+	takes time.Duration
+	// busy is until when each part is.
+	busy map[string]time.Time
+}
+
+// NewLinedRows wraps a store, whose transactions take no time at first.
+func NewLinedRows(store sesamerows.Store, clock clockwork.Clock) *LinedRows {
+	return &LinedRows{
+		Store: store,
+		clock: clock,
+		busy:  map[string]time.Time{},
+	}
+}
+
+// SetTime sets what one transaction takes; over several parts it takes twice
+// as long.
+func (s *LinedRows) SetTime(takes time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takes = takes
+}
+
+// Commit applies a transaction when its turn has come; see sesamerows.Store.
+func (s *LinedRows) Commit(ctx context.Context, t sesamerows.Transaction) (sesamerows.Version, error) {
+	wait, ok := s.enqueue(t)
+	if !ok {
+		return 0, &sesamerows.UnavailableError{
+			Operation: "commit",
+			Cause:     &NoAnswerError{},
+		}
+	}
+	if wait <= 0 {
+		return s.Store.Commit(ctx, t)
+	}
+	type outcome struct {
+		version sesamerows.Version
+		err     error
+	}
+	done := make(chan outcome, 1)
+	s.clock.AfterFunc(wait, func() {
+		version, err := s.Store.Commit(context.WithoutCancel(ctx), t)
+		done <- outcome{
+			version: version,
+			err:     err,
+		}
+	})
+	select {
+	case o := <-done:
+		return o.version, o.err
+	case <-s.clock.After(answerTimeout):
+	case <-ctx.Done():
+	}
+	return 0, &sesamerows.UnknownError{
+		Operation: "commit",
+		Cause:     &NoAnswerError{},
+	}
+}
+
+// enqueue returns when the transaction takes effect, or false when too much
+// waits already.
+func (s *LinedRows) enqueue(t sesamerows.Transaction) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.takes == 0 {
+		return 0, true
+	}
+	now := s.clock.Now()
+	begin := now
+	parts := partsOf(t)
+	for part := range parts {
+		if s.busy[part].After(begin) {
+			begin = s.busy[part]
+		}
+	}
+	if begin.Sub(now) > maxLine {
+		return 0, false
+	}
+	end := begin.Add(s.takes)
+	if len(parts) > 1 {
+		end = end.Add(s.takes)
+	}
+	for part := range parts {
+		s.busy[part] = end
+	}
+	return end.Sub(now), true
+}
+
+func partsOf(t sesamerows.Transaction) map[string]bool {
+	parts := map[string]bool{}
+	for _, e := range t.Expects {
+		parts[e.Key.Part] = true
+	}
+	for _, w := range t.Writes {
+		parts[w.Key.Part] = true
+	}
+	for _, key := range t.Removes {
+		parts[key.Part] = true
+	}
+	return parts
+}
--- a/sesamework/rows.go
+++ b/sesamework/rows.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sesamestack/sesamestack/sesamerows"
 )
 
@@ -25,6 +27,32 @@
 	EndPrefix    = "e/"
 )
 
+// The store handles the transactions of one part one after another, so those
+// who write often have parts of their own: entries the unnamed one, which also
+// holds the operators' rows, the planner PlanPart, and agents NodePart.
+const (
+	EntryPart = ""
+	PlanPart  = "plan"
+)
+
+// partsOfZone is over how many parts the agents of a zone spread: few enough
+// to be read one by one by a planner that takes over.
+const partsOfZone = 16
+
+// NodePart returns the part of a node's targets and of the ends there.
+func NodePart(zone, node string) string {
+	return zone + "/" + strconv.FormatUint(xxhash.Sum64String(node)%partsOfZone, partsOfZone)
+}
+
+// ZoneOf returns the zone whose agents write the part.
+func ZoneOf(part string) (string, bool) {
+	i := strings.LastIndexByte(part, '/')
+	if i < 0 {
+		return "", false
+	}
+	return part[:i], true
+}
+
 // JobKey names the row of an accepted job.
 func JobKey(id string) sesamerows.Key {
 	return sesamerows.Key{
@@ -37,6 +65,7 @@
 func CancelKey(id string) sesamerows.Key {
 	return sesamerows.Key{
 		Table: WorkTable,
+		Part:  PlanPart,
 		Name:  CancelPrefix + id,
 	}
 }
@@ -49,10 +78,12 @@
 	}
 }
 
-// StateKey names the row with the state that callers see.
-func StateKey(id string) sesamerows.Key {
+// StateKey names the row with the state that callers see: the newer one of
+// that in EntryPart, from the job's acceptance, and the planner's in PlanPart.
+func StateKey(part, id string) sesamerows.Key {
 	return sesamerows.Key{
 		Table: StateTable,
+		Part:  part,
 		Name:  id,
 	}
 }
@@ -76,24 +107,25 @@
 func RunKey(u UnitID, zone string) sesamerows.Key {
 	return sesamerows.Key{
 		Table: RunTable(zone),
+		Part:  PlanPart,
 		Name:  u.String(),
 	}
 }
 
-// TargetKey names the row of one target. Targets of a zone share a part.
+// TargetKey names the row of one target.
 func TargetKey(zone, node, id string) sesamerows.Key {
 	return sesamerows.Key{
 		Table: WorkTable,
-		Part:  zone,
+		Part:  NodePart(zone, node),
 		Name:  TargetPrefix + node + "/" + id,
 	}
 }
 
-// EndKey names the row of a run's end on a target of the zone.
-func EndKey(zone string, task TaskID, run int) sesamerows.Key {
+// EndKey names the row of a run's end on a target, beside the target's row.
+func EndKey(target sesamerows.Key, task TaskID, run int) sesamerows.Key {
 	return sesamerows.Key{
-		Table: WorkTable,
-		Part:  zone,
+		Table: target.Table,
+		Part:  target.Part,
 		Name:  EndPrefix + task.String() + "/" + strconv.Itoa(run),
 	}
 }
@@ -114,6 +146,7 @@
 func LeaderKey() sesamerows.Key {
 	return sesamerows.Key{
 		Table: LeaderTable,
+		Part:  PlanPart,
 		Name:  "planner",
 	}
 }
