Give up targets that end without a word beside an agent that lives

Cause: an agent whose target no longer answered went on reporting it as it had been, each second. It also took old progress for a stall, and placed work there.

Ruled out: the list of machines, which was right but not asked, since the target's row was fresh.

Change: reports say for how long the target has not answered. The planner places nothing there and asks the list of machines; the agent lets the lease lapse after 2 s without an answer and gives the target up once it has. Old progress is no stall.

go test -race of sesamedispatch reports races of the test's own overlapping kills (killEntry beside killAll), none in the product; open.

--- a/sesamedispatch/inventory.go
+++ b/sesamedispatch/inventory.go
@@ -52,7 +52,8 @@
 	}
 }
 
-// hasSilent reports whether a target has not reported for a while.
+// hasSilent reports whether a target has not reported for a while, or not
+// answered its agent.
 func (b *Book) hasSilent(now time.Duration) bool {
 	for _, t := range b.targets {
 		if t.isSilent(now) {
@@ -63,7 +64,7 @@
 }
 
 func (t *target) isSilent(now time.Duration) bool {
-	return t.State != sesamework.TargetGone && now-t.heard >= silenceToAsk
+	return t.State != sesamework.TargetGone && (t.Silent > 0 || now-t.heard >= silenceToAsk)
 }
 
 // ObserveLive takes the inventory: silent targets that are not in it run nothing.
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -64,6 +64,12 @@
 	"entry cut", "agent cut",
 }
 
+// targetTroubles are those of targets and of their agents' way to them, with
+// some of the store beside.
+var targetTroubles = []string{
+	"target vanished", "target silent", "target crashed", "agent killed", "orders late", "answers lost", "store silent",
+}
+
 func drawJob(t *rapid.T) jobPlan {
 	gang := rapid.Bool().Draw(t, "gang")
 	p := jobPlan{
@@ -89,20 +95,26 @@
 	return p
 }
 
-func drawFault(t *rapid.T) faultPlan {
+func drawFault(t *rapid.T, kinds []string) faultPlan {
 	return faultPlan{
 		At:   time.Duration(rapid.IntRange(3000, int(modelLength.Milliseconds())).Draw(t, "at")) * time.Millisecond,
 		For:  time.Duration(rapid.IntRange(300, 9000).Draw(t, "for")) * time.Millisecond,
-		Kind: rapid.SampledFrom(troubles).Draw(t, "kind"),
+		Kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
 		Who:  rapid.IntRange(0, modelNodes-1).Draw(t, "who"),
 		Many: rapid.IntRange(1, 3).Draw(t, "many"),
 	}
 }
 
-func drawDay(t *rapid.T) dayPlan {
-	return dayPlan{
-		Jobs:   rapid.SliceOfN(rapid.Custom(drawJob), 5, 25).Draw(t, "jobs"),
-		Faults: rapid.SliceOfN(rapid.Custom(drawFault), 1, 8).Draw(t, "faults"),
+// drawDay draws days with troubles of those kinds.
+func drawDay(kinds []string) func(*rapid.T) dayPlan {
+	fault := rapid.Custom(func(t *rapid.T) faultPlan {
+		return drawFault(t, kinds)
+	})
+	return func(t *rapid.T) dayPlan {
+		return dayPlan{
+			Jobs:   rapid.SliceOfN(rapid.Custom(drawJob), 5, 25).Draw(t, "jobs"),
+			Faults: rapid.SliceOfN(fault, 1, 8).Draw(t, "faults"),
+		}
 	}
 }
 
@@ -118,13 +130,22 @@
 // planner and runner, and checks the promises from what targets and clients
 // saw. A day is named by its seed: -model-first=SEED -model-seeds=1.
 func TestModel(t *testing.T) {
-	seeds := regressions
+	playSeeds(t, troubles, regressions)
+}
+
+// TestModelTargets is TestModel with the troubles of targets.
+func TestModelTargets(t *testing.T) {
+	playSeeds(t, targetTroubles, nil)
+}
+
+// playSeeds plays the seeds that the flags name, and those that once failed.
+func playSeeds(t *testing.T, kinds []string, seeds []int) {
 	for seed := *modelFirst; seed < *modelFirst+*modelSeeds; seed++ {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			day := rapid.Custom(drawDay).Example(seed)
+			day := rapid.Custom(drawDay(kinds)).Example(seed)
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, modelEntries, modelNodes)
 				w.play(day)
@@ -209,6 +230,12 @@
 		w.nodes[f.Who].kill(f.For)
 	case "target crashed":
 		w.nodes[f.Who].crash(f.For)
+	case "target vanished":
+		w.nodes[f.Who].vanishFor(f.For)
+	case "target silent":
+		w.nodes[f.Who].target.SetSilent(true)
+		w.sleep(f.For)
+		w.nodes[f.Who].target.SetSilent(false)
 	case "all killed":
 		w.killAll(f.For)
 	case "history lost":
--- /dev/null
+++ b/sesamedispatch/silence_test.go
@@ -0,0 +1,109 @@
+package sesamedispatch_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// vanish ends the node's target, which says nothing more; its agent lives on.
+func (n *nodeProcess) vanish() {
+	n.w.mu.Lock()
+	n.vanished = true
+	n.w.mu.Unlock()
+	n.target.SetSilent(true)
+	n.target.Crash()
+}
+
+// vanishFor lets another life of the target report later, to the same agent.
+func (n *nodeProcess) vanishFor(d time.Duration) {
+	n.vanish()
+	n.w.sleep(d)
+	n.w.mu.Lock()
+	n.vanished = false
+	n.w.mu.Unlock()
+	n.renew()
+}
+
+func twoWholeNodes() *asked {
+	return newAsked("long", sesamework.Step{
+		Count:    2,
+		Need:     accelerators(8),
+		Estimate: 9000,
+	}, 9*time.Second)
+}
+
+// TestVanishedTarget lets a target end without a word beside an agent that
+// lives. The inventory tells at once; without it the lease has to lapse.
+func TestVanishedTarget(t *testing.T) {
+	const (
+		work = 9 * time.Second
+		// noticed covers a silence that is long enough to ask, the asking, and
+		// a list that is a second old.
+		noticed = 4 * time.Second
+		// lapsed covers a lease that the last unanswered call extended, on a
+		// clock that is 2% slow, and the time to end what lapsed.
+		lapsed = 2*time.Second + maxLease*102/100 + 2*time.Second
+	)
+	for _, c := range []struct {
+		name    string
+		removed bool
+		bound   time.Duration
+	}{
+		{name: "the inventory knows", removed: true, bound: noticed},
+		{name: "the inventory doesn't", removed: false, bound: lapsed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, 2, 2)
+				w.sleep(3 * time.Second)
+				w.submit(twoWholeNodes(), "normal", "key-a", 0)
+				w.sleep(time.Second)
+				w.mu.Lock()
+				w.nodes[0].removed = c.removed
+				w.mu.Unlock()
+				w.nodes[0].vanish()
+				vanished := w.clock.Now()
+				w.sleep(c.bound)
+				w.nodes[0].renew()
+				w.nodes[0].target.Forbid()
+				assertKept(t, w, time.Minute)
+				// The task that was lost runs after the other one.
+				is.True(w.clock.Since(vanished) < 2*work+c.bound)
+				is.Equal(w.fleet.Starts(), 3)
+			})
+		})
+	}
+}
+
+// TestTargetSilentForAWhile checks that a silence shorter than the lease ends
+// nothing, and that nothing runs twice after a longer one.
+func TestTargetSilentForAWhile(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		silent time.Duration
+		starts int
+	}{
+		{name: "within the lease", silent: 3 * time.Second, starts: 2},
+		{name: "beyond the lease", silent: 14 * time.Second, starts: 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2, 2)
+				w.sleep(3 * time.Second)
+				w.submit(twoWholeNodes(), "normal", "key-a", 0)
+				w.sleep(time.Second)
+				w.nodes[0].target.SetSilent(true)
+				w.sleep(c.silent)
+				w.nodes[0].target.SetSilent(false)
+				assertKept(t, w, time.Minute)
+				is.New(t).Equal(w.fleet.Starts(), c.starts)
+			})
+		})
+	}
+}
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -76,19 +76,25 @@
 		t.suspectUntil = old.suspectUntil
 		t.progress = old.progress
 	}
-	if !known || old.State != t.State || old.Life != t.Life || old.Refusing != t.Refusing {
+	if !known || old.State != t.State || old.Life != t.Life || old.Refusing != t.Refusing || (old.Silent > 0) != (t.Silent > 0) {
 		b.news = true
 		b.log.Emit(eventTarget, sesamelog.Fields{
 			"target": name,
 			"state":  t.State,
 			"life":   t.Life,
 			"rack":   t.Rack,
+			"silent": t.Silent,
 		})
 	}
 	t.note(b.now.Steady)
 	b.targets[name] = t
 }
 
+// answered returns when the target last answered its agent.
+func (t *target) answered() time.Duration {
+	return t.heard - time.Duration(t.Silent)*time.Millisecond
+}
+
 // note updates the progress of what runs here.
 func (t *target) note(now time.Duration) {
 	seen := make(map[string]progress, len(t.Running))
@@ -135,6 +141,7 @@
 	return t.State == sesamework.TargetReady &&
 		t.Service == service &&
 		!t.Refusing &&
+		t.Silent == 0 &&
 		now-t.heard < maxReportAge &&
 		now >= t.suspectUntil
 }
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -49,7 +49,7 @@
 		return false
 	}
 	p, ok := t.progress[u.id.Task(m.Index).String()]
-	return ok && p.Run == u.run.Number && p.Percent < 100 && t.heard-p.moved > u.stallTime()
+	return ok && p.Run == u.run.Number && p.Percent < 100 && t.answered()-p.moved > u.stallTime()
 }
 
 // stallTime is how long a slow task may take for one percent of progress, as a
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -69,8 +69,10 @@
 	id     string
 	life   int64
 	stop   context.CancelFunc
-	// removed nodes are not in the inventory, and draining ones say so.
+	// removed nodes are not in the inventory, and draining ones say so. The
+	// target of a vanished one says nothing.
 	removed  bool
+	vanished bool
 	draining bool
 }
 
@@ -209,6 +211,8 @@
 
 // renew puts a new target on the node's fleet.
 func (n *nodeProcess) renew() {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
 	n.life++
 	n.id = fmt.Sprintf("%s-life-%d", n.name, n.life)
 	n.target = n.w.fleet.Add(n.id, n.life, wholeNode())
@@ -249,9 +253,15 @@
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		n.w.mu.Lock()
 		draining := n.draining
+		vanished := n.vanished
+		id, life := n.id, n.life
 		n.w.mu.Unlock()
+		if vanished {
+			n.w.sleep(reportEach)
+			continue
+		}
 		runner.Report(sesamerunner.Report{
-			ID:       n.id,
+			ID:       id,
 			Service:  "service",
 			Address:  "address",
 			Rack:     n.rack,
@@ -259,7 +269,7 @@
 			Room:     wholeNode(),
 			Draining: draining,
 			Leaves:   2 * time.Second,
-			Life:     n.life,
+			Life:     life,
 			Sequence: sequence,
 		})
 		select {
--- a/sesamerunner/hold.go
+++ b/sesamerunner/hold.go
@@ -22,6 +22,9 @@
 	// unrecordedPause is the pause between holds while ends could not be
 	// recorded: the target answers those at once.
 	unrecordedPause = 250 * time.Millisecond
+	// silenceToTell is how long a target may not answer before its report says
+	// so: a hold with its time-out.
+	silenceToTell = holdWait + callTimeout
 	// maxSilentHolds is how many holds in a row may fail before it's logged.
 	maxSilentHolds = 2
 )
@@ -71,6 +74,10 @@
 		s.end(superseded)
 		return
 	}
+	if s.hasLapsed() {
+		s.end("target has not answered until its lease ended")
+		return
+	}
 	if failures == maxSilentHolds {
 		s.o.Log.Emit(eventHoldFail, sesamelog.Fields{
 			"target": s.id,
@@ -79,6 +86,23 @@
 	}
 }
 
+// hasLapsed reports whether all that a silent target ran has ended by now.
+func (s *session) hasLapsed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silence() > 0 && s.o.Clock.Steady() > s.leased
+}
+
+// silence returns for how long the target has not answered, 0 while that is
+// usual. The caller holds the lock.
+func (s *session) silence() time.Duration {
+	silent := s.o.Clock.Steady() - s.answered
+	if silent <= silenceToTell {
+		return 0
+	}
+	return silent
+}
+
 // hold makes one call.
 func (s *session) hold(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, holdWait+callTimeout)
@@ -107,14 +131,15 @@
 	return h, s.holds
 }
 
-// until returns the end of the lease on the target's clock, or 0 when nothing
-// may be extended. The caller holds the lock.
+// until grants a lease and returns its end on the target's clock, or 0 when
+// nothing may be extended. The caller holds the lock.
 func (s *session) until() time.Duration {
 	now := s.o.Clock.Steady()
 	left := min(s.o.MaxLease, s.confirmed+sesamework.LeaseAfterReport-now)
-	if s.clockAt == 0 || left <= 0 {
+	if s.clockAt == 0 || left <= 0 || now-s.answered > sesamework.SilenceToLapse {
 		return 0
 	}
+	s.leased = max(s.leased, now+sesamework.Lapsed(left))
 	return s.clock + now - s.clockAt + left
 }
 
@@ -135,6 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.heard(l.Clock)
+	s.answered = s.o.Clock.Steady()
 	s.observed = number
 	clear(s.running)
 	for _, p := range l.Running {
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -137,6 +137,7 @@
 		Holder:   s.holder,
 		Beat:     s.beat,
 		Refusing: s.o.Clock.Steady() < s.refusing,
+		Silent:   s.silence().Milliseconds(),
 	}
 	for _, p := range s.running {
 		t.Running = append(t.Running, p)
@@ -168,6 +169,9 @@
 		case errors.HasType(err, (*sesamerows.LostError)(nil)):
 			// The planner gave the target up: nothing runs there any more.
 			s.storeFailed(err)
+			if s.isSilent() {
+				s.end("planner gave the silent target up")
+			}
 			if !s.take(ctx) {
 				return
 			}
@@ -307,6 +311,12 @@
 	return t.Holder > s.holder || t.Life > s.report.Life
 }
 
+func (s *session) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silence() > 0
+}
+
 func (s *session) storeFailed(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -71,6 +71,10 @@
 	beat     int64
 	// confirmed is when the last report was sent that the store confirmed.
 	confirmed time.Duration
+	// answered is when the target last answered a hold, and leased until when
+	// what it runs may go on by what it was last told.
+	answered time.Duration
+	leased   time.Duration
 	// clock is the target's at the time clockAt.
 	clock   time.Duration
 	clockAt time.Duration
@@ -109,6 +113,9 @@
 		over:     make(chan struct{}),
 		report:   report,
 		reported: r.o.Clock.Steady(),
+		answered: r.o.Clock.Steady(),
+		// An earlier process may have extended the lease just now.
+		leased: r.o.Clock.Steady() + sesamework.Lapsed(r.o.MaxLease),
 		known:    map[runKey]*known{},
 		running:  map[runKey]sesamework.Progress{},
 		ends:     map[sesamerows.Key]end{},
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -19,8 +19,9 @@
 	room  sesamework.Need
 	// forbidden targets must not be given anything.
 	forbidden bool
-	// gone targets answer nothing and run nothing.
+	// gone targets run nothing, and silent ones give no answer.
 	gone    bool
+	silent  bool
 	began   time.Time
 	until   time.Time
 	holder  int64
@@ -114,6 +115,25 @@
 	t.ended = nil
 }
 
+// SetSilent makes calls not reach the target, or lets them reach it again.
+func (t *LeasedTarget) SetSilent(silent bool) {
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	t.silent = silent
+}
+
+// await blocks a call to a silent target until its caller gives up.
+func (t *LeasedTarget) await(ctx context.Context) error {
+	t.fleet.mu.Lock()
+	silent := t.silent
+	t.fleet.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return &NoAnswerError{}
+}
+
 // clock returns the target's own clock. It is 2 percent slow, the most that
 // the platform allows.
 func (t *LeasedTarget) clock(at time.Time) time.Duration {
@@ -186,6 +206,9 @@
 // order carries an order out, now or later.
 func (t *LeasedTarget) order(ctx context.Context, carryOut func() error) (time.Duration, error) {
 	f := t.fleet
+	if err := t.await(ctx); err != nil {
+		return 0, err
+	}
 	if late, lost := t.isUnanswered(); lost {
 		f.o.Clock.AfterFunc(late, func() {
 			f.mu.Lock()
@@ -289,6 +312,9 @@
 	f := t.fleet
 	deadline := f.o.Clock.Now().Add(h.Wait)
 	for {
+		if err := t.await(ctx); err != nil {
+			return sesamerunner.Listing{}, err
+		}
 		l, err := t.hold(h)
 		if err != nil || len(l.Ended) > 0 || !f.o.Clock.Now().Before(deadline) {
 			return l, err
--- a/sesamework/leases.go
+++ b/sesamework/leases.go
@@ -10,6 +10,9 @@
 	LeaseAfterReport = 10 * time.Second
 	// ReportInterval is how often an agent reports its target.
 	ReportInterval = time.Second
+	// SilenceToLapse is how long a target may not answer its agent before the
+	// agent lets the lease lapse: an unanswered call may have extended it.
+	SilenceToLapse = 2 * time.Second
 	// clockSkew is by how much of a lease a target's clock may be slow; the
 	// platform states 2 percent.
 	clockSkew = 2
@@ -19,3 +22,9 @@
 	// give up the target: all that its agent let run has lapsed by then.
 	SilenceUntilLost = LeaseAfterReport + LeaseAfterReport*clockSkew/100 + lapseSlack
 )
+
+// Lapsed returns how long after it was granted a lease has surely ended, and
+// what ran under it too.
+func Lapsed(lease time.Duration) time.Duration {
+	return lease + lease*clockSkew/100 + lapseSlack
+}
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -117,6 +117,9 @@
 	Running []Progress `json:"run,omitempty"`
 	// Refusing says that the target has lately refused orders.
 	Refusing bool `json:"refusing,omitempty"`
+	// Silent is for how long the target has not answered its agent, in
+	// milliseconds; 0 while it does. Running is as old.
+	Silent int64 `json:"silent,omitempty"`
 }
 
 // JobState is what callers see of a job.
