Don't wait for claimed targets that leave, or while others are free

Claims also counted twice against the team's guarantee in the pass that redeemed them.

Change: a claim is redeemed on any targets that fit, and dropped when one of its targets takes no work any more. TestClaimIsNotWaitedFor failed before.

--- a/sesamedispatch/bench_test.go
+++ b/sesamedispatch/bench_test.go
@@ -11,6 +11,23 @@
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
+func encode(value any) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+// targetRow returns the row of a target on a node of the same name.
+func targetRow(t sesamework.Target, version sesamerows.Version) sesamerows.Row {
+	return sesamerows.Row{
+		Key:     sesamework.TargetKey(t.Zone, "node-"+t.ID, t.ID),
+		Value:   sesamerows.Unfenced(encode(t)),
+		Version: version,
+	}
+}
+
 // busyBook holds targets that are nearly full and three times as much work as
 // fits, of all priorities.
 func busyBook(targets int) *Book {
@@ -22,23 +39,10 @@
 		}},
 	})
 	var work []sesamerows.Row
-	put := func(key sesamerows.Key, value any, sealed bool) {
-		encoded, err := json.Marshal(value)
-		if err != nil {
-			panic(err)
-		}
-		if sealed {
-			encoded = sesamerows.Unfenced(encoded)
-		}
-		work = append(work, sesamerows.Row{
-			Key:     key,
-			Value:   encoded,
-			Version: 1,
-		})
-	}
 	for i := range targets {
 		t := sesamework.Target{
 			ID:      fmt.Sprint(i),
+			Zone:    "zone",
 			Service: "service",
 			Rack:    fmt.Sprint(i / 10),
 			State:   sesamework.TargetReady,
@@ -48,7 +52,7 @@
 				Accelerators: 8,
 			},
 		}
-		put(sesamework.TargetKey("zone", fmt.Sprint("node", i), t.ID), t, true)
+		work = append(work, targetRow(t, 1))
 	}
 	for i := range 2 * targets {
 		j := sesamework.Job{
@@ -72,7 +76,11 @@
 				SameRack: i%6 == 0,
 			}},
 		}
-		put(sesamework.JobKey(j.ID), j, false)
+		work = append(work, sesamerows.Row{
+			Key:     sesamework.JobKey(j.ID),
+			Value:   encode(j),
+			Version: 1,
+		})
 	}
 	b.Load(work, nil, nil, Now{
 		Steady: time.Hour,
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -154,8 +154,7 @@
 // consider starts the unit, or keeps room for it.
 func (p *pass) consider(u *unit) {
 	b := p.book
-	if len(u.claim.targets) > 0 {
-		p.redeem(u)
+	if len(u.claim.targets) > 0 && p.redeem(u) {
 		return
 	}
 	alike := u.spreadKey("")
@@ -192,22 +191,36 @@
 }
 
 // redeem starts a unit on the targets that were kept for it, once they are
-// free, and gives the claim up when it has lasted too long.
-func (p *pass) redeem(u *unit) {
+// free, or on others that are free before. It reports false, and drops the
+// claim, when the claimed targets can't be had any more.
+func (p *pass) redeem(u *unit) bool {
 	p.release(u)
 	targets := p.claimed(u)
+	if targets == nil {
+		targets = p.choose(u)
+	}
 	if targets != nil {
 		p.start(u, targets)
-		return
+		return true
 	}
-	if p.book.now.Steady >= u.claim.until {
+	if p.book.now.Steady >= u.claim.until || !p.holds(u) {
 		u.claim = claim{}
-		return
+		return false
 	}
 	p.keep(u, u.claim.targets, 0)
+	p.used[u.job.Team] += u.accelerators()
+	return true
+}
+
+// holds reports whether all claimed targets still take work.
+func (p *pass) holds(u *unit) bool {
+	return !slices.ContainsFunc(u.claim.targets, func(name string) bool {
+		t, ok := p.book.targets[name]
+		return !ok || !t.takes(u.job.Terms.Service, p.book.now.Steady)
+	})
 }
 
-// release gives back the room that newPass kept for the unit's claim.
+// release gives back what newPass kept for the unit's claim.
 func (p *pass) release(u *unit) {
 	if p.book.now.Steady >= u.claim.until {
 		return
@@ -215,6 +228,7 @@
 	for _, name := range u.claim.targets {
 		p.kept[name] = p.kept[name].Minus(u.step.Room())
 	}
+	p.used[u.job.Team] -= u.accelerators()
 }
 
 // claimed returns the claimed targets when all have room by now.
