Apply a queue's time-out and the bound on headers

Change: a request is served for at most its queue's time-out; headers over the bound are answered 431. The time for headers and for idle connections stay constants: net/http takes them once, at the start.

--- a/sesamecommand/hosted_test.go
+++ b/sesamecommand/hosted_test.go
@@ -71,7 +71,7 @@
 const hostedPolicy = `{"version":3,
  "routes":[{"name":"r1","host":"host.example","path-prefix":"/jobs/","timeout-ms":3000,
   "target-latency-ms":250,"priority":0,"service":"service1","max-attempts":2,"stretch":1.5}],
- "services":[{"name":"service1"}],"limits":{"max-body-bytes":4096},
+ "services":[{"name":"service1"}],"limits":{"max-body-bytes":4096,"max-header-bytes":8192},
  "tenants":[{"name":"team1","api-keys":["key1"],"guaranteed-gpus":{"gpu":8}}]}`
 
 func newHostedWorld(t *testing.T) *hostedWorld {
@@ -279,6 +279,7 @@
 		{"no steps", http.MethodPost, id, "key1", `{"specification":"x"}`, http.StatusBadRequest},
 		{"a step after a later one", http.MethodPost, id, "key1", `{"steps":[{"count":1,"after":[0]}]}`, http.StatusBadRequest},
 		{"a body over the bound", http.MethodPost, id, "key1", strings.Repeat(" ", 5000) + hostedSteps, http.StatusRequestEntityTooLarge},
+		{"a path over the bound for headers", http.MethodGet, id + strings.Repeat("a", 9000), "key1", "", http.StatusRequestHeaderFieldsTooLarge},
 		{"a job that was never handed in", http.MethodGet, id, "key1", "", http.StatusGone},
 		{"cancelling it", http.MethodDelete, id, "key1", "", http.StatusGone},
 		{"handing it in", http.MethodPost, id, "key1", hostedSteps, http.StatusOK},
--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -23,9 +23,10 @@
 	leaveShare = 0.55
 	// shutdownShare is the part of the drain for open requests after that.
 	shutdownShare = 0.3
-	// maxHeader and idleTime bound clients' connections before a policy is
-	// known, in bytes and time.
-	maxHeader = 16 << 10
+	// maxHeader bounds what is read of a request's headers, in bytes; the
+	// policy's own bound is checked then. idleTime is how long a client's
+	// connection is kept without a request.
+	maxHeader = 64 << 10
 	idleTime  = time.Minute
 )
 
--- a/sesameintake/intake.go
+++ b/sesameintake/intake.go
@@ -94,6 +94,14 @@
 	Policy *sesamework.Policy
 }
 
+// Wait returns how long a caller that waits for so long may be kept waiting.
+func (a Admission) Wait(asked time.Duration) time.Duration {
+	if a.Queue.Timeout > 0 {
+		return min(asked, a.Queue.Timeout)
+	}
+	return asked
+}
+
 // Admit returns what the access key may do at the path. Errors are a
 // *NotReadyError, *NoQueueError or *UnknownKeyError.
 func (in *Intake) Admit(host, path, key string) (Admission, error) {
