Go round through an entry while the store turns a process away

Ruled out: longer leases (work ran on, its ends were what was missing); reporting to entries always (a second record, and bytes every second).

Change: entries serve the store's calls to others on an internal port and announce themselves in the table relays. After two unserved calls a process sends its calls there, and probes the straight way after 2, 4 and 8 s. Entries refuse while their own last call failed, so that a store that serves nobody is not asked more often. Conditions of transactions keep it safe whichever way an attempt took.

--- a/sesamecommand/hosted.go
+++ b/sesamecommand/hosted.go
@@ -55,9 +55,38 @@
 		"settings file, in YAML (default $"+platform.SettingsVariable+")")
 }
 
-// newStore returns the platform's store, whose commits are repeated in time.
-func newStore(address string, clock sesameclock.Clock, scope tally.Scope) sesamerows.Store {
-	return sesamerows.NewPatient(platform.NewStore(address, clock, scope), clock)
+// hostedStore is the platform's store as a hosted process uses it: commits are
+// repeated in time, and calls go through other processes where the store turns
+// this one away.
+type hostedStore struct {
+	*sesamerows.Patient
+	detour *sesamerows.Detour
+	relays *sesamerows.Relays
+}
+
+// newStore returns the store at the address. The options lack a way to dial.
+func (p *process) newStore(address string, o sesamerows.RelayOptions, clock sesameclock.Clock, scope tally.Scope) *hostedStore {
+	dial := func(address string) sesamerows.Store {
+		return platform.NewStore(address, clock, scope)
+	}
+	o.Dial = dial
+	relays := sesamerows.NewRelays(o)
+	detour := sesamerows.NewDetour(dial(address), relays, clock, func(blocked bool, cause error) {
+		p.log.Emit(eventDetour, sesamelog.Fields{
+			"detour": blocked,
+			"error":  cause,
+		})
+	})
+	return &hostedStore{
+		Patient: sesamerows.NewPatient(detour, clock),
+		detour:  detour,
+		relays:  relays,
+	}
+}
+
+// run keeps the list of other processes until ctx ends.
+func (s *hostedStore) run(ctx context.Context) error {
+	return s.relays.Run(ctx, s)
 }
 
 // process is what all hosted processes have.
--- a/sesamecommand/hostedagent.go
+++ b/sesamecommand/hostedagent.go
@@ -11,6 +11,7 @@
 	"github.com/sesamestack/sesamestack/platform"
 	"github.com/sesamestack/sesamestack/sesameclock"
 	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamerunner"
 	"github.com/sesamestack/sesamestack/sesamesettings"
 )
@@ -61,10 +62,17 @@
 
 func newRunner(p *process, settings sesamesettings.HostedAgent, scope tally.Scope) *sesamerunner.Runner {
 	clock := sesameclock.Boot{}
+	store := p.newStore(settings.Store, sesamerows.RelayOptions{
+		Name: settings.ID,
+		Zone: settings.Place.Zone,
+	}, clock, scope)
+	p.group.Go(func() error {
+		return store.run(p.ctx)
+	})
 	return sesamerunner.New(sesamerunner.Options{
 		Node:     settings.ID,
 		Zone:     settings.Place.Zone,
-		Store:    newStore(settings.Store, clock, scope),
+		Store:    store,
 		Dial:     platform.NewExecutor,
 		Clock:    clock,
 		Log:      p.log,
--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -14,6 +14,7 @@
 	"github.com/sesamestack/sesamestack/sesamedispatch"
 	"github.com/sesamestack/sesamestack/sesameintake"
 	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamesettings"
 )
 
@@ -61,8 +62,11 @@
 	planner  *sesamedispatch.Planner
 	// draining is closed once the entry is stopping.
 	draining chan struct{}
+	store    *hostedStore
 	callers  *http.Server
 	ready    *http.Server
+	// relay serves processes that the store turns away.
+	relay *http.Server
 }
 
 func runHostedEntry(c *cobra.Command, s streams, file string, settings sesamesettings.HostedEntry) error {
@@ -83,7 +87,11 @@
 
 func newHostedEntryProcess(p *process, settings sesamesettings.HostedEntry, scope tally.Scope) *hostedEntry {
 	clock := sesameclock.Boot{}
-	store := newStore(settings.Store, clock, scope)
+	store := p.newStore(settings.Store, sesamerows.RelayOptions{
+		Name:    settings.ID,
+		Zone:    settings.Place.Zone,
+		Address: settings.Relay,
+	}, clock, scope)
 	intake := sesameintake.New(sesameintake.Options{
 		Store:  store,
 		Source: platform.NewPolicies(store),
@@ -98,6 +106,7 @@
 	e := &hostedEntry{
 		process:  p,
 		settings: settings,
+		store:    store,
 		intake:   intake,
 		planner: sesamedispatch.NewPlanner(sesamedispatch.Options{
 			Name:      settings.ID,
@@ -114,6 +123,7 @@
 	e.callers.MaxHeaderBytes = maxHeader
 	e.callers.IdleTimeout = idleTime
 	e.ready = plainServer(platform.NewReadiness(e.isReady))
+	e.relay = plainServer(platform.NewRelay(store.detour.Direct()))
 	return e
 }
 
@@ -145,10 +155,16 @@
 	e.group.Go(func() error {
 		return e.planner.Run(planning)
 	})
+	e.group.Go(func() error {
+		return e.store.run(e.ctx)
+	})
 	err := errors.CombineErrors(
 		e.serve(e.settings.Callers, e.callers),
 		e.serve(e.settings.Ready, e.ready),
 	)
+	if e.settings.Relay != "" {
+		err = errors.CombineErrors(err, e.serve(e.settings.Relay, e.relay))
+	}
 	err = errors.CombineErrors(err, e.serveMetrics(e.settings.Metrics, metrics))
 	e.log.Emit(eventServing, sesamelog.Fields{
 		"zone":  e.settings.Place.Zone,
--- /dev/null
+++ b/sesamedispatch/detour_test.go
@@ -0,0 +1,42 @@
+package sesamedispatch_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamestandin"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// TestTurnedAway lets the store refuse all agents and the planning entry while
+// urgent work comes and ends: it starts and ends in time nevertheless.
+func TestTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const work = time.Second
+		w := startWorld(t, 3, 3, true)
+		w.sleep(3 * time.Second)
+		refuse := func(bool) sesamestandin.RowFate {
+			return sesamestandin.RowFate{
+				Refused: true,
+			}
+		}
+		for _, n := range w.nodes {
+			n.rows.SetFate(refuse)
+		}
+		w.entries[0].rows.SetFate(refuse)
+		w.entries[1].rows.SetFate(refuse)
+		// All notice by their own calls.
+		w.sleep(2 * time.Second)
+		started := w.clock.Now()
+		w.submit(newAsked("urgent", sesamework.Step{
+			Count:    3,
+			Need:     accelerators(8),
+			Estimate: work.Milliseconds(),
+		}, work), "urgent", "key-a", 0)
+		assertKept(t, w, time.Minute)
+		is.New(t).True(w.clock.Since(started) < urgentStart+work)
+	})
+}
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -130,16 +130,22 @@
 // planner and runner, and checks the promises from what targets and clients
 // saw. A day is named by its seed: -model-first=SEED -model-seeds=1.
 func TestModel(t *testing.T) {
-	playSeeds(t, troubles, regressions)
+	playSeeds(t, troubles, false, regressions)
 }
 
 // TestModelTargets is TestModel with the troubles of targets.
 func TestModelTargets(t *testing.T) {
-	playSeeds(t, targetTroubles, nil)
+	playSeeds(t, targetTroubles, false, nil)
+}
+
+// TestModelDetours is TestModel with processes that help each other to the
+// store.
+func TestModelDetours(t *testing.T) {
+	playSeeds(t, troubles, true, nil)
 }
 
 // playSeeds plays the seeds that the flags name, and those that once failed.
-func playSeeds(t *testing.T, kinds []string, seeds []int) {
+func playSeeds(t *testing.T, kinds []string, detours bool, seeds []int) {
 	for seed := *modelFirst; seed < *modelFirst+*modelSeeds; seed++ {
 		seeds = append(seeds, seed)
 	}
@@ -147,7 +153,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			day := rapid.Custom(drawDay(kinds)).Example(seed)
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, modelEntries, modelNodes)
+				w := startWorld(t, modelEntries, modelNodes, detours)
 				w.play(day)
 				assertKept(t, w, 4*time.Minute)
 				if t.Failed() {
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -35,6 +35,9 @@
 	entries []*entryProcess
 	nodes   []*nodeProcess
 
+	// detours says that processes help each other to the store.
+	detours bool
+
 	mu   sync.Mutex
 	jobs map[string]*asked
 }
@@ -54,6 +57,7 @@
 	w      *world
 	name   string
 	rows   *sesamestandin.FaultyRows
+	store  sesamerows.Store
 	intake *sesameintake.Intake
 	stop   context.CancelFunc
 }
@@ -64,6 +68,7 @@
 	zone   string
 	rack   string
 	rows   *sesamestandin.FaultyRows
+	store  sesamerows.Store
 	runner *sesamerunner.Runner
 	target *sesamestandin.LeasedTarget
 	id     string
@@ -96,6 +101,11 @@
 // newWorld starts a system with those numbers of entries and nodes. The policy
 // guarantees team-a half of the accelerators.
 func newWorld(t *testing.T, entries, nodes int) *world {
+	return startWorld(t, entries, nodes, false)
+}
+
+// startWorld is newWorld, with or without detours.
+func startWorld(t *testing.T, entries, nodes int, detours bool) *world {
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	clock := clockwork.NewRealClock()
@@ -106,6 +116,8 @@
 		clock:  clock,
 		steady: sesameclock.Wrap(clock),
 		jobs:   map[string]*asked{},
+
+		detours: detours,
 	}
 	w.store = sesamerows.NewMemory(w.steady)
 	w.lines = sesamestandin.NewLinedRows(w.store, clock)
@@ -129,7 +141,10 @@
 			name: fmt.Sprintf("entry-%d", i),
 			rows: sesamestandin.NewFaultyRows(w.lines, clock),
 		}
+		e.store = w.way(e.rows)
 		w.entries = append(w.entries, e)
+	}
+	for _, e := range w.entries {
 		e.start()
 	}
 	for i := range nodes {
@@ -140,6 +155,7 @@
 			rack: fmt.Sprintf("rack-%d", i/2),
 			rows: sesamestandin.NewFaultyRows(w.lines, clock),
 		}
+		n.store = w.way(n.rows)
 		w.nodes = append(w.nodes, n)
 		n.renew()
 		n.start()
@@ -147,6 +163,23 @@
 	return w
 }
 
+// way returns a process's way to the store.
+func (w *world) way(rows sesamerows.Store) sesamerows.Store {
+	if !w.detours {
+		return rows
+	}
+	return sesamerows.NewDetour(rows, w, w.steady, func(bool, error) {})
+}
+
+// Relay returns the way through an entry.
+func (w *world) Relay(number int) sesamerows.Store {
+	e := w.entries[number%len(w.entries)]
+	if detour, ok := e.store.(*sesamerows.Detour); ok {
+		return detour.Direct()
+	}
+	return nil
+}
+
 // lookup tells the fleet what a task is; a job whose hand-in was rejected each
 // time was asked for by nobody.
 func (w *world) lookup(task sesamework.TaskID) (sesamestandin.FleetTask, bool) {
@@ -173,9 +206,9 @@
 	ctx, cancel := context.WithCancel(e.w.ctx)
 	e.stop = cancel
 	e.intake = sesameintake.New(sesameintake.Options{
-		Store: e.rows,
+		Store: e.store,
 		Source: &policySource{
-			follower: sesamerows.NewFollower(e.rows, sesamerows.FollowOptions{
+			follower: sesamerows.NewFollower(e.store, sesamerows.FollowOptions{
 				Table: policyKey.Table,
 				Wait:  time.Second,
 			}),
@@ -186,7 +219,7 @@
 	})
 	planner := sesamedispatch.NewPlanner(sesamedispatch.Options{
 		Name:      e.name,
-		Store:     e.rows,
+		Store:     e.store,
 		Policies:  e.intake.Policies(),
 		Inventory: e.w,
 		Clock:     e.w.steady,
@@ -227,7 +260,7 @@
 	n.runner = sesamerunner.New(sesamerunner.Options{
 		Node:  n.name,
 		Zone:  n.zone,
-		Store: n.rows,
+		Store: n.store,
 		Dial: func(_, id string) sesamerunner.Executor {
 			return n.w.fleet.Target(id)
 		},
--- a/sesamerows/patient_test.go
+++ b/sesamerows/patient_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/sesamestack/sesamestack/sesameclock"
 	"github.com/sesamestack/sesamestack/sesamerows"
 )
 
@@ -43,7 +42,7 @@
 
 func newHushed(takes time.Duration, silent int) *hushed {
 	return &hushed{
-		Memory: sesamerows.NewMemory(sesameclock.Boot{}),
+		Memory: sesamerows.NewMemory(virtualClock()),
 		takes:  takes,
 		silent: silent,
 	}
@@ -66,7 +65,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				started := time.Now()
-				fence := sesamerows.NewFence(sesamerows.NewPatient(c.store, sesameclock.Boot{}), fenceKey)
+				fence := sesamerows.NewFence(sesamerows.NewPatient(c.store, virtualClock()), fenceKey)
 				is.NoErr(fence.Take(t.Context(), 0, []byte("value")))
 				is.Equal(c.store.commits, c.commits)
 				is.True(time.Since(started) <= c.within)
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -13,6 +13,9 @@
 	Ready   string `yaml:"ready"`
 	// Metrics is the address of the metrics; empty serves none.
 	Metrics string `yaml:"metrics"`
+	// Relay is where the entry passes on calls of processes that the store
+	// turns away; empty serves none.
+	Relay string `yaml:"relay"`
 	// Store is the address of the platform's store.
 	Store string `yaml:"store"`
 	// Inventory is the address of the platform's list of machines; empty
@@ -104,6 +107,7 @@
 	d.reachable("ready", e.Ready)
 	d.reachable("store", e.Store)
 	d.optionalAddress("inventory", e.Inventory)
+	d.optionalAddress("relay", e.Relay)
 	d.optionalAddress("metrics", e.Metrics)
 	between(d, "memory", e.Memory, minHostedMemory, maxHostedMemory)
 	between(d, "drain", e.Drain, minHostedDrain, maxDrain)
