Let troubles of the model overlap without races of the test's own

Cause: killEntry beside killAll, and a target that is renewed beside one that is silenced, changed the same fields of the test's processes. go test -race of sesamedispatch failed for it, none of it in the product.

Change: a process's lifetime, its intake and its newest target are guarded. After: go test -race ./sesamedispatch passes (84 s).

--- a/sesamedispatch/inventory_test.go
+++ b/sesamedispatch/inventory_test.go
@@ -42,7 +42,7 @@
 		w.nodes[0].removed = true
 		w.mu.Unlock()
 		w.nodes[0].stop()
-		w.nodes[0].target.Crash()
+		w.nodes[0].now().Crash()
 		assertKept(t, w, time.Minute)
 		const bound = 2*3*time.Second + 3*time.Second // both tasks in turn, and the silence
 		is.True(w.clock.Since(started) < bound)
@@ -86,7 +86,7 @@
 		w.mu.Unlock()
 		const drainBound = 2 * time.Second
 		w.sleep(drainBound)
-		w.nodes[0].target.Forbid()
+		w.nodes[0].now().Forbid()
 		started := w.clock.Now()
 		assertKept(t, w, time.Minute)
 		const rest = 4*time.Second + 4*time.Second + 2*time.Second // what is left of both, and stops
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -239,9 +239,9 @@
 	case "target vanished":
 		w.nodes[f.Who].vanishFor(f.For)
 	case "target silent":
-		w.nodes[f.Who].target.SetSilent(true)
+		w.nodes[f.Who].now().SetSilent(true)
 		w.sleep(f.For)
-		w.nodes[f.Who].target.SetSilent(false)
+		w.nodes[f.Who].now().SetSilent(false)
 	case "all killed":
 		w.killAll(f.For)
 	case "history lost":
@@ -270,7 +270,7 @@
 // crash ends the target and its agent; another life begins later.
 func (n *nodeProcess) crash(d time.Duration) {
 	n.stop()
-	n.target.Crash()
+	n.now().Crash()
 	n.w.sleep(d)
 	n.renew()
 	n.start()
@@ -295,12 +295,12 @@
 // delayOrders leaves each second order unanswered and carries it out late.
 func (n *nodeProcess) delayOrders(d time.Duration) {
 	count := 0
-	n.target.SetUnanswered(func() (time.Duration, bool) {
+	n.now().SetUnanswered(func() (time.Duration, bool) {
 		count++
 		return 2500 * time.Millisecond, count%2 == 0
 	})
 	n.w.sleep(d)
-	n.target.SetUnanswered(nil)
+	n.now().SetUnanswered(nil)
 }
 
 // fates are the troubles of the store.
--- a/sesamedispatch/silence_test.go
+++ b/sesamedispatch/silence_test.go
@@ -15,8 +15,8 @@
 	n.w.mu.Lock()
 	n.vanished = true
 	n.w.mu.Unlock()
-	n.target.SetSilent(true)
-	n.target.Crash()
+	n.now().SetSilent(true)
+	n.now().Crash()
 }
 
 // vanishFor lets another life of the target report later, to the same agent.
@@ -71,7 +71,7 @@
 				vanished := w.clock.Now()
 				w.sleep(c.bound)
 				w.nodes[0].renew()
-				w.nodes[0].target.Forbid()
+				w.nodes[0].now().Forbid()
 				assertKept(t, w, time.Minute)
 				// The task that was lost runs after the other one.
 				is.True(w.clock.Since(vanished) < 2*work+c.bound)
@@ -98,9 +98,9 @@
 				w.sleep(3 * time.Second)
 				w.submit(twoWholeNodes(), "normal", "key-a", 0)
 				w.sleep(time.Second)
-				w.nodes[0].target.SetSilent(true)
+				w.nodes[0].now().SetSilent(true)
 				w.sleep(c.silent)
-				w.nodes[0].target.SetSilent(false)
+				w.nodes[0].now().SetSilent(false)
 				assertKept(t, w, time.Minute)
 				is.New(t).Equal(w.fleet.Starts(), c.starts)
 			})
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -53,27 +53,52 @@
 	cancelled time.Time
 }
 
+// lifetime is that of a process, which troubles that overlap may stop and
+// start.
+type lifetime struct {
+	mu  sync.Mutex
+	end context.CancelFunc
+}
+
+// stop ends the process if it runs.
+func (l *lifetime) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.end != nil {
+		l.end()
+	}
+}
+
+// restart ends the process if it runs, and returns the context of the next.
+func (l *lifetime) restart(parent context.Context) context.Context {
+	l.stop()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ctx, cancel := context.WithCancel(parent)
+	l.end = cancel
+	return ctx
+}
+
 type entryProcess struct {
+	lifetime
 	w      *world
 	name   string
 	rows   *sesamestandin.FaultyRows
 	store  sesamerows.Store
 	intake *sesameintake.Intake
-	stop   context.CancelFunc
 }
 
 type nodeProcess struct {
+	lifetime
 	w      *world
 	name   string
 	zone   string
 	rack   string
 	rows   *sesamestandin.FaultyRows
 	store  sesamerows.Store
-	runner *sesamerunner.Runner
 	target *sesamestandin.LeasedTarget
 	id     string
 	life   int64
-	stop   context.CancelFunc
 	// removed nodes are not in the inventory, and draining ones say so. The
 	// target of a vanished one says nothing.
 	removed  bool
@@ -200,12 +225,8 @@
 const cancelBound = 3 * time.Second
 
 func (e *entryProcess) start() {
-	if e.stop != nil {
-		e.stop()
-	}
-	ctx, cancel := context.WithCancel(e.w.ctx)
-	e.stop = cancel
-	e.intake = sesameintake.New(sesameintake.Options{
+	ctx := e.restart(e.w.ctx)
+	intake := sesameintake.New(sesameintake.Options{
 		Store: e.store,
 		Source: &policySource{
 			follower: sesamerows.NewFollower(e.store, sesamerows.FollowOptions{
@@ -220,13 +241,15 @@
 	planner := sesamedispatch.NewPlanner(sesamedispatch.Options{
 		Name:      e.name,
 		Store:     e.store,
-		Policies:  e.intake.Policies(),
+		Policies:  intake.Policies(),
 		Inventory: e.w,
 		Clock:     e.w.steady,
 		Log:       testLog(),
 		Scope:     tally.NoopScope,
 	})
-	intake := e.intake
+	e.w.mu.Lock()
+	e.intake = intake
+	e.w.mu.Unlock()
 	e.w.group.Go(func() error {
 		return ignoreCancel(intake.Run(ctx))
 	})
@@ -242,6 +265,20 @@
 	return err
 }
 
+// current returns the intake of the process that runs now.
+func (e *entryProcess) current() *sesameintake.Intake {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	return e.intake
+}
+
+// now returns the node's newest target.
+func (n *nodeProcess) now() *sesamestandin.LeasedTarget {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.target
+}
+
 // renew puts a new target on the node's fleet.
 func (n *nodeProcess) renew() {
 	n.w.mu.Lock()
@@ -252,12 +289,8 @@
 }
 
 func (n *nodeProcess) start() {
-	if n.stop != nil {
-		n.stop()
-	}
-	ctx, cancel := context.WithCancel(n.w.ctx)
-	n.stop = cancel
-	n.runner = sesamerunner.New(sesamerunner.Options{
+	ctx := n.restart(n.w.ctx)
+	runner := sesamerunner.New(sesamerunner.Options{
 		Node:  n.name,
 		Zone:  n.zone,
 		Store: n.store,
@@ -269,7 +302,6 @@
 		Scope:    tally.NoopScope,
 		MaxLease: maxLease,
 	})
-	runner := n.runner
 	n.w.group.Go(func() error {
 		return ignoreCancel(runner.Run(ctx))
 	})
@@ -341,7 +373,8 @@
 func (w *world) submitOnce(e *entryProcess, a *asked, queue, key string) error {
 	ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
 	defer cancel()
-	admission, err := e.intake.Admit("host", "/"+queue+"/", key)
+	intake := e.current()
+	admission, err := intake.Admit("host", "/"+queue+"/", key)
 	if err != nil {
 		return err
 	}
@@ -350,7 +383,7 @@
 	before := a.rejected
 	a.rejected = false
 	w.mu.Unlock()
-	err = e.intake.Submit(ctx, admission, a.job, specText+a.job.ID)
+	err = intake.Submit(ctx, admission, a.job, specText+a.job.ID)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	a.rejected = before && err != nil
@@ -362,9 +395,10 @@
 	for try := range 10 {
 		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
 		e := w.entries[try%len(w.entries)]
-		admission, err := e.intake.Admit("host", "/"+queue+"/", key)
+		intake := e.current()
+		admission, err := intake.Admit("host", "/"+queue+"/", key)
 		if err == nil {
-			err = e.intake.Cancel(ctx, admission, a.job.ID)
+			err = intake.Cancel(ctx, admission, a.job.ID)
 		}
 		cancel()
 		if err == nil {
@@ -386,11 +420,11 @@
 
 // state reads a job's state from the store.
 func (w *world) state(id string) sesamework.JobState {
-	e := w.entries[0]
+	intake := w.entries[0].current()
 	admission := sesameintake.Admission{}
 	for _, queue := range []string{"urgent", "normal", "batch"} {
 		admission.Queue.Name = queue
-		if s, err := e.intake.State(w.ctx, admission, id); err == nil {
+		if s, err := intake.State(w.ctx, admission, id); err == nil {
 			return s
 		}
 	}
