Reckon with what a queue's tasks take, not only with what they declare

Ruled out: the queue's mean alone, which is worse where declarations are good (test 'declarations are good').

Change: a regression, by queue, of the logarithm of what tasks took on what they declared, with a prior that trusts the declaration; kept over the terms of one process.

--- a/sesamedispatch/book.go
+++ b/sesamedispatch/book.go
@@ -18,6 +18,8 @@
 	jobs    map[string]*job
 	units   map[sesamework.UnitID]*unit
 	targets map[string]*target
+	// histories tell by queue what finished tasks took.
+	histories map[string]*history
 	// ends holds the rows of all ends, which go with their jobs.
 	ends map[sesamerows.Key]bool
 	now  Now
@@ -44,9 +46,13 @@
 	ended time.Duration
 	// occurrences holds the units of each time, by step.
 	occurrences [][][]*unit
-	objective   time.Duration
-	// tails holds the declared duration of the longest chain from each step on.
-	tails []time.Duration
+	// durations are the expected ones of the steps, tails those of the longest
+	// chain from each step on, and objective is when it should end; all by the
+	// version of the queue's history that estimated names.
+	durations []time.Duration
+	tails     []time.Duration
+	objective time.Duration
+	estimated int
 }
 
 // NewBook returns an empty book.
@@ -56,7 +62,9 @@
 		jobs:    map[string]*job{},
 		units:   map[sesamework.UnitID]*unit{},
 		targets: map[string]*target{},
-		ends:    map[sesamerows.Key]bool{},
+
+		histories: map[string]*history{},
+		ends:      map[sesamerows.Key]bool{},
 	}
 }
 
@@ -129,8 +137,7 @@
 	if !b.decode(row, row.Value, &j.Job) || j.Validate() != nil || j.ID != id {
 		return
 	}
-	j.objective = j.Objective()
-	j.tails = j.Tails()
+	b.estimate(j)
 	b.jobs[id] = j
 	if !j.Recurs() {
 		b.open(j)
@@ -262,6 +269,9 @@
 	if t, ok := b.targets[m.Target]; ok && t.Life == m.Life {
 		t.judge(u, e, b.now.Steady)
 	}
+	if over && u.done {
+		b.learn(u)
+	}
 	if over && e.How == sesamework.EndFailed && len(u.avoid) > 1 {
 		b.forgive(u)
 	}
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -61,6 +61,7 @@
 	b.giveUpSilent(&d)
 	b.openDue()
 	for _, j := range b.jobs {
+		b.estimate(j)
 		b.stopEnded(j, &d)
 	}
 	b.stopStalled(&d)
--- /dev/null
+++ b/sesamedispatch/estimate_test.go
@@ -0,0 +1,64 @@
+package sesamedispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// estimateError returns the mean error of estimates, as a logarithm, after the
+// history has learnt from tasks whose durations vary by spread and whose
+// declarations are off by that much, and that of the declarations.
+func estimateError(tasks int, spread, off float64) (estimated, declared float64) {
+	random := rand.New(rand.NewPCG(1, 2))
+	h := &history{}
+	draw := func() (took, said time.Duration) {
+		y := random.NormFloat64() * spread
+		x := y + random.NormFloat64()*off
+		return time.Duration(math.Exp(y) * float64(time.Second)), time.Duration(math.Exp(x) * float64(time.Second))
+	}
+	for range tasks {
+		took, said := draw()
+		h.learn(said, took)
+	}
+	const samples = 200
+	for range samples {
+		took, said := draw()
+		estimated += math.Abs(logSeconds(h.expect(said))-logSeconds(took)) / samples
+		declared += math.Abs(logSeconds(said)-logSeconds(took)) / samples
+	}
+	return estimated, declared
+}
+
+// TestEstimates checks that estimates are better than declarations that are
+// far off, and hardly worse than good ones.
+func TestEstimates(t *testing.T) {
+	t.Run("declarations are far off", func(t *testing.T) {
+		estimated, declared := estimateError(20, 0.5, 0.9)
+		is.New(t).True(estimated < 0.7*declared)
+	})
+	t.Run("declarations are good", func(t *testing.T) {
+		estimated, declared := estimateError(20, 0.5, 0.2)
+		is.New(t).True(estimated < 1.2*declared)
+	})
+	t.Run("nothing is known", func(t *testing.T) {
+		is := is.New(t)
+		var none *history
+		is.Equal(none.expect(time.Second), time.Second)
+		is.Equal(none.expect(0), time.Duration(0))
+	})
+	t.Run("durations change", func(t *testing.T) {
+		is := is.New(t)
+		h := &history{}
+		for range 5 * historyTasks {
+			h.learn(time.Second, time.Second)
+		}
+		for range 5 * historyTasks {
+			h.learn(time.Second, 3*time.Second)
+		}
+		is.True(h.expect(time.Second) > 2500*time.Millisecond)
+	})
+}
--- a/sesamedispatch/owed.go
+++ b/sesamedispatch/owed.go
@@ -277,9 +277,9 @@
 // work.
 const lateUrgentRatio = 4
 
-// work returns the declared core-seconds of the unit.
+// work returns the expected core-seconds of the unit.
 func (u *unit) work() float64 {
-	return u.step.Need.Weight() * float64(u.tasks()) * u.step.Duration().Seconds()
+	return u.step.Need.Weight() * float64(u.tasks()) * u.duration().Seconds()
 }
 
 // restartCost is what a stopped run loses at least, in seconds of its work:
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -294,7 +294,7 @@
 // copies returns how many more tasks of the unit fit on the target.
 func (p *pass) copies(u *unit, t *target) int {
 	room := p.room[t.name]
-	if u.step.Duration() >= p.keptFor[t.name] {
+	if u.duration() >= p.keptFor[t.name] {
 		room = room.Minus(p.kept[t.name])
 	}
 	n := u.tasks()
@@ -365,7 +365,7 @@
 // hasWaited reports whether waiting for the right rack has taken as long as
 // the work itself.
 func (p *pass) hasWaited(u *unit) bool {
-	return p.book.now.Steady-u.ready >= max(minRackWait, u.step.Duration())
+	return p.book.now.Steady-u.ready >= max(minRackWait, u.duration())
 }
 
 // rackExists reports whether a usable target of the rack could ever run a task.
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -70,6 +70,8 @@
 	storeNow sesamerows.Timekeeper
 	seen     leader
 	seenAt   time.Duration
+	// histories outlast the terms of this process; another one learns anew.
+	histories map[string]*history
 }
 
 // leader is the row of the planning process.
@@ -90,6 +92,8 @@
 	return &Planner{
 		o:        o,
 		storeNow: sesamerows.NewTimekeeper(o.Clock),
+
+		histories: map[string]*history{},
 	}
 }
 
@@ -160,7 +164,7 @@
 		questions: make(chan struct{}, 1),
 		answers:   make(chan map[string]bool, 1),
 		fence:     sesamerows.NewFence(p.o.Store, sesamework.LeaderKey()),
-		book:      NewBook(p.o.Log),
+		book:      NewBook(p.o.Log).withHistories(p.histories),
 		follower: sesamerows.NewFollower(p.o.Store, sesamerows.FollowOptions{
 			Table:  sesamework.WorkTable,
 			Wait:   feedWait,
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -56,7 +56,7 @@
 // share of its declared duration: twenty times as long as declared.
 func (u *unit) stallTime() time.Duration {
 	const slowestPercent = 20
-	return max(stallTime, u.step.Duration()*slowestPercent/100)
+	return max(stallTime, u.duration()*slowestPercent/100)
 }
 
 // stopDraining stops what can't end before its target leaves.
@@ -100,5 +100,5 @@
 	}
 	// A task that takes longer than declared is likely to go on for a while.
 	const leastShare = 4
-	return max(u.step.Duration()-elapsed, u.step.Duration()/leastShare)
+	return max(u.duration()-elapsed, u.duration()/leastShare)
 }
--- a/sesamework/job.go
+++ b/sesamework/job.go
@@ -153,26 +153,12 @@
 	return j.First + int64(occurrence)*j.Interval
 }
 
-// Chain returns the declared duration of the longest chain of steps.
-func (j Job) Chain() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	var longest time.Duration
-	for i, s := range j.Steps {
-		for _, earlier := range s.After {
-			ends[i] = max(ends[i], ends[earlier])
-		}
-		ends[i] += s.Duration()
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// Tails returns for each step the declared duration of the longest chain that
-// begins with it.
-func (j Job) Tails() []time.Duration {
+// Tails returns for each step the duration of the longest chain that begins
+// with it, by the durations of the steps.
+func (j Job) Tails(durations []time.Duration) []time.Duration {
 	tails := make([]time.Duration, len(j.Steps))
 	for i := len(j.Steps) - 1; i >= 0; i-- {
-		tails[i] += j.Steps[i].Duration()
+		tails[i] += durations[i]
 		for _, earlier := range j.Steps[i].After {
 			tails[earlier] = max(tails[earlier], tails[i])
 		}
@@ -180,10 +166,10 @@
 	return tails
 }
 
-// Objective returns the time in which an occurrence should end.
-func (j Job) Objective() time.Duration {
-	chain := time.Duration(j.Terms.Stretch * float64(j.Chain()))
-	return chain + time.Duration(j.Terms.Latency)*time.Millisecond
+// Objective returns the time in which an occurrence should end whose longest
+// chain takes that long.
+func (j Job) Objective(chain time.Duration) time.Duration {
+	return time.Duration(j.Terms.Stretch*float64(chain)) + time.Duration(j.Terms.Latency)*time.Millisecond
 }
 
 // Bounds on what one job may ask for; the row of a job is at most 64 KiB.
