Let work go on on targets that drain, but for what saves its progress

Cause: work that couldn't end within the time that a draining target announces was stopped at once. Targets often stay for seconds longer, and a stop loses unsaved work for sure.

Change: work without checkpoints goes on; what saves its progress is stopped 1.5 s before the announced end. TestDrainingTargetKeepsWork failed before; TestDrainingTarget (work that outlasts its target moves) holds.

--- a/sesamedispatch/inventory_test.go
+++ b/sesamedispatch/inventory_test.go
@@ -93,3 +93,25 @@
 		is.True(w.clock.Since(started) < rest)
 	})
 }
+
+// TestDrainingTargetKeepsWork checks that work which can't save its progress
+// goes on where it is: the target stays longer than it says.
+func TestDrainingTargetKeepsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 2)
+		w.sleep(3 * time.Second)
+		w.submit(newAsked("long", sesamework.Step{
+			Count:    1,
+			Need:     accelerators(8),
+			Estimate: 8000,
+		}, 8*time.Second), "normal", "key-a", 0)
+		w.sleep(time.Second)
+		w.mu.Lock()
+		for _, n := range w.nodes {
+			n.draining = true
+		}
+		w.mu.Unlock()
+		assertKept(t, w, 10*time.Second)
+		is.New(t).Equal(w.fleet.Starts(), 1)
+	})
+}
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -59,10 +59,16 @@
 	return max(stallTime, u.duration()*slowestPercent/100)
 }
 
-// stopDraining stops what can't end before its target leaves.
+// lastMoment is how long before the announced end of a target work there is
+// stopped to save its progress: the stop takes a second, and the way to it.
+const lastMoment = 1500 * time.Millisecond
+
+// stopDraining stops in the last moment what saves its progress and can't end
+// before its target leaves. Other work goes on: targets often stay for seconds
+// longer than they say, and a stop would lose it for sure.
 func (b *Book) stopDraining(d *Decision) {
 	for _, u := range b.units {
-		if !u.isActive() || u.run.Stop != "" {
+		if !u.isActive() || u.run.Stop != "" || !u.step.Checkpoints {
 			continue
 		}
 		for _, m := range u.members {
@@ -71,7 +77,7 @@
 				continue
 			}
 			stays := time.Duration(t.Leaves)*time.Millisecond - (b.now.Steady - t.heard)
-			if b.remaining(u) > stays {
+			if stays <= lastMoment && b.remaining(u) > stays {
 				d.stop(u, stopDraining)
 			}
 		}
