--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -9,14 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/sesameclock"
-	"github.com/sesamestack/sesamestack/sesamedispatch"
 	"github.com/sesamestack/sesamestack/sesameintake"
 	"github.com/sesamestack/sesamestack/sesamerows"
-	"github.com/sesamestack/sesamestack/sesamerunner"
 	"github.com/sesamestack/sesamestack/sesamestandin"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
@@ -53,59 +50,6 @@
 	cancelled time.Time
 }
 
-// lifetime is that of a process, which troubles that overlap may stop and
-// start.
-type lifetime struct {
-	mu  sync.Mutex
-	end context.CancelFunc
-}
-
-// stop ends the process if it runs.
-func (l *lifetime) stop() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.end != nil {
-		l.end()
-	}
-}
-
-// restart ends the process if it runs, and returns the context of the next.
-func (l *lifetime) restart(parent context.Context) context.Context {
-	l.stop()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ctx, cancel := context.WithCancel(parent)
-	l.end = cancel
-	return ctx
-}
-
-type entryProcess struct {
-	lifetime
-	w      *world
-	name   string
-	rows   *sesamestandin.FaultyRows
-	store  sesamerows.Store
-	intake *sesameintake.Intake
-}
-
-type nodeProcess struct {
-	lifetime
-	w      *world
-	name   string
-	zone   string
-	rack   string
-	rows   *sesamestandin.FaultyRows
-	store  sesamerows.Store
-	target *sesamestandin.LeasedTarget
-	id     string
-	life   int64
-	// removed nodes are not in the inventory, and draining ones say so. The
-	// target of a vanished one says nothing.
-	removed  bool
-	vanished bool
-	draining bool
-}
-
 const (
 	testAttempts = 3
 	stopTime     = 400 * time.Millisecond
@@ -224,126 +168,6 @@
 // job's cancelling was accepted.
 const cancelBound = 3 * time.Second
 
-func (e *entryProcess) start() {
-	ctx := e.restart(e.w.ctx)
-	intake := sesameintake.New(sesameintake.Options{
-		Store: e.store,
-		Source: &policySource{
-			follower: sesamerows.NewFollower(e.store, sesamerows.FollowOptions{
-				Table: policyKey.Table,
-				Wait:  time.Second,
-			}),
-		},
-		Clock: e.w.steady,
-		Log:   testLog(),
-		Scope: tally.NoopScope,
-	})
-	planner := sesamedispatch.NewPlanner(sesamedispatch.Options{
-		Name:      e.name,
-		Store:     e.store,
-		Policies:  intake.Policies(),
-		Inventory: e.w,
-		Clock:     e.w.steady,
-		Log:       testLog(),
-		Scope:     tally.NoopScope,
-	})
-	e.w.mu.Lock()
-	e.intake = intake
-	e.w.mu.Unlock()
-	e.w.group.Go(func() error {
-		return ignoreCancel(intake.Run(ctx))
-	})
-	e.w.group.Go(func() error {
-		return ignoreCancel(planner.Run(ctx))
-	})
-}
-
-func ignoreCancel(err error) error {
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
-}
-
-// current returns the intake of the process that runs now.
-func (e *entryProcess) current() *sesameintake.Intake {
-	e.w.mu.Lock()
-	defer e.w.mu.Unlock()
-	return e.intake
-}
-
-// now returns the node's newest target.
-func (n *nodeProcess) now() *sesamestandin.LeasedTarget {
-	n.w.mu.Lock()
-	defer n.w.mu.Unlock()
-	return n.target
-}
-
-// renew puts a new target on the node's fleet.
-func (n *nodeProcess) renew() {
-	n.w.mu.Lock()
-	defer n.w.mu.Unlock()
-	n.life++
-	n.id = fmt.Sprintf("%s-life-%d", n.name, n.life)
-	n.target = n.w.fleet.Add(n.id, n.life, wholeNode())
-}
-
-func (n *nodeProcess) start() {
-	ctx := n.restart(n.w.ctx)
-	runner := sesamerunner.New(sesamerunner.Options{
-		Node:  n.name,
-		Zone:  n.zone,
-		Store: n.store,
-		Dial: func(_, id string) sesamerunner.Executor {
-			return n.w.fleet.Target(id)
-		},
-		Clock:    n.w.steady,
-		Log:      testLog(),
-		Scope:    tally.NoopScope,
-		MaxLease: maxLease,
-	})
-	n.w.group.Go(func() error {
-		return ignoreCancel(runner.Run(ctx))
-	})
-	n.w.group.Go(func() error {
-		n.report(ctx, runner)
-		return nil
-	})
-}
-
-const reportEach = 1500 * time.Millisecond
-
-// report sends what the target says of itself.
-func (n *nodeProcess) report(ctx context.Context, runner *sesamerunner.Runner) {
-	for sequence := int64(1); ctx.Err() == nil; sequence++ {
-		n.w.mu.Lock()
-		draining := n.draining
-		vanished := n.vanished
-		id, life := n.id, n.life
-		n.w.mu.Unlock()
-		if vanished {
-			n.w.sleep(reportEach)
-			continue
-		}
-		runner.Report(sesamerunner.Report{
-			ID:       id,
-			Service:  "service",
-			Address:  "address",
-			Rack:     n.rack,
-			Labels:   []string{"kind", n.rack},
-			Room:     wholeNode(),
-			Draining: draining,
-			Leaves:   2 * time.Second,
-			Life:     life,
-			Sequence: sequence,
-		})
-		select {
-		case <-n.w.clock.After(reportEach):
-		case <-ctx.Done():
-		}
-	}
-}
-
 // submit hands a job in at one entry after the other until one answers for
 // good, as a client does.
 func (w *world) submit(a *asked, queue, key string, first int) {
--- a/sesamerows/detour.go
+++ b/sesamerows/detour.go
@@ -14,7 +14,7 @@
 	// failuresToDetour is how many calls in a row the store must not serve
 	// before calls go through other processes.
 	failuresToDetour = 2
-	// firstProbe is how long they do before one call tries the straight way
+	// firstProbe is how long they do before one call goes to the store directly
 	// again; it doubles with each try in vain up to maxProbe.
 	firstProbe = 2 * time.Second
 	maxProbe   = 8 * time.Second
@@ -44,7 +44,7 @@
 	mu       sync.Mutex
 	failures int
 	// blocked says that calls go through relays, until probeAt, when one call
-	// probes the straight way.
+	// is made directly.
 	blocked bool
 	probeAt time.Duration
 	probe   time.Duration
@@ -57,7 +57,7 @@
 
 var _ Store = (*Detour)(nil)
 
-// NewDetour returns a store that uses the straight way first. It calls changed
+// NewDetour returns a store that is called directly at first. It calls changed
 // when calls begin to go through other processes, with the last failure, and
 // when they end to.
 func NewDetour(
@@ -112,10 +112,10 @@
 	return version, err
 }
 
-// Direct returns the straight way for other processes, which is refused while
-// this process needs a detour itself.
+// Direct returns the store for calls of other processes. It refuses them while
+// this process can't reach the store itself.
 func (d *Detour) Direct() Store {
-	return &straight{
+	return &relayed{
 		Detour: d,
 	}
 }
@@ -124,7 +124,7 @@
 func (d *Detour) call(ctx context.Context, attempt func(Store) error) error {
 	if relay, number := d.relay(); relay != nil {
 		err := attempt(relay)
-		d.relayed(number, isUnserved(ctx, err))
+		d.noteRelay(number, isUnserved(ctx, err))
 		return err
 	}
 	err := attempt(d.direct)
@@ -140,8 +140,8 @@
 	return errors.HasType(err, (*UnavailableError)(nil)) || errors.HasType(err, (*UnknownError)(nil))
 }
 
-// relay returns the way through another process and its number, or nil for the
-// straight way.
+// relay returns the way through another process and its number, or nil for a
+// direct call.
 func (d *Detour) relay() (Store, int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -157,7 +157,7 @@
 	return d.relays.Relay(d.number), d.number
 }
 
-// note takes in how a call on the straight way went.
+// note takes in how a direct call went.
 func (d *Detour) note(err error, unserved bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -178,8 +178,8 @@
 	}
 }
 
-// relayed takes in how a call through the relay with that number went.
-func (d *Detour) relayed(number int, unserved bool) {
+// noteRelay takes in how a call through the relay with that number went.
+func (d *Detour) noteRelay(number int, unserved bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !unserved {
@@ -196,15 +196,15 @@
 	}
 }
 
-// isBlocked reports whether the store turns this process away.
-func (d *Detour) isBlocked() bool {
+// hasFailed reports whether the store did not serve the last direct call.
+func (d *Detour) hasFailed() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.failures > 0
 }
 
-// straight serves the calls of other processes.
-type straight struct {
+// relayed serves the calls of other processes.
+type relayed struct {
 	*Detour
 }
 
@@ -216,8 +216,8 @@
 	return "the store turns this process away too"
 }
 
-func (s *straight) check(operation string) error {
-	if !s.isBlocked() {
+func (s *relayed) check(operation string) error {
+	if !s.hasFailed() {
 		return nil
 	}
 	return &UnavailableError{
@@ -227,7 +227,7 @@
 }
 
 // Read returns rows of a range; see Store.
-func (s *straight) Read(ctx context.Context, r Range) (Page, error) {
+func (s *relayed) Read(ctx context.Context, r Range) (Page, error) {
 	if err := s.check("read"); err != nil {
 		return Page{}, err
 	}
@@ -235,7 +235,7 @@
 }
 
 // Parts returns the parts of a table; see Store.
-func (s *straight) Parts(ctx context.Context, table string) ([]string, error) {
+func (s *relayed) Parts(ctx context.Context, table string) ([]string, error) {
 	if err := s.check("parts"); err != nil {
 		return nil, err
 	}
@@ -243,7 +243,7 @@
 }
 
 // Changes waits for changes of a table; see Store.
-func (s *straight) Changes(ctx context.Context, table string, after Version, wait time.Duration) (Page, error) {
+func (s *relayed) Changes(ctx context.Context, table string, after Version, wait time.Duration) (Page, error) {
 	if err := s.check("changes"); err != nil {
 		return Page{}, err
 	}
@@ -251,7 +251,7 @@
 }
 
 // Commit applies a transaction; see Store.
-func (s *straight) Commit(ctx context.Context, t Transaction) (Version, error) {
+func (s *relayed) Commit(ctx context.Context, t Transaction) (Version, error) {
 	if err := s.check("commit"); err != nil {
 		return 0, err
 	}
--- a/sesamerows/fence.go
+++ b/sesamerows/fence.go
@@ -87,7 +87,12 @@
 		return
 	}
 	f.seen = row.Version
-	time.AfterFunc(answerGrace, f.interrupt)
+	interrupt := f.interrupt
+	grace, cancel := context.WithTimeout(context.Background(), answerGrace)
+	context.AfterFunc(grace, func() {
+		cancel()
+		interrupt()
+	})
 }
 
 // await makes Observe look for the value.
--- a/sesamerunner/executor.go
+++ b/sesamerunner/executor.go
@@ -145,6 +145,4 @@
 	Life int64
 	// Sequence grows with each report of a life.
 	Sequence int64
-	// Clock is the target's own.
-	Clock time.Duration
 }
