--- a/sesamesoak/world_test.go
+++ b/sesamesoak/world_test.go
@@ -121,10 +121,11 @@
 place: {region: r, zone: zone-0}
 callers: %q
 ready: %q
+relay: %q
 store: %q
 memory: 256
 drain: 2s
-`, i, callers, freeAddress(s.t), p.address()))
+`, i, callers, freeAddress(s.t), freeAddress(s.t), p.address()))
 }
 
 func (s *soak) addAgent(binary string, i int, p *proxy) {
