Order relays by one comparison, and test their list

TestRelays: processes announce themselves, the own zone comes first, a row that can't be read is passed over.

--- a/sesamerows/patient_test.go
+++ b/sesamerows/patient_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/sesamerows"
 )
@@ -83,17 +84,17 @@
 		fence := sesamerows.NewFence(store, fenceKey)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		done := make(chan error)
-		go func() {
-			done <- fence.Take(ctx, 0, []byte("value"))
-		}()
+		var group errgroup.Group
+		group.Go(func() error {
+			return fence.Take(ctx, 0, []byte("value"))
+		})
 		page, err := store.Changes(ctx, fenceKey.Table, 0, time.Minute)
 		is.NoErr(err)
 		for _, row := range page.Rows {
 			fence.Observe(row)
 		}
 		started := time.Now()
-		is.NoErr(<-done)
+		is.NoErr(group.Wait())
 		is.True(time.Since(started) < time.Second)
 		is.Equal(store.commits, 1)
 		is.Equal(fence.Version(), page.Version)
--- a/sesamerows/relays.go
+++ b/sesamerows/relays.go
@@ -1,10 +1,10 @@
 package sesamerows
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -123,32 +123,36 @@
 	return nil
 }
 
+// candidate is a process that relays calls, with what it is ordered by.
+type candidate struct {
+	relayRow
+	// distance is 0 in the own zone, and weight differs from process to
+	// process.
+	distance int
+	weight   uint64
+}
+
 // set replaces the list. Its order differs from process to process, so that
 // they spread.
 func (r *Relays) set(rows []Row) {
-	type candidate struct {
-		relayRow
-		far    bool
-		weight uint64
-	}
 	var all []candidate
 	for _, row := range rows {
 		var c candidate
 		if row.Key.Name == r.o.Name || json.Unmarshal(row.Value, &c.relayRow) != nil || c.Address == "" {
 			continue
 		}
-		c.far = c.Zone != r.o.Zone
+		if c.Zone != r.o.Zone {
+			c.distance = 1
+		}
 		c.weight = xxhash.Sum64String(r.o.Name + "\x00" + row.Key.Name)
 		all = append(all, c)
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		switch {
-		case a.far != b.far && b.far, a.far == b.far && a.weight < b.weight:
-			return -1
-		case a == b:
-			return strings.Compare(a.Address, b.Address)
-		}
-		return 1
+		return cmp.Or(
+			cmp.Compare(a.distance, b.distance),
+			cmp.Compare(a.weight, b.weight),
+			cmp.Compare(a.Address, b.Address),
+		)
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/sesamerows/relays_test.go
@@ -0,0 +1,66 @@
+package sesamerows_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesamerows"
+)
+
+// named is a store that knows its address.
+type named struct {
+	*sesamerows.Memory
+	address string
+}
+
+// TestRelays lets processes announce themselves, and checks that one lists the
+// others, those of its own zone first, and nothing that can't be read.
+func TestRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		memory := sesamerows.NewMemory(virtualClock())
+		_, err := memory.Commit(ctx, sesamerows.Transaction{
+			Writes: []sesamerows.Write{{
+				Key: sesamerows.Key{
+					Table: "relays",
+					Part:  "relays",
+					Name:  "strange",
+				},
+				Value: []byte("{"),
+			}},
+		})
+		is.NoErr(err)
+		var last *sesamerows.Relays
+		var group errgroup.Group
+		for _, o := range []sesamerows.RelayOptions{
+			{Name: "far", Zone: "b", Address: "far:1"},
+			{Name: "near", Zone: "a", Address: "near:1"},
+			{Name: "own", Zone: "a", Address: "own:1"},
+		} {
+			o.Dial = func(address string) sesamerows.Store {
+				return &named{
+					Memory:  memory,
+					address: address,
+				}
+			}
+			relays := sesamerows.NewRelays(o)
+			group.Go(func() error {
+				return relays.Run(ctx, memory)
+			})
+			last = relays
+		}
+		is.True(last.Relay(0) == nil)
+		time.Sleep(3 * time.Second)
+		for number, address := range []string{"near:1", "far:1", "near:1"} {
+			is.Equal(last.Relay(number).(*named).address, address)
+		}
+		cancel()
+		is.NoErr(group.Wait())
+	})
+}
