Refuse inputs and outputs beyond 64 MiB, and report unanswered starts as unknown

Cause: fetchInput and Client.Output read at most 64 MiB and took that for the whole, so a shortened input or result passed as complete, with a digest to match. startTask set the progress to "never" when a start without an answer was followed by a refusal for want of a lease, though the first start may have been carried out; a job that must run once could then run again.

Ruled out: sesametable's readReply also stops at 64 MiB, but only JSON replies pass through it, which don't decode when shortened; objects are streamed.

Change: http.MaxBytesReader and the types InputTooLargeError (the attempt is refused) and OutputTooLargeError (the task ends as failed, with the reason). A call without an answer keeps the progress "unknown", whatever follows.

--- a/sesameagent/helpers_test.go
+++ b/sesameagent/helpers_test.go
@@ -224,7 +224,13 @@
 // and returns its base address.
 func newTarget(t *testing.T) string {
 	t.Helper()
-	server := httptest.NewServer(sesamestandin.NewTargetHandler(clockwork.NewRealClock(), sesametarget.Description{
+	return newTargetBehind(t, func(next http.Handler) http.Handler { return next })
+}
+
+// newTargetBehind is newTarget with a handler of the test before the stand-in.
+func newTargetBehind(t *testing.T, wrap func(next http.Handler) http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(wrap(sesamestandin.NewTargetHandler(clockwork.NewRealClock(), sesametarget.Description{
 		Kind: sesamemodel.Worker,
 		Capacity: sesamemodel.Resources{
 			Cores:        64,
@@ -232,7 +238,7 @@
 			Accelerators: 8,
 			Slots:        8,
 		},
-	}))
+	})))
 	t.Cleanup(server.Close)
 	return server.URL
 }
--- a/sesameagent/polling.go
+++ b/sesameagent/polling.go
@@ -198,7 +198,8 @@
 }
 
 // saveOutputWithRetries stores a task's output with back-off until that
-// succeeds, the target no longer knows the task, or ctx ends.
+// succeeds, the target no longer knows the task, or ctx ends. A task whose output
+// is too large to be stored whole ends as failed.
 func (a *Agent) saveOutputWithRetries(ctx context.Context, k sesamegang.AttemptKey, rank int32) {
 	wait := newRetryBackOff()
 	for {
@@ -215,6 +216,15 @@
 			"task":  taskID(k, rank),
 			"error": err,
 		})
+		var tooLarge *sesametarget.OutputTooLargeError
+		if errors.As(err, &tooLarge) {
+			a.taskEnded(k, sesamegang.TaskEnd{
+				Rank:     rank,
+				Progress: sesamewire.Progress_PROGRESS_FAILED,
+				Detail:   err.Error(),
+			})
+			return
+		}
 		var lost *sesametarget.NotFoundError
 		if errors.As(err, &lost) || a.sleep(ctx, wait.NextBackOff()) != nil {
 			return // poll ends a task that the target no longer knows
--- a/sesameagent/server.go
+++ b/sesameagent/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -104,9 +105,10 @@
 	return answer
 }
 
-// fetchInput reads the input from the object with that key, up to maxInputBytes;
-// for an empty key it returns nil. It runs before any resource is reserved, so
-// that a store that is down leads to a refusal and does not break an attempt.
+// fetchInput reads the whole input from the object with that key; for an empty
+// key it returns nil. An input of more than maxInputBytes is an
+// *InputTooLargeError. It runs before any resource is reserved, so that a store
+// that is down leads to a refusal and does not break an attempt.
 func (a *Agent) fetchInput(ctx context.Context, object string) ([]byte, error) {
 	if object == "" {
 		return nil, nil
@@ -115,7 +117,13 @@
 	if err != nil {
 		return nil, err
 	}
-	input, err := io.ReadAll(io.LimitReader(body, maxInputBytes))
+	input, err := io.ReadAll(http.MaxBytesReader(nil, body, maxInputBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		err = &InputTooLargeError{
+			Object: object,
+		}
+	}
 	return input, errors.CombineErrors(err, body.Close())
 }
 
--- a/sesameagent/tasks.go
+++ b/sesameagent/tasks.go
@@ -206,8 +206,9 @@
 // startTask starts one task. While the target can't be reached, it repeats the
 // call until the attempt is stopped, its lease expires or ctx ends; while the
 // target has no lease for the agent, until maxStartTries calls were made. If no
-// call succeeds, it returns the task's end, which says whether the task never
-// started or may have started, and true.
+// call succeeds, it returns the task's end and true. The end says that the task
+// never started only if the target refused every call: a call without an answer
+// may have started it, whatever later calls return.
 func (a *Agent) startTask(ctx context.Context, m sesamegang.Member, rank int32) (sesamegang.TaskEnd, bool) {
 	task := sesametarget.Task{
 		ID:              taskID(m.Key, rank),
@@ -245,7 +246,6 @@
 		case errors.As(err, &unreachable):
 			end.Progress = sesamewire.Progress_PROGRESS_UNKNOWN
 		case !errors.As(err, &lease) || try >= maxStartTries:
-			end.Progress = sesamewire.Progress_PROGRESS_NEVER
 			return end, true
 		}
 		if a.sleep(ctx, startRetryDelay) != nil {
--- a/sesametarget/client.go
+++ b/sesametarget/client.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // The paths of a target's HTTP interface.
@@ -109,8 +111,8 @@
 	return tasks, err
 }
 
-// Output returns the whole output of a task that is done. It returns a
-// *RefusedError when the target announces more than MaxOutputBytes.
+// Output returns the whole output of a task that is done. It returns an
+// *OutputTooLargeError when the output has more than MaxOutputBytes.
 func (c *Client) Output(ctx context.Context, id TaskID) ([]byte, error) {
 	k := call{
 		operation: "output",
@@ -123,14 +125,13 @@
 		return nil, err
 	}
 	defer drainAndClose(response)
-	if response.ContentLength > MaxOutputBytes {
-		return nil, &RefusedError{
-			Operation: k.operation,
-			Status:    response.StatusCode,
-			Detail:    "output of " + strconv.FormatInt(response.ContentLength, 10) + " bytes exceeds the limit",
+	output, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, MaxOutputBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &OutputTooLargeError{
+			Task: id,
 		}
 	}
-	output, err := io.ReadAll(io.LimitReader(response.Body, MaxOutputBytes))
 	if err != nil {
 		return nil, k.unreachableError(err)
 	}
--- a/sesametarget/client_test.go
+++ b/sesametarget/client_test.go
@@ -81,6 +81,20 @@
 		assertAs[*sesametarget.UnreachableError](is, err)
 	})
 
+	t.Run("an output beyond the limit, of unknown length", func(t *testing.T) {
+		is := is.New(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			chunk := make([]byte, 1<<20)
+			for written := 0; written <= sesametarget.MaxOutputBytes; written += len(chunk) {
+				_, _ = w.Write(chunk)
+			}
+		}))
+		t.Cleanup(server.Close)
+		client := sesametarget.NewClient(server.URL, server.Client())
+		_, err := client.Output(context.Background(), "j:1:0")
+		is.Equal(assertAs[*sesametarget.OutputTooLargeError](is, err).Task, sesametarget.TaskID("j:1:0"))
+	})
+
 	t.Run("no target at all", func(t *testing.T) {
 		is := is.New(t)
 		server := httptest.NewServer(http.NotFoundHandler())
--- a/sesametarget/errors.go
+++ b/sesametarget/errors.go
@@ -57,6 +57,17 @@
 	return fmt.Sprintf("task %q has no output: %s", e.Task, e.Detail)
 }
 
+// OutputTooLargeError says that a task's output has more than MaxOutputBytes. A
+// repeated call fails in the same way.
+type OutputTooLargeError struct {
+	Task TaskID
+}
+
+// Error names the task and the limit.
+func (e *OutputTooLargeError) Error() string {
+	return fmt.Sprintf("output of task %q has more than %d bytes", e.Task, MaxOutputBytes)
+}
+
 // RefusedError says that the target refused a call for a reason that no other
 // error type of this package names.
 type RefusedError struct {
