Record a cancellation once, and let cancelled calls say nothing of the store

Cause: Cancel wrote its row without a condition, so each repeated or late try wrote it again and woke every reader of the feed. A call whose caller cancelled it counted as an answer of the store: a cancelled probe closed the circuit breaker, and calls went to a store that refuses this process. Relays.dialed kept the clients of relays that had left.

Change: the cancel row must not exist, and a conflict is success. A call that failed after its caller had cancelled it is not recorded. dialed holds only what the list names.

--- a/sesameintake/intake.go
+++ b/sesameintake/intake.go
@@ -200,19 +200,27 @@
 }
 
 // Cancel records that a job is to be cancelled; a job that has ended is left as
-// it is. Errors are a *JobNotFoundError and those of Store.Commit.
+// it is, and so is one whose cancellation is recorded already. Errors are a
+// *JobNotFoundError and those of Store.Commit.
 func (in *Intake) Cancel(ctx context.Context, a Admission, id string) error {
 	found, err := in.lookup(ctx, a, id)
 	if err != nil || found.State.Ended() {
 		return err
 	}
+	key := sesamework.CancelKey(id)
 	_, err = sesamerows.CommitWithRetry(ctx, in.store, sesamerows.Transaction{
+		// With the condition, a repeated or late try changes nothing, and so
+		// wakes no reader of the feed.
+		Expects: []sesamerows.Expect{{
+			Key: key,
+		}},
 		Writes: []sesamerows.Write{{
-			Key:   sesamework.CancelKey(id),
+			Key:   key,
 			Value: []byte("{}"),
 		}},
 	}, func(c *sesamerows.ConflictError) (sesamerows.Version, error) {
-		return 0, c
+		row, _ := c.Row(key)
+		return row.Version, nil
 	})
 	if err != nil {
 		return err
--- a/sesamerows/failover.go
+++ b/sesamerows/failover.go
@@ -134,23 +134,30 @@
 // call runs the operation once, with a relay or the direct store, whichever is
 // in use, records whether it failed, and returns its error.
 func (d *FailoverStore) call(ctx context.Context, operation func(Store) error) error {
-	if relay, number := d.chooseRelay(); relay != nil {
-		err := operation(relay)
-		d.recordRelayed(number, isOutage(ctx, err))
+	relay, number := d.chooseRelay()
+	if relay == nil {
+		err := operation(d.direct)
+		if !wasCancelled(ctx, err) {
+			d.recordDirect(err, isOutage(err))
+		}
 		return err
 	}
-	err := operation(d.direct)
-	d.recordDirect(err, isOutage(ctx, err))
+	err := operation(relay)
+	if !wasCancelled(ctx, err) {
+		d.recordRelayed(number, isOutage(err))
+	}
 	return err
 }
 
+// wasCancelled reports whether a call failed after its caller had cancelled it,
+// so that its error says nothing of the store.
+func wasCancelled(ctx context.Context, err error) bool {
+	return err != nil && errors.Is(ctx.Err(), context.Canceled)
+}
+
 // isOutage reports whether the error means that the store refused the call or
-// did not answer in time. A call that its caller cancelled says nothing of the
-// store.
-func isOutage(ctx context.Context, err error) bool {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return false
-	}
+// did not answer in time.
+func isOutage(err error) bool {
 	return errors.HasType(err, (*UnavailableError)(nil)) || errors.HasType(err, (*UnknownError)(nil))
 }
 
--- a/sesamerows/failover_test.go
+++ b/sesamerows/failover_test.go
@@ -130,6 +130,22 @@
 			is.Equal(w.second.calls, before)
 		})
 	})
+	t.Run("a cancelled probe leaves calls with the relay", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newFailoverWorld()
+			w.first.refuses = true
+			is.True(w.write(t) != nil)
+			is.True(w.write(t) != nil)
+			time.Sleep(3 * time.Second) // the next call is the probe
+			cancelled, cancel := context.WithCancel(t.Context())
+			cancel()
+			_, err := w.failover.Commit(cancelled, sesamerows.Transaction{})
+			is.True(err != nil)
+			is.Equal(w.changes, []bool{true})
+			is.NoErr(w.write(t))
+		})
+	})
 	t.Run("there is no relay", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/sesamerows/relays.go
+++ b/sesamerows/relays.go
@@ -52,7 +52,8 @@
 	mu sync.Mutex
 	// stores call the store through one relay each, in the order of update.
 	stores []Store
-	// dialed holds the results of Dial by address, so that they are reused.
+	// dialed holds the results of Dial by address, so that they are reused while
+	// the address stays in the list.
 	dialed map[string]Store
 }
 
@@ -170,13 +171,15 @@
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	dialed := make(map[string]Store, len(all))
 	r.stores = nil
 	for _, c := range all {
 		store, ok := r.dialed[c.Address]
 		if !ok {
 			store = r.o.Dial(c.Address)
-			r.dialed[c.Address] = store
 		}
+		dialed[c.Address] = store
 		r.stores = append(r.stores, store)
 	}
+	r.dialed = dialed
 }
--- a/sesamerows/relays_test.go
+++ b/sesamerows/relays_test.go
@@ -65,3 +65,44 @@
 		is.NoErr(group.Wait())
 	})
 }
+
+// TestRelayLeaves checks that a relay whose row is gone is dialed anew when it
+// comes back, so that stores of relays that have left are not kept.
+func TestRelayLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		memory := sesamerows.NewMemory(virtualClock())
+		key := sesamerows.Key{
+			Table: "relays",
+			Part:  "relays",
+			Name:  "other",
+		}
+		write := sesamerows.Transaction{
+			Writes: []sesamerows.Write{{
+				Key:   key,
+				Value: []byte(`{"a":"other:1"}`),
+			}},
+		}
+		dials := 0
+		relays := sesamerows.NewRelays(sesamerows.RelayOptions{
+			Name: "own",
+			Dial: func(string) sesamerows.Store {
+				dials++
+				return memory
+			},
+		})
+		var group errgroup.Group
+		group.Go(func() error {
+			return relays.Run(ctx, memory)
+		})
+		for _, change := range []sesamerows.Transaction{write, {Removes: []sesamerows.Key{key}}, write} {
+			_, err := memory.Commit(ctx, change)
+			is.NoErr(err)
+			time.Sleep(25 * time.Second)
+		}
+		is.Equal(dials, 2)
+		cancel()
+		is.NoErr(group.Wait())
+	})
+}
