Keep reservations per target, release a failed leadership, log unusable jobs

Cause: reserve carried the earliest time of one target to the next ones, and a dropped claim left its time behind; both closed backfill on targets where it was allowed. A planner whose first reads failed kept the leader's row, so that others waited 1.5 s for a leader that did nothing. A job row that is invalid, or that holds another job, was ignored without a word.

--- a/sesamedispatch/claim.go
+++ b/sesamedispatch/claim.go
@@ -52,9 +52,7 @@
 	if p.view.now.Steady >= u.claim.until {
 		return
 	}
-	for _, name := range u.claim.targets {
-		p.reserved[name] = p.reserved[name].Minus(u.step.Reservation())
-	}
+	p.unreserve(u, u.claim.targets)
 	p.urgentAccelerators[u.job.Team] -= u.accelerators()
 }
 
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -31,9 +31,10 @@
 	// room is what active runs and the starts of this pass leave free, by
 	// target.
 	room map[string]sesamework.Resources
-	// reserved is room that is set aside, by target, for blocked units and for
-	// units that have a claim.
-	reserved map[string]sesamework.Resources
+	// reservations hold, by target, the room that is set aside for blocked units
+	// and for units that have a claim; reserved is its sum.
+	reservations map[string][]reservation
+	reserved     map[string]sesamework.Resources
 	// reservedFrom is, by target, in how long the first of those units is
 	// expected to fit; 0 for claims. Units that are expected to end before that
 	// may use the reserved room (backfill).
@@ -41,8 +42,8 @@
 	// tasksOnTarget counts the tasks of one step and occurrence on one target:
 	// the active ones and those that this pass starts.
 	tasksOnTarget map[spreadKey]int
-	// reservations counts the blocked units for which room is reserved.
-	reservations int
+	// reservedUnits counts the blocked units for which room is reserved.
+	reservedUnits int
 	// urgentAccelerators counts, by team, the accelerators that urgent jobs
 	// (those of priority 0) use or have claimed.
 	urgentAccelerators map[string]int64
@@ -65,6 +66,13 @@
 	borrowed map[*unit]bool
 }
 
+// reservation is room for one task of a unit that is set aside on a target. The
+// unit is expected to fit from then on, as a time from now.
+type reservation struct {
+	unit *unit
+	from time.Duration
+}
+
 // spreadKey identifies the tasks of one step and occurrence on one target, of
 // which Step.MaxPerTarget bounds the number.
 type spreadKey struct {
@@ -104,6 +112,7 @@
 		view:               v,
 		d:                  d,
 		room:               map[string]sesamework.Resources{},
+		reservations:       map[string][]reservation{},
 		reserved:           map[string]sesamework.Resources{},
 		reservedFrom:       map[string]time.Duration{},
 		tasksOnTarget:      map[spreadKey]int{},
@@ -163,11 +172,34 @@
 // are expected to end before that may still use the room (backfill).
 func (p *pass) reserve(u *unit, targets []string, wait time.Duration) {
 	for _, name := range targets {
-		p.reserved[name] = p.reserved[name].Plus(u.step.Reservation())
-		if earlier, ok := p.reservedFrom[name]; ok {
-			wait = min(wait, earlier)
+		p.reservations[name] = append(p.reservations[name], reservation{
+			unit: u,
+			from: wait,
+		})
+		p.sumReservations(name)
+	}
+}
+
+// unreserve undoes the unit's reservations on the targets.
+func (p *pass) unreserve(u *unit, targets []string) {
+	for _, name := range targets {
+		p.reservations[name] = slices.DeleteFunc(p.reservations[name], func(r reservation) bool {
+			return r.unit == u
+		})
+		p.sumReservations(name)
+	}
+}
+
+// sumReservations computes reserved and reservedFrom of the target from its
+// reservations.
+func (p *pass) sumReservations(name string) {
+	delete(p.reserved, name)
+	delete(p.reservedFrom, name)
+	for i, r := range p.reservations[name] {
+		p.reserved[name] = p.reserved[name].Plus(r.unit.step.Reservation())
+		if i == 0 || r.from < p.reservedFrom[name] {
+			p.reservedFrom[name] = r.from
 		}
-		p.reservedFrom[name] = wait
 	}
 }
 
@@ -193,7 +225,7 @@
 		return
 	}
 	urgent := u.job.Terms.Priority == 0 && !v.isCertainlyLate(u)
-	if !urgent && p.reservations >= maxReservations {
+	if !urgent && p.reservedUnits >= maxReservations {
 		return
 	}
 	targets, wait := p.earliestFit(u)
@@ -201,8 +233,8 @@
 		p.blocked[step] = false
 		return
 	}
-	if targets != nil && p.reservations < maxReservations {
-		p.reservations++
+	if targets != nil && p.reservedUnits < maxReservations {
+		p.reservedUnits++
 		p.reserve(u, targets, wait)
 	}
 	v.log.Emit(eventWaiting, sesamelog.Fields{
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -169,7 +169,8 @@
 
 // takeOver makes this process the leader and reads all rows. If another process
 // has written the leader's row since isLeaderAbsent read it, the error is a
-// *sesamerows.FenceLostError.
+// *sesamerows.FenceLostError. After a failed read this process steps down, so
+// that another one can take over at once.
 func (p *Planner) takeOver(ctx context.Context) (*term, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -202,5 +203,9 @@
 	}
 	r.leaderValue = value
 	r.leaderWrittenAt = p.o.Clock.Steady()
-	return r, r.load(ctx)
+	if err := r.load(ctx); err != nil {
+		r.stepDown()
+		return nil, err
+	}
+	return r, nil
 }
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -145,7 +146,7 @@
 }
 
 // setJob adds a job unless it is known already, and its units if it does not
-// recur. Rows that hold no valid job are ignored.
+// recur. Rows that hold no valid job are logged and ignored.
 func (v *View) setJob(id string, row sesamerows.Row) {
 	if _, ok := v.jobs[id]; ok || row.Removed {
 		return
@@ -153,7 +154,14 @@
 	j := &job{
 		published: sesamework.JobQueued,
 	}
-	if !v.decode(row, row.Value, &j.Job) || j.Validate() != nil || j.ID != id {
+	if !v.decode(row, row.Value, &j.Job) {
+		return
+	}
+	if err := j.problem(id); err != nil {
+		v.log.Emit(eventBadRow, sesamelog.Fields{
+			"row":   row.Key.String(),
+			"error": err,
+		})
 		return
 	}
 	v.estimate(j)
@@ -163,6 +171,30 @@
 	}
 }
 
+// WrongIDError says that the row of a job holds another job.
+type WrongIDError struct {
+	// Row is the ID that the row's name holds, and Found that of the job in it.
+	Row   string
+	Found string
+}
+
+// Error names both IDs.
+func (e *WrongIDError) Error() string {
+	return fmt.Sprintf("row of job %q holds job %q", e.Row, e.Found)
+}
+
+// problem returns why a job that was read from the row of the job with that ID
+// can't be used, or nil. Errors are a *WrongIDError and those of Job.Validate.
+func (j *job) problem(id string) error {
+	if j.ID != id {
+		return &WrongIDError{
+			Row:   id,
+			Found: j.ID,
+		}
+	}
+	return j.Validate()
+}
+
 // addOccurrence adds the units of the job's next occurrence (one due time of a
 // recurring job; other jobs have one) to the job and the view.
 func (v *View) addOccurrence(j *job) {
