Mend the planner's, entries' and attempts' small faults

Causes and changes, each with the test that fails on the code before: - maySuspend counted the target to be suspended twice, so that below four targets none ever was (TestSuspicion). - A reservation of a team at its borrowing limit closed its targets to others (TestReservationAtBorrowingLimit). It is dropped, and no new one is made. - placeWithinGuarantee lost the corrected resources of a job that it did not place (TestOwedTaskKeepsCorrection); work that borrows instead gets them too. - Each entry spent a contract's retries for itself; now its share of them (TestFailuresAndQuarantine, "entries share the team's budget"). - membership.write changed the row without a lock, and a renewal could follow leave (TestLeaveDuringRenewal). - UnreachableError named the entry that would be tried next (TestClient). - Event 4202 and the time to done were recorded again for a repeated report (TestRepeatedReport), event 4200 also when nothing changed. - Adopted attempts counted their run time from the start of the agent's clock; their run time is not known and no longer recorded. - The setting queue was read nowhere; it is gone. The settings test that used it for a key that is set twice uses maxbody.

Can't happen: an empty transaction would have made the rate limiter panic, but is refused before (TestEmptyCommit); a team whose contract was withdrawn has no queued job any more, so its reservations go (TestReservationWithoutContract). OnChange without a change stays: the update has then read a newer row than others may hold. SIGHUP of hosted processes validates only: addresses, zone and limits hold for the life of a process, and the platform restarts it to change them.

--- a/sesameagent/polling.go
+++ b/sesameagent/polling.go
@@ -171,9 +171,12 @@
 }
 
 // reportEnd adds the time since the member's attempt was opened to the metric
-// metricRun, and logs the member's end. now is on the clock of Member.Opened.
+// metricRun, unless an earlier incarnation opened it, and logs the member's end.
+// now is on the clock of Member.Opened.
 func (a *Agent) reportEnd(now time.Duration, m sesamegang.Member) {
-	a.histogram(m.Team, metricRun).RecordDuration(now - m.Opened)
+	if !m.Adopted {
+		a.histogram(m.Team, metricRun).RecordDuration(now - m.Opened)
+	}
 	a.deps.Log.Emit(eventEnded, sesamelog.Fields{
 		"job":      m.Key.Job,
 		"attempt":  m.Key.Attempt,
@@ -323,8 +326,8 @@
 // adoptAttempt adds an attempt of an earlier incarnation to the agent's state,
 // so that its tasks are polled until they end.
 func (a *Agent) adoptAttempt(attempt sesamegang.AdoptedAttempt) {
-	a.state.apply(func(_ time.Duration, s sesamegang.Agent) (sesamegang.Agent, sesamegang.Effects) {
-		return s.Adopt(attempt), sesamegang.Effects{}
+	a.state.apply(func(now time.Duration, s sesamegang.Agent) (sesamegang.Agent, sesamegang.Effects) {
+		return s.Adopt(now, attempt), sesamegang.Effects{}
 	})
 	a.deps.Log.Emit(eventAdopted, sesamelog.Fields{
 		"job":     attempt.Key.Job,
--- a/sesameapi/client.go
+++ b/sesameapi/client.go
@@ -166,6 +166,7 @@
 	var (
 		t       tryRecord
 		lastErr error
+		address string
 		delays  = c.newBackoff()
 	)
 	for t.count < c.options.MaxTries {
@@ -175,7 +176,8 @@
 			}
 		}
 		t.count++
-		answer, err := c.try(ctx, k)
+		address = c.address()
+		answer, err := c.try(ctx, address, k)
 		if err == nil {
 			return answer, t, nil
 		}
@@ -186,7 +188,7 @@
 			break
 		}
 	}
-	return nil, t, c.callError(t, lastErr)
+	return nil, t, callError(t, address, lastErr)
 }
 
 // newBackoff returns the exponential back-off between the tries of a call.
@@ -216,14 +218,15 @@
 	}
 }
 
-// callError returns the error of a call whose last try failed with lastErr.
-func (c *Client) callError(t tryRecord, lastErr error) error {
+// callError returns the error of a call whose last try, at the address, failed
+// with lastErr.
+func callError(t tryRecord, address string, lastErr error) error {
 	var problem *ProblemError
 	if errors.As(lastErr, &problem) {
 		return problem.afterTries(t)
 	}
 	return &UnreachableError{
-		Address:       c.address(),
+		Address:       address,
 		Tries:         t.count,
 		MaybeReceived: t.maybeReceived,
 		Cause:         lastErr,
@@ -244,14 +247,13 @@
 	return c.options.Addresses[c.next.Load()%uint64(len(c.options.Addresses))]
 }
 
-// try sends the call once. A response with an error status is returned as a
+// try sends the call once to the entry at the address. A response with an error status is returned as a
 // *ProblemError, or as an *InvalidResponseError if its body is no problem.
-func (c *Client) try(ctx context.Context, k call) (*reply, error) {
+func (c *Client) try(ctx context.Context, address string, k call) (*reply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	if k.timeout > 0 {
 		ctx, cancel = context.WithTimeout(ctx, k.timeout)
 	}
-	address := c.address()
 	request, err := c.request(ctx, address, k)
 	if err != nil {
 		cancel()
--- a/sesameapi/client_test.go
+++ b/sesameapi/client_test.go
@@ -88,6 +88,15 @@
 		e.is.True(errors.As(err, &unreachable))
 		e.is.Equal(unreachable.MaybeReceived, false)
 	})
+	t.Run("names the entry that was tried last", func(t *testing.T) {
+		e := newTestEntry(t)
+		c := e.client(corkToken, e.closedServer(), e.closedServer())
+		c.options.MaxTries = 1
+		_, err := c.Submit(e.testContext(), "", executorJob("pricing"))
+		var unreachable *UnreachableError
+		e.is.True(errors.As(err, &unreachable))
+		e.is.Equal(unreachable.Address, c.options.Addresses[0])
+	})
 	t.Run("waits on another entry than it submitted to", func(t *testing.T) {
 		e := newTestEntry(t)
 		id := e.doneJob([]byte("x"))
--- a/sesameattempt/driver.go
+++ b/sesameattempt/driver.go
@@ -40,9 +40,10 @@
 	// RetryPolicy decides whether a repeatable job whose tasks failed is queued
 	// again or fails.
 	RetryPolicy sesamegang.RetryPolicy
-	// OnChange is called after each update of a job, also one that changed
-	// nothing, with the job as it is afterwards. If the caller has the job as
-	// it was before, that comes first.
+	// OnChange is called after each update of a job with the job as it is
+	// afterwards. If the caller has the job as it was before, that comes first.
+	// It is called also when nothing changed: the update then read the row anew,
+	// and other readers may hold an older one.
 	OnChange func(jobs ...sesamemodel.Job)
 }
 
@@ -256,25 +257,30 @@
 	return d.open(recorded)
 }
 
-// updateAttempt updates the job if it still has the same attempt. It logs the
-// job as it is afterwards, passes it to OnChange and returns it, also when
-// nothing changed.
+// updateAttempt updates the job if it still has the same attempt. It passes the
+// job as it is afterwards to OnChange and returns it, also when nothing changed,
+// and logs a change.
 func (d *Driver) updateAttempt(job sesamemodel.Job, update UpdateFunc) (sesamemodel.Job, error) {
+	changed := false
 	after, err := d.options.Rows.UpdateJob(d.ctx, job.ID, func(j sesamemodel.Job) (sesamemodel.Job, bool) {
-		if j.Attempt != job.Attempt {
-			return j, false
+		next := j
+		changed = false
+		if j.Attempt == job.Attempt {
+			next, changed = update(j)
 		}
-		return update(j)
+		return next, changed
 	})
 	if err != nil {
 		return after, err
 	}
-	d.options.Log.Emit(eventAttemptChanged, sesamelog.Fields{
-		"job":     after.ID,
-		"attempt": after.Attempt,
-		"state":   after.State,
-		"reason":  after.Reason,
-	})
+	if changed {
+		d.options.Log.Emit(eventAttemptChanged, sesamelog.Fields{
+			"job":     after.ID,
+			"attempt": after.Attempt,
+			"state":   after.State,
+			"reason":  after.Reason,
+		})
+	}
 	d.options.OnChange(job, after)
 	return after, nil
 }
--- a/sesameattempt/finisher.go
+++ b/sesameattempt/finisher.go
@@ -31,9 +31,12 @@
 func (f *Finisher) Finish(ctx context.Context, req *sesamewire.FinishRequest) (*sesamewire.FinishReply, error) {
 	id := sesamemodel.JobID(req.GetId().GetJob())
 	var before sesamemodel.Job
+	changed := false
 	after, err := f.options.Rows.UpdateJob(ctx, id, func(job sesamemodel.Job) (sesamemodel.Job, bool) {
 		before = job
-		return f.conclude(job, req)
+		var next sesamemodel.Job
+		next, changed = f.conclude(job, req)
+		return next, changed
 	})
 	var missing *sesametable.NotFoundError
 	if errors.As(err, &missing) {
@@ -45,7 +48,9 @@
 		return nil, err
 	}
 	f.options.OnChange(before, after)
-	f.emitOutcome(after)
+	if changed {
+		f.emitOutcome(after)
+	}
 	return &sesamewire.FinishReply{
 		Recorded: true,
 	}, nil
@@ -107,8 +112,8 @@
 	return "a member of the gang was lost"
 }
 
-// emitOutcome logs the job's state after a report and, if the job is done,
-// records the time since it was submitted.
+// emitOutcome logs the job's state after a report that changed it and, if the
+// job is done, records the time since it was submitted.
 func (f *Finisher) emitOutcome(job sesamemodel.Job) {
 	f.options.Log.Emit(eventOutcomeRecorded, sesamelog.Fields{
 		"job":     job.ID,
--- a/sesameentry/entry.go
+++ b/sesameentry/entry.go
@@ -113,6 +113,7 @@
 		onPlannerChange: func() {
 			e.wakePlanner(hint{})
 		},
+		writeLock: make(chan struct{}, 1),
 	}
 	e.watch = sesamecontract.NewWatch(e.store, sesamecontract.NewHolder(), sesamecontract.WatchOptions{
 		Clock: deps.Clock,
@@ -197,7 +198,11 @@
 	if set, err := e.watch.Set(); err == nil {
 		contract, _ = set.Team(job.Spec.Team)
 	}
-	return sesameplanner.RetryOrFail(e.deps.Clock.Now(), job, on, detail, contract, e.retries)
+	return sesameplanner.RetryOrFail(e.deps.Clock.Now(), job, on, detail, sesameplanner.RetryLimit{
+		Contract: contract,
+		Budget:   e.retries,
+		Entries:  e.roster.liveEntries(),
+	})
 }
 
 // contractsNumber returns the number of the newest accepted change in the set
--- a/sesameentry/membership.go
+++ b/sesameentry/membership.go
@@ -41,6 +41,13 @@
 	// of the region, so that this entry hands the jobs that it knows over to the
 	// new leader before the leader receives newer ones.
 	onPlannerChange func()
+
+	// writeLock is held while the row is read or written, so that leave and a
+	// renewal don't overlap. It is a channel of capacity 1, since a waiting
+	// caller has a deadline.
+	writeLock chan struct{}
+	// hasLeft is true once leave was called; then no renewal follows.
+	hasLeft bool
 	// row is this entry's own row as last read or written.
 	row sesamestore.Versioned[sesamemodel.Member]
 }
@@ -65,8 +72,15 @@
 }
 
 // renew reads the rows of all members and writes this entry's row with the
-// next heartbeat number.
+// next heartbeat number. After leave it does nothing.
 func (m *membership) renew(ctx context.Context) error {
+	if err := m.lock(ctx); err != nil {
+		return err
+	}
+	defer m.unlock()
+	if m.hasLeft {
+		return nil
+	}
 	rows, err := m.store.Members(ctx)
 	if err != nil {
 		return err
@@ -97,17 +111,43 @@
 // leave marks this entry's row as left, so that the other entries stop
 // counting on it at their next renewal and not only after the roster's timeout.
 func (m *membership) leave(ctx context.Context) {
-	left := m.roster.self
-	left.Left = true
-	if err := m.write(ctx, left); err != nil {
+	if err := m.writeLeft(ctx); err != nil {
 		m.log.Emit(eventRenewalFailed, sesamelog.Fields{
 			"error": err,
 		})
 	}
 }
 
+// writeLeft writes the row as that of an entry that has left, and lets no
+// renewal follow.
+func (m *membership) writeLeft(ctx context.Context) error {
+	if err := m.lock(ctx); err != nil {
+		return err
+	}
+	defer m.unlock()
+	m.hasLeft = true
+	left := m.roster.self
+	left.Left = true
+	return m.write(ctx, left)
+}
+
+// lock takes writeLock, or returns the error of ctx when that ends first.
+func (m *membership) lock(ctx context.Context) error {
+	select {
+	case m.writeLock <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// unlock releases writeLock.
+func (m *membership) unlock() {
+	<-m.writeLock
+}
+
 // write puts the member as this entry's row with the next heartbeat number. A
-// conflict with another write of the row is no error.
+// conflict with another write of the row is no error. The caller holds the lock.
 func (m *membership) write(ctx context.Context, next sesamemodel.Member) error {
 	next.Heartbeat = m.row.Value.Heartbeat + 1
 	row := m.row.With(next)
--- a/sesameentry/roster.go
+++ b/sesameentry/roster.go
@@ -94,12 +94,30 @@
 	return members
 }
 
-// isLive reports whether the status is of another entry of this region that is
-// not suspect, has not left, and renewed its row within the timeout.
-func (r *roster) isLive(s memberStatus, now time.Time) bool {
-	if s.member.ID == r.self.ID || s.member.Region != r.self.Region {
-		return false
+// liveEntries returns how many entries of all regions are live, this one
+// included.
+func (r *roster) liveEntries() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	count := 1
+	for _, s := range r.members {
+		if s.member.ID != r.self.ID && r.hasRenewed(s, now) {
+			count++
+		}
 	}
+	return count
+}
+
+// isLive reports whether the status is of another entry of this region that
+// hasRenewed.
+func (r *roster) isLive(s memberStatus, now time.Time) bool {
+	return s.member.ID != r.self.ID && s.member.Region == r.self.Region && r.hasRenewed(s, now)
+}
+
+// hasRenewed reports whether the status is of an entry that is not suspect, has
+// not left, and renewed its row within the timeout.
+func (r *roster) hasRenewed(s memberStatus, now time.Time) bool {
 	return !s.suspect && !s.member.Left && now.Sub(s.lastRenewal) <= r.timeout
 }
 
--- a/sesamegang/agent.go
+++ b/sesamegang/agent.go
@@ -300,8 +300,9 @@
 
 // Adopt returns the agent with an attempt of an earlier incarnation, to watch the
 // attempt to its end. The attempt is treated as work that must not be repeated.
-// An attempt that the agent holds already is not replaced.
-func (a Agent) Adopt(adopted AdoptedAttempt) Agent {
+// It counts as opened now, since it is not known when that was. An attempt that
+// the agent holds already is not replaced.
+func (a Agent) Adopt(now time.Duration, adopted AdoptedAttempt) Agent {
 	if _, ok := a.Member(adopted.Key); ok {
 		return a
 	}
@@ -314,6 +315,7 @@
 		AcceleratorMask: adopted.AcceleratorMask,
 		AtMostOnce:      true,
 		Phase:           Running,
+		Opened:          now,
 		Adopted:         true,
 		adoptedSlots:    adopted.Slots,
 	})
--- a/sesamegang/agent_test.go
+++ b/sesamegang/agent_test.go
@@ -59,7 +59,7 @@
 			delete(m.running, k)
 			continue
 		}
-		m.agent = m.agent.Adopt(AdoptedAttempt{
+		m.agent = m.agent.Adopt(0, AdoptedAttempt{
 			Key:             k,
 			FirstRank:       member.FirstRank,
 			Tasks:           member.Tasks,
--- a/sesameplanner/borrow.go
+++ b/sesameplanner/borrow.go
@@ -112,10 +112,13 @@
 
 // recordNoRoom notes that jobs with the same signature need not be tried again
 // to borrow in this round. A job that has waited longer than ReserveAfter is
-// added to the starving jobs, unless its team holds a reservation already.
+// added to the starving jobs, unless its team holds a reservation already or may
+// borrow no more.
 func (r *round) recordNoRoom(e *jobEntry) {
+	p := r.planner
 	e.cachedFit.borrowFailedRound = r.number
-	if r.now.Sub(e.job.Submitted) > r.planner.options.reserveAfter() && !r.planner.teamReserved(e.job.Spec.Team) {
+	starving := r.now.Sub(e.job.Submitted) > p.options.reserveAfter()
+	if starving && !p.teamReserved(e.job.Spec.Team) && !p.isOverBorrowingLimit(e) {
 		r.starving = append(r.starving, e)
 	}
 }
--- a/sesameplanner/faults.go
+++ b/sesameplanner/faults.go
@@ -30,8 +30,9 @@
 )
 
 // RetryBudget is a token bucket for each team, which limits retries to the
-// contract's retries per hour on average and at once. It is not safe for
-// concurrent use.
+// contract's retries per hour on average and at once. Each entry has one and
+// spends only its share of the contract's retries, so that the limit holds for
+// all entries together. It is not safe for concurrent use.
 type RetryBudget struct {
 	limiters map[sesamemodel.TeamID]*rate.Limiter
 }
@@ -45,21 +46,32 @@
 }
 
 // Spend takes one retry from a team's budget and returns true; it returns false
-// when none is left. A changed limit in the contract takes effect at once.
-func (b *RetryBudget) Spend(now time.Time, contract sesamemodel.Contract) bool {
-	limit := rate.Limit(float64(contract.Limits.RetriesPerHour) / time.Hour.Seconds())
+// when none is left. entries is how many entries share the contract's retries;
+// each gets the same number, rounded up. A changed limit in the contract, or of the entries, takes effect at once.
+func (b *RetryBudget) Spend(now time.Time, contract sesamemodel.Contract, entries int) bool {
+	entries = max(entries, 1)
+	share := (contract.Limits.RetriesPerHour + entries - 1) / entries
+	limit := rate.Limit(float64(share) / time.Hour.Seconds())
 	l, ok := b.limiters[contract.Team]
 	if !ok {
-		l = rate.NewLimiter(limit, contract.Limits.RetriesPerHour)
+		l = rate.NewLimiter(limit, share)
 		b.limiters[contract.Team] = l
 	}
-	if l.Burst() != contract.Limits.RetriesPerHour {
+	if l.Burst() != share {
 		l.SetLimitAt(now, limit)
-		l.SetBurstAt(now, contract.Limits.RetriesPerHour)
+		l.SetBurstAt(now, share)
 	}
 	return l.AllowN(now, 1)
 }
 
+// RetryLimit spends the retries of one contract; see RetryBudget.
+type RetryLimit struct {
+	Contract sesamemodel.Contract
+	Budget   *RetryBudget
+	// Entries is how many entries share the contract's retries.
+	Entries int
+}
+
 // RetryOrFail returns the job after an attempt failed on the given targets,
 // through the job's own fault or for a cause that is not known yet. The job is
 // queued again, to avoid these targets, or it fails. The detail, which says how
@@ -67,8 +79,8 @@
 //
 // A job that must run at most once is never retried. A job that has failed
 // maxFailures times is taken to be at fault itself. Other jobs fail only when
-// the team's retry budget is spent.
-func RetryOrFail(now time.Time, job sesamemodel.Job, targets []sesamemodel.TargetID, detail string, contract sesamemodel.Contract, budget *RetryBudget) sesamemodel.Job {
+// the limit on the team's retries is reached.
+func RetryOrFail(now time.Time, job sesamemodel.Job, targets []sesamemodel.TargetID, detail string, limit RetryLimit) sesamemodel.Job {
 	job.Failures++
 	avoid := slices.Clone(job.Avoid)
 	for _, id := range targets {
@@ -83,9 +95,9 @@
 	if job.Failures >= maxFailures {
 		return job.WithEvent(now, sesamemodel.Failed, fmt.Sprintf("failed %d times, on %v: %s", job.Failures, job.Avoid, detail))
 	}
-	if !budget.Spend(now, contract) {
+	if !limit.Budget.Spend(now, limit.Contract, limit.Entries) {
 		return job.WithEvent(now, sesamemodel.Failed, fmt.Sprintf("the %d retries an hour of team %q are spent: %s",
-			contract.Limits.RetriesPerHour, contract.Team, detail))
+			limit.Contract.Limits.RetriesPerHour, limit.Contract.Team, detail))
 	}
 	return job.WithRequeue(now, fmt.Sprintf("failed on %v: %s", targets, detail))
 }
--- a/sesameplanner/faults_test.go
+++ b/sesameplanner/faults_test.go
@@ -18,10 +18,14 @@
 	on := func(names ...sesamemodel.TargetID) []sesamemodel.TargetID { return names }
 	t.Run("a job that fails maxFailures times ends as failed, with the reason", func(t *testing.T) {
 		is := is.New(t)
-		job, budget := newJob("j", "a", 1, 1, ""), NewRetryBudget()
+		job := newJob("j", "a", 1, 1, "")
+		limit := RetryLimit{
+			Contract: contract,
+			Budget:   NewRetryBudget(),
+		}
 		for i := range maxFailures {
 			is.Equal(job.State, sesamemodel.Queued)
-			job = RetryOrFail(startTime, job, on(sesamemodel.TargetID(fmt.Sprint("w", i))), "exit 1", contract, budget)
+			job = RetryOrFail(startTime, job, on(sesamemodel.TargetID(fmt.Sprint("w", i))), "exit 1", limit)
 		}
 		is.Equal(job.State, sesamemodel.Failed)
 		is.Equal(job.Reason, "failed 3 times, on [w0 w1 w2]: exit 1")
@@ -30,21 +34,44 @@
 		is := is.New(t)
 		job := newJob("j", "a", 1, 1, "")
 		job.Spec.AtMostOnce = true
-		job = RetryOrFail(startTime, job, on("w0"), "exit 1", contract, NewRetryBudget())
+		job = RetryOrFail(startTime, job, on("w0"), "exit 1", RetryLimit{
+			Contract: contract,
+			Budget:   NewRetryBudget(),
+		})
 		is.Equal(job.State, sesamemodel.Failed)
 	})
 	t.Run("retries are limited by the team's budget", func(t *testing.T) {
 		is := is.New(t)
 		budget := NewRetryBudget()
+		contract := newContract("a", 1, 100)
 		contract.Limits.RetriesPerHour = 2
+		limit := RetryLimit{
+			Contract: contract,
+			Budget:   budget,
+			Entries:  1,
+		}
 		for range 2 {
-			is.True(budget.Spend(startTime, contract))
+			is.True(budget.Spend(startTime, contract, 1))
 		}
-		is.True(!budget.Spend(startTime, contract))
-		is.True(budget.Spend(startTime.Add(31*time.Minute), contract))
-		job := RetryOrFail(startTime.Add(31*time.Minute), newJob("j", "a", 1, 1, ""), on("w0"), "exit 1", contract, budget)
+		is.True(!budget.Spend(startTime, contract, 1))
+		is.True(budget.Spend(startTime.Add(31*time.Minute), contract, 1))
+		job := RetryOrFail(startTime.Add(31*time.Minute), newJob("j", "a", 1, 1, ""), on("w0"), "exit 1", limit)
 		is.True(strings.Contains(job.Reason, "the 2 retries an hour"))
 	})
+	t.Run("entries share the team's budget", func(t *testing.T) {
+		is := is.New(t)
+		contract := newContract("a", 1, 100)
+		contract.Limits.RetriesPerHour = 12
+		const entries = 4
+		spent := 0
+		for range entries {
+			budget := NewRetryBudget()
+			for budget.Spend(startTime, contract, entries) {
+				spent++
+			}
+		}
+		is.Equal(spent, contract.Limits.RetriesPerHour)
+	})
 	t.Run("two suspect failures quarantine a target, each time for longer", func(t *testing.T) {
 		is := is.New(t)
 		cell := newCell("a", "z1", 6, gpuWorker)
@@ -104,6 +131,15 @@
 		is.True(p.suspended(bad, startTime))
 		is.True(!p.suspended(bad, startTime.Add(firstSuspension)))
 	})
+	for workers, suspended := range map[int]bool{1: false, 2: true, 3: true} {
+		t.Run(fmt.Sprintf("failures of two classes on one of %d workers", workers), func(t *testing.T) {
+			is := is.New(t)
+			p := newPlanner([]sesamemodel.Cell{newCell("a", "z1", workers, gpuWorker)}, contracts)
+			fail(p, "j", "a", 1)
+			fail(p, "k", "b", 1)
+			is.Equal(p.suspended(bad, startTime), suspended)
+		})
+	}
 	t.Run("failures of a single class suspend no target", func(t *testing.T) {
 		is := is.New(t)
 		p := newPlanner(cells, contracts)
--- a/sesameplanner/owed.go
+++ b/sesameplanner/owed.go
@@ -98,15 +98,18 @@
 	if parts == nil {
 		return false
 	}
-	e.task = e.job.Spec.Task
 	chosenVictims := &victims{}
 	for _, part := range parts {
-		if !chosenVictims.makeRoom(r.planner, r.now, part, e.task) {
+		if !chosenVictims.makeRoom(r.planner, r.now, part, e.job.Spec.Task) {
 			return false
 		}
 	}
+	// A guarantee covers what the job declares, borrowed work gets what was
+	// observed.
+	corrected := e.task
+	e.task = e.job.Spec.Task
 	chosen := r.cheaperPlacement(e, r.propose(e, parts, chosenVictims, true))
-	if r.borrowInstead(e, chosen) {
+	if r.borrowInstead(e, corrected, chosen) {
 		return true
 	}
 	r.accept(chosen)
@@ -115,19 +118,22 @@
 
 // borrowInstead places an owed job on free capacity outside its guarantee, as
 // borrowed, if the chosen placement would stop other work, or if it would stop
-// none but its fragmentation exceeds the cost of the borrowed placement. It
-// reports whether it did. Non-preemptible work never borrows here: it stays
-// within the guarantee.
-func (r *round) borrowInstead(e *jobEntry, chosen *proposal) bool {
+// none but its fragmentation exceeds the cost of the borrowed placement. A
+// borrowed task gets the corrected resources. borrowInstead reports whether it
+// placed the job. Non-preemptible work never borrows here: it stays within the
+// guarantee.
+func (r *round) borrowInstead(e *jobEntry, corrected sesamemodel.Resources, chosen *proposal) bool {
 	need := e.job.Spec.TotalResources().Accelerators
 	if nonPreemptible(e.job.Spec) || !r.planner.ensureTeam(e.job.Spec.Team).mayBorrow(need) {
 		return false
 	}
 	d := r.planner.borrowDemand(e, r.now)
+	d.task = corrected
 	parts := r.planner.cells.find(d)
 	if parts == nil || chosen.victims.cost == 0 && d.totalCost(parts) >= chosen.fragmentation {
 		return false
 	}
+	e.task = corrected
 	r.placeBorrowed(e, parts, &victims{})
 	return true
 }
--- a/sesameplanner/replay_test.go
+++ b/sesameplanner/replay_test.go
@@ -336,7 +336,10 @@
 		}
 	}
 	if r.handleFailures {
-		w.job = RetryOrFail(r.now, w.job, on, "exit 1", r.contracts[w.job.Spec.Team], r.budget)
+		w.job = RetryOrFail(r.now, w.job, on, "exit 1", RetryLimit{
+			Contract: r.contracts[w.job.Spec.Team],
+			Budget:   r.budget,
+		})
 		r.planner.RecordFailure(r.now, w.job, on)
 	} else {
 		w.job = w.job.WithRequeue(r.now, "")
--- a/sesameplanner/reservation.go
+++ b/sesameplanner/reservation.go
@@ -71,7 +71,9 @@
 // other job may borrow. From the reserved start on, overdue borrowers are
 // preempted and the reservation is closed to backfill. A reservation that is
 // still blocked at giveUpAfter, by work that must not be stopped, is replaced
-// by one elsewhere.
+// by one elsewhere. A reservation of a team that may borrow no more is dropped:
+// it would keep the capacity from others while only the team's own work is in
+// the way.
 func (r *round) placeReserved() {
 	p := r.planner
 	for _, v := range slices.Clone(p.reservations) {
@@ -83,7 +85,7 @@
 			p.dropReservation(v.job)
 			continue
 		}
-		if r.borrow(e) {
+		if r.borrow(e) || p.isOverBorrowingLimit(e) {
 			p.dropReservation(v.job)
 			continue
 		}
@@ -102,6 +104,14 @@
 	}
 }
 
+// isOverBorrowingLimit reports whether the job's team may not borrow what the job
+// needs in addition to what the team uses. A team without a contract may not
+// borrow at all.
+func (p *Planner) isOverBorrowingLimit(e *jobEntry) bool {
+	t := p.ensureTeam(e.job.Spec.Team)
+	return t.contract == nil || !t.mayBorrow(e.job.Spec.TotalResources().Accelerators)
+}
+
 // reserveFor makes a reservation for a job where it is expected to start first,
 // if there is such a place. It takes effect at once, before other jobs can take
 // the capacity.
@@ -115,10 +125,6 @@
 // borrowers there, and reports whether it could.
 func (r *round) placeOnReservation(e *jobEntry, v *reservation) bool {
 	p := r.planner
-	need := e.job.Spec.TotalResources().Accelerators
-	if !p.ensureTeam(e.job.Spec.Team).mayBorrow(need) {
-		return false
-	}
 	d := p.borrowDemand(e, r.now)
 	d.free = r.freeWithOverdue
 	parts := d.trim(r.reservedParts(d, v))
--- a/sesameplanner/suspicion.go
+++ b/sesameplanner/suspicion.go
@@ -66,17 +66,18 @@
 	}
 }
 
-// maySuspend reports whether the targets with failures of enough classes,
-// including the one to be suspended, are at most maxQuarantinedShare of all
-// targets, so that failures cannot take too much capacity away.
+// maySuspend reports whether the targets with failures of enough classes, of
+// which the one to be suspended is one already, are at most maxQuarantinedShare
+// of all targets, so that failures cannot take too much capacity away. One target
+// may always be suspended unless it is the only one.
 func (p *Planner) maySuspend() bool {
-	suspended := 1
+	suspended := 0
 	for _, s := range p.suspects {
 		if len(s.failedJobs) >= suspensionClasses {
 			suspended++
 		}
 	}
-	return suspended <= 1+int(maxQuarantinedShare*float64(p.cells.targets))
+	return p.cells.targets > 1 && suspended <= max(1, int(maxQuarantinedShare*float64(p.cells.targets)))
 }
 
 // retractFailure removes a failure of the job from a target, since the job
--- a/sesamesettings/check.go
+++ b/sesamesettings/check.go
@@ -109,7 +109,7 @@
 		d.decode(&settings)
 		checkAgent(d, settings)
 		c.checkAcrossFiles(d, settings.Place.Region, settings.ID, settings.Leases)
-	case d.hasAnyTopLevelKey("operators", "policy", "maxbody", "queue", "wire"):
+	case d.hasAnyTopLevelKey("operators", "policy", "maxbody", "wire"):
 		settings := DefaultEntry()
 		d.decode(&settings)
 		checkEntry(d, settings)
--- a/sesamesettings/load.go
+++ b/sesamesettings/load.go
@@ -44,13 +44,10 @@
 	return settings, validationErrorOrNil(d.problems)
 }
 
-// The allowed ranges of the settings that only an entry has: the size of a
-// request body and the number of open jobs.
+// The allowed sizes of a request body, which only an entry limits.
 const (
-	minBodyBytes     = 1 << 10
-	maxBodyBytes     = 16 << 20
-	minOpenJobsLimit = 1
-	maxOpenJobsLimit = 1_000_000
+	minBodyBytes = 1 << 10
+	maxBodyBytes = 16 << 20
 )
 
 // checkEntry adds a problem to d for each invalid value in e.
@@ -65,7 +62,6 @@
 	d.checkLog(e.Log)
 	checkRange(d, "policy.packing", e.Policy.PackingWeight, 0, 1)
 	checkRange(d, "maxbody", e.MaxBodyBytes, minBodyBytes, maxBodyBytes)
-	checkRange(d, "queue", e.MaxOpenJobs, minOpenJobsLimit, maxOpenJobsLimit)
 	d.checkDrain(e.DrainTimeout, e.Leases.Grace)
 }
 
--- a/sesamesettings/load_test.go
+++ b/sesamesettings/load_test.go
@@ -111,8 +111,8 @@
   reads: many
 leases:
   heartbeat: 5
-queue: 0
-queue: 7
+maxbody: 1024
+maxbody: 2048
 `)
 		_, err := sesamesettings.LoadEntry(file)
 		assertProblems(t, file, err,
@@ -124,7 +124,7 @@
 			`9: platform.url: is "10.0.0.1", expected a URL such as http://10.0.0.5:7000`,
 			`10: platform.reads: is "many", expected a number`,
 			`12: leases.heartbeat: is "5", expected a duration such as 500ms or 2s`,
-			`14: queue: is set twice, first on line 13`,
+			`14: maxbody: is set twice, first on line 13`,
 		)
 	})
 	t.Run("checks the relations between lease times", func(t *testing.T) {
--- a/sesamesettings/options.go
+++ b/sesamesettings/options.go
@@ -88,8 +88,6 @@
 	Log       Log               `yaml:"log"`
 	// MaxBodyBytes is the largest accepted request body.
 	MaxBodyBytes int64 `yaml:"maxbody"`
-	// MaxOpenJobs is the most open jobs that one entry plans for.
-	MaxOpenJobs int `yaml:"queue"`
 	// DrainTimeout is the longest time that a graceful stop may take.
 	DrainTimeout time.Duration `yaml:"drain"`
 }
@@ -152,7 +150,6 @@
 	defaultGrace          = time.Second
 	defaultPackingWeight  = 0.5
 	defaultMaxBodyBytes   = 64 << 10
-	defaultMaxOpenJobs    = 20000
 	defaultDrainTimeout   = 30 * time.Second
 	defaultMaxConnections = 60
 )
@@ -196,7 +193,6 @@
 		},
 		Log:          defaultLog(),
 		MaxBodyBytes: defaultMaxBodyBytes,
-		MaxOpenJobs:  defaultMaxOpenJobs,
 		DrainTimeout: defaultDrainTimeout,
 	}
 }
--- a/sesametable/limiter.go
+++ b/sesametable/limiter.go
@@ -131,12 +131,11 @@
 	}
 }
 
-// reserve takes cost tokens (cost must be 1 or more). It returns the
-// delay until the last of them is due, and a function that gives them back. It
-// takes them one by one, since a limiter grants no more than its burst in one
-// reservation.
+// reserve takes cost tokens. It returns the delay until the last of them is due,
+// which is 0 for no tokens, and a function that gives them back. It takes them
+// one by one, since a limiter grants no more than its burst in one reservation.
 func (l *adaptiveLimiter) reserve(cost int) (delay time.Duration, cancel func()) {
-	if l.limiter == nil {
+	if l.limiter == nil || cost <= 0 {
 		return 0, func() {}
 	}
 	l.mu.Lock()
--- a/sesametable/limiter_test.go
+++ b/sesametable/limiter_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
@@ -89,3 +90,17 @@
 	}
 	return served
 }
+
+// TestEmptyCommit checks that a transaction without rows is refused before the
+// rate limits count it.
+func TestEmptyCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable(sesamestandin.NewStore(clockwork.NewRealClock()), sesamesettings.Platform{
+			CallTimeout:     2 * time.Second,
+			ReadsPerSecond:  400,
+			WritesPerSecond: 60,
+		})
+		var invalid *sesametable.InvalidError
+		is.New(t).True(errors.As(table.Commit(t.Context(), sesametable.Transaction{}), &invalid))
+	})
+}
