Keep leases through an outage when a keeper misses a heartbeat; own hosts for test ports

TestStoreOutage (a gang on two workers ended during an outage beside load). Cause: entries judge each other by rows in the table, so 6 s into an outage each takes all others for dead and itself for the keeper of every cell. An agent whose keeper misses one heartbeat, as under load, goes to another entry. That one neither refers it back nor can take the cell over without the table: it answers without a lease, and the agent stayed with it until its lease of 5 s lapsed. Change: the roster judges silence up to its last reading of the table; an agent goes on to the next entry after three replies without a lease (event 2013). Either alone helps only in part: an entry that starts during an outage knows no others.

TestSoak/1 (an entry's port was taken between its choice and its use). Cause: ports of 127.0.0.1 are also used by outgoing connections. Change: sesamestandin.FreeAddress gives each address a host of its own within 127.0.0.0/8, for all tests that start processes. A listener can't be handed over: the platform's settings name addresses.

--- a/sesameagent/agent.go
+++ b/sesameagent/agent.go
@@ -90,6 +90,9 @@
 	tasks *taskTracker
 	// keeper has the address and the epoch of the keeper.
 	keeper *keeperState
+	// noLeaseReplies counts the replies without a lease in a row; only the
+	// heartbeat loop uses it.
+	noLeaseReplies int
 	// ctx ends when the goroutines in group have to stop; abort ends it.
 	ctx   context.Context
 	abort context.CancelFunc
--- a/sesameagent/events.go
+++ b/sesameagent/events.go
@@ -14,6 +14,7 @@
 	eventKeeperChanged       = sesamelog.Define(2010, sesamelog.Info, "heartbeats go to another entry")
 	eventKeeperLost          = sesamelog.Define(2011, sesamelog.Warn, "entry did not answer a heartbeat")
 	eventStaleEpoch          = sesamelog.Define(2012, sesamelog.Warn, "lease from a keeper with an old epoch ignored")
+	eventNoLease             = sesamelog.Define(2013, sesamelog.Warn, "entry granted no lease, heartbeats go to another one")
 	eventTargetLost          = sesamelog.Define(2020, sesamelog.Warn, "target unreachable or does not accept the agent's lease")
 	eventTargetBack          = sesamelog.Define(2021, sesamelog.Info, "target accepts the agent's lease")
 	eventPrepared            = sesamelog.Define(2030, sesamelog.Debug, "attempt prepared")
--- a/sesameagent/heartbeat.go
+++ b/sesameagent/heartbeat.go
@@ -15,6 +15,9 @@
 	// noLeaseRetryDelay is the pause before the next heartbeat after one that
 	// brought no lease, for instance while the keeper registers the target.
 	noLeaseRetryDelay = 100 * time.Millisecond
+	// maxNoLeaseReplies is how many replies in a row may bring no lease before
+	// heartbeats go to the next entry.
+	maxNoLeaseReplies = 3
 	// maxEntriesPerHeartbeat bounds the entries that one heartbeat tries.
 	maxEntriesPerHeartbeat = 4
 )
@@ -134,11 +137,15 @@
 // applyReply extends the agent's lease by the reply to a heartbeat sent at the
 // given clock reading, and returns the delay until the next heartbeat. A lease
 // from a keeper of an older epoch is ignored, and the next heartbeat goes to
-// another entry.
+// another entry. So it does after maxNoLeaseReplies replies without a lease:
+// the entry can't become the keeper, as during an outage of the table, and the
+// present one may still grant leases.
 func (a *Agent) applyReply(sent time.Duration, reply *sesamewire.HeartbeatReply) time.Duration {
 	if reply.GetLeaseMs() == 0 {
+		a.countNoLease()
 		return noLeaseRetryDelay
 	}
+	a.noLeaseReplies = 0
 	if !a.keeper.acceptGrant(reply.GetEpoch(), reply.GetKnown()) {
 		address, epoch := a.keeper.current()
 		a.deps.Log.Emit(eventStaleEpoch, sesamelog.Fields{
@@ -156,6 +163,22 @@
 	return a.settings.Leases.Heartbeat
 }
 
+// countNoLease counts a reply without a lease, and sends further heartbeats to
+// the next entry after too many in a row.
+func (a *Agent) countNoLease() {
+	a.noLeaseReplies++
+	if a.noLeaseReplies < maxNoLeaseReplies {
+		return
+	}
+	a.noLeaseReplies = 0
+	address, _ := a.keeper.current()
+	next := a.keeper.advance(address)
+	a.deps.Log.Emit(eventNoLease, sesamelog.Fields{
+		"entry": address,
+		"next":  next,
+	})
+}
+
 // announcement returns the target's description with the given incarnation, for
 // a keeper that does not know the target.
 func (k *keeperState) announcement(incarnation string) *sesamewire.Target {
--- a/sesameagent/helpers_test.go
+++ b/sesameagent/helpers_test.go
@@ -8,9 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -202,22 +200,14 @@
 	id      string
 }
 
-// addressCounter makes the addresses of freeAddress different within a process.
-var addressCounter atomic.Int32
-
-// freeAddress returns an address that no other process or connection uses: each
-// has its own host within 127.0.0.0/8, while outgoing connections use ports of
-// 127.0.0.1 only.
+// freeAddress returns an address for an agent to listen on.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	n := addressCounter.Add(1)
-	host := fmt.Sprintf("127.%d.%d.%d:0", 20+os.Getpid()%200, n/250, n%250+1)
-	listener, err := net.Listen("tcp", host)
+	address, err := sesamestandin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // newTarget serves a stand-in worker with 64 cores, 8 accelerators and 8 slots,
--- a/sesamecommand/hosted_test.go
+++ b/sesamecommand/hosted_test.go
@@ -6,7 +6,6 @@
 	"encoding/base64"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -66,12 +65,12 @@
 	return b.all.String()
 }
 
-// freeAddress returns an address on loopback with a port that is free now.
+// freeAddress returns an address for a process to listen on.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := sesamestandin.FreeAddress()
 	is.New(t).NoErr(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // hostedPolicy is an operators' policy with one route for jobs, one team with
--- a/sesamecommand/processes_test.go
+++ b/sesamecommand/processes_test.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -161,30 +160,9 @@
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
 }
 
-// nextPort counts the ports that freeAddress has tried. They are below the
-// system's ephemeral ports, because an outgoing connection could take one of
-// those between its choice and its use.
-var nextPort atomic.Int32
-
-// The range of ports that freeAddress chooses from; lastPort is not included.
-const (
-	firstPort = 10000
-	lastPort  = 30000
-)
-
-// freeAddress returns an address on loopback that nobody listens at. The
-// process ID spreads the ports of test runs at the same time.
+// freeAddress returns an address for a process to listen on.
 func (c *cluster) freeAddress() string {
-	for {
-		port := firstPort + (os.Getpid()*97+int(nextPort.Add(1)))%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		return address
-	}
+	return freeAddress(c.t)
 }
 
 // writeFile writes a file in the cluster's directory and returns its path.
--- a/sesamecommand/replacement_test.go
+++ b/sesamecommand/replacement_test.go
@@ -123,6 +123,42 @@
 	c.cancelJob(t, crews, job)
 }
 
+// TestPauseInOutage suspends each entry for longer than a heartbeat may take
+// while the platform's store is down, after the time in which entries would have
+// renewed their rows. Agents whose keeper does not answer try the other entry,
+// which can't become the keeper without the store. Running work must go on.
+func TestPauseInOutage(t *testing.T) {
+	c := newFailureCluster(t)
+	is := is.New(t)
+	job, members := c.startGang(t)
+	c.injectFaults(t, sesamestandin.FaultsRequest{
+		Down: true,
+	})
+	const (
+		rosterTimeout = 7 * time.Second
+		pause         = 1500 * time.Millisecond
+		lease         = 5 * time.Second
+	)
+	<-time.After(rosterTimeout)
+	for _, name := range []string{"entry-a", "entry-b"} {
+		c.signal(name, syscall.SIGSTOP)
+		<-time.After(pause)
+		c.signal(name, syscall.SIGCONT)
+		<-time.After(lease)
+		for _, member := range members {
+			is.Equal(c.runningTasks(t, member, job), 1) // after the pause of the entry
+		}
+	}
+	c.injectFaults(t, sesamestandin.FaultsRequest{})
+	eventually(t, "a submission after the outage to be done", func() bool {
+		ended, err := c.client(0, buyers).Submit(context.Background(), "outage", pricingRequest())
+		return err == nil && ended.State == sesamemodel.Done
+	})
+	for _, member := range members {
+		is.Equal(c.runningTasks(t, member, job), 1)
+	}
+}
+
 // TestRollingReplacement stops and replaces both entries, and stops an agent,
 // one after another under load. No job may fail.
 func TestRollingReplacement(t *testing.T) {
--- a/sesameentry/roster.go
+++ b/sesameentry/roster.go
@@ -24,7 +24,8 @@
 
 // roster tracks which entries are live, by when their heartbeat numbers grow.
 // It measures that on this entry's own clock, so that the clocks of different
-// VMs need not agree.
+// VMs need not agree. While the table can't be read, the entries that were live
+// at the last reading count as live: their silence says nothing then.
 type roster struct {
 	// self is this entry, which always counts as live.
 	self sesamemodel.Member
@@ -32,10 +33,11 @@
 	timeout time.Duration
 	clock   clockwork.Clock
 
-	// mu guards members, which has the status of every member seen so far by the
-	// member's ID.
-	mu      sync.Mutex
+	mu sync.Mutex
+	// members has the status of every member seen so far by the member's ID.
 	members map[string]memberStatus
+	// observedAt is when the member rows were last read.
+	observedAt time.Time
 }
 
 // newRoster returns a roster of this entry alone. A member whose heartbeat
@@ -55,6 +57,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
+	r.observedAt = now
 	for _, m := range members {
 		known, ok := r.members[m.ID]
 		if ok && known.member.Heartbeat == m.Heartbeat && known.member.Address == m.Address {
@@ -84,10 +87,9 @@
 func (r *roster) liveMembers() []sesamemodel.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
 	members := []sesamemodel.Member{r.self}
 	for _, s := range r.members {
-		if r.isLive(s, now) {
+		if r.isLive(s) {
 			members = append(members, s.member)
 		}
 	}
@@ -99,10 +101,9 @@
 func (r *roster) liveEntries() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
 	count := 1
 	for _, s := range r.members {
-		if s.member.ID != r.self.ID && r.hasRenewed(s, now) {
+		if s.member.ID != r.self.ID && r.hasRenewed(s) {
 			count++
 		}
 	}
@@ -111,14 +112,14 @@
 
 // isLive reports whether the status is of another entry of this region that
 // hasRenewed.
-func (r *roster) isLive(s memberStatus, now time.Time) bool {
-	return s.member.ID != r.self.ID && s.member.Region == r.self.Region && r.hasRenewed(s, now)
+func (r *roster) isLive(s memberStatus) bool {
+	return s.member.ID != r.self.ID && s.member.Region == r.self.Region && r.hasRenewed(s)
 }
 
 // hasRenewed reports whether the status is of an entry that is not suspect, has
-// not left, and renewed its row within the timeout.
-func (r *roster) hasRenewed(s memberStatus, now time.Time) bool {
-	return !s.suspect && !s.member.Left && now.Sub(s.lastRenewal) <= r.timeout
+// not left, and renewed its row within the timeout before the last reading.
+func (r *roster) hasRenewed(s memberStatus) bool {
+	return !s.suspect && !s.member.Left && r.observedAt.Sub(s.lastRenewal) <= r.timeout
 }
 
 // Preferred returns the live entries of the region in the order of rendezvous
@@ -146,11 +147,10 @@
 func (r *roster) First(key string) sesamemodel.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
 	first := r.self
 	best := score(first.ID, key)
 	for id, s := range r.members {
-		if !r.isLive(s, now) {
+		if !r.isLive(s) {
 			continue
 		}
 		if weight := score(id, key); weight > best || weight == best && id < first.ID {
--- a/sesameentry/roster_test.go
+++ b/sesameentry/roster_test.go
@@ -49,6 +49,15 @@
 		r.observe([]sesamemodel.Member{testMember("e2", 2)})
 		is.Equal(len(r.liveMembers()), 2)
 	})
+	t.Run("keeps its view while the table can't be read", func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewFakeClock()
+		r := newRoster(testMember("e1", 0), rosterTimeout, clock)
+		r.observe([]sesamemodel.Member{testMember("e2", 1)})
+		clock.Advance(10 * rosterTimeout)
+		is.Equal(len(r.liveMembers()), 2)
+		is.Equal(r.liveEntries(), 2)
+	})
 	t.Run("excludes a suspect until it renews", func(t *testing.T) {
 		is := is.New(t)
 		r := newRoster(testMember("e1", 0), rosterTimeout, clockwork.NewFakeClock())
--- a/sesamesoak/world_test.go
+++ b/sesamesoak/world_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -76,12 +75,12 @@
 	output  bytes.Buffer
 }
 
-// freeAddress returns an address with a port that is free now.
+// freeAddress returns an address for a process to listen on.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := sesamestandin.FreeAddress()
 	is.New(t).NoErr(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // newSoak starts the emulated store, its policy, and the entries and agents,
