Let the leader outlast an outage of the store, and restart without a wait for itself

The leader gave its transaction up after 3 s, at 21.5 s, and ended its term; the transaction was carried out when the store came back, so that all others saw a fresh row and waited another 1.5 s for a leader that nobody was.

Change: a transaction of the leader is repeated for up to 20 s: nobody else can take over while the store is down, and writes stay fenced. While the feed is silent for longer than 4 s, planning pauses; the term ends only when the store answers a commit and the feed stays silent for 3 s more. The silence of a leader counts only while the store answers the process that watches it. A process that wrote the leader's row itself takes over at once, in its first reading by the name, later only by what the fence wrote, since another process may use the same name. A follower's call after a failed one does not wait for a change, so that entries accept again as soon as the store answers, and not up to a second later.

--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -20,13 +20,17 @@
 	// leaderPollInterval is the pause between two reads of the leader's row by
 	// another process.
 	leaderPollInterval = 500 * time.Millisecond
-	// leaderTimeout is how long the leader's row may stay unchanged before
-	// another process takes over. Since writes are fenced, taking over is safe
-	// at any time and costs only the reading of all rows.
+	// leaderTimeout is how long the leader's row may stay unchanged, while the
+	// store answers, before another process takes over. Since writes are fenced,
+	// taking over is safe at any time and costs only the reading of all rows.
 	leaderTimeout = 1500 * time.Millisecond
-	// commitTimeout bounds the retries of one transaction. After it, the
-	// process ends its term and reads all rows anew.
-	commitTimeout = 3 * time.Second
+	// commitTimeout bounds the retries of one transaction. Within it, a leader
+	// outlasts an outage of the store, since nobody else can take over then.
+	// After it, the process ends its term and reads all rows anew.
+	commitTimeout = 20 * time.Second
+	// readTimeout bounds the reading of all rows, with the write that precedes
+	// it when a process takes over.
+	readTimeout = 3 * time.Second
 	// tick is the longest pause between two decisions: occurrences become due
 	// and targets fall silent without a change of a row.
 	tick = 100 * time.Millisecond
@@ -39,9 +43,11 @@
 	// changes of the same moment come in one batch.
 	feedGather = 5 * time.Millisecond
 	// maxFeedSilence is how long planning goes on without an answer to a call
-	// for changes. Then the term ends, since cancels and reports may be
-	// missing.
+	// for changes. Then it pauses, since cancels and reports may be missing.
 	maxFeedSilence = 4 * time.Second
+	// feedRecoveryTime is how long the feed may stay silent after the store has
+	// answered a commit. Then the term ends: the store serves others better.
+	feedRecoveryTime = 3 * time.Second
 )
 
 // Policies provides the policy in force.
@@ -78,10 +84,17 @@
 	o Options
 	// storeClock estimates the store's steady clock.
 	storeClock sesamerows.StoreClock
-	// seenLeader is the leader's row as read last, and leaderSeenAt when it was
-	// first seen at that version, on the steady clock.
-	seenLeader   leader
-	leaderSeenAt time.Duration
+	// seenLeader is the leader's row as read last. leaderSeenAt is when it was
+	// first seen at that version, or when the store answered again after a
+	// failed reading, on the steady clock; readingFailed says that the last
+	// reading failed.
+	seenLeader    leader
+	leaderSeenAt  time.Duration
+	readingFailed bool
+	// hasPolled is true once the leader's row was read. ownFence is that of this
+	// process's last term, nil before the first.
+	hasPolled bool
+	ownFence  *sesamerows.Fence
 	// durationModels by queue outlast the terms of this process. Another
 	// process learns its own.
 	durationModels map[string]*durationModel
@@ -144,11 +157,14 @@
 }
 
 // isLeaderAbsent reads the leader's row. It returns true if the row is missing,
-// released, or unchanged for longer than leaderTimeout. Errors are those of the
-// store and of the decoding.
+// released, or unchanged for longer than leaderTimeout, and if this process wrote
+// it, in an earlier term or before it was started again. Time in which the store
+// didn't answer does not count, since the leader could not write then either.
+// Errors are those of the store and of the decoding.
 func (p *Planner) isLeaderAbsent(ctx context.Context) (bool, error) {
 	row, page, err := sesamerows.ReadRow(ctx, p.o.Store, sesamework.LeaderKey())
 	if err != nil {
+		p.readingFailed = true
 		return false, err
 	}
 	p.storeClock.AddSample(page.Now)
@@ -160,11 +176,16 @@
 		found.version = row.Version
 	}
 	now := p.o.Clock.Steady()
-	if found.version != p.seenLeader.version {
+	if found.version != p.seenLeader.version || p.readingFailed {
 		p.seenLeader = found
 		p.leaderSeenAt = now
+		p.readingFailed = false
 	}
-	return found.version == 0 || found.Released || now-p.leaderSeenAt > leaderTimeout, nil
+	// Only the first reading goes by the name: another process may use the same.
+	own := p.ownFence != nil && p.ownFence.Wrote(row) || !p.hasPolled && found.Name == p.o.Name
+	p.hasPolled = true
+	vacant := found.version == 0 || found.Released || own
+	return vacant || now-p.leaderSeenAt > leaderTimeout, nil
 }
 
 // takeOver makes this process the leader and reads all rows. If another process
@@ -172,7 +193,7 @@
 // *sesamerows.FenceLostError. After a failed read this process steps down, so
 // that another one can take over at once.
 func (p *Planner) takeOver(ctx context.Context) (*term, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	row := leader{
 		Name:  p.o.Name,
@@ -198,6 +219,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.ownFence = r.fence
 	if err := r.fence.Take(ctx, p.seenLeader.version, value); err != nil {
 		return nil, err
 	}
--- a/sesamedispatch/slowstore_test.go
+++ b/sesamedispatch/slowstore_test.go
@@ -58,29 +58,7 @@
 		}
 		w.slowStore(slowTransaction, slowAnswer)
 		w.sleep(2 * time.Second)
-		waits := make(chan time.Duration, jobs)
-		for i := range jobs {
-			a := newClientJob(fmt.Sprintf("job-%02d", i), sesamework.Step{
-				Count:    1,
-				Need:     accelerators(1),
-				Estimate: 1000,
-			}, time.Second)
-			w.group.Go(func() error {
-				handed := w.clock.Now()
-				w.submit(a, "urgent", "key-a", i)
-				for w.state(a.job.ID) == sesamework.JobQueued || w.state(a.job.ID) == "" {
-					w.sleep(20 * time.Millisecond)
-				}
-				waits <- w.clock.Since(handed)
-				return nil
-			})
-			w.sleep(600 * time.Millisecond)
-		}
-		for range jobs {
-			if waited := <-waits; waited > urgentStart {
-				t.Errorf("started after %v, expected %v at the most", waited, urgentStart)
-			}
-		}
+		w.assertUrgentStarts(jobs, 600*time.Millisecond)
 		assertPromisesKept(t, w, time.Minute)
 	})
 }
--- a/sesamedispatch/system_test.go
+++ b/sesamedispatch/system_test.go
@@ -202,3 +202,32 @@
 	}
 	return sesamelog.New(os.Stderr, sesamelog.Info, sesamelog.Text)
 }
+
+// assertUrgentStarts submits jobs of one accelerator in the urgent queue, one
+// each interval, and fails the test for each one that does not start in time.
+func (w *world) assertUrgentStarts(jobs int, interval time.Duration) {
+	w.t.Helper()
+	waits := make(chan time.Duration, jobs)
+	for i := range jobs {
+		a := newClientJob(fmt.Sprintf("urgent-%02d", i), sesamework.Step{
+			Count:    1,
+			Need:     accelerators(1),
+			Estimate: 1000,
+		}, time.Second)
+		w.group.Go(func() error {
+			handed := w.clock.Now()
+			w.submit(a, "urgent", "key-a", i)
+			for s := w.state(a.job.ID); s == sesamework.JobQueued || s == ""; s = w.state(a.job.ID) {
+				w.sleep(20 * time.Millisecond)
+			}
+			waits <- w.clock.Since(handed)
+			return nil
+		})
+		w.sleep(interval)
+	}
+	for range jobs {
+		if waited := <-waits; waited > urgentStart {
+			w.t.Errorf("started after %v, expected %v at the most", waited, urgentStart)
+		}
+	}
+}
--- a/sesamedispatch/takeover_test.go
+++ b/sesamedispatch/takeover_test.go
@@ -1,6 +1,7 @@
 package sesamedispatch_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -39,3 +40,85 @@
 		is.True(strings.Contains(string(row.Value), `"released":true`))
 	})
 }
+
+// leaderTerm returns what identifies the term of the leader: the part of the
+// leader's row that all writes of one term share.
+func (w *world) leaderTerm() string {
+	row, _, err := sesamerows.ReadRow(w.ctx, w.store, sesamework.LeaderKey())
+	is.New(w.t).NoErr(err)
+	term, _, _ := strings.Cut(string(row.Value), ".")
+	return term
+}
+
+// setFaults sets the faults of the store for all processes; nil ends them.
+func (w *world) setFaults(decide func(write bool) sesamestandin.RowFault) {
+	for _, e := range w.entries {
+		e.rows.SetFault(decide)
+	}
+	for _, n := range w.nodes {
+		n.rows.SetFault(decide)
+	}
+}
+
+// TestLeaderOutlastsOutage checks that the leader goes on after an outage of the
+// store, without a time in which nobody plans, also when its last writes are
+// carried out only at the end of the outage, and whichever process calls the
+// store first afterwards. Work submitted right after the outage starts in time.
+func TestLeaderOutlastsOutage(t *testing.T) {
+	for name, during := range map[string]func(write bool) sesamestandin.RowFault{
+		"silent": func(bool) sesamestandin.RowFault {
+			return sesamestandin.RowFault{
+				Dropped: true,
+			}
+		},
+		"refuses": func(bool) sesamestandin.RowFault {
+			return sesamestandin.RowFault{
+				Refused: true,
+			}
+		},
+		"writes carried out late": func(write bool) sesamestandin.RowFault {
+			return sesamestandin.RowFault{
+				Dropped:     !write,
+				AnswerLost:  write,
+				CommitDelay: 5 * time.Second,
+			}
+		},
+	} {
+		for tenths := range 5 {
+			t.Run(fmt.Sprintf("%s 6.%d s", name, tenths), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t, 12, 4)
+					w.sleep(4 * time.Second)
+					before := w.leaderTerm()
+					w.setFaults(during)
+					w.sleep(6*time.Second + time.Duration(tenths)*100*time.Millisecond)
+					w.setFaults(nil)
+					w.assertUrgentStarts(4, 200*time.Millisecond)
+					is.New(t).Equal(w.leaderTerm(), before)
+					assertPromisesKept(t, w, time.Minute)
+				})
+			})
+		}
+	}
+}
+
+// TestLeaderRestarts kills the leader, which can't release its row, and starts it
+// again. It must take over at once, rather than wait for itself.
+func TestLeaderRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 2)
+		w.sleep(3 * time.Second)
+		before := w.leaderTerm()
+		w.entries[0].rows.SetFault(func(bool) sesamestandin.RowFault {
+			return sesamestandin.RowFault{
+				Refused: true,
+			}
+		})
+		w.entries[0].stop()
+		w.sleep(time.Second)
+		w.entries[0].rows.SetFault(nil)
+		w.entries[0].start()
+		w.sleep(100 * time.Millisecond)
+		is.New(t).True(w.leaderTerm() != before)
+	})
+}
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -99,7 +99,7 @@
 // it no longer had the changes since the last batch. This process goes on as
 // the leader: it alone has written runs and states meanwhile.
 func (r *term) rebuild(ctx context.Context, work sesamerows.Batch) error {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	rows, err := r.readPlannerRows(ctx)
 	if err != nil {
@@ -216,7 +216,7 @@
 }
 
 // SilentFeedError says that the feed has not answered for longer than
-// maxFeedSilence.
+// maxFeedSilence, though the store answers commits.
 type SilentFeedError struct {
 	// For is the time since the feed's last answer.
 	For time.Duration
@@ -228,26 +228,55 @@
 }
 
 // plan is the planning loop: it decides, writes, and waits for changes. It
-// returns the first error of decideAndWrite or wait, or a *SilentFeedError when
-// the feed has not answered for longer than maxFeedSilence.
+// returns the first error of decideAndWrite, wait or awaitFeed.
 func (r *term) plan(ctx context.Context, batches <-chan sesamerows.Batch) error {
 	for {
+		if err := r.awaitFeed(ctx, batches); err != nil {
+			return err
+		}
 		r.view.SetPolicy(r.o.Policies.Current())
 		if err := r.decideAndWrite(ctx); err != nil {
 			return err
 		}
 		r.requestInventory()
-		if silence := r.o.Clock.Steady() - r.feedAnsweredAt; silence > maxFeedSilence {
-			return &SilentFeedError{
-				For: silence,
-			}
-		}
 		if err := r.wait(ctx, batches); err != nil {
 			return err
 		}
 	}
 }
 
+// feedSilence returns for how long the feed has not answered.
+func (r *term) feedSilence() time.Duration {
+	return r.o.Clock.Steady() - r.feedAnsweredAt
+}
+
+// awaitFeed pauses planning while the feed has been silent for longer than
+// maxFeedSilence. It first commits, which takes as long as an outage of the store
+// lasts. When the feed does not answer within feedRecoveryTime after that, the
+// error is a *SilentFeedError; others are those of commit and apply.
+func (r *term) awaitFeed(ctx context.Context, batches <-chan sesamerows.Batch) error {
+	if r.feedSilence() <= maxFeedSilence {
+		return nil
+	}
+	if _, err := r.commit(ctx, &change{}); err != nil {
+		return err
+	}
+	recovery, cancel := context.WithTimeout(ctx, feedRecoveryTime)
+	defer cancel()
+	select {
+	case batch := <-batches:
+		_, err := r.applyAll(ctx, batch, batches)
+		return err
+	case <-recovery.Done():
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return &SilentFeedError{
+		For: r.feedSilence(),
+	}
+}
+
 // wait returns nil once a decision may change: after changed rows that matter,
 // an inventory, a newer policy, or a tick without any of these. It applies all
 // batches that have come by then: a view that lags behind leads to conflicts,
--- a/sesamerows/fence.go
+++ b/sesamerows/fence.go
@@ -147,7 +147,7 @@
 	f.writes++
 	err := f.commitEncoded(ctx, encodeFenceValue(f.writerID, f.writes, value), c)
 	var lost *FenceLostError
-	if errors.As(err, &lost) && f.isOwn(lost.Found) {
+	if errors.As(err, &lost) && f.Wrote(lost.Found) {
 		// An earlier transaction of this fence, given up with an unknown
 		// outcome, has taken effect after all.
 		f.version = lost.Found.Version
@@ -156,8 +156,8 @@
 	return err
 }
 
-// isOwn reports whether this fence wrote the row's value.
-func (f *Fence) isOwn(row Row) bool {
+// Wrote reports whether this fence wrote the row's value.
+func (f *Fence) Wrote(row Row) bool {
 	return bytes.HasPrefix(row.Value, []byte(f.writerID+"."))
 }
 
--- a/sesamerows/follow.go
+++ b/sesamerows/follow.go
@@ -34,8 +34,10 @@
 	// wait and batchDelay are as in FollowOptions.
 	wait       time.Duration
 	batchDelay time.Duration
-	// lastHadRows is set if the last request for changes returned rows.
+	// lastHadRows is set if the last request for changes returned rows, and
+	// lastFailed if it failed.
 	lastHadRows bool
+	lastFailed  bool
 	// after is the version from which the next changes are requested.
 	after Version
 	// started is set once a snapshot was read, and unset when its changes are
@@ -75,7 +77,8 @@
 // Next returns the next batch, which has no rows if nothing changed within
 // FollowOptions.Wait. If the store no longer keeps the changes since the last
 // batch, the next batch is a snapshot. After an error, calling Next again
-// skips nothing.
+// skips nothing; it then does not wait for a change, so that an answer soon shows
+// that the store is back.
 func (f *Follower) Next(ctx context.Context) (Batch, error) {
 	if !f.started {
 		return f.readAll(ctx)
@@ -83,7 +86,12 @@
 	if f.lastHadRows && f.batchDelay > 0 && !Sleep(ctx, f.batchDelay) {
 		return Batch{}, ctx.Err()
 	}
-	page, err := f.store.Changes(ctx, f.table, f.after, f.wait)
+	wait := f.wait
+	if f.lastFailed {
+		wait = 0
+	}
+	page, err := f.store.Changes(ctx, f.table, f.after, wait)
+	f.lastFailed = err != nil
 	if errors.HasType(err, (*HistoryError)(nil)) {
 		f.started = false
 		return f.readAll(ctx)
