--- a/sesamecommand/processes_test.go
+++ b/sesamecommand/processes_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/sesamestack/sesamestack/sesameapi"
+	"github.com/sesamestack/sesamestack/sesamestandin"
 )
 
 const (
@@ -162,7 +163,10 @@
 
 // freeAddress returns an address for a process to listen on.
 func (c *cluster) freeAddress() string {
-	return freeAddress(c.t)
+	c.t.Helper()
+	address, err := sesamestandin.FreeAddress()
+	is.New(c.t).NoErr(err)
+	return address
 }
 
 // writeFile writes a file in the cluster's directory and returns its path.
--- a/sesamesoak/soak_test.go
+++ b/sesamesoak/soak_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sesamestack/sesamestack/platform/emulator"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -71,6 +72,7 @@
 			step: sesamework.Step{
 				Count:       1 + r.IntN(4),
 				Need:        sesamework.Resources{Accelerators: int64(1 << r.IntN(4))},
+				Estimate:    taskDuration.Milliseconds(),
 				Gang:        r.IntN(3) == 0,
 				Checkpoints: r.IntN(2) == 0,
 			},
@@ -127,12 +129,10 @@
 	s.mu.Lock()
 	s.jobs[id] = h
 	s.mu.Unlock()
-	body := fmt.Sprintf(`{"specification":%q,"steps":[{"count":%d,"gpu":%d,"estimated-ms":700,"gang":%t,"checkpointing":%t}]}`,
-		specText, h.step.Count, h.step.Need.Accelerators, h.step.Gang, h.step.Checkpoints)
 	rejected := true
 	for try := range 6 {
 		entry := s.processes[(first+try)%soakEntries]
-		status, _ := s.call(http.MethodPost, "http://"+entry.callerAddress+h.path, body)
+		status, _ := s.call(caller.Submit(s.t.Context(), "http://"+entry.callerAddress+h.path, specText, h.step))
 		rejected = rejected && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
 		if status == http.StatusOK {
 			s.mu.Lock()
@@ -179,8 +179,8 @@
 	s.mu.Unlock()
 	var open []string
 	for _, h := range accepted {
-		status, body := s.call(http.MethodGet, "http://"+s.processes[0].callerAddress+h.path, "")
-		if status != http.StatusOK || !strings.Contains(body, "completed") {
+		status, body := s.call(caller.State(s.t.Context(), "http://"+s.processes[0].callerAddress+h.path))
+		if !emulator.IsCompleted(status, body) {
 			open = append(open, fmt.Sprintf("%s: %d %s", h.path, status, body))
 		}
 	}
--- a/sesamesoak/world_test.go
+++ b/sesamesoak/world_test.go
@@ -23,6 +23,7 @@
 	"github.com/sesamestack/sesamestack/platform/emulator"
 	"github.com/sesamestack/sesamestack/sesameclock"
 	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamerunner"
 	"github.com/sesamestack/sesamestack/sesamestandin"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
@@ -30,17 +31,48 @@
 // Extent and fixed inputs of one seed's run.
 const (
 	// Number of processes, the time that each task takes, and the
-	// specification and policy of the jobs.
+	// specification of the jobs.
 	soakEntries  = 2
 	soakAgents   = 4
 	taskDuration = 700 * time.Millisecond
 	specText     = "soak"
-	policyText   = `{"version":1,
- "routes":[{"name":"urgent","host":"soak","path-prefix":"/urgent/","priority":0,"service":"soak","max-attempts":3,"stretch":2,"target-latency-ms":500},
-  {"name":"batch","host":"soak","path-prefix":"/batch/","priority":2,"service":"soak","max-attempts":3,"stretch":4,"target-latency-ms":500}],
- "tenants":[{"name":"team","api-keys":["key"],"guaranteed-gpus":{"gpu":8}}]}`
 )
 
+// soakPolicy returns the policy in force: a queue for urgent jobs, one for batch
+// jobs, and one team that both are open to.
+func soakPolicy() *sesamework.Policy {
+	p := &sesamework.Policy{
+		Number: 1,
+		Teams: []sesamework.Team{{
+			Name:       "team",
+			Keys:       []string{"key"},
+			Guaranteed: 8,
+		}},
+	}
+	for priority, name := range map[int]string{0: "urgent", 2: "batch"} {
+		p.Queues = append(p.Queues, sesamework.Queue{
+			Name:   name,
+			Host:   "soak",
+			Prefix: "/" + name + "/",
+			Terms: sesamework.Terms{
+				Service:  "soak",
+				Priority: priority,
+				Attempts: 3,
+				Stretch:  3,
+				Latency:  500,
+			},
+		})
+	}
+	return p
+}
+
+// caller makes the requests of the soak's client.
+var caller = emulator.Caller{
+	Host: "soak",
+	Key:  "key",
+	Wait: 3 * time.Second,
+}
+
 // soak is the emulated platform with the processes that use it.
 type soak struct {
 	t         *testing.T
@@ -93,16 +125,7 @@
 		jobs:   map[string]*submission{},
 	}
 	rows := sesamerows.NewMemory(sesameclock.Wrap(clock))
-	_, err := rows.Commit(context.Background(), sesamerows.Transaction{
-		Writes: []sesamerows.Write{{
-			Key: sesamerows.Key{
-				Table: "op",
-				Name:  "config",
-			},
-			Value: []byte(policyText),
-		}},
-	})
-	is.New(t).NoErr(err)
+	is.New(t).NoErr(emulator.PutPolicy(t.Context(), rows, soakPolicy()))
 	store := httptest.NewServer(emulator.NewStoreHandler(rows))
 	t.Cleanup(store.Close)
 	s.fleet = sesamestandin.NewFleet(sesamestandin.FleetOptions{
@@ -149,20 +172,28 @@
 lease: 6s
 `, i, i%2, reports, p.address()))
 	id := fmt.Sprintf("i-%d", i)
-	target := s.fleet.Add(id, int64(1700000000000+i), sesamework.Resources{
+	life := int64(1700000000000 + i)
+	capacity := sesamework.Resources{
 		Cores:        64000,
 		Memory:       1 << 18,
 		Accelerators: 8,
-	})
-	server := httptest.NewServer(emulator.NewExecutorHandler(id, target))
+	}
+	server := httptest.NewServer(emulator.NewExecutorHandler(id, s.fleet.Add(id, life, capacity)))
 	s.t.Cleanup(server.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error {
-		for sequence := 1; ctx.Err() == nil; sequence++ {
-			s.call(http.MethodPut, "http://"+reports+"/instances/"+id, fmt.Sprintf(
-				`{"service":"soak","address":%q,"state":"ready","capacity":{"cpu":64000,"mem-request-mb":262144,"gpu":8},
- "labels":["a","rack-%d"],"sequence":%d,"born":%d}`, strings.TrimPrefix(server.URL, "http://"), i/2, sequence, 1700000000000+i))
+		for sequence := int64(1); ctx.Err() == nil; sequence++ {
+			s.call(emulator.NewReport(ctx, reports, sesamerunner.Report{
+				ID:       id,
+				Service:  "soak",
+				Address:  strings.TrimPrefix(server.URL, "http://"),
+				Rack:     fmt.Sprintf("rack-%d", i/2),
+				Labels:   []string{"a"},
+				Capacity: capacity,
+				Life:     life,
+				Sequence: sequence,
+			}))
 			time.Sleep(500 * time.Millisecond)
 		}
 		return nil
@@ -238,26 +269,24 @@
 	}
 }
 
-// call makes an HTTP request and returns status and body. Without an answer
-// the status is 0 and the body the error.
-func (s *soak) call(method, url, body string) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+// call makes an HTTP request, as built by the emulator, and returns status and
+// body. Without an answer the status is 0 and the body the error.
+func (s *soak) call(request *http.Request, err error) (int, []byte) {
+	if err != nil {
+		return 0, []byte(err.Error())
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), caller.Wait)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
-	is.New(s.t).NoErr(err)
-	request.Host = "soak"
-	request.Header.Set("Authorization", "Bearer key")
-	request.Header.Set("X-Time-Remaining-Ms", "3000")
-	response, err := http.DefaultClient.Do(request)
+	response, err := http.DefaultClient.Do(request.WithContext(ctx))
 	if err != nil {
-		return 0, err.Error()
+		return 0, []byte(err.Error())
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, err.Error()
+		return 0, []byte(err.Error())
 	}
-	return response.StatusCode, string(content)
+	return response.StatusCode, content
 }
 
 // lookup returns the definition of a task, or false when no job that may run
