Reserve room for more blocked units on larger deployments

Gangs of about 25 tasks with 52 cores each wait 11 s in the median and 19 s for one in ten; their objective leaves 14 s. Room is reserved for two blocked units at a time, whether there are 11 targets or 240; small tasks fill what the other gangs wait for.

Change: 2 reservations and one more for each 30 targets.

Test: TestWideGangsAmongSmallTasks replays that load on the decisions alone: 10 gangs among waves of small tasks on 240 targets, real durations off by half either way. All start in time; on the code before 4 of 10 do.

--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// maxReservations bounds the blocked units (those that found no room) for
-	// which room is reserved in one pass.
-	maxReservations = 2
+	// minReservations and targetsPerReservation bound the blocked units (those
+	// that found no room) for which room is reserved in one pass: minReservations
+	// and one more for each targetsPerReservation targets.
+	minReservations       = 2
+	targetsPerReservation = 30
 	// minRackWait is the least time that a unit waits for the rack in which it
 	// is fast before it takes another.
 	minRackWait = 2 * time.Second
@@ -203,6 +205,11 @@
 	}
 }
 
+// maxReservations returns for how many blocked units room may be reserved.
+func (p *pass) maxReservations() int {
+	return minReservations + len(p.view.targets)/targetsPerReservation
+}
+
 // placeUnit starts the unit, or else preempts other runs or reserves room for
 // it.
 func (p *pass) placeUnit(u *unit) {
@@ -225,7 +232,7 @@
 		return
 	}
 	urgent := u.job.Terms.Priority == 0 && !v.isCertainlyLate(u)
-	if !urgent && p.reservedUnits >= maxReservations {
+	if !urgent && p.reservedUnits >= p.maxReservations() {
 		return
 	}
 	targets, wait := p.earliestFit(u)
@@ -233,7 +240,7 @@
 		p.blocked[step] = false
 		return
 	}
-	if targets != nil && p.reservedUnits < maxReservations {
+	if targets != nil && p.reservedUnits < p.maxReservations() {
 		p.reservedUnits++
 		p.reserve(u, targets, wait)
 	}
