--- a/sesamedispatch/claim.go
+++ b/sesamedispatch/claim.go
@@ -53,6 +53,7 @@
 		return
 	}
 	p.unreserve(u, u.claim.targets)
+	p.tooLarge = nil // there is more room now
 	p.urgentAccelerators[u.job.Team] -= u.accelerators()
 }
 
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -204,10 +204,11 @@
 	}
 }
 
-// candidate is a unit that is ready to run, with its sort keys; see
-// isCertainlyLate and latestStart.
+// candidate holds the units of one step and occurrence that are ready to run,
+// by their indexes, with the sort keys that they share; see isCertainlyLate and
+// latestStart.
 type candidate struct {
-	*unit
+	units         []*unit
 	certainlyLate bool
 	latestStart   time.Duration
 }
@@ -216,50 +217,51 @@
 // which they are placed: by priority, then those that can still end in time
 // before the others, then by latestStart.
 func (v *View) sortedCandidates() []candidate {
-	var units []*unit
+	var all []candidate
 	for _, j := range v.jobs {
 		if j.isOver() {
 			continue
 		}
 		for _, steps := range j.occurrences {
-			units = appendReady(units, steps, v.now.Steady)
+			all = v.appendReady(all, steps)
 		}
 	}
-	all := make([]candidate, 0, len(units))
-	for _, u := range units {
-		all = append(all, candidate{
-			unit:          u,
-			certainlyLate: v.isCertainlyLate(u),
-			latestStart:   v.latestStart(u),
-		})
-	}
 	slices.SortFunc(all, func(a, c candidate) int {
+		first, other := a.units[0], c.units[0]
 		return cmp.Or(
-			cmp.Compare(a.job.Terms.Priority, c.job.Terms.Priority),
+			cmp.Compare(first.job.Terms.Priority, other.job.Terms.Priority),
 			trueFirst(!a.certainlyLate, !c.certainlyLate),
 			cmp.Compare(a.latestStart, c.latestStart),
-			cmp.Compare(a.job.ID, c.job.ID),
-			cmp.Compare(a.id.Step, c.id.Step),
-			cmp.Compare(a.id.Index, c.id.Index),
+			cmp.Compare(first.job.ID, other.job.ID),
+			cmp.Compare(first.id.Step, other.id.Step),
+			cmp.Compare(first.id.Occurrence, other.id.Occurrence),
 		)
 	})
 	return all
 }
 
-// appendReady appends the units of an occurrence that need a run and whose
-// earlier steps are done. It sets readySince of all units; now is on the steady
-// clock.
-func appendReady(all []*unit, steps [][]*unit, now time.Duration) []*unit {
+// appendReady appends, for each step of an occurrence whose earlier steps are
+// done, the units that need a run. It sets readySince of all units.
+func (v *View) appendReady(all []candidate, steps [][]*unit) []candidate {
 	for _, units := range steps {
+		var ready []*unit
+		stepReady := areStepsDone(steps, units[0].step.After)
 		for _, u := range units {
-			if !u.isWaiting() || !areStepsDone(steps, u.step.After) {
+			if !stepReady || !u.isWaiting() {
 				u.readySince = 0
 				continue
 			}
 			if u.readySince == 0 {
-				u.readySince = now
+				u.readySince = v.now.Steady
 			}
-			all = append(all, u)
+			ready = append(ready, u)
+		}
+		if len(ready) > 0 {
+			all = append(all, candidate{
+				units:         ready,
+				certainlyLate: v.isCertainlyLate(ready[0]),
+				latestStart:   v.latestStart(ready[0]),
+			})
 		}
 	}
 	return all
--- a/sesamedispatch/gang.go
+++ b/sesamedispatch/gang.go
@@ -11,11 +11,11 @@
 // chooseGang returns a usable target for each task of the gang, or nil when it
 // has to wait. A gang that is fast only in one rack waits for room in one,
 // while some rack could hold it when empty and hasWaitedForRack is false.
-func (p *pass) chooseGang(u *unit, usable []*target) []*target {
-	if best := p.chooseRack(u, usable); best != nil {
+func (p *pass) chooseGang(u *unit, usable []*target, racks rackGroups) []*target {
+	if best := p.chooseRack(u, racks); best != nil {
 		return best
 	}
-	if u.step.SameRack && p.anyRackCouldHold(u, usable) && !p.hasWaitedForRack(u) {
+	if u.step.SameRack && p.anyRackCouldHold(u, racks) && !p.hasWaitedForRack(u) {
 		return nil
 	}
 	if u.step.DataRack != "" && !p.acceptsRack(u, "") {
@@ -27,19 +27,18 @@
 // chooseRack returns a target for each task of the gang, all in one rack, or
 // nil when no rack that acceptsRack allows has room now. Of several racks, it
 // takes the one with the fewest free accelerators (best fit).
-func (p *pass) chooseRack(u *unit, usable []*target) []*target {
+func (p *pass) chooseRack(u *unit, racks rackGroups) []*target {
 	var best []*target
 	left := int64(0)
-	byRack := groupByRack(usable)
-	for _, rack := range slices.Sorted(maps.Keys(byRack)) {
+	for _, rack := range racks.names {
 		if !p.acceptsRack(u, rack) {
 			continue
 		}
-		found := p.pack(u, byRack[rack])
+		found := p.pack(u, racks.targets[rack])
 		if found == nil {
 			continue
 		}
-		room := p.freeAccelerators(byRack[rack])
+		room := p.freeAccelerators(racks.targets[rack])
 		if best == nil || room < left {
 			best = found
 			left = room
@@ -48,11 +47,29 @@
 	return best
 }
 
+// rackGroups holds targets by the name of their rack, and these names in order.
+type rackGroups struct {
+	names   []string
+	targets map[string][]*target
+}
+
 // groupByRack returns the targets by the name of their rack.
-func groupByRack(targets []*target) map[string][]*target {
-	groups := map[string][]*target{}
+func groupByRack(targets []*target) rackGroups {
+	groups := rackGroups{
+		targets: map[string][]*target{},
+	}
 	for _, t := range targets {
-		groups[t.Rack] = append(groups[t.Rack], t)
+		groups.targets[t.Rack] = append(groups.targets[t.Rack], t)
+	}
+	groups.names = slices.Sorted(maps.Keys(groups.targets))
+	return groups
+}
+
+// inOrder returns the targets of each rack, in the order of the racks' names.
+func (g rackGroups) inOrder() [][]*target {
+	groups := make([][]*target, 0, len(g.names))
+	for _, rack := range g.names {
+		groups = append(groups, g.targets[rack])
 	}
 	return groups
 }
@@ -72,16 +89,20 @@
 // tasks, it fills the one that holds most, and then takes the tightest that
 // holds the remaining ones.
 func (p *pass) pack(u *unit, targets []*target) []*target {
-	slots := map[*target]int{}
+	left := u.taskCount()
+	counts := make([]int, len(targets))
 	total := 0
-	for _, t := range targets {
-		slots[t] = p.tasksThatFit(u, t)
-		total += slots[t]
+	for i, t := range targets {
+		counts[i] = p.tasksThatFit(u, t)
+		total += counts[i]
 	}
-	left := u.taskCount()
 	if total < left {
 		return nil
 	}
+	slots := make(map[*target]int, len(targets))
+	for i, t := range targets {
+		slots[t] = counts[i]
+	}
 	var chosen []*target
 	for left > 0 {
 		t := tightest(targets, slots, left, p)
@@ -129,9 +150,9 @@
 
 // anyRackCouldHold reports whether the usable targets of some rack would hold
 // the gang if they were empty.
-func (p *pass) anyRackCouldHold(u *unit, usable []*target) bool {
-	for _, targets := range groupByRack(usable) {
-		if p.couldHold(u, targets) {
+func (p *pass) anyRackCouldHold(u *unit, racks rackGroups) bool {
+	for _, rack := range racks.names {
+		if p.couldHold(u, racks.targets[rack]) {
 			return true
 		}
 	}
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -53,8 +53,12 @@
 	// isActive), and activeByTarget holds them by the targets of such members.
 	active         []*unit
 	activeByTarget map[string][]*unit
-	// targetsByService holds the targets that accept work, by service.
+	// targetsByService holds the targets that accept work, by service, and
+	// racksByService the same targets by rack.
 	targetsByService map[string][]*target
+	racksByService   map[string]rackGroups
+	// tooLarge are units that found no room in this pass; see isTooLarge.
+	tooLarge []*unit
 	// victimsOf caches the runs that may be preempted, by target and by whether
 	// the unit that needs the room is owed it (within its team's guarantee).
 	victimsOf map[victimKey][]*unit
@@ -98,13 +102,15 @@
 // place starts the ready units that fit, in their order, and makes room for
 // others by reservations and preemption.
 func (v *View) place(d *Decision) {
-	units := v.sortedCandidates()
-	if len(units) == 0 {
+	candidates := v.sortedCandidates()
+	if len(candidates) == 0 {
 		return
 	}
 	p := v.newPass(d)
-	for _, c := range units {
-		p.placeUnit(c.unit)
+	for _, c := range candidates {
+		for _, u := range c.units {
+			p.placeUnit(u)
+		}
 	}
 }
 
@@ -132,6 +138,10 @@
 			p.targetsByService[t.Service] = append(p.targetsByService[t.Service], t)
 		}
 	}
+	p.racksByService = map[string]rackGroups{}
+	for service, targets := range p.targetsByService {
+		p.racksByService[service] = groupByRack(targets)
+	}
 	for _, u := range v.units {
 		p.countUsage(u)
 	}
@@ -166,7 +176,9 @@
 // occupy takes the room of one task on the target.
 func (p *pass) occupy(u *unit, target string) {
 	p.room[target] = p.room[target].Minus(u.step.Reservation())
-	p.tasksOnTarget[u.spreadKey(target)]++
+	if u.step.MaxPerTarget > 0 {
+		p.tasksOnTarget[u.spreadKey(target)]++
+	}
 }
 
 // reserve sets room aside for one task per entry of targets, which may repeat,
@@ -267,17 +279,52 @@
 // choose returns a target for each task of the unit, with room for it now, or
 // nil when the unit has to wait.
 func (p *pass) choose(u *unit) []*target {
-	usable := p.eligibleTargets(u)
+	if p.isTooLarge(u) {
+		return nil
+	}
+	usable, racks := p.eligibleTargets(u)
+	var chosen []*target
 	if u.step.Gang {
-		return p.chooseGang(u, usable)
+		chosen = p.chooseGang(u, usable, racks)
+	} else {
+		chosen = p.chooseSingle(u, usable)
+	}
+	if chosen == nil && u.mayRunAnywhere() {
+		p.tooLarge = append(p.tooLarge, u)
 	}
-	return p.chooseSingle(u, usable)
+	return chosen
+}
+
+// isTooLarge reports whether a unit that could run on any target, needs no more
+// and ends no later has found no room in this pass: then the unit finds none
+// either, since rooms only shrink.
+func (p *pass) isTooLarge(u *unit) bool {
+	if p.view.plain {
+		return false
+	}
+	return slices.ContainsFunc(p.tooLarge, func(other *unit) bool {
+		return other.job.Terms.Service == u.job.Terms.Service &&
+			other.taskCount() <= u.taskCount() &&
+			other.step.Reservation().Fits(u.step.Reservation()) &&
+			other.expectedDuration() <= u.expectedDuration()
+	})
+}
+
+// mayRunAnywhere reports whether nothing but room and service limits on which
+// targets the unit may run now.
+func (u *unit) mayRunAnywhere() bool {
+	s := u.step
+	return s.Label == "" && s.DataRack == "" && s.MaxPerTarget == 0 && !s.SameRack && len(u.avoid) == 0
 }
 
 // eligibleTargets returns the targets that accept work of the unit's service
-// and have the label that its step needs. It leaves out those on which the unit
-// has failed, if the others could hold it when empty.
-func (p *pass) eligibleTargets(u *unit) []*target {
+// and have the label that its step needs, and the same by rack. It leaves out
+// those on which the unit has failed, if the others could hold it when empty.
+func (p *pass) eligibleTargets(u *unit) ([]*target, rackGroups) {
+	service := u.job.Terms.Service
+	if u.step.Label == "" && len(u.avoid) == 0 {
+		return p.targetsByService[service], p.racksByService[service]
+	}
 	var fresh, all []*target
 	for _, t := range p.targetsByService[u.job.Terms.Service] {
 		if !t.hasLabel(u.step) {
@@ -291,7 +338,7 @@
 	if len(fresh) < len(all) && p.couldHold(u, fresh) {
 		all = fresh
 	}
-	return all
+	return all, groupByRack(all)
 }
 
 // tasksThatFit returns how many more tasks of the unit fit on the target now,
@@ -380,7 +427,8 @@
 // rackCouldRun reports whether an eligible target of the rack could run one
 // task of the unit if it were empty.
 func (p *pass) rackCouldRun(u *unit, rack string) bool {
-	return slices.ContainsFunc(p.eligibleTargets(u), func(t *target) bool {
+	usable, _ := p.eligibleTargets(u)
+	return slices.ContainsFunc(usable, func(t *target) bool {
 		return t.Rack == rack && u.step.Reservation().Fits(t.Capacity)
 	})
 }
--- a/sesamedispatch/preempt.go
+++ b/sesamedispatch/preempt.go
@@ -102,14 +102,10 @@
 // there is none. For a gang that is fast only in one rack it looks within each
 // rack first, and over all racks only when none can hold the gang.
 func (p *pass) cheapestEviction(u *unit, owed bool) (eviction, bool) {
-	usable := p.eligibleTargets(u)
+	usable, racks := p.eligibleTargets(u)
 	groups := [][]*target{usable}
 	if u.step.Gang && u.step.SameRack {
-		byRack := groupByRack(usable)
-		groups = nil
-		for _, rack := range slices.Sorted(maps.Keys(byRack)) {
-			groups = append(groups, byRack[rack])
-		}
+		groups = racks.inOrder()
 	}
 	best, ok := p.cheapestEvictionIn(u, groups, owed)
 	if !ok && len(groups) > 1 {
--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -13,10 +12,10 @@
 // first, one for each task, and how long that takes from now. It returns nil
 // and 0 if the unit would not fit after the ends of all active runs either.
 func (p *pass) earliestFit(u *unit) ([]string, time.Duration) {
-	usable := p.eligibleTargets(u)
+	usable, racks := p.eligibleTargets(u)
 	groups := [][]*target{usable}
 	if u.step.Gang && u.step.SameRack {
-		groups = slices.Collect(maps.Values(groupByRack(usable)))
+		groups = racks.inOrder()
 	}
 	var best []string
 	var shortest time.Duration
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -29,6 +29,9 @@
 	now Now
 	// needsDecision says that the rows being applied may change a decision.
 	needsDecision bool
+	// plain turns off what only makes decisions faster, for tests that compare
+	// both ways.
+	plain bool
 }
 
 // Now is the time of a decision on each of the clocks.
