Learn nothing from runs that had ended before a planner took over

Cause: while a planner that takes over reads the ends of runs, each counted as if it had come now: the time since its order was taken for its duration, and failures of targets were counted in the order of their rows. After an hour a task of 2 s that was ordered an hour ago taught its queue a duration of an hour; 64 such tasks replace all that was learnt. Found by reading.

Change: nothing is learnt while rows of earlier times are loaded.

Test: TestLoadTeachesNothing fails without.

--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -29,6 +29,9 @@
 	now Now
 	// needsDecision says that the rows being applied may change a decision.
 	needsDecision bool
+	// loading is set while the rows of earlier times are applied. When and in
+	// which order runs ended is not known then, so nothing is learnt from them.
+	loading bool
 	// plain turns off what only makes decisions faster, for tests that compare
 	// both ways.
 	plain bool
@@ -93,6 +96,8 @@
 // tables and of the state table.
 func (v *View) Load(work, runs, states []sesamerows.Row, now Now) {
 	v.now = now
+	v.loading = true
+	defer func() { v.loading = false }()
 	v.applyPrefix(work, sesamework.JobPrefix, v.setJob)
 	for _, row := range states {
 		v.setState(row)
@@ -314,8 +319,8 @@
 	}
 }
 
-// endMember records how a member ended, for its unit and as evidence about its
-// target. It does nothing when the member's end is known already.
+// endMember records how a member ended, for its unit and as evidence; see learn.
+// It does nothing when the member's end is known already.
 func (v *View) endMember(u *unit, m member, e sesamework.End) {
 	if m.outcome != "" {
 		return
@@ -331,15 +336,23 @@
 		"after":  (v.now.Steady - u.orderedAt).Milliseconds(),
 		"over":   over,
 	})
+	if !v.loading {
+		v.learn(u, m, e, over)
+	}
+	if over && e.Outcome == sesamework.EndFailed && len(u.avoid) > 1 {
+		v.clearFailedUnit(u)
+	}
+}
+
+// learn takes the end of a member as evidence about its target and, if the unit
+// is over with it, about the durations of its queue's tasks.
+func (v *View) learn(u *unit, m member, e sesamework.End, over bool) {
 	if t, ok := v.targets[m.Target]; ok && t.Life == m.Life {
 		t.recordEnd(u, e, v.now.Steady)
 	}
 	if over && u.done {
 		v.updateDurationModel(u)
 	}
-	if over && e.Outcome == sesamework.EndFailed && len(u.avoid) > 1 {
-		v.clearFailedUnit(u)
-	}
 }
 
 // clearFailedUnit removes the unit from the failedUnits of the targets on which
