--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -11,11 +11,6 @@
 )
 
 const (
-	// minReservations and targetsPerReservation bound the blocked units (those
-	// that found no room) for which room is reserved in one pass: minReservations
-	// and one more for each targetsPerReservation targets.
-	minReservations       = 2
-	targetsPerReservation = 30
 	// minRackWait is the least time that a unit waits for the rack in which it
 	// is fast before it takes another.
 	minRackWait = 2 * time.Second
@@ -72,13 +67,6 @@
 	borrowed map[*unit]bool
 }
 
-// reservation is room for one task of a unit that is set aside on a target. The
-// unit is expected to fit from then on, as a time from now.
-type reservation struct {
-	unit *unit
-	from time.Duration
-}
-
 // spreadKey identifies the tasks of one step and occurrence on one target, of
 // which Step.MaxPerTarget bounds the number.
 type spreadKey struct {
@@ -181,47 +169,6 @@
 	}
 }
 
-// reserve sets room aside for one task per entry of targets, which may repeat,
-// against units later in order. The unit is expected to fit in wait; units that
-// are expected to end before that may still use the room (backfill).
-func (p *pass) reserve(u *unit, targets []string, wait time.Duration) {
-	for _, name := range targets {
-		p.reservations[name] = append(p.reservations[name], reservation{
-			unit: u,
-			from: wait,
-		})
-		p.sumReservations(name)
-	}
-}
-
-// unreserve undoes the unit's reservations on the targets.
-func (p *pass) unreserve(u *unit, targets []string) {
-	for _, name := range targets {
-		p.reservations[name] = slices.DeleteFunc(p.reservations[name], func(r reservation) bool {
-			return r.unit == u
-		})
-		p.sumReservations(name)
-	}
-}
-
-// sumReservations computes reserved and reservedFrom of the target from its
-// reservations.
-func (p *pass) sumReservations(name string) {
-	delete(p.reserved, name)
-	delete(p.reservedFrom, name)
-	for i, r := range p.reservations[name] {
-		p.reserved[name] = p.reserved[name].Plus(r.unit.step.Reservation())
-		if i == 0 || r.from < p.reservedFrom[name] {
-			p.reservedFrom[name] = r.from
-		}
-	}
-}
-
-// maxReservations returns for how many blocked units room may be reserved.
-func (p *pass) maxReservations() int {
-	return minReservations + len(p.view.targets)/targetsPerReservation
-}
-
 // placeUnit starts the unit, or else preempts other runs or reserves room for
 // it.
 func (p *pass) placeUnit(u *unit) {
