Tell in the row of an end how long the run has taken

Cause: with nothing learnt from history, a planner that takes over knows only declared durations, which are off by up to two times.

Change: the agent that ordered a start writes the time until the end into the end's row; a planner that loads rows learns from that.

Tests: TestLoad and TestEndTellsDuration; each fails without its part.

--- a/sesamedispatch/crash_test.go
+++ b/sesamedispatch/crash_test.go
@@ -1,12 +1,14 @@
 package sesamedispatch_test
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -112,3 +114,33 @@
 		})
 	}
 }
+
+// TestEndTellsDuration checks that the row of an end tells how long the run has
+// taken, from which a planner that takes over learns.
+func TestEndTellsDuration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const duration = 2 * time.Second
+		w := newWorld(t, 1, 1)
+		w.sleep(3 * time.Second)
+		a := newClientJob("job", sesamework.Step{
+			Count:    1,
+			Need:     accelerators(1),
+			Estimate: 1000,
+		}, duration)
+		w.submit(a, "normal", "key-a", 0)
+		w.sleep(2 * duration)
+		page, err := w.store.Read(w.ctx, sesamerows.Range{
+			Table: sesamework.WorkTable,
+			Part:  sesamework.NodePart(w.nodes[0].zone, w.nodes[0].name),
+			From:  sesamework.EndPrefix,
+			To:    sesamework.TargetPrefix,
+		})
+		is.NoErr(err)
+		is.Equal(len(page.Rows), 1)
+		var end sesamework.End
+		is.NoErr(json.Unmarshal(page.Rows[0].Value, &end))
+		taken := time.Duration(end.Taken) * time.Millisecond
+		is.True(taken >= duration && taken < duration+200*time.Millisecond)
+	})
+}
--- a/sesamedispatch/estimate.go
+++ b/sesamedispatch/estimate.go
@@ -102,11 +102,11 @@
 	j.objective = j.Objective(slices.Max(j.criticalPaths))
 }
 
-// updateDurationModel adds the time since the order of the run with which a
-// unit has just been done to its queue's model. It leaves out durations that
+// updateDurationModel adds how long the run with which a unit was done has taken
+// to its queue's model. It leaves out durations that
 // say little: those of long-running steps, of runs after the first or from a
 // checkpoint, and of runs outside the rack in which the unit is fast.
-func (v *View) updateDurationModel(u *unit) {
+func (v *View) updateDurationModel(u *unit, taken time.Duration) {
 	if u.run.Number != 1 || u.run.Checkpoint != "" || u.step.LongRunning || v.missedFastRack(u) {
 		return
 	}
@@ -115,7 +115,7 @@
 		model = &durationModel{}
 		v.durationModels[u.job.Queue] = model
 	}
-	model.update(u.step.Duration(), v.now.Store-time.Duration(u.run.OrderedAt)*time.Millisecond)
+	model.update(u.step.Duration(), taken)
 }
 
 // missedFastRack reports whether a member ran outside the rack in which the
--- a/sesamedispatch/load_test.go
+++ b/sesamedispatch/load_test.go
@@ -1,6 +1,7 @@
 package sesamedispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -22,10 +23,21 @@
 	}
 }
 
-// TestLoadTeachesNothing checks that a planner that takes over does not take the
-// time since runs were ordered for how long they took, nor old failures for the
-// present state of a target.
-func TestLoadTeachesNothing(t *testing.T) {
+// TestLoad checks that a planner that takes over learns durations only from ends
+// that tell them: it does not take the time since runs were ordered for how long
+// they took, nor old failures for the present state of a target.
+func TestLoad(t *testing.T) {
+	for taken, learnt := range map[int64]int{0: 0, 1300: 1} {
+		t.Run(fmt.Sprintf("ends that tell %d ms", taken), func(t *testing.T) {
+			assertLearnt(t, taken, learnt)
+		})
+	}
+}
+
+// assertLearnt loads one run that is done after that many milliseconds, and some
+// that failed, all of which were ordered an hour ago, and checks what is learnt.
+func assertLearnt(t *testing.T, taken int64, learnt int) {
+	t.Helper()
 	is := is.New(t)
 	target := targetRow(newTarget("a"), 1)
 	work := []sesamerows.Row{target}
@@ -39,6 +51,7 @@
 		work = append(work, jobFillingTarget(job, 1), endedRow(target.Key, job, sesamework.End{
 			Outcome: how,
 			Target:  target.Key.Name,
+			Taken:   taken,
 		}))
 		runs = append(runs, sesamerows.Row{
 			Key: sesamework.RunKey(sesamework.UnitID{
@@ -62,6 +75,9 @@
 	for _, u := range v.units {
 		is.True(!u.isActive())
 	}
-	is.Equal(len(v.durationModels), 0)
+	is.Equal(len(v.durationModels), learnt)
+	for _, m := range v.durationModels {
+		is.Equal(m.meanTaken, logSeconds(time.Duration(taken)*time.Millisecond))
+	}
 	is.Equal(v.targets[target.Key.Name].quarantines, 0)
 }
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -29,8 +29,8 @@
 	now Now
 	// needsDecision says that the rows being applied may change a decision.
 	needsDecision bool
-	// loading is set while the rows of earlier times are applied. When and in
-	// which order runs ended is not known then, so nothing is learnt from them.
+	// loading is set while the rows of earlier times are applied: when and in
+	// which order runs ended is not known then.
 	loading bool
 	// plain turns off what only makes decisions faster, for tests that compare
 	// both ways.
@@ -336,22 +336,25 @@
 		"after":  (v.now.Steady - u.orderedAt).Milliseconds(),
 		"over":   over,
 	})
-	if !v.loading {
-		v.learn(u, m, e, over)
-	}
+	v.learn(u, m, e, over)
 	if over && e.Outcome == sesamework.EndFailed && len(u.avoid) > 1 {
 		v.clearFailedUnit(u)
 	}
 }
 
 // learn takes the end of a member as evidence about its target and, if the unit
-// is over with it, about the durations of its queue's tasks.
+// is over with it, about the durations of its queue's tasks. While rows of
+// earlier times are loaded, only a duration that the end's row tells counts.
 func (v *View) learn(u *unit, m member, e sesamework.End, over bool) {
-	if t, ok := v.targets[m.Target]; ok && t.Life == m.Life {
+	if t, ok := v.targets[m.Target]; ok && t.Life == m.Life && !v.loading {
 		t.recordEnd(u, e, v.now.Steady)
 	}
-	if over && u.done {
-		v.updateDurationModel(u)
+	taken := v.now.Store - time.Duration(u.run.OrderedAt)*time.Millisecond
+	if v.loading {
+		taken = time.Duration(e.Taken) * time.Millisecond
+	}
+	if over && u.done && taken > 0 {
+		v.updateDurationModel(u, taken)
 	}
 }
 
--- a/sesamerunner/lease.go
+++ b/sesamerunner/lease.go
@@ -229,16 +229,20 @@
 		return
 	}
 	k.phase = phaseEnded
+	end := sesamework.End{
+		Outcome:    e.Outcome,
+		Target:     s.key.Name,
+		Life:       s.report.Life,
+		Checkpoint: e.Checkpoint,
+	}
+	if k.startedAt > 0 {
+		end.Taken = (s.o.Clock.Steady() - k.startedAt).Milliseconds()
+	}
 	s.pendingEnds[row] = pendingEnd{
 		key:    key,
 		row:    row,
 		number: e.Number,
-		value: sesamework.End{
-			Outcome:    e.Outcome,
-			Target:     s.key.Name,
-			Life:       s.report.Life,
-			Checkpoint: e.Checkpoint,
-		},
+		value:  end,
 	}
 	s.o.Log.Emit(eventRunEnded, sesamelog.Fields{
 		"job":    task.Job,
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -223,6 +223,9 @@
 	}
 	k := s.stateOf(key)
 	k.phase = max(k.phase, phaseOrdered)
+	if k.startedAt == 0 {
+		k.startedAt = s.o.Clock.Steady()
+	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -38,6 +38,9 @@
 // runState is what the session knows about one task of a run.
 type runState struct {
 	phase phase
+	// startedAt is when this process ordered the start, on the steady clock; 0 if
+	// it has not.
+	startedAt time.Duration
 	// orderInFlight is true while a start or stop of the run is in flight.
 	orderInFlight bool
 	// stopRenewal is the number of the first renewal sent after a stop was
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -84,6 +84,9 @@
 	Checkpoint string `json:"ckpt,omitempty"`
 	// Reason explains the outcome EndNeverRan.
 	Reason string `json:"why,omitempty"`
+	// Taken is how long the run took on its target, in milliseconds; 0 if that is
+	// not known, because another agent ordered the start.
+	Taken int64 `json:"ms,omitempty"`
 }
 
 // TargetState says whether a target accepts new runs.
