Renew the leader's row while a new planner reads all rows

Cause: a silent leader is replaced after 1.5 s, and a new leader wrote nothing while it read all rows.

Change: the leader's row is renewed each 0.5 s during the reading, also when a term reads its view anew; the reading may take 15 s instead of 5 s.

TestTakeOverOfSlowStore fails without the change.

--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -30,7 +30,7 @@
 	commitTimeout = 20 * time.Second
 	// readTimeout bounds the reading of all rows, with the write that precedes
 	// it when a process takes over.
-	readTimeout = 5 * time.Second
+	readTimeout = 15 * time.Second
 	// tick is the longest pause between two decisions: occurrences become due
 	// and targets fall silent without a change of a row.
 	tick = 100 * time.Millisecond
@@ -225,7 +225,7 @@
 	}
 	r.leaderValue = value
 	r.leaderWrittenAt = p.o.Clock.Steady()
-	if err := r.load(ctx); err != nil {
+	if err := r.whileRenewing(ctx, r.load); err != nil {
 		r.stepDown()
 		return nil, err
 	}
--- a/sesamedispatch/takeover_test.go
+++ b/sesamedispatch/takeover_test.go
@@ -122,3 +122,33 @@
 		is.New(t).True(w.leaderTerm() != before)
 	})
 }
+
+// TestTakeOverOfSlowStore kills the leader while the store answers so slowly that
+// a new leader reads all rows for longer than a leader may be silent. The others
+// must wait for it, rather than take over from each other and read in vain.
+func TestTakeOverOfSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			entries   = 4
+			slowReads = 1500 * time.Millisecond
+		)
+		w := newWorld(t, entries, 2)
+		w.sleep(3 * time.Second)
+		w.setFaults(func(write bool) sesamestandin.RowFault {
+			if write {
+				return sesamestandin.RowFault{}
+			}
+			return sesamestandin.RowFault{
+				AnswerDelay: slowReads,
+			}
+		})
+		for _, e := range w.entries[:entries-1] {
+			e.stop()
+			e.start()
+		}
+		w.sleep(15 * time.Second)
+		term := w.leaderTerm()
+		w.sleep(6 * time.Second)
+		is.New(t).Equal(w.leaderTerm(), term)
+	})
+}
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -54,6 +54,36 @@
 	return nil
 }
 
+// whileRenewing calls read, which reads all rows, and renews the leader's row
+// meanwhile: a slow store may take longer for the reading than others wait for a
+// silent leader. It returns the first error of read or of commit.
+func (r *term) whileRenewing(ctx context.Context, read func(context.Context) error) error {
+	group, ctx := errgroup.WithContext(ctx)
+	reading, finish := context.WithCancel(ctx)
+	group.Go(func() error {
+		defer finish()
+		return read(ctx)
+	})
+	group.Go(func() error {
+		return r.renewDuring(ctx, reading)
+	})
+	return group.Wait()
+}
+
+// renewDuring renews the leader's row each leaderRenewInterval until reading
+// ends. Errors are those of commit, whose transactions are bounded by ctx.
+func (r *term) renewDuring(ctx, reading context.Context) error {
+	for {
+		sesamerows.Sleep(reading, leaderRenewInterval)
+		if reading.Err() != nil {
+			return nil
+		}
+		if _, err := r.commit(ctx, &change{}); err != nil {
+			return err
+		}
+	}
+}
+
 // plannerRows are the rows that only planners write after a job's acceptance.
 type plannerRows struct {
 	runs   []sesamerows.Row
@@ -99,7 +129,11 @@
 func (r *term) rebuild(ctx context.Context, work sesamerows.Batch) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	rows, err := r.readPlannerRows(ctx)
+	var rows plannerRows
+	err := r.whileRenewing(ctx, func(ctx context.Context) (err error) {
+		rows, err = r.readPlannerRows(ctx)
+		return err
+	})
 	if err != nil {
 		return err
 	}
