--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -56,7 +56,8 @@
 
 // whileRenewing calls read, which reads all rows, and renews the leader's row
 // meanwhile: a slow store may take longer for the reading than others wait for a
-// silent leader. It returns the first error of read or of commit.
+// silent leader. A renewal has no conditions, so commit leaves the view, which read
+// may fill, alone. It returns the first error of read or of commit.
 func (r *term) whileRenewing(ctx context.Context, read func(context.Context) error) error {
 	group, ctx := errgroup.WithContext(ctx)
 	reading, finish := context.WithCancel(ctx)
