--- a/sesamedispatch/estimate.go
+++ b/sesamedispatch/estimate.go
@@ -103,9 +103,9 @@
 }
 
 // updateDurationModel adds how long the run with which a unit was done has taken
-// to its queue's model. It leaves out durations that
-// say little: those of long-running steps, of runs after the first or from a
-// checkpoint, and of runs outside the rack in which the unit is fast.
+// to the model of durations that estimates its queue's next tasks. It leaves out
+// durations that say little: those of long-running steps, of runs after the first
+// or from a checkpoint, and of runs outside the rack in which the unit is fast.
 func (v *View) updateDurationModel(u *unit, taken time.Duration) {
 	if u.run.Number != 1 || u.run.Checkpoint != "" || u.step.LongRunning || v.missedFastRack(u) {
 		return
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -71,8 +71,8 @@
 	return group.Wait()
 }
 
-// renewDuring renews the leader's row each leaderRenewInterval until reading
-// ends. Errors are those of commit, whose transactions are bounded by ctx.
+// renewDuring renews the leader's row each leaderRenewInterval until the context
+// reading ends, so that no other process takes over. Errors are those of commit, whose transactions are bounded by ctx.
 func (r *term) renewDuring(ctx, reading context.Context) error {
 	for {
 		sesamerows.Sleep(reading, leaderRenewInterval)
--- a/sesameplanner/faults.go
+++ b/sesameplanner/faults.go
@@ -64,7 +64,8 @@
 	return l.AllowN(now, 1)
 }
 
-// RetryLimit spends the retries of one contract; see RetryBudget.
+// RetryLimit is what bounds the retries of a team: its contract's limit, this
+// entry's budget, and the entries among which the limit is divided.
 type RetryLimit struct {
 	Contract sesamemodel.Contract
 	Budget   *RetryBudget
