--- /dev/null
+++ b/sesamedispatch/ends.go
@@ -0,0 +1,115 @@
+package sesamedispatch
+
+import (
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// setEnd ends the member that an end row names, unless the end is that of an
+// earlier run of its unit or of another life of its target.
+func (v *View) setEnd(_ string, row sesamerows.Row) {
+	if row.Removed {
+		delete(v.ends, row.Key)
+		return
+	}
+	v.ends[row.Key] = true
+	task, number, ok := sesamework.ParseEndKey(row.Key)
+	var e sesamework.End
+	if !ok || !v.decode(row, row.Value, &e) {
+		return
+	}
+	u, ok := v.unitOf(task)
+	if !ok || u.run.Number != number {
+		return
+	}
+	for _, m := range u.members {
+		if m.Index == task.Index && m.Target == e.Target && m.Life == e.Life {
+			v.endMember(u, m, e)
+			return
+		}
+	}
+}
+
+// endMember records how a member ended, for its unit and as evidence; see learn.
+// It does nothing when the member's end is known already.
+func (v *View) endMember(u *unit, m member, e sesamework.End) {
+	if m.outcome != "" {
+		return
+	}
+	over := u.endMember(m.Index, e)
+	v.log.Emit(eventEnded, sesamelog.Fields{
+		"job":    u.id.Job,
+		"task":   u.id.Task(m.Index).String(),
+		"run":    u.run.Number,
+		"how":    e.Outcome,
+		"reason": e.Reason,
+		"target": m.Target,
+		"after":  (v.now.Steady - u.orderedAt).Milliseconds(),
+		"over":   over,
+	})
+	v.learn(u, m, e, over)
+	if over && e.Outcome == sesamework.EndFailed && len(u.avoid) > 1 {
+		v.clearFailedUnit(u)
+	}
+}
+
+// learn takes the end of a member as evidence about its target and, if the unit
+// is over with it, about the durations of its queue's tasks. While rows of
+// earlier times are loaded, only a duration that the end's row tells counts.
+func (v *View) learn(u *unit, m member, e sesamework.End, over bool) {
+	if t, ok := v.targets[m.Target]; ok && t.Life == m.Life && !v.loading {
+		t.recordEnd(u, e, v.now.Steady)
+	}
+	taken := v.now.Store - time.Duration(u.run.OrderedAt)*time.Millisecond
+	if v.loading {
+		taken = time.Duration(e.Taken) * time.Millisecond
+	}
+	if over && u.done && taken > 0 {
+		v.updateDurationModel(u, taken)
+	}
+}
+
+// clearFailedUnit removes the unit from the failedUnits of the targets on which
+// it failed. Once a unit has failed on several targets, its failures no longer
+// count against these.
+func (v *View) clearFailedUnit(u *unit) {
+	for _, name := range u.avoid {
+		if t, ok := v.targets[name]; ok {
+			delete(t.failedUnits, u.id)
+		}
+	}
+}
+
+// endLostMembers ends, as lost, the members whose target is gone or has begun
+// another life (one start of a target).
+func (v *View) endLostMembers() {
+	for _, u := range v.units {
+		for _, m := range u.members {
+			t, ok := v.targets[m.Target]
+			if m.outcome != "" || ok && t.Life == m.Life && t.State != sesamework.TargetGone {
+				continue
+			}
+			v.endMember(u, m, sesamework.End{
+				Outcome:    sesamework.EndLost,
+				Checkpoint: v.lastCheckpoint(t, u, m.Index),
+			})
+		}
+	}
+}
+
+// lastCheckpoint returns the newest checkpoint of the unit's newest run that
+// the target reported for the task with that index, or "" if there is none. t
+// is nil for an unknown target.
+func (v *View) lastCheckpoint(t *target, u *unit, index int) string {
+	if t == nil {
+		return ""
+	}
+	p, ok := t.progress[u.id.Task(index).String()]
+	if !ok || p.Run != u.run.Number {
+		return ""
+	}
+	return p.Checkpoint
+}
