Log why a run counts as lost, and which ends have no effect

A planner that starts a task again after its end was recorded left no trace of why: the end row was passed over in silence, and "run ended how=lost" did not say from which row that followed. 7105 now gives the reason and the version of the target's row, 7109 the versions found and that of the view, and the new 7116 names an end row that differs from what the planner holds, or that belongs to a run which is not the newest. No decision changes.

--- a/sesamedispatch/ends.go
+++ b/sesamedispatch/ends.go
@@ -1,6 +1,7 @@
 package sesamedispatch
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
@@ -8,8 +9,8 @@
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
-// setEnd ends the member that an end row names, unless the end is that of an
-// earlier run of its unit or of another life of its target.
+// setEnd ends the member that an end row names. It ignores, and logs, the end of
+// an earlier run, and one that differs from what the view holds already.
 func (v *View) setEnd(_ string, row sesamerows.Row) {
 	if row.Removed {
 		delete(v.ends, row.Key)
@@ -22,15 +23,36 @@
 		return
 	}
 	u, ok := v.unitOf(task)
-	if !ok || u.run.Number != number {
+	if !ok {
 		return
 	}
 	for _, m := range u.members {
-		if m.Index == task.Index && m.Target == e.Target && m.Life == e.Life {
+		if u.run.Number == number && m.Index == task.Index && m.Target == e.Target && m.Life == e.Life {
+			if m.outcome != "" && m.outcome != e.Outcome {
+				v.logIgnoredEnd(u, row, e, m.outcome)
+			}
 			v.endMember(u, m, e)
 			return
 		}
 	}
+	if !v.loading && number <= u.run.Number {
+		v.logIgnoredEnd(u, row, e, "")
+	}
+}
+
+// logIgnoredEnd logs an end row without effect: the member has the outcome known
+// already, or, if known is empty, belongs to a run that is not the newest.
+func (v *View) logIgnoredEnd(u *unit, row sesamerows.Row, e sesamework.End, known sesamework.Outcome) {
+	v.log.Emit(eventEndIgnored, sesamelog.Fields{
+		"job":     u.id.Job,
+		"row":     row.Key.Name,
+		"version": row.Version,
+		"how":     e.Outcome,
+		"target":  e.Target,
+		"life":    e.Life,
+		"known":   known,
+		"newest":  u.run.Number,
+	})
 }
 
 // endMember records how a member ended, for its unit and as evidence; see learn.
@@ -95,11 +117,24 @@
 			v.endMember(u, m, sesamework.End{
 				Outcome:    sesamework.EndLost,
 				Checkpoint: v.lastCheckpoint(t, u, m.Index),
+				Reason:     lossReason(t, m),
 			})
 		}
 	}
 }
 
+// lossReason says from what the view concludes that the member is lost. t is its
+// target, nil for an unknown one.
+func lossReason(t *target, m member) string {
+	switch {
+	case t == nil:
+		return "target has no row"
+	case t.Life != m.Life:
+		return fmt.Sprintf("life %d of the target reports at version %d", t.Life, t.version)
+	}
+	return fmt.Sprintf("target is gone at version %d", t.version)
+}
+
 // lastCheckpoint returns the newest checkpoint of the unit's newest run that
 // the target reported for the task with that index, or "" if there is none. t
 // is nil for an unknown target.
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -25,6 +25,9 @@
 	leaderValue []byte
 	fence       *sesamerows.Fence
 	view        *View
+	// viewVersion is the store's version up to which the feed has brought the
+	// changes in the view.
+	viewVersion sesamerows.Version
 	follower    *sesamerows.Follower
 	// leaderWrittenAt is when the leader's row was written last, and
 	// feedAnsweredAt when the feed answered last, on the steady clock.
@@ -110,6 +113,7 @@
 func (r *term) fillView(work sesamerows.Batch, rows plannerRows) {
 	r.storeClock.AddSample(work.Now)
 	r.feedAnsweredAt = r.o.Clock.Steady()
+	r.viewVersion = work.Version
 	r.view.Load(work.Rows, rows.runs, rows.states, r.now())
 }
 
@@ -357,6 +361,7 @@
 	}
 	r.storeClock.AddSample(batch.Now)
 	r.feedAnsweredAt = r.o.Clock.Steady()
+	r.viewVersion = max(r.viewVersion, batch.Version)
 	return r.view.Apply(batch.Rows, r.now()), nil
 }
 
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -254,6 +255,7 @@
 		r.o.Log.Emit(eventConflict, sesamelog.Fields{
 			"error": err,
 			"rows":  r.differingRows(c.Expects, conflict),
+			"view":  r.viewVersion,
 		})
 		r.view.Apply(conflict.Rows, r.now())
 		return false, nil
@@ -268,13 +270,13 @@
 	return true, nil
 }
 
-// differingRows returns the names of the rows that differ from the conditions of
-// a transaction that conflicted.
+// differingRows returns the names, with the versions found, of the rows that
+// differ from the conditions of a transaction that conflicted.
 func (r *term) differingRows(expects []sesamerows.Expect, conflict *sesamerows.ConflictError) []string {
 	var names []string
 	for _, e := range expects {
 		if row, _ := conflict.Row(e.Key); row.Version != e.Version {
-			names = append(names, e.Key.Name)
+			names = append(names, fmt.Sprintf("%s at %d", e.Key.Name, row.Version))
 		}
 	}
 	return names
