Reproduce a task that starts again after its recorded end

A planner's feed is silent for 1.6 s or more while its writes go through; meanwhile a run ends, its end is recorded and acknowledged, and its target leaves. The planner finds the silent target missing in the inventory, and its write that marks the target as gone conflicts with the target's newer row. It applies that row, without the end that was recorded before it, counts the run as lost and starts run 2:

--- /dev/null
+++ b/sesamedispatch/lostends_test.go
@@ -0,0 +1,85 @@
+package sesamedispatch
+
+import (
+	"testing"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// endRow returns the row of an end of the run that jobFillingTarget's task has
+// on the target.
+func endRow(job string, run int, target sesamework.Target, outcome sesamework.Outcome) sesamerows.Row {
+	row := targetRow(target, 0)
+	task := sesamework.TaskID{
+		Job: job,
+	}
+	return sesamerows.Row{
+		Key: sesamework.EndKey(row.Key, task, run),
+		Value: encode(sesamework.End{
+			Outcome: outcome,
+			Target:  row.Key.Name,
+			Life:    target.Life,
+		}),
+	}
+}
+
+// changed returns the row as the feed brings it, at the store's newest version.
+func (f *termFixture) changed(row sesamerows.Row) sesamerows.Row {
+	f.t.Helper()
+	found, _, err := sesamerows.ReadRow(f.t.Context(), f.memory, row.Key)
+	f.is.NoErr(err)
+	return found
+}
+
+// assertRuns checks how often the job's task was started, by its run's row, and
+// whether the view holds it as done.
+func (f *termFixture) assertRuns(job string, runs int, done bool) {
+	f.t.Helper()
+	id := sesamework.UnitID{
+		Job: job,
+	}
+	row, _, err := sesamerows.ReadRow(f.t.Context(), f.memory, sesamework.RunKey(id, "zone"))
+	f.is.NoErr(err)
+	v := NewView(sesamelog.Discard())
+	var r sesamework.Run
+	f.is.True(v.decode(row, row.Value, &r))
+	f.is.Equal(r.Number, runs)
+	f.is.Equal(f.term.view.units[id].done, done)
+}
+
+// newRunningTask begins a term in which the job's task runs on a target that has
+// left the inventory and is silent, and another target is free.
+func newRunningTask(t *testing.T, job string) (*termFixture, sesamework.Target) {
+	left, other := newTarget("a"), newTarget("b")
+	f := newTermFixture(t, jobFillingTarget(job, 1), targetRow(left, 0))
+	f.decide(1)
+	f.assertRuns(job, 1, false)
+	f.write(targetRow(other, 0))
+	f.clock.Advance(inventorySilence)
+	f.term.view.Apply([]sesamerows.Row{f.changed(targetRow(other, 0))}, f.term.now())
+	f.term.view.ApplyInventory(map[string]bool{
+		other.ID: true,
+	})
+	return f, left
+}
+
+// TestEndNotSeenYet records the end of a run, after which its target leaves,
+// while the feed has brought neither. The task must not start again.
+func TestEndNotSeenYet(t *testing.T) {
+	for name, change := range map[string]func(*sesamework.Target){
+		"target is gone":      func(left *sesamework.Target) { left.State = sesamework.TargetGone },
+		"target began a life": func(left *sesamework.Target) { left.Life++ },
+		"target goes on":      func(left *sesamework.Target) { left.SilentFor = 2000 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, left := newRunningTask(t, "job")
+			f.write(endRow("job", 1, left, sesamework.EndDone))
+			change(&left)
+			f.write(targetRow(left, 0))
+			f.decide(3)
+			f.assertRuns("job", 1, true)
+		})
+	}
+}
--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -62,6 +62,8 @@
 	rows   *sesamestandin.FaultyRows
 	store  sesamerows.Store
 	target *sesamestandin.LeasedTarget
+	// runner is that of the agent's newest process.
+	runner *sesamerunner.Runner
 	id     string
 	life   int64
 	// removed nodes are missing from the inventory, and draining ones report
@@ -152,6 +154,9 @@
 		Scope:    tally.NoopScope,
 		MaxLease: maxLease,
 	})
+	n.w.mu.Lock()
+	n.runner = runner
+	n.w.mu.Unlock()
 	n.w.group.Go(func() error {
 		return ignoreCancel(runner.Run(ctx))
 	})
--- a/sesamedispatch/system_test.go
+++ b/sesamedispatch/system_test.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// plainStep returns a step of one task with n accelerators that declares its
+// duration truly.
+func plainStep(n int64, duration time.Duration) sesamework.Step {
+	return sesamework.Step{
+		Count:    1,
+		Need:     accelerators(n),
+		Estimate: duration.Milliseconds(),
+	}
+}
+
 // accelerators returns the resources of a task with n accelerators.
 func accelerators(n int64) sesamework.Resources {
 	return sesamework.Resources{
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -99,6 +99,14 @@
 	return nil
 }
 
+// Ran reports whether a run has ended on the target in this life.
+func (t *LeasedTarget) Ran() bool {
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	t.fleet.advance()
+	return t.lastNumber > 0
+}
+
 // ForbidStarts makes every later start a violation, as after the deadline of a
 // drain.
 func (t *LeasedTarget) ForbidStarts() {
