Let a recorded end replace a concluded loss

A run that ended as done could be started again although the planner read its end: the planner had already counted the run as lost, from its target's row, and ignored the end row. Another planner that read the same rows held the task as done, so the outcome depended on the order in which rows came. That order isn't given: an agent whose target was given up serves it again and records the ends that it still has, and one that leaves with many ends records them after the row that says so.

Ends in the store are final, and a loss is only a conclusion from the absence of one. An end row of the newest run now replaces it, as long as no newer run was ordered; a failure so learnt counts once.

TestEndAfterLoss failed before, with "lost != done" and "lost != failed".

--- a/sesamedispatch/ends.go
+++ b/sesamedispatch/ends.go
@@ -28,7 +28,7 @@
 	}
 	for _, m := range u.members {
 		if u.run.Number == number && m.Index == task.Index && m.Target == e.Target && m.Life == e.Life {
-			if m.outcome != "" && m.outcome != e.Outcome {
+			if m.outcome != e.Outcome && !m.accepts(e.Outcome) {
 				v.logIgnoredEnd(u, row, e, m.outcome)
 			}
 			v.endMember(u, m, e)
@@ -56,9 +56,9 @@
 }
 
 // endMember records how a member ended, for its unit and as evidence; see learn.
-// It does nothing when the member's end is known already.
+// It does nothing when a recorded end of the member is known already.
 func (v *View) endMember(u *unit, m member, e sesamework.End) {
-	if m.outcome != "" {
+	if !m.accepts(e.Outcome) {
 		return
 	}
 	over := u.endMember(m.Index, e)
--- a/sesamedispatch/lostends_test.go
+++ b/sesamedispatch/lostends_test.go
@@ -83,3 +83,28 @@
 		})
 	}
 }
+
+// TestEndAfterLoss lets a planner give a run up before the feed brings its end,
+// which was recorded all the same. The end must count, whenever it comes.
+func TestEndAfterLoss(t *testing.T) {
+	for _, outcome := range []sesamework.Outcome{sesamework.EndDone, sesamework.EndFailed} {
+		t.Run(string(outcome), func(t *testing.T) {
+			left := newTarget("a")
+			f := newTermFixture(t, jobFillingTarget("job", 1), targetRow(left, 0))
+			f.decide(1)
+			gone := left
+			gone.State = sesamework.TargetGone
+			f.write(targetRow(gone, 0))
+			f.term.view.Apply([]sesamerows.Row{f.changed(targetRow(gone, 0))}, f.term.now())
+			unit := f.term.view.units[sesamework.UnitID{Job: "job"}]
+			f.is.True(!unit.isActive())
+
+			end := endRow("job", 1, left, outcome)
+			f.write(end)
+			f.term.view.Apply([]sesamerows.Row{f.changed(end)}, f.term.now())
+			f.is.Equal(unit.members[0].outcome, outcome)
+			f.is.Equal(unit.done, outcome == sesamework.EndDone)
+			f.is.Equal(unit.failures > 0, outcome == sesamework.EndFailed)
+		})
+	}
+}
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -19,10 +19,11 @@
 	members []member
 	// done says that a run succeeded, so that no other is needed.
 	done bool
-	// failures counts the runs that failed, and avoid names the targets on
-	// which they did.
-	failures int
-	avoid    []string
+	// failures counts the runs that failed, the newest one included if
+	// failureCounted is set, and avoid names the targets on which they did.
+	failures       int
+	failureCounted bool
+	avoid          []string
 	// checkpoint is the newest one that an ended member left, from which the
 	// next run goes on.
 	checkpoint string
@@ -40,6 +41,13 @@
 	outcome sesamework.Outcome
 }
 
+// accepts reports whether an end with that outcome changes what is known of the
+// member. EndLost is only concluded from the target's row: a recorded end, which
+// may become known later, replaces it.
+func (m member) accepts(outcome sesamework.Outcome) bool {
+	return m.outcome == "" || m.outcome == sesamework.EndLost && outcome != sesamework.EndLost
+}
+
 // isActive reports whether a member of the newest run may still use its target.
 func (u *unit) isActive() bool {
 	return slices.ContainsFunc(u.members, func(m member) bool {
@@ -79,12 +87,12 @@
 }
 
 // endMember records the end of the member with that task index, and the
-// checkpoint from which a next run can go on. It returns true if that was the
-// run's last active member.
+// checkpoint from which a next run can go on. It returns true if no member of the
+// run is active any more.
 func (u *unit) endMember(index int, e sesamework.End) bool {
 	for i := range u.members {
 		m := &u.members[i]
-		if m.Index != index || m.outcome != "" {
+		if m.Index != index || !m.accepts(e.Outcome) {
 			continue
 		}
 		m.outcome = e.Outcome
@@ -119,8 +127,9 @@
 			}
 		}
 	}
-	if failed {
+	if failed && !u.failureCounted {
 		u.failures++
+		u.failureCounted = true
 	}
 }
 
@@ -165,6 +174,7 @@
 		}
 		u.orderedAt = now
 		u.failures = r.Failures
+		u.failureCounted = false
 		u.avoid = slices.Clone(r.Avoid)
 		u.checkpoint = r.Checkpoint
 		u.claim = claim{}
