Order a run after a loss only while no end is recorded

A planner that counted a run as lost could order the next one although the end of the first was in the store: no condition of that transaction covered the end, so safety rested on the view alone.

The transaction that orders a run now expects, for each member of the run before that counts as lost, that the row of its end doesn't exist. Only starts after a loss carry these conditions, and cross parts for them.

TestStartAfterUnseenEnd failed before: run 2 was ordered after the end of run 1 as done ("2 != 1").

--- a/sesamedispatch/conflict.go
+++ b/sesamedispatch/conflict.go
@@ -64,3 +64,23 @@
 	}
 	return ranges
 }
+
+// maxLossConditions bounds the conditions of one start, so that it fits into a
+// transaction with its other entries. A gang that lost more members has lost
+// several targets, and its members end alike.
+const maxLossConditions = 40
+
+// lossConditions returns the conditions that no end is in the store of the
+// members of the newest run that count as lost. Another run may only be ordered
+// under these: the end of a lost member may have been recorded all the same.
+func (u *unit) lossConditions() []sesamerows.Expect {
+	var absent []sesamerows.Expect
+	for _, m := range u.members {
+		if m.outcome == sesamework.EndLost && len(absent) < maxLossConditions {
+			absent = append(absent, sesamerows.Expect{
+				Key: sesamework.EndKey(m.TargetKey(), u.id.Task(m.Index), u.run.Number),
+			})
+		}
+	}
+	return absent
+}
--- a/sesamedispatch/lostends_test.go
+++ b/sesamedispatch/lostends_test.go
@@ -108,3 +108,20 @@
 		})
 	}
 }
+
+// TestStartAfterUnseenEnd lets a planner give a run up and decide to start its
+// task again, while the run's end is in the store already.
+func TestStartAfterUnseenEnd(t *testing.T) {
+	left, other := newTarget("a"), newTarget("b")
+	f := newTermFixture(t, jobFillingTarget("job", 1), targetRow(left, 0))
+	f.decide(1)
+	f.write(targetRow(other, 0), endRow("job", 1, left, sesamework.EndDone))
+	left.State = sesamework.TargetGone
+	f.write(targetRow(left, 0))
+	f.term.view.Apply([]sesamerows.Row{
+		f.changed(targetRow(left, 0)),
+		f.changed(targetRow(other, 0)),
+	}, f.term.now())
+	f.decide(2)
+	f.assertRuns("job", 1, true)
+}
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -171,16 +171,17 @@
 	return nil
 }
 
-// collectStart adds the write that orders a run, under the condition that the
-// job has no cancel row.
+// collectStart adds the write that orders a run, under the conditions that the
+// job has no cancel row, and that no end is recorded of the members of the run
+// before that count as lost.
 func (r *term) collectStart(s Start, batch *changeBatch) error {
 	rows, err := runRows(s.unit, s.run)
 	if err != nil {
 		return err
 	}
-	rows.Expects = []sesamerows.Expect{{
+	rows.Expects = append(s.unit.lossConditions(), sesamerows.Expect{
 		Key: sesamework.CancelKey(s.unit.id.Job),
-	}}
+	})
 	written := func() {
 		waited := r.o.Clock.Steady() - s.unit.readySince
 		s.unit.setRun(s.run, r.o.Clock.Steady())
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -1,6 +1,11 @@
 package sesamework
 
-import "slices"
+import (
+	"slices"
+	"strings"
+
+	"github.com/sesamestack/sesamestack/sesamerows"
+)
 
 // Member is one task of a run with the target that it is placed on.
 type Member struct {
@@ -14,6 +19,16 @@
 	Life int64 `json:"l"`
 }
 
+// TargetKey returns the key of the row of the member's target.
+func (m Member) TargetKey() sesamerows.Key {
+	name := strings.TrimPrefix(m.Target, TargetPrefix)
+	node, id := name, ""
+	if i := strings.LastIndexByte(name, '/'); i >= 0 {
+		node, id = name[:i], name[i+1:]
+	}
+	return TargetKey(m.Zone, node, id)
+}
+
 // Run is the newest run (start) of a unit. Its row is in the store before an
 // order to start it is sent to any target.
 type Run struct {
