Ignore the removal of a target's row that is older than the known row

A planner could take all runs of a target for lost, and start them again, when the feed brought the removal of a row that had been written anew since: rows were compared by version, tombstones were not. The newer row comes first when a transaction conflicts with it.

TestOldTombstone failed before (the run was no longer active).

--- a/sesamedispatch/lostends_test.go
+++ b/sesamedispatch/lostends_test.go
@@ -125,3 +125,18 @@
 	f.decide(2)
 	f.assertRuns("job", 1, true)
 }
+
+// TestOldTombstone brings the removal of a target's row after the planner has
+// seen the row that was written since. What runs on the target must go on.
+func TestOldTombstone(t *testing.T) {
+	target := newTarget("a")
+	f := newTermFixture(t, jobFillingTarget("job", 1), targetRow(target, 0))
+	f.decide(1)
+	newest := f.changed(targetRow(target, 0))
+	f.term.view.Apply([]sesamerows.Row{{
+		Key:     newest.Key,
+		Version: newest.Version - 1,
+		Removed: true,
+	}}, f.term.now())
+	f.is.True(f.term.view.units[sesamework.UnitID{Job: "job"}].isActive())
+}
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -67,13 +67,16 @@
 
 // setTarget updates a target from its row, which holds its agent's latest
 // report. The failures, quarantine and progress of the same life are kept. A
-// removed row removes the target.
+// removed row removes the target. Rows older than the known one are ignored: a
+// conflict may have shown a newer one than the feed.
 func (v *View) setTarget(_ string, row sesamerows.Row) {
 	name := row.Key.Name
 	old, known := v.targets[name]
 	if row.Removed {
-		delete(v.targets, name)
-		v.needsDecision = true
+		if !known || row.Version >= old.version {
+			delete(v.targets, name)
+			v.needsDecision = true
+		}
 		return
 	}
 	if known && row.Version <= old.version {
