Take a report that a rebuilt view shows for as new as it is

Cause: when the feed no longer has its changes, the planner reads its view anew. It kept the time at which it had last heard of each target, but with the version of the row that the new view holds. A target whose reports the feed had not brought for 11.2 s, as after an outage of the store of 8.6 s and a dropped history, was marked as gone at once, under the condition of its newest report, which held. Its runs started elsewhere while it lived, under a live lease; its agent served it again and recorded and acknowledged their ends.

The time of the last report is kept only together with the version of its row, so silence is measured on the row that the write expects. TestReportSeenByRebuild failed before ("gone != ready").

--- a/sesamedispatch/lostends_test.go
+++ b/sesamedispatch/lostends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
@@ -140,3 +141,22 @@
 	}}, f.term.now())
 	f.is.True(f.term.view.units[sesamework.UnitID{Job: "job"}].isActive())
 }
+
+// TestReportSeenByRebuild rebuilds the view after a long silence of the feed. A
+// target that reported meanwhile must not count as silent since then.
+func TestReportSeenByRebuild(t *testing.T) {
+	target := newTarget("a")
+	f := newTermFixture(t, targetRow(target, 0))
+	f.clock.Advance(sesamework.TargetLostTimeout)
+	target.Heartbeat++
+	f.write(targetRow(target, 0))
+	snapshot, err := sesamerows.NewFollower(f.memory, sesamerows.FollowOptions{
+		Table: sesamework.WorkTable,
+	}).Next(t.Context())
+	f.is.NoErr(err)
+	_, err = f.term.apply(t.Context(), snapshot)
+	f.is.NoErr(err)
+	f.clock.Advance(time.Millisecond)
+	f.decide(1)
+	f.is.Equal(f.targetState(target), sesamework.TargetReady)
+}
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -130,7 +130,9 @@
 	for name, t := range v.targets {
 		if known, ok := old.targets[name]; ok {
 			t.keepObservations(known)
-			t.reportedAt = known.reportedAt
+			if t.version == known.version {
+				t.reportedAt = known.reportedAt
+			}
 			t.updateProgress(v.now.Steady)
 		}
 	}
