Believe an inventory only of targets that answered before its request

A planner that waits for the store can hold an inventory for seconds before it looks at it. A target that began after the list was made, and whose reports were late by then, was marked as removed and its runs started again while they went on.

Only targets whose last answer is older than the request are now judged by the list. TestOldInventory failed before ("gone != ready").

--- a/sesamedispatch/conflict_test.go
+++ b/sesamedispatch/conflict_test.go
@@ -131,7 +131,7 @@
 	}
 	f := newTermFixture(t, rows...)
 	f.term.view.now = f.term.now()
-	f.term.view.ApplyInventory(map[string]bool{})
+	f.applyInventory()
 	f.write(rows...)
 	f.decide(1)
 	for _, target := range silent {
@@ -146,7 +146,7 @@
 	target.SilentFor = 2000
 	f := newTermFixture(t, targetRow(target, 0))
 	f.term.view.now = f.term.now()
-	f.term.view.ApplyInventory(map[string]bool{})
+	f.applyInventory()
 	target.SilentFor = 0
 	f.write(targetRow(target, 0))
 	f.decide(2)
--- a/sesamedispatch/inventory.go
+++ b/sesamedispatch/inventory.go
@@ -17,6 +17,13 @@
 	inventoryInterval = time.Second
 )
 
+// inventory is the set of the IDs of all targets that ran when it was requested,
+// at the time requestedAt on the steady clock.
+type inventory struct {
+	live        map[string]bool
+	requestedAt time.Duration
+}
+
 // requestInventory requests the inventory while a target is silent, at most
 // once each inventoryInterval. It doesn't block: if a request is pending
 // already, it makes no other.
@@ -43,6 +50,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		requestedAt := r.o.Clock.Steady()
 		live, err := r.o.Inventory.Live(ctx)
 		if err != nil {
 			r.o.Log.Emit(eventNoInventory, sesamelog.Fields{
@@ -51,7 +59,10 @@
 			continue
 		}
 		select {
-		case r.inventories <- live:
+		case r.inventories <- inventory{
+			live:        live,
+			requestedAt: requestedAt,
+		}:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -77,11 +88,12 @@
 }
 
 // ApplyInventory marks the silent targets that are missing from the platform's
-// inventory as removed: they run nothing any more. The keys of live are the IDs
-// of all targets that run.
-func (v *View) ApplyInventory(live map[string]bool) {
+// inventory as removed: they run nothing any more. A target that has answered
+// since the inventory was requested may have started after it was made, and is
+// left alone.
+func (v *View) ApplyInventory(i inventory) {
 	for _, t := range v.targets {
-		if t.isSilent(v.now.Steady) && !live[t.ID] {
+		if t.isSilent(v.now.Steady) && t.answeredAt() <= i.requestedAt && !i.live[t.ID] {
 			t.removed = true
 		}
 	}
--- a/sesamedispatch/lostends_test.go
+++ b/sesamedispatch/lostends_test.go
@@ -34,6 +34,19 @@
 	return found
 }
 
+// applyInventory gives the view an inventory made now that names these targets.
+func (f *termFixture) applyInventory(targets ...string) {
+	live := map[string]bool{}
+	for _, id := range targets {
+		live[id] = true
+	}
+	f.term.view.now = f.term.now()
+	f.term.view.ApplyInventory(inventory{
+		live:        live,
+		requestedAt: f.term.now().Steady,
+	})
+}
+
 // assertRuns checks how often the job's task was started, by its run's row, and
 // whether the view holds it as done.
 func (f *termFixture) assertRuns(job string, runs int, done bool) {
@@ -60,9 +73,7 @@
 	f.write(targetRow(other, 0))
 	f.clock.Advance(inventorySilence)
 	f.term.view.Apply([]sesamerows.Row{f.changed(targetRow(other, 0))}, f.term.now())
-	f.term.view.ApplyInventory(map[string]bool{
-		other.ID: true,
-	})
+	f.applyInventory(other.ID)
 	return f, left
 }
 
@@ -160,3 +171,21 @@
 	f.decide(1)
 	f.is.Equal(f.targetState(target), sesamework.TargetReady)
 }
+
+// TestOldInventory applies an inventory that was made before a target began, and
+// that was held up until the target's reports are late. The target is alive.
+func TestOldInventory(t *testing.T) {
+	target := newTarget("a")
+	f := newTermFixture(t)
+	requestedAt := f.term.now().Steady
+	f.clock.Advance(time.Second)
+	f.write(targetRow(target, 0))
+	f.term.view.Apply([]sesamerows.Row{f.changed(targetRow(target, 0))}, f.term.now())
+	f.clock.Advance(inventorySilence)
+	f.term.view.now = f.term.now()
+	f.term.view.ApplyInventory(inventory{
+		requestedAt: requestedAt,
+	})
+	f.decide(1)
+	f.is.Equal(f.targetState(target), sesamework.TargetReady)
+}
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -206,7 +206,7 @@
 		Planner:           p,
 		leaderRow:         row,
 		inventoryRequests: make(chan struct{}, 1),
-		inventories:       make(chan map[string]bool, 1),
+		inventories:       make(chan inventory, 1),
 		fence:             sesamerows.NewFence(p.o.Store, sesamework.LeaderKey()),
 		view:              NewView(p.o.Log).withDurationModels(p.durationModels),
 		follower: sesamerows.NewFollower(p.o.Store, sesamerows.FollowOptions{
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -34,9 +34,9 @@
 	leaderWrittenAt time.Duration
 	feedAnsweredAt  time.Duration
 	// inventoryRequests carries requests from the planning loop, and
-	// inventories the IDs of the targets that the platform runs.
+	// inventories what the platform answered.
 	inventoryRequests chan struct{}
-	inventories       chan map[string]bool
+	inventories       chan inventory
 	// inventoryRequestedAt is when the last request was made, on the steady
 	// clock.
 	inventoryRequestedAt time.Duration
@@ -326,8 +326,8 @@
 				return err
 			}
 			continue
-		case live := <-r.inventories:
-			r.view.ApplyInventory(live)
+		case list := <-r.inventories:
+			r.view.ApplyInventory(list)
 		case <-r.o.Policies.Changed():
 		case <-timer.Done():
 		}
