Test targets that leave while planners lag

The random scenarios had neither targets that leave as planned nor a store that answers a planner's writes and not its reads.

--- a/sesamedispatch/leaving_test.go
+++ b/sesamedispatch/leaving_test.go
@@ -20,6 +20,17 @@
 	runner.EndSession(id)
 }
 
+// leaveFor lets the node's target leave and begins another life of it after d.
+func (n *nodeProcess) leaveFor(d time.Duration) {
+	n.leave()
+	n.w.sleep(d)
+	n.startNewLife()
+	n.w.mu.Lock()
+	n.reportsNothing = false
+	n.removed = false
+	n.w.mu.Unlock()
+}
+
 // TestTargetLeavesBehindSilentFeed lets a run end, and then its target leave,
 // while the planner's writes go through but its feed of changes brings nothing.
 // The task must not start again.
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -80,6 +80,12 @@
 	"target vanished", "target silent", "target crashed", "agent killed", "orders late", "answers lost", "store silent",
 }
 
+// leavingFaultKinds are targets that leave as planned, and faults by which a
+// planner lags behind what their agents record.
+var leavingFaultKinds = []string{
+	"target leaves", "target leaves", "reads unanswered", "reads unanswered", "history lost", "answers lost", "entry killed",
+}
+
 // drawJob draws a job of one step, submitted from 3 s on.
 func drawJob(t *rapid.T) plannedJob {
 	gang := rapid.Bool().Draw(t, "gang")
@@ -157,6 +163,11 @@
 	runSeeds(t, faultKinds, true, nil)
 }
 
+// TestModelLeaving is TestModel with targets that leave, and planners that lag.
+func TestModelLeaving(t *testing.T) {
+	runSeeds(t, leavingFaultKinds, false, nil)
+}
+
 // runSeeds runs the scenarios of these seeds and of those that the flags name.
 func runSeeds(t *testing.T, kinds []string, detours bool, seeds []int) {
 	for seed := *modelFirstSeed; seed < *modelFirstSeed+*modelSeedCount; seed++ {
@@ -255,6 +266,8 @@
 		w.nodes[f.Process].crash(f.For)
 	case "target vanished":
 		w.nodes[f.Process].crashUnreportedFor(f.For)
+	case "target leaves":
+		w.nodes[f.Process].leaveFor(f.For)
 	case "target silent":
 		w.nodes[f.Process].currentTarget().SetUnreachable(true)
 		w.sleep(f.For)
@@ -335,6 +348,10 @@
 			return sesamestandin.RowFault{
 				Dropped: true,
 			}
+		case "reads unanswered":
+			return sesamestandin.RowFault{
+				Dropped: !write,
+			}
 		case "store refuses":
 			return sesamestandin.RowFault{
 				Refused: true,
@@ -363,7 +380,7 @@
 		if f.Kind != "agent cut" {
 			all = append(all, w.entries[(f.Process+i)%scenarioEntries].rows)
 		}
-		if f.Kind != "entry cut" {
+		if f.Kind != "entry cut" && f.Kind != "reads unanswered" {
 			all = append(all, w.nodes[(f.Process+i)%scenarioNodes].rows)
 		}
 	}
