--- /dev/null
+++ b/sesamerows/snapshot_test.go
@@ -0,0 +1,341 @@
+package sesamerows_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestack/sesamestack/sesamerows"
+)
+
+// content is the rows of a table by key.
+type content map[sesamerows.Key]string
+
+// busyStore is a store that others write to between the calls of a reader. It
+// records the content of its only table at each version.
+type busyStore struct {
+	memory *sesamerows.Memory
+	// before and after are called ahead of each call and at its end, with its
+	// name (see callName). They may be nil.
+	before func(call string)
+	after  func(call string)
+	// pageRows is the most rows in one page.
+	pageRows int
+
+	mu sync.Mutex
+	// at holds the content at each version.
+	at []content
+}
+
+var _ sesamerows.Store = (*busyStore)(nil)
+
+// newBusyStore returns a store with the rows, which are written one after the
+// other; see busyStore.set.
+func newBusyStore(rows ...string) *busyStore {
+	s := &busyStore{
+		memory:   sesamerows.NewMemory(virtualClock()),
+		pageRows: 2,
+		at:       []content{{}},
+	}
+	for _, row := range rows {
+		s.set(row)
+	}
+	return s
+}
+
+// busyTable is the table that tests read.
+const busyTable = "table"
+
+// busyKey returns the key of a row whose part is the first letter of its name.
+func busyKey(name string) sesamerows.Key {
+	return sesamerows.Key{
+		Table: busyTable,
+		Part:  name[:1],
+		Name:  name,
+	}
+}
+
+// change writes and removes rows in one transaction.
+func (s *busyStore) change(written, removed []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := maps.Clone(s.at[len(s.at)-1])
+	var t sesamerows.Transaction
+	for _, name := range written {
+		value := fmt.Sprint(len(s.at))
+		next[busyKey(name)] = value
+		t.Writes = append(t.Writes, sesamerows.Write{
+			Key:   busyKey(name),
+			Value: []byte(value),
+		})
+	}
+	for _, name := range removed {
+		delete(next, busyKey(name))
+		t.Removes = append(t.Removes, busyKey(name))
+	}
+	if _, err := s.memory.Commit(context.Background(), t); err != nil {
+		panic(err)
+	}
+	s.at = append(s.at, next)
+}
+
+// set writes rows in one transaction.
+func (s *busyStore) set(names ...string) {
+	s.change(names, nil)
+}
+
+// remove removes rows in one transaction.
+func (s *busyStore) remove(names ...string) {
+	s.change(nil, names)
+}
+
+// newestVersion returns the store's newest version.
+func (s *busyStore) newestVersion() sesamerows.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return sesamerows.Version(len(s.at) - 1)
+}
+
+// contentAt returns a copy of the store's content at the version.
+func (s *busyStore) contentAt(version sesamerows.Version) content {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.at[version])
+}
+
+// begin runs the hook ahead of a call, and returns the one that ends it.
+func (s *busyStore) begin(call string) (end func()) {
+	if s.before != nil {
+		s.before(call)
+	}
+	return func() {
+		if s.after != nil {
+			s.after(call)
+		}
+	}
+}
+
+// callName returns "read" with the part and the name of the first row to read,
+// such as "read a" or "read a a2\x00".
+func callName(r sesamerows.Range) string {
+	if r.From == "" {
+		return "read " + r.Part
+	}
+	return "read " + r.Part + " " + r.From
+}
+
+// Read returns up to pageRows rows.
+func (s *busyStore) Read(ctx context.Context, r sesamerows.Range) (sesamerows.Page, error) {
+	defer s.begin(callName(r))()
+	page, err := s.memory.Read(ctx, r)
+	if len(page.Rows) > s.pageRows {
+		page.Rows = page.Rows[:s.pageRows]
+		page.More = true
+	}
+	return page, err
+}
+
+// Parts returns the parts of a table.
+func (s *busyStore) Parts(ctx context.Context, table string) ([]string, error) {
+	defer s.begin("parts")()
+	return s.memory.Parts(ctx, table)
+}
+
+// Commit applies a transaction.
+func (s *busyStore) Commit(ctx context.Context, t sesamerows.Transaction) (sesamerows.Version, error) {
+	return s.memory.Commit(ctx, t)
+}
+
+// Changes returns the changes of the next version that has any, so that several
+// versions take several calls.
+func (s *busyStore) Changes(ctx context.Context, table string, after sesamerows.Version, _ time.Duration) (sesamerows.Page, error) {
+	defer s.begin("changes")()
+	page, err := s.memory.Changes(ctx, table, after, 0)
+	if err != nil || len(page.Rows) == 0 {
+		return page, err
+	}
+	first := page.Rows[0].Version
+	if page.Rows[len(page.Rows)-1].Version == first {
+		return page, nil
+	}
+	page.Rows = slices.DeleteFunc(page.Rows, func(row sesamerows.Row) bool {
+		return row.Version != first
+	})
+	page.Version = first
+	return page, nil
+}
+
+// follow returns a follower of all parts, or of the part if there is one.
+func (s *busyStore) follow(part ...string) *sesamerows.Follower {
+	o := sesamerows.FollowOptions{
+		Table: busyTable,
+	}
+	if len(part) > 0 {
+		o.Part = &part[0]
+	}
+	return sesamerows.NewFollower(s, o)
+}
+
+// apply adds the batch's rows to the content.
+func (c content) apply(b sesamerows.Batch) {
+	for _, row := range b.Rows {
+		if row.Removed {
+			delete(c, row.Key)
+		} else {
+			c[row.Key] = string(row.Value)
+		}
+	}
+}
+
+// within returns the rows of the part, or all if there is none.
+func (c content) within(part ...string) content {
+	if len(part) == 0 {
+		return c
+	}
+	found := maps.Clone(c)
+	maps.DeleteFunc(found, func(key sesamerows.Key, _ string) bool {
+		return key.Part != part[0]
+	})
+	return found
+}
+
+// checkSnapshot reads a snapshot, and checks that it is the store's content at
+// the version that it names, and that the feed continues from there without a
+// gap.
+func (s *busyStore) checkSnapshot(ctx context.Context, is *is.I, part ...string) {
+	is.Helper()
+	f := s.follow(part...)
+	batch, err := f.Next(ctx)
+	for errors.HasType(err, (*sesamerows.HistoryError)(nil)) {
+		batch, err = f.Next(ctx)
+	}
+	is.NoErr(err)
+	is.True(batch.Snapshot)
+	rows := content{}
+	rows.apply(batch)
+	is.Equal(len(rows), len(batch.Rows))                       // no row twice, no tombstone
+	is.Equal(rows, s.contentAt(batch.Version).within(part...)) // one moment of the store
+	last := s.newestVersion()
+	for batch.Version < last {
+		batch, err = f.Next(ctx)
+		is.NoErr(err)
+		rows.apply(batch)
+	}
+	is.Equal(rows.within(part...), s.contentAt(last).within(part...)) // the feed has no gap
+}
+
+// once returns a hook that calls act ahead of the first call with that name.
+func once(name string, act func()) func(call string) {
+	var first sync.Once
+	return func(call string) {
+		if call == name {
+			first.Do(act)
+		}
+	}
+}
+
+// TestTornSnapshot reads snapshots while rows change between the reader's calls.
+func TestTornSnapshot(t *testing.T) {
+	t.Run("part appears after the list", func(t *testing.T) {
+		s := newBusyStore("a1")
+		s.before = once("read a", func() { s.set("b1") })
+		s.checkSnapshot(t.Context(), is.New(t))
+	})
+	t.Run("part is emptied and comes back", func(t *testing.T) {
+		s := newBusyStore("a1", "b1")
+		removing := once("parts", func() { s.remove("b1") })
+		writing := once("read a", func() { s.set("b1") })
+		s.before = func(call string) {
+			removing(call)
+			writing(call)
+		}
+		s.checkSnapshot(t.Context(), is.New(t))
+	})
+	// The reads of parts run in parallel: that of b waits for that of a.
+	afterFirstPart := func(t *testing.T, change func(s *busyStore)) {
+		s := newBusyStore("a1", "b1")
+		read := make(chan struct{})
+		s.after = once("read a", func() {
+			change(s)
+			close(read)
+		})
+		s.before = once("read b", func() { <-read })
+		s.checkSnapshot(t.Context(), is.New(t))
+	}
+	t.Run("transaction of two parts", func(t *testing.T) {
+		afterFirstPart(t, func(s *busyStore) { s.set("a2", "b2") })
+	})
+	t.Run("row is removed", func(t *testing.T) {
+		afterFirstPart(t, func(s *busyStore) { s.change([]string{"b2"}, []string{"a1"}) })
+	})
+	betweenPages := func(t *testing.T, part ...string) {
+		s := newBusyStore("a1", "a2", "a3", "a4")
+		s.before = once("read a a2\x00", func() {
+			s.set("a0")
+			s.set("a5")
+		})
+		s.checkSnapshot(t.Context(), is.New(t), part...)
+	}
+	t.Run("change between pages", func(t *testing.T) {
+		betweenPages(t)
+	})
+	t.Run("change between pages of a followed part", func(t *testing.T) {
+		betweenPages(t, "a")
+	})
+}
+
+// disturbance is what others do between two calls of a reader.
+type disturbance struct {
+	Written []string
+	Removed []string
+	// DropHistory says that the store forgets its changes so far.
+	DropHistory bool
+}
+
+// drawDisturbance draws a disturbance of a few rows in a few parts.
+func drawDisturbance(t *rapid.T) disturbance {
+	names := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{
+		"a1", "a2", "a3", "a4", "a5", "b1", "b2", "b3", "c1", "d1",
+	}), 0, 5, rapid.ID).Draw(t, "names")
+	removed := rapid.IntRange(0, len(names)).Draw(t, "removed")
+	return disturbance{
+		Written:     names[removed:],
+		Removed:     names[:removed],
+		DropHistory: rapid.IntRange(0, 19).Draw(t, "drop history") == 0,
+	}
+}
+
+// TestTornSnapshotAnywhere reads snapshots while random rows change between any
+// two calls of the reader.
+func TestTornSnapshotAnywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newBusyStore("a1", "b1")
+		disturbances := rapid.SliceOfN(rapid.Custom(drawDisturbance), 0, 30).Draw(t, "disturbances")
+		part := rapid.SampledFrom([][]string{nil, {"a"}}).Draw(t, "part")
+		var mu sync.Mutex
+		disturb := func(string) {
+			mu.Lock()
+			defer mu.Unlock()
+			if len(disturbances) == 0 {
+				return
+			}
+			next := disturbances[0]
+			disturbances = disturbances[1:]
+			s.change(next.Written, next.Removed)
+			if next.DropHistory {
+				s.memory.DropHistory()
+			}
+		}
+		s.before = disturb
+		s.after = disturb
+		s.checkSnapshot(context.Background(), is.New(t), part...)
+	})
+}
