--- a/sesamerows/follow.go
+++ b/sesamerows/follow.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 )
 
 // Batch is what one call of Follower.Next read: a snapshot of the table, or
@@ -13,12 +12,13 @@
 type Batch struct {
 	// Rows are the rows read, with tombstones for removed ones.
 	Rows []Row
-	// Snapshot is set when Rows are all rows of the table: a row that is not
-	// among them does not exist.
+	// Snapshot is set when Rows are all rows of the table, or of the part in
+	// FollowOptions, at Version: a row that is not among them does not exist.
 	Snapshot bool
 	// Now is the store's steady clock when the batch was read.
 	Now time.Duration
 	// Version is the store's newest version whose changes the batch includes.
+	// Later ones come with later batches.
 	Version Version
 }
 
@@ -78,7 +78,8 @@
 // FollowOptions.Wait. If the store no longer keeps the changes since the last
 // batch, the next batch is a snapshot. After an error, calling Next again
 // skips nothing; it then does not wait for a change, so that an answer soon shows
-// that the store is back.
+// that the store is back. A *HistoryError says that the store discarded changes
+// while a snapshot was read.
 func (f *Follower) Next(ctx context.Context) (Batch, error) {
 	if !f.started {
 		return f.readAll(ctx)
@@ -107,118 +108,3 @@
 		Version: f.after,
 	}, nil
 }
-
-// readAll reads a snapshot of all parts, or of the part in FollowOptions. The
-// next changes are requested from the version of the earliest page on, so that
-// none is missed; rows that changed during the read are returned again.
-func (f *Follower) readAll(ctx context.Context) (Batch, error) {
-	parts := []string{f.part}
-	if !f.onePart {
-		var err error
-		if parts, err = f.store.Parts(ctx, f.table); err != nil {
-			return Batch{}, err
-		}
-	}
-	// A table without parts still needs a version from which to watch it, so
-	// one empty read is made.
-	if len(parts) == 0 {
-		parts = []string{""}
-	}
-	page, err := ReadParts(ctx, f.store, f.table, parts)
-	if err != nil {
-		return Batch{}, err
-	}
-	f.after = page.Version
-	f.started = true
-	return Batch{
-		Rows:     page.Rows,
-		Snapshot: true,
-		Now:      page.Now,
-		Version:  page.Version,
-	}, nil
-}
-
-// ReadParts reads all rows of the given parts of a table; see ReadRanges.
-func ReadParts(ctx context.Context, s Store, table string, parts []string) (Page, error) {
-	ranges := make([]Range, 0, len(parts))
-	for _, part := range parts {
-		ranges = append(ranges, Range{
-			Table: table,
-			Part:  part,
-		})
-	}
-	return ReadRanges(ctx, s, ranges)
-}
-
-// parallelReads is the most ranges that ReadRanges reads at the same time. A
-// process has as many connections to the platform's store.
-const parallelReads = 16
-
-// ReadRanges reads all rows of the ranges, up to parallelReads ranges at a time,
-// and returns them in the order of the ranges. The page's version is the lowest
-// of all reads, its Now the latest. An error is that of the first read that
-// failed.
-func ReadRanges(ctx context.Context, s Store, ranges []Range) (Page, error) {
-	pages := make([]Page, len(ranges))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(parallelReads)
-	for i, r := range ranges {
-		group.Go(func() error {
-			var err error
-			pages[i], err = ReadAll(ctx, s, r)
-			return err
-		})
-	}
-	if err := group.Wait(); err != nil {
-		return Page{}, err
-	}
-	var all Page
-	for i, page := range pages {
-		all.Rows = append(all.Rows, page.Rows...)
-		all.Now = max(all.Now, page.Now)
-		if i == 0 || page.Version < all.Version {
-			all.Version = page.Version
-		}
-	}
-	return all, nil
-}
-
-// ReadRow reads the row with the key. If there is none, the returned row has
-// the key and version 0. The page is the store's answer, with its Version and
-// Now.
-func ReadRow(ctx context.Context, s Store, key Key) (Row, Page, error) {
-	page, err := s.Read(ctx, Range{
-		Table: key.Table,
-		Part:  key.Part,
-		From:  key.Name,
-		To:    key.Name + "\x00",
-	})
-	if err != nil || len(page.Rows) == 0 {
-		return Row{
-			Key: key,
-		}, page, err
-	}
-	return page.Rows[0], page, nil
-}
-
-// ReadAll reads a whole range, page by page. The result has the version of the
-// first page, so that changes between the pages are not missed when the feed
-// is read from that version on, and the Now of the last page.
-func ReadAll(ctx context.Context, s Store, r Range) (Page, error) {
-	var all Page
-	for {
-		page, err := s.Read(ctx, r)
-		if err != nil {
-			return Page{}, err
-		}
-		if all.Version == 0 {
-			all.Version = page.Version
-		}
-		all.Rows = append(all.Rows, page.Rows...)
-		all.Now = page.Now
-		if !page.More || len(page.Rows) == 0 {
-			return all, nil
-		}
-		r.From = page.Rows[len(page.Rows)-1].Key.Name + "\x00"
-	}
-}
--- a/sesamerows/rows.go
+++ b/sesamerows/rows.go
@@ -108,7 +108,8 @@
 	// Read returns rows of the range in the order of their names. When
 	// Page.More is set, the caller reads on after the last name.
 	Read(ctx context.Context, r Range) (Page, error)
-	// Parts returns the names of a table's parts.
+	// Parts returns the names of a table's parts that have rows. The list has no
+	// version, and a long one is read page by page.
 	Parts(ctx context.Context, table string) ([]string, error)
 	// Commit applies the transaction and returns its version. Errors are a
 	// *ConflictError when a condition did not hold, an *UnavailableError when
@@ -118,7 +119,9 @@
 	Commit(ctx context.Context, t Transaction) (Version, error)
 	// Changes returns the rows of the table that changed after the version, in
 	// the order of the changes, with tombstones for removed rows. It waits up
-	// to the given time for the first change, and then returns an empty page.
+	// to the given time for the first change, and then returns an empty page:
+	// the table has not changed up to the time of the call. A page with rows
+	// has a later version than the given one, and holds all changes up to that.
 	// A *HistoryError means that the changes since the version are no longer
 	// kept.
 	Changes(ctx context.Context, table string, after Version, wait time.Duration) (Page, error)
--- a/sesamerows/snapshot_test.go
+++ b/sesamerows/snapshot_test.go
@@ -207,29 +207,37 @@
 	return found
 }
 
-// checkSnapshot reads a snapshot, and checks that it is the store's content at
-// the version that it names, and that the feed continues from there without a
-// gap.
+// maxNextCalls bounds the calls of Follower.Next by which it has all changes.
+const maxNextCalls = 200
+
+// checkSnapshot reads a snapshot and then the feed until it holds all changes so
+// far. It checks after each batch that the rows are the store's content at the
+// version that the batch names.
 func (s *busyStore) checkSnapshot(ctx context.Context, is *is.I, part ...string) {
 	is.Helper()
 	f := s.follow(part...)
-	batch, err := f.Next(ctx)
-	for errors.HasType(err, (*sesamerows.HistoryError)(nil)) {
-		batch, err = f.Next(ctx)
-	}
-	is.NoErr(err)
-	is.True(batch.Snapshot)
 	rows := content{}
-	rows.apply(batch)
-	is.Equal(len(rows), len(batch.Rows))                       // no row twice, no tombstone
-	is.Equal(rows, s.contentAt(batch.Version).within(part...)) // one moment of the store
-	last := s.newestVersion()
-	for batch.Version < last {
-		batch, err = f.Next(ctx)
+	version := sesamerows.Version(-1)
+	for calls := 0; version < s.newestVersion(); calls++ {
+		is.True(calls < maxNextCalls)
+		batch, err := f.Next(ctx)
+		if errors.HasType(err, (*sesamerows.HistoryError)(nil)) {
+			continue
+		}
 		is.NoErr(err)
+		is.True(batch.Snapshot || version >= 0)
+		if batch.Snapshot {
+			rows = content{}
+		}
 		rows.apply(batch)
+		if batch.Snapshot {
+			is.Equal(len(rows), len(batch.Rows)) // no row twice, no tombstone
+			is.Equal(rows, rows.within(part...))
+		}
+		is.True(batch.Version >= version)
+		version = batch.Version
+		is.Equal(rows.within(part...), s.contentAt(version).within(part...))
 	}
-	is.Equal(rows.within(part...), s.contentAt(last).within(part...)) // the feed has no gap
 }
 
 // once returns a hook that calls act ahead of the first call with that name.
@@ -259,6 +267,12 @@
 		}
 		s.checkSnapshot(t.Context(), is.New(t))
 	})
+	t.Run("table is emptied before the list and comes back", func(t *testing.T) {
+		s := newBusyStore("a1")
+		s.before = once("parts", func() { s.remove("a1") })
+		s.after = once("parts", func() { s.set("b1") })
+		s.checkSnapshot(t.Context(), is.New(t))
+	})
 	// The reads of parts run in parallel: that of b waits for that of a.
 	afterFirstPart := func(t *testing.T, change func(s *busyStore)) {
 		s := newBusyStore("a1", "b1")
@@ -279,7 +293,7 @@
 	betweenPages := func(t *testing.T, part ...string) {
 		s := newBusyStore("a1", "a2", "a3", "a4")
 		s.before = once("read a a2\x00", func() {
-			s.set("a0")
+			s.set("a0", "b1")
 			s.set("a5")
 		})
 		s.checkSnapshot(t.Context(), is.New(t), part...)
@@ -339,3 +353,69 @@
 		s.checkSnapshot(context.Background(), is.New(t), part...)
 	})
 }
+
+// TestSnapshotCalls checks the calls that a snapshot takes.
+func TestSnapshotCalls(t *testing.T) {
+	count := func(s *busyStore, act func(call string)) map[string]int {
+		var mu sync.Mutex
+		calls := map[string]int{}
+		s.before = func(call string) {
+			act(call)
+			mu.Lock()
+			defer mu.Unlock()
+			calls[call]++
+		}
+		return calls
+	}
+	t.Run("one part of one page", func(t *testing.T) {
+		is := is.New(t)
+		s := newBusyStore("a1", "b1")
+		calls := count(s, func(string) {})
+		_, err := s.follow("a").Next(t.Context())
+		is.NoErr(err)
+		is.Equal(calls, map[string]int{"read a": 1})
+	})
+	t.Run("no changes meanwhile", func(t *testing.T) {
+		is := is.New(t)
+		s := newBusyStore("a1", "b1")
+		calls := count(s, func(string) {})
+		_, err := s.follow().Next(t.Context())
+		is.NoErr(err)
+		is.Equal(calls, map[string]int{"read ": 1, "parts": 1, "read a": 1, "read b": 1})
+	})
+	t.Run("table without rows", func(t *testing.T) {
+		is := is.New(t)
+		s := newBusyStore("a1")
+		s.remove("a1")
+		calls := count(s, func(string) {})
+		batch, err := s.follow().Next(t.Context())
+		is.NoErr(err)
+		is.Equal(batch.Version, s.newestVersion())
+		is.Equal(calls, map[string]int{"read ": 2, "parts": 1})
+	})
+	t.Run("changes are discarded once", func(t *testing.T) {
+		is := is.New(t)
+		s := newBusyStore("a1")
+		calls := count(s, once("read a", func() {
+			s.set("b1")
+			s.memory.DropHistory()
+		}))
+		batch, err := s.follow().Next(t.Context())
+		is.NoErr(err)
+		is.Equal(len(batch.Rows), 2)
+		is.Equal(calls, map[string]int{"read ": 2, "parts": 2, "read a": 2, "read b": 1, "changes": 1})
+	})
+	t.Run("changes are always discarded", func(t *testing.T) {
+		is := is.New(t)
+		s := newBusyStore("a1")
+		calls := count(s, func(call string) {
+			if call == "read a" {
+				s.set("a1")
+				s.memory.DropHistory()
+			}
+		})
+		_, err := s.follow().Next(t.Context())
+		is.True(errors.HasType(err, (*sesamerows.HistoryError)(nil)))
+		is.Equal(calls["changes"], 2)
+	})
+}
