--- a/sesamerows/snapshot.go
+++ b/sesamerows/snapshot.go
@@ -11,8 +11,9 @@
 const snapshotAttempts = 2
 
 // readAll reads a snapshot of all parts, or of the part in FollowOptions. The
-// next changes are requested from the snapshot's version on. A *HistoryError
-// says that the store discarded the changes during each attempt.
+// next changes are requested from the version up to which the feed was replayed,
+// so that a feed which lags behind the rows brings some of them again. A
+// *HistoryError says that the store discarded the changes during each attempt.
 func (f *Follower) readAll(ctx context.Context) (Batch, error) {
 	var found scan
 	var err error
@@ -24,13 +25,13 @@
 	if err != nil {
 		return Batch{}, err
 	}
-	f.after = found.newest
+	f.after = found.oldest
 	f.started = true
 	return Batch{
 		Rows:     found.rows,
 		Snapshot: true,
 		Now:      found.now,
-		Version:  found.newest,
+		Version:  found.oldest,
 	}, nil
 }
 
@@ -80,7 +81,8 @@
 
 // replay applies the changes since the scan's oldest version, in their order and
 // at least up to its newest version: by then each row that the scan read too
-// early or too late has had its later changes.
+// early or too late has had its later changes. It ends before that when the feed
+// brings nothing. Afterwards the scan's oldest version is the one reached.
 func (f *Follower) replay(ctx context.Context, found *scan) error {
 	rows := newRowSet(found.rows)
 	version := found.oldest
@@ -94,16 +96,14 @@
 				rows.apply(row)
 			}
 		}
-		version = page.Version
-		if len(page.Rows) == 0 {
-			// The table has not changed up to the time of this call.
-			version = max(version, found.newest)
-		}
 		found.now = max(found.now, page.Now)
+		if page.Version <= version {
+			break // the feed lags
+		}
+		version = page.Version
 	}
 	found.rows = rows.list()
 	found.oldest = version
-	found.newest = version
 	return nil
 }
 
@@ -127,10 +127,13 @@
 	return s
 }
 
-// apply adds a row or replaces it as it was before.
+// apply adds a row or replaces it as it was before. A change older than the row
+// has no effect.
 func (s *rowSet) apply(row Row) {
 	if i, known := s.positions[row.Key]; known {
-		s.rows[i] = row
+		if row.Version >= s.rows[i].Version {
+			s.rows[i] = row
+		}
 		return
 	}
 	s.positions[row.Key] = len(s.rows)
--- a/sesamerows/snapshot_test.go
+++ b/sesamerows/snapshot_test.go
@@ -29,6 +29,9 @@
 	after  func(call string)
 	// pageRows is the most rows in one page.
 	pageRows int
+	// silentCalls is how many calls for changes are answered with none, as of the
+	// version that they name.
+	silentCalls int
 
 	mu sync.Mutex
 	// at holds the content at each version.
@@ -158,6 +161,12 @@
 // versions take several calls.
 func (s *busyStore) Changes(ctx context.Context, table string, after sesamerows.Version, _ time.Duration) (sesamerows.Page, error) {
 	defer s.begin("changes")()
+	if s.silentCalls > 0 {
+		s.silentCalls--
+		return sesamerows.Page{
+			Version: after,
+		}, nil
+	}
 	page, err := s.memory.Changes(ctx, table, after, 0)
 	if err != nil || len(page.Rows) == 0 {
 		return page, err
@@ -419,3 +428,23 @@
 		is.Equal(calls["changes"], 2)
 	})
 }
+
+// TestSnapshotOfSilentFeed reads a snapshot while the feed lags behind the rows.
+// The changes that it withholds must come with later batches.
+func TestSnapshotOfSilentFeed(t *testing.T) {
+	is := is.New(t)
+	s := newBusyStore("a1")
+	s.silentCalls = 1
+	s.before = once("read a", func() {
+		s.set("b1")
+		s.set("a2")
+	})
+	f := s.follow()
+	rows := content{}
+	for range 4 {
+		batch, err := f.Next(t.Context())
+		is.NoErr(err)
+		rows.apply(batch)
+	}
+	is.Equal(rows, s.contentAt(s.newestVersion()))
+}
