Prove that a torn view starts a done run again

A new planner reads the part of a target in several pages, in which the names of ends come before those of targets. If a run ends as done and its target leaves between the pages, the view holds the target as gone without the end. It took the run for lost, and the end, which the feed brought later, for that of an earlier run: the task ran twice.

--- /dev/null
+++ b/sesamedispatch/torn_test.go
@@ -0,0 +1,119 @@
+package sesamedispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// busyMemory is a store that others write to ahead of a planner's reads.
+type busyMemory struct {
+	*sesamerows.Memory
+	// beforeRead is called ahead of each read; it may be nil.
+	beforeRead func(r sesamerows.Range)
+}
+
+// Read calls beforeRead and then reads.
+func (m *busyMemory) Read(ctx context.Context, r sesamerows.Range) (sesamerows.Page, error) {
+	if m.beforeRead != nil {
+		m.beforeRead(r)
+	}
+	return m.Memory.Read(ctx, r)
+}
+
+// unit returns the unit of a job with one task, as the planner knows it.
+func (f *termFixture) unit(job string) *unit {
+	f.t.Helper()
+	u, ok := f.term.view.units[sesamework.UnitID{Job: job}]
+	f.is.True(ok)
+	return u
+}
+
+// endRow returns the row of the end of run 1 of a job's task on the target.
+func endRow(target sesamework.Target, job string) sesamerows.Row {
+	key := targetRow(target, 0).Key
+	return sesamerows.Row{
+		Key: sesamework.EndKey(key, sesamework.TaskID{Job: job}, 1),
+		Value: encode(sesamework.End{
+			Outcome: sesamework.EndDone,
+			Target:  key.Name,
+			Life:    target.Life,
+		}),
+	}
+}
+
+// commit writes the rows in one transaction.
+func (f *termFixture) commit(rows ...sesamerows.Row) {
+	f.t.Helper()
+	var t sesamerows.Transaction
+	for _, row := range rows {
+		t.Writes = append(t.Writes, sesamerows.Write{
+			Key:   row.Key,
+			Value: row.Value,
+		})
+	}
+	_, err := f.memory.Commit(f.t.Context(), t)
+	f.is.NoErr(err)
+}
+
+// replacePlanner lets another planner take over that reads from the store.
+func (f *termFixture) replacePlanner(store sesamerows.Store) {
+	f.t.Helper()
+	f.term.stepDown()
+	options := f.term.o
+	options.Name = "other"
+	options.Store = store
+	planner := NewPlanner(options)
+	absent, err := planner.isLeaderAbsent(f.t.Context())
+	f.is.NoErr(err)
+	f.is.True(absent)
+	f.term, err = planner.takeOver(f.t.Context())
+	f.is.NoErr(err)
+}
+
+// followOnce applies the next changes of the feed.
+func (f *termFixture) followOnce() {
+	f.t.Helper()
+	batch, err := f.term.follower.Next(f.t.Context())
+	f.is.NoErr(err)
+	_, err = f.term.apply(f.t.Context(), batch)
+	f.is.NoErr(err)
+}
+
+// TestDoneRunStartsAgain records a run as done and its target as gone while a new
+// planner reads the pages between the two rows, and checks that the run does not
+// start again.
+func TestDoneRunStartsAgain(t *testing.T) {
+	first, second := newTarget("a"), newTarget("b")
+	f := newTermFixture(t, jobFillingTarget("job", 1), targetRow(first, 0))
+	f.decide(1)
+	f.is.True(f.unit("job").isActive())
+	f.write(targetRow(second, 0))
+	var fillers []sesamerows.Row
+	for i := range sesamerows.MaxPageRows {
+		fillers = append(fillers, endRow(first, fmt.Sprintf("other%03d", i)))
+	}
+	f.commit(fillers...)
+	gone := first
+	gone.State = sesamework.TargetGone
+	store := &busyMemory{
+		Memory: f.memory,
+	}
+	ended := false
+	store.beforeRead = func(r sesamerows.Range) {
+		if !ended && r.Part == fillers[0].Key.Part && r.From != "" {
+			ended = true
+			f.commit(endRow(first, "job"), targetRow(gone, 0))
+		}
+	}
+	f.replacePlanner(store)
+	f.is.True(ended)
+	f.decide(1)
+	f.commit(targetRow(second, 0))
+	f.followOnce()
+	f.is.True(f.unit("job").done)
+	f.is.Equal(f.unit("job").run.Number, 1)
+}
