Read the work table last when a planner rebuilds its view

Callers: a task whose run had ended as done, with its end recorded, could start again after the store had discarded its history.

Its end came by the feed later and was ignored as that of an earlier run.

rebuild now reads as load does: the runs and states, which nobody else writes, and then the work table, so that a target or end that it lacks does not exist. Rows of swept jobs need no special case any more.

Failed before: go test ./sesamedispatch -run TestRebuildGivesUpNewTarget, "not true: f.unit("job").isActive()", and without that check "not true: f.unit("job").done".

--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -209,11 +209,7 @@
 		inventories:       make(chan map[string]bool, 1),
 		fence:             sesamerows.NewFence(p.o.Store, sesamework.LeaderKey()),
 		view:              NewView(p.o.Log).withDurationModels(p.durationModels),
-		follower: sesamerows.NewFollower(p.o.Store, sesamerows.FollowOptions{
-			Table:      sesamework.WorkTable,
-			Wait:       feedWait,
-			BatchDelay: feedGather,
-		}),
+		follower:          newWorkFollower(p.o.Store),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +25,9 @@
 	fence       *sesamerows.Fence
 	view        *View
 	follower    *sesamerows.Follower
+	// rebuiltVersion is that of the work table from which the view was rebuilt
+	// last, 0 before. The feed goes on from an earlier version.
+	rebuiltVersion sesamerows.Version
 	// leaderWrittenAt is when the leader's row was written last, and
 	// feedAnsweredAt when the feed answered last, on the steady clock.
 	leaderWrittenAt time.Duration
@@ -41,16 +43,12 @@
 
 // load reads all rows and fills the view, which is still empty.
 func (r *term) load(ctx context.Context) error {
-	rows, err := r.readPlannerRows(ctx)
+	rows, err := r.readRows(ctx, r.follower)
 	if err != nil {
 		return err
 	}
-	work, err := r.follower.Next(ctx)
-	if err != nil {
-		return err
-	}
-	r.fillView(work, rows)
-	r.logView(eventPlanningBegins, work.Version)
+	r.fillView(rows)
+	r.logView(eventPlanningBegins, rows.work.Version)
 	return nil
 }
 
@@ -85,32 +83,42 @@
 	}
 }
 
-// plannerRows are the rows that only planners write after a job's acceptance.
-type plannerRows struct {
+// viewRows are the rows from which a view is filled.
+type viewRows struct {
+	// runs and states are written by planners only, but for the first state of a
+	// job, which comes with the job's row.
 	runs   []sesamerows.Row
 	states []sesamerows.Row
+	// work is a snapshot of the work table.
+	work sesamerows.Batch
 }
 
-// readPlannerRows reads the runs and the states of jobs.
-func (r *term) readPlannerRows(ctx context.Context) (plannerRows, error) {
-	runs, err := r.readRuns(ctx)
-	if err != nil {
-		return plannerRows{}, err
+// readRows reads all rows, the work table with a follower that has read nothing
+// yet. Other planners are fenced off and this one writes none but the leader's
+// row meanwhile, so that the runs and states do not change while they are read.
+// The work table is read last: its rows are then at least as new as those which
+// led to a run, and a target or an end that they lack does not exist.
+func (r *term) readRows(ctx context.Context, work *sesamerows.Follower) (viewRows, error) {
+	var rows viewRows
+	var err error
+	if rows.runs, err = r.readRuns(ctx); err != nil {
+		return rows, err
 	}
 	states, err := sesamerows.ReadParts(ctx, r.o.Store, sesamework.StateTable,
 		append(sesamework.EntryParts(), sesamework.PlanPart))
-	return plannerRows{
-		runs:   runs,
-		states: states.Rows,
-	}, err
+	if err != nil {
+		return rows, err
+	}
+	rows.states = states.Rows
+	rows.work, err = work.Next(ctx)
+	return rows, err
 }
 
-// fillView fills the empty view from a snapshot of the work table and the other
-// rows.
-func (r *term) fillView(work sesamerows.Batch, rows plannerRows) {
-	r.storeClock.AddSample(work.Now)
+// fillView fills the empty view from the rows.
+func (r *term) fillView(rows viewRows) {
+	r.storeClock.AddSample(rows.work.Now)
 	r.feedAnsweredAt = r.o.Clock.Steady()
-	r.view.Load(work.Rows, rows.runs, rows.states, r.now())
+	r.view.Load(rows.work.Rows, rows.runs, rows.states, r.now())
 }
 
 // logView logs an event with the extent of the view, which is up to date with
@@ -124,40 +132,36 @@
 	})
 }
 
-// rebuild replaces the view after the feed has read the whole work table, since
-// it no longer had the changes since the last batch. This process goes on as
-// the leader: it alone has written runs and states meanwhile.
-func (r *term) rebuild(ctx context.Context, work sesamerows.Batch) error {
+// rebuild replaces the view after the feed no longer had the changes since its
+// last batch. The snapshot that the feed brought instead is not used: the view
+// may know newer rows from conflicts, and may have ordered runs on these. This
+// process goes on as the leader.
+func (r *term) rebuild(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	var rows plannerRows
+	var rows viewRows
 	err := r.whileRenewing(ctx, func(ctx context.Context) (err error) {
-		rows, err = r.readPlannerRows(ctx)
+		rows, err = r.readRows(ctx, newWorkFollower(r.o.Store))
 		return err
 	})
 	if err != nil {
 		return err
 	}
-	work.Rows = withoutSweptJobs(work.Rows, rows.states)
 	before := r.view
 	r.view = NewView(r.o.Log).withDurationModels(before.durationModels)
-	r.fillView(work, rows)
+	r.fillView(rows)
 	r.view.keepObservations(before)
-	r.logView(eventViewRebuilt, work.Version)
+	r.rebuiltVersion = rows.work.Version
+	r.logView(eventViewRebuilt, rows.work.Version)
 	return nil
 }
 
-// withoutSweptJobs leaves out the rows of jobs without a state. These were swept
-// between the snapshot of the work table and the later reading of the states: a
-// job and its states are written and removed together.
-func withoutSweptJobs(work, states []sesamerows.Row) []sesamerows.Row {
-	known := make(map[string]bool, len(states))
-	for _, row := range states {
-		known[row.Key.Name] = true
-	}
-	return slices.DeleteFunc(slices.Clone(work), func(row sesamerows.Row) bool {
-		id, isJob := strings.CutPrefix(row.Key.Name, sesamework.JobPrefix)
-		return isJob && !known[id]
+// newWorkFollower returns a follower of the work table.
+func newWorkFollower(store sesamerows.Store) *sesamerows.Follower {
+	return sesamerows.NewFollower(store, sesamerows.FollowOptions{
+		Table:      sesamework.WorkTable,
+		Wait:       feedWait,
+		BatchDelay: feedGather,
 	})
 }
 
@@ -348,16 +352,19 @@
 	return false, err
 }
 
-// apply updates the view by a batch, or rebuilds it from one with the whole
-// table, and reports whether that may change a decision. Errors are those of
-// rebuild.
+// apply updates the view by a batch, without the changes that the view had when
+// it was rebuilt, or rebuilds it if the batch is a newer snapshot. It reports
+// whether that may change a decision. Errors are those of rebuild.
 func (r *term) apply(ctx context.Context, batch sesamerows.Batch) (bool, error) {
-	if batch.Snapshot {
-		return true, r.rebuild(ctx, batch)
+	if batch.Snapshot && batch.Version > r.rebuiltVersion {
+		return true, r.rebuild(ctx)
 	}
 	r.storeClock.AddSample(batch.Now)
 	r.feedAnsweredAt = r.o.Clock.Steady()
-	return r.view.Apply(batch.Rows, r.now()), nil
+	rows := slices.DeleteFunc(slices.Clone(batch.Rows), func(row sesamerows.Row) bool {
+		return row.Version <= r.rebuiltVersion
+	})
+	return r.view.Apply(rows, r.now()), nil
 }
 
 // stepDown releases the leader's row, so that another process can take over
--- a/sesamedispatch/torn_test.go
+++ b/sesamedispatch/torn_test.go
@@ -117,3 +117,59 @@
 	f.is.True(f.unit("job").done)
 	f.is.Equal(f.unit("job").run.Number, 1)
 }
+
+// TestRebuildGivesUpNewTarget starts a run on a new life of a target, which the
+// planner knows from a conflict, while a snapshot from before that life waits to
+// be applied. The view that is read anew must not take the run for lost.
+func TestRebuildGivesUpNewTarget(t *testing.T) {
+	target := newTarget("a")
+	target.SilentFor = 2000
+	f := newTermFixture(t, jobFillingTarget("job", 1), targetRow(target, 0))
+	snapshot, err := newWorkFollower(f.memory).Next(t.Context())
+	f.is.NoErr(err)
+	target.SilentFor = 0
+	target.Life++
+	f.commit(targetRow(target, 0))
+	f.term.view.now = f.term.now()
+	f.term.view.ApplyInventory(map[string]bool{})
+	f.decide(2)
+	f.is.True(f.unit("job").isActive())
+	_, err = f.term.apply(t.Context(), snapshot)
+	f.is.NoErr(err)
+	f.is.True(f.unit("job").isActive())
+	f.commit(endRow(target, "job"))
+	f.decide(1)
+	f.followOnce()
+	f.is.True(f.unit("job").done)
+	f.is.Equal(f.unit("job").run.Number, 1)
+}
+
+// TestRebuildForgetsNewTarget starts a run on a target whose row was removed and
+// written again before the view was read anew. The feed then brings the removal,
+// which must not end the run.
+func TestRebuildForgetsNewTarget(t *testing.T) {
+	target := newTarget("a")
+	row := targetRow(target, 0)
+	f := newTermFixture(t, row)
+	snapshot, err := newWorkFollower(f.memory).Next(t.Context())
+	f.is.NoErr(err)
+	removed, err := f.memory.Commit(t.Context(), sesamerows.Transaction{
+		Removes: []sesamerows.Key{row.Key},
+	})
+	f.is.NoErr(err)
+	f.write(row, jobFillingTarget("job", 1))
+	_, err = f.term.apply(t.Context(), snapshot)
+	f.is.NoErr(err)
+	f.decide(1)
+	f.is.True(f.unit("job").isActive())
+	_, err = f.term.apply(t.Context(), sesamerows.Batch{
+		Rows: []sesamerows.Row{{
+			Key:     row.Key,
+			Version: removed,
+			Removed: true,
+		}},
+		Version: removed,
+	})
+	f.is.NoErr(err)
+	f.is.True(f.unit("job").isActive())
+}
