Remove the states of a swept job together with its row

With one row more, as of a job with 18 ended tasks, all but the job's own row went in one transaction. A planner that took over then read a job without a state and without runs, which counts as queued.

Failed before: go test ./sesamedispatch -run TestSweptJobStartsAgain, "sweptjob_test.go:79: 1 != 0" (one start).

--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -84,8 +84,14 @@
 	return false
 }
 
-// rowKeys returns the keys of all rows of a job. The job's own row comes last,
-// so that a sweep that was interrupted is continued later.
+// finalJobRows is the number of a job's rows that are removed together, in the
+// last sweep of the job: its states and its own row. A job without a state counts
+// as queued.
+const finalJobRows = 3
+
+// rowKeys returns the keys of all rows of a job. The last finalJobRows are its
+// states and its own row, so that a sweep that was interrupted is continued
+// later.
 func (v *View) rowKeys(j *job) []sesamerows.Key {
 	var keys []sesamerows.Key
 	for key := range v.ends {
@@ -113,7 +119,7 @@
 	keys := r.view.rowKeys(j)
 	last := len(keys) <= maxSweepRows
 	if !last {
-		keys = keys[:maxSweepRows]
+		keys = keys[:min(maxSweepRows, len(keys)-finalJobRows)]
 	}
 	_, err := r.commit(ctx, &change{
 		Change: sesamerows.Change{
