--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -89,21 +89,22 @@
 // as queued.
 const finalJobRows = 3
 
-// rowKeys returns the keys of all rows of a job. The last finalJobRows are its
-// states and its own row, so that a sweep that was interrupted is continued
+// rowKeys returns the keys of all rows of a job. Runs come before their ends,
+// since a run without an end is to be started. The last finalJobRows are the
+// job's states and its own row, so that a sweep that was interrupted is continued
 // later.
 func (v *View) rowKeys(j *job) []sesamerows.Key {
 	var keys []sesamerows.Key
-	for key := range v.ends {
-		if task, _, ok := sesamework.ParseEndKey(key); ok && task.Job == j.ID {
-			keys = append(keys, key)
-		}
-	}
 	j.eachUnit(func(u *unit) {
 		for _, zone := range u.run.Zones() {
 			keys = append(keys, sesamework.RunKey(u.id, zone))
 		}
 	})
+	for key := range v.ends {
+		if task, _, ok := sesamework.ParseEndKey(key); ok && task.Job == j.ID {
+			keys = append(keys, key)
+		}
+	}
 	return append(keys,
 		sesamework.CancelKey(j.ID),
 		sesamework.SpecKey(j.ID),
--- a/sesamedispatch/sweptjob_test.go
+++ b/sesamedispatch/sweptjob_test.go
@@ -79,3 +79,12 @@
 		f.is.Equal(len(f.term.view.Decide(f.term.now()).Starts), 0)
 	}
 }
+
+// TestSweptEndOfWantedRun sweeps a part of a completed job's rows. A run must not
+// stay ordered without its end: a new agent would start it again, and a new
+// planner would count it as active.
+func TestSweptEndOfWantedRun(t *testing.T) {
+	f := newSweptFixture(t, maxSweepRows)
+	f.is.Equal(f.term.view.jobs["job"].published, sesamework.JobCompleted)
+	f.is.True(!f.term.view.jobs["job"].isActive())
+}
