Write starts after a loss in transactions of their own

The conditions that such starts have since their ends must be absent are in other parts of the store, and share a transaction with all starts of a decision: these crossed parts with them, which takes twice as long, and an end that refuses one of them refused all. An end row that can't be read would have stopped all starts.

TestUnreadableEnd failed before: another job was not started.

--- a/sesamedispatch/lostends_test.go
+++ b/sesamedispatch/lostends_test.go
@@ -138,6 +138,23 @@
 	f.assertRuns("job", 1, true)
 }
 
+// TestUnreadableEnd finds an end that can't be read when it starts a lost task
+// again. Other work must start all the same.
+func TestUnreadableEnd(t *testing.T) {
+	f, left := newRunningTask(t, "lost")
+	f.decide(1) // gives the target up
+	end := endRow("lost", 1, left, sesamework.EndDone)
+	end.Value = []byte("{")
+	f.write(end, jobFillingTarget("other", 2), targetRow(newTarget("c"), 0))
+	f.term.view.Apply([]sesamerows.Row{
+		f.changed(jobFillingTarget("other", 2)),
+		f.changed(targetRow(newTarget("c"), 0)),
+	}, f.term.now())
+	f.decide(1)
+	f.assertRuns("lost", 1, false)
+	f.assertRuns("other", 1, false)
+}
+
 // TestOldTombstone brings the removal of a target's row after the planner has
 // seen the row that was written since. What runs on the target must go on.
 func TestOldTombstone(t *testing.T) {
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -30,11 +30,11 @@
 		}
 		return r.renewLeaderRow(ctx)
 	}
-	batch := &changeBatch{}
-	if err := r.collect(d, batch); err != nil {
+	batch, restarts := &changeBatch{}, &changeBatch{}
+	if err := r.collect(d, batch, restarts); err != nil {
 		return err
 	}
-	for _, c := range batch.transactions {
+	for _, c := range slices.Concat(batch.transactions, restarts.transactions) {
 		if _, err := r.commit(ctx, c); err != nil {
 			return err
 		}
@@ -124,15 +124,21 @@
 }
 
 // collect adds the writes of the stops, starts and states of a decision to the
-// batch. Errors are those of encoding the rows.
-func (r *term) collect(d Decision, batch *changeBatch) error {
+// batch, and starts after a loss to restarts: their conditions are in other parts
+// of the store, and a refusal must not hold up the rest. Errors are those of
+// encoding the rows.
+func (r *term) collect(d Decision, batch, restarts *changeBatch) error {
 	for _, s := range d.Stops {
 		if err := r.collectStop(s, batch); err != nil {
 			return err
 		}
 	}
 	for _, s := range d.Starts {
-		if err := r.collectStart(s, batch); err != nil {
+		into := batch
+		if len(s.unit.lossConditions()) > 0 {
+			into = restarts
+		}
+		if err := r.collectStart(s, into); err != nil {
 			return err
 		}
 	}
