Log from which rows a planner fills its view

The events 7100 and 7115 gave the numbers of jobs, targets and units and the store's version. They now also tell how many runs, states and ends there were, from how many parts of the work table they came, and how many changes during the read were replayed. A job that is missing can so be told from one that came later.

TestViewLog checks the fields of 7100 for a target that appears while a new planner reads.

--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	r.fillView(rows)
-	r.logView(eventPlanningBegins, rows.work.Version)
+	r.logView(eventPlanningBegins, rows)
 	return nil
 }
 
@@ -121,14 +121,19 @@
 	r.view.Load(rows.work.Rows, rows.runs, rows.states, r.now())
 }
 
-// logView logs an event with the extent of the view, which is up to date with
-// the store's version.
-func (r *term) logView(event sesamelog.Event, version sesamerows.Version) {
+// logView logs an event with the extent of the view and the rows from which it
+// was filled. The view is up to date with the work table's version.
+func (r *term) logView(event sesamelog.Event, rows viewRows) {
 	r.o.Log.Emit(event, sesamelog.Fields{
-		"jobs":    len(r.view.jobs),
-		"targets": len(r.view.targets),
-		"units":   len(r.view.units),
-		"version": version,
+		"jobs":     len(r.view.jobs),
+		"targets":  len(r.view.targets),
+		"units":    len(r.view.units),
+		"ends":     len(r.view.ends),
+		"runs":     len(rows.runs),
+		"states":   len(rows.states),
+		"version":  rows.work.Version,
+		"parts":    rows.work.Parts,
+		"replayed": rows.work.Replayed,
 	})
 }
 
@@ -152,7 +157,7 @@
 	r.fillView(rows)
 	r.view.keepObservations(before)
 	r.rebuiltVersion = rows.work.Version
-	r.logView(eventViewRebuilt, rows.work.Version)
+	r.logView(eventViewRebuilt, rows)
 	return nil
 }
 
--- a/sesamedispatch/torn_test.go
+++ b/sesamedispatch/torn_test.go
@@ -1,10 +1,14 @@
 package sesamedispatch
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
+	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
@@ -173,3 +177,42 @@
 	f.is.NoErr(err)
 	f.is.True(f.unit("job").isActive())
 }
+
+// TestViewLog checks that the log tells from which rows a new planner filled its
+// view.
+func TestViewLog(t *testing.T) {
+	f := newTermFixture(t, jobFillingTarget("job", 1), targetRow(newTarget("a"), 0))
+	f.decide(1)
+	store := &busyMemory{
+		Memory: f.memory,
+	}
+	written := false
+	store.beforeRead = func(r sesamerows.Range) {
+		if !written && r.Part == sesamework.JobKey("job").Part && r.Table == sesamework.WorkTable {
+			written = true
+			f.write(targetRow(newTarget("b"), 0))
+		}
+	}
+	var log bytes.Buffer
+	f.term.o.Log = sesamelog.New(&log, sesamelog.Info, sesamelog.JSON)
+	f.replacePlanner(store)
+	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+	var fields map[string]any
+	f.is.NoErr(json.Unmarshal([]byte(lines[len(lines)-1]), &fields))
+	parts, err := f.memory.Parts(t.Context(), sesamework.WorkTable)
+	f.is.NoErr(err)
+	for name, value := range map[string]int{
+		"event":    eventPlanningBegins.Number,
+		"jobs":     1,
+		"targets":  2,
+		"units":    1,
+		"ends":     0,
+		"runs":     1,
+		"states":   2,              // of the entry and of the first planner
+		"parts":    len(parts) - 1, // the part of target b came later
+		"replayed": 1,
+	} {
+		f.is.Equal(fields[name], float64(value)) // the field's value
+	}
+	f.is.True(fields["version"].(float64) > 0)
+}
--- a/sesamerows/follow.go
+++ b/sesamerows/follow.go
@@ -20,6 +20,10 @@
 	// Version is the store's newest version whose changes the batch includes.
 	// Later ones come with later batches.
 	Version Version
+	// Parts is the number of parts that a snapshot was read from, and Replayed
+	// that of the changes during the read, which were applied to it.
+	Parts    int
+	Replayed int
 }
 
 // Follower reads a snapshot of a table and then watches its changes from the
--- a/sesamerows/read.go
+++ b/sesamerows/read.go
@@ -74,6 +74,10 @@
 	newest Version
 	// now is the store's steady clock at the last read.
 	now time.Duration
+	// parts is the number of ranges that were read, and replayed that of the
+	// changes that were applied to the rows.
+	parts    int
+	replayed int
 }
 
 // page returns the rows with the oldest version.
@@ -87,7 +91,9 @@
 
 // scanRange reads a range page by page.
 func scanRange(ctx context.Context, s Store, r Range) (scan, error) {
-	var found scan
+	found := scan{
+		parts: 1,
+	}
 	for first := true; ; first = false {
 		page, err := s.Read(ctx, r)
 		if err != nil {
@@ -131,6 +137,7 @@
 		all.rows = append(all.rows, found.rows...)
 		all.now = max(all.now, found.now)
 		all.newest = max(all.newest, found.newest)
+		all.parts += found.parts
 		if i == 0 || found.oldest < all.oldest {
 			all.oldest = found.oldest
 		}
--- a/sesamerows/snapshot.go
+++ b/sesamerows/snapshot.go
@@ -31,6 +31,8 @@
 		Snapshot: true,
 		Now:      found.now,
 		Version:  found.newest,
+		Parts:    found.parts,
+		Replayed: found.replayed,
 	}, nil
 }
 
@@ -92,6 +94,7 @@
 		for _, row := range page.Rows {
 			if !f.onePart || row.Key.Part == f.part {
 				rows.apply(row)
+				found.replayed++
 			}
 		}
 		version = page.Version
--- a/sesamerows/snapshot_test.go
+++ b/sesamerows/snapshot_test.go
@@ -393,6 +393,16 @@
 		is.Equal(batch.Version, s.newestVersion())
 		is.Equal(calls, map[string]int{"read ": 2, "parts": 1})
 	})
+	t.Run("changes meanwhile", func(t *testing.T) {
+		is := is.New(t)
+		s := newBusyStore("a1", "b1")
+		calls := count(s, once("parts", func() { s.set("a1", "c1") }))
+		batch, err := s.follow().Next(t.Context())
+		is.NoErr(err)
+		is.Equal(batch.Parts, 3)
+		is.Equal(batch.Replayed, 2)
+		is.Equal(calls["changes"], 1)
+	})
 	t.Run("changes are discarded once", func(t *testing.T) {
 		is := is.New(t)
 		s := newBusyStore("a1")
