--- a/sesamerows/snapshot.go
+++ b/sesamerows/snapshot.go
@@ -32,6 +32,8 @@
 		Snapshot: true,
 		Now:      found.now,
 		Version:  found.oldest,
+		Parts:    found.parts,
+		Replayed: found.replayed,
 	}, nil
 }
 
@@ -94,6 +96,7 @@
 		for _, row := range page.Rows {
 			if !f.onePart || row.Key.Part == f.part {
 				rows.apply(row)
+				found.replayed++
 			}
 		}
 		found.now = max(found.now, page.Now)
