Let stand-in targets shrink, and show starts beyond what they offer

A target may offer less while it runs, and grow again. A start that brings it over its capacity breaks a promise once the capacity has been that small for 3 s and one report (4.5 s here); an order that the target carries out late does not.

LeasedTarget.SetCapacity changes what a target offers; its reports carry it, and the fleet records starts beyond it. Reports of a target now come at its own times, not when its agent starts. The model tests draw targets that shrink.

The planner checks the capacity when it decides, and nobody does when the order is carried out: a write to the store in flight, an unanswered order, a specification that is read late, an outage of the store or a restart of the agent lies between.

--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -80,6 +80,13 @@
 	"target vanished", "target silent", "target crashed", "agent killed", "orders late", "answers lost", "store silent",
 }
 
+// capacityFaultKinds are targets that shrink, with the faults that delay what
+// the planner learns of them and what it orders.
+var capacityFaultKinds = []string{
+	"target shrinks", "target shrinks", "target shrinks", "agent killed", "entry killed", "all killed", "orders late",
+	"target silent", "answers late", "store slow", "store silent", "agent cut", "history lost",
+}
+
 // drawJob draws a job of one step, submitted from 3 s on.
 func drawJob(t *rapid.T) plannedJob {
 	gang := rapid.Bool().Draw(t, "gang")
@@ -138,6 +145,10 @@
 	196, // the same
 }
 
+// capacityRegressions are those of TestModelCapacities: a new agent started runs
+// by the capacity that the one before it had reported.
+var capacityRegressions = []int{108, 147, 242, 283, 318, 364}
+
 // TestModel runs random scenarios with overlapping faults on the real intake,
 // planner and runner, and checks the promises to callers by what targets and
 // clients saw. A scenario is repeated by its seed: -model-first=SEED
@@ -151,6 +162,11 @@
 	runSeeds(t, targetFaultKinds, false, nil)
 }
 
+// TestModelCapacities is TestModel with targets that shrink and grow again.
+func TestModelCapacities(t *testing.T) {
+	runSeeds(t, capacityFaultKinds, false, capacityRegressions)
+}
+
 // TestModelDetours is TestModel with processes that relay calls to the store
 // for each other.
 func TestModelDetours(t *testing.T) {
@@ -259,6 +275,10 @@
 		w.nodes[f.Process].currentTarget().SetUnreachable(true)
 		w.sleep(f.For)
 		w.nodes[f.Process].currentTarget().SetUnreachable(false)
+	case "target shrinks":
+		w.nodes[f.Process].setCapacity(int64(f.Processes-1) * 2)
+		w.sleep(shrinkGrace + f.For)
+		w.nodes[f.Process].setCapacity(nodeCapacity().Accelerators)
 	case "all killed":
 		w.killAll(f.For)
 	case "history lost":
--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -69,6 +69,9 @@
 	removed        bool
 	reportsNothing bool
 	draining       bool
+	// reportedAt is when the target's latest life sent its last report, zero if
+	// it has sent none.
+	reportedAt time.Time
 }
 
 // start starts the entry with a new intake and a new planner.
@@ -135,6 +138,7 @@
 	n.life++
 	n.id = fmt.Sprintf("%s-life-%d", n.name, n.life)
 	n.target = n.w.fleet.Add(n.id, n.life, nodeCapacity())
+	n.reportedAt = time.Time{}
 }
 
 // start starts the node's agent and the reports of its target.
@@ -164,13 +168,31 @@
 // reportInterval is how often a target reports to its agent.
 const reportInterval = 1500 * time.Millisecond
 
+// awaitReport waits until the target's next report is due, which does not
+// depend on when the agent was started.
+func (n *nodeProcess) awaitReport(ctx context.Context) {
+	n.w.mu.Lock()
+	elapsed := n.w.clock.Since(n.reportedAt)
+	first := n.reportedAt.IsZero()
+	n.w.mu.Unlock()
+	if first {
+		return
+	}
+	select {
+	case <-n.w.clock.After(reportInterval - elapsed%reportInterval):
+	case <-ctx.Done():
+	}
+}
+
 // report sends the target's reports to the agent until ctx ends.
 func (n *nodeProcess) report(ctx context.Context, runner *sesamerunner.Runner) {
+	n.awaitReport(ctx)
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		n.w.mu.Lock()
 		draining := n.draining
 		vanished := n.reportsNothing
 		id, life := n.id, n.life
+		n.reportedAt = n.w.clock.Now()
 		n.w.mu.Unlock()
 		if vanished {
 			n.w.sleep(reportInterval)
@@ -182,7 +204,7 @@
 			Address:      "address",
 			Rack:         n.rack,
 			Labels:       []string{"kind", n.rack},
-			Capacity:     nodeCapacity(),
+			Capacity:     n.currentTarget().Capacity(),
 			Draining:     draining,
 			MinRemaining: 2 * time.Second,
 			Life:         life,
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -59,6 +59,9 @@
 	gangTimeout = 3 * time.Second
 	// maxLease is the longest lease that a target takes; longer ones are cut.
 	maxLease = 6 * time.Second
+	// shrinkGrace is how long after a target has shrunk the platform accepts
+	// starts that use its former capacity: 3 s after the report that is due then.
+	shrinkGrace = 3*time.Second + reportInterval
 	// specPrefix begins the specification of each job, before its ID.
 	specPrefix = "specification of "
 )
@@ -103,6 +106,7 @@
 		StopTime:    stopTime,
 		GangTimeout: gangTimeout,
 		MaxLease:    maxLease,
+		ShrinkGrace: shrinkGrace,
 	})
 	t.Cleanup(func() {
 		cancel()
--- a/sesamestandin/fleet.go
+++ b/sesamestandin/fleet.go
@@ -27,6 +27,9 @@
 	// MaxLease is the longest lease that a target accepts; longer ones are
 	// shortened to it.
 	MaxLease time.Duration
+	// ShrinkGrace is how long after a target's capacity has shrunk starts may
+	// still use what the target offered before.
+	ShrinkGrace time.Duration
 }
 
 // FleetTask is the definition of a task: what it needs, how it behaves and
@@ -294,7 +297,7 @@
 	for _, r := range t.running {
 		used = used.Plus(r.definition.Step.Reservation())
 	}
-	if !used.Fits(t.capacity) {
-		f.addViolation("limit: %s brings target %s to %+v of %+v", name, t.id, used, t.capacity)
+	if limit := t.startLimit(); !used.Fits(limit) {
+		f.addViolation("limit: %s brings target %s to %+v of %+v", name, t.id, used, limit)
 	}
 }
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -17,7 +17,7 @@
 	fleet    *Fleet
 	id       string
 	life     int64
-	capacity sesamework.Resources
+	capacity capacityHistory
 	// startsForbidden makes every start a violation.
 	startsForbidden bool
 	// crashed targets run nothing; unreachable ones run on but answer no call.
@@ -45,26 +45,8 @@
 	// delay (late) after which the target carries that order out nevertheless;
 	// nil means that every order is answered.
 	losesOrder func() (late time.Duration, lost bool)
-}
-
-// SetLostOrders sets the function that chooses which later orders get no
-// answer (lost), and the delay (late) after which the target carries such an
-// order out nevertheless; nil means that every order is answered.
-func (t *LeasedTarget) SetLostOrders(decide func() (late time.Duration, lost bool)) {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.losesOrder = decide
-}
-
-// nextOrderLost returns the delay of the next order and whether its answer is
-// lost, as losesOrder says; 0 and false without that function.
-func (t *LeasedTarget) nextOrderLost() (time.Duration, bool) {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	if t.losesOrder == nil {
-		return 0, false
-	}
-	return t.losesOrder()
+	// isLate is true while an order is applied whose answer was lost.
+	isLate bool
 }
 
 var _ sesamerunner.Executor = (*LeasedTarget)(nil)
@@ -78,7 +60,7 @@
 		fleet:      f,
 		id:         id,
 		life:       life,
-		capacity:   capacity,
+		capacity:   newCapacityHistory(capacity),
 		startedAt:  f.o.Clock.Now(),
 		highestRun: map[string]int{},
 		endTimes:   map[int64]time.Time{},
@@ -220,34 +202,6 @@
 	})
 }
 
-// deliver applies an order and returns the target's clock. An order whose
-// answer is lost is applied after its delay, and the caller gets a
-// *NoAnswerError once it gives up.
-func (t *LeasedTarget) deliver(ctx context.Context, apply func() error) (time.Duration, error) {
-	f := t.fleet
-	if err := t.awaitReachable(ctx); err != nil {
-		return 0, err
-	}
-	if late, lost := t.nextOrderLost(); lost {
-		f.o.Clock.AfterFunc(late, func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.advance()
-			if err := apply(); err != nil {
-				// The target refused the delayed order.
-				return
-			}
-		})
-		<-ctx.Done()
-		return 0, &NoAnswerError{}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.advance()
-	err := apply()
-	return t.localClock(f.o.Clock.Now()), err
-}
-
 // start checks an order to start a run and starts it. A repeated start of a
 // run that is working has no effect. The caller holds the lock.
 func (t *LeasedTarget) start(o sesamerunner.Order) error {
