Stop a gang of which a member will never run

When a target refused one member of a gang, because it had no room or was leaving, the other members waited on their targets until they timed out ("alone") 3 s later. Callers lost that time and the room, and the platform counts such an end as a broken promise.

An end without a run was taken as that of one member only; the planner did nothing until the last member had ended. Now it stops the others with its next decision, and the gang is placed again once they have ended.

--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -47,6 +47,7 @@
 	stopPreempted    = "room for owed work"
 	stopNoProgress   = "no progress"
 	stopTargetLeaves = "target leaves"
+	stopIncomplete   = "another member will not run"
 )
 
 // IsEmpty reports whether there is nothing to write.
@@ -70,6 +71,7 @@
 	}
 	v.stopStalled(&d)
 	v.stopDraining(&d)
+	v.stopIncomplete(&d)
 	v.place(&d)
 	v.publishStates(&d)
 	return d
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -40,6 +40,11 @@
 	outcome sesamework.Outcome
 }
 
+// neverRan reports whether the member has not run and never will.
+func (m member) neverRan() bool {
+	return m.outcome == sesamework.EndNeverRan
+}
+
 // isActive reports whether a member of the newest run may still use its target.
 func (u *unit) isActive() bool {
 	return slices.ContainsFunc(u.members, func(m member) bool {
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -1,6 +1,7 @@
 package sesamedispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
@@ -95,6 +96,16 @@
 	}
 }
 
+// stopIncomplete stops the gangs of which a member will never run. The others
+// would wait for it until they time out.
+func (v *View) stopIncomplete(d *Decision) {
+	for _, u := range v.units {
+		if u.step.Gang && slices.ContainsFunc(u.members, member.neverRan) {
+			d.stop(u, stopIncomplete)
+		}
+	}
+}
+
 // remaining estimates how much longer the run of the unit takes, which is as
 // long as its slowest active member; 0 if it has none.
 func (v *View) remaining(u *unit) time.Duration {
