Start nothing that no longer fits on a target that has shrunk

A target that does not guard its capacity starts whatever it is told. Callers saw tasks started on targets over what these had offered for more than 4.5 s.

Only the planner compared a run with the capacity, by the target's newest row at the time of its decision. From there the order went on without a second look: through a commit of up to 20 s in an outage, the agent's view of runs, the reading of the specification, and repetitions of an unanswered order, which have no bound. An agent that was started again used the capacity in the row of the one before until its target reported.

The agent now compares, under its lock and as the last thing before each order, what runs or may run on the target with the newest report; the row of a run says what each member takes. It knows at least what the planner knew: each end and each report reaches the planner through the agent, so a smaller capacity is the only cause of a lasting difference. A run that does not fit ends as one that never ran, in the same transaction as the smaller capacity, and the planner places it again. If an earlier order for it had no answer, it is stopped first. Runs that the planner does not count are stopped anyway, so a run waits for their end. A report counts for 1.5 s longer than the time between two ("interval" in the settings), so 3 s; without one, also after a start of the agent, nothing is started. What runs goes on.

--- a/sesamecommand/hostedagent.go
+++ b/sesamecommand/hostedagent.go
@@ -87,6 +87,8 @@
 		Log:      p.log,
 		Scope:    scope,
 		MaxLease: settings.MaxLease,
+
+		TargetReportInterval: settings.TargetReportInterval,
 	})
 }
 
--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -155,6 +155,8 @@
 		Log:      testLog(),
 		Scope:    tally.NoopScope,
 		MaxLease: maxLease,
+
+		TargetReportInterval: reportInterval,
 	})
 	n.w.group.Go(func() error {
 		return ignoreCancel(runner.Run(ctx))
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -139,11 +139,12 @@
 // one for each task. now is on the store's clock.
 func (u *unit) nextRun(targets []*target, now time.Duration) sesamework.Run {
 	r := sesamework.Run{
-		Number:     u.run.Number + 1,
-		Checkpoint: u.checkpoint,
-		Failures:   u.failures,
-		Avoid:      slices.Clone(u.avoid),
-		OrderedAt:  now.Milliseconds(),
+		Number:      u.run.Number + 1,
+		Reservation: u.step.Reservation(),
+		Checkpoint:  u.checkpoint,
+		Failures:    u.failures,
+		Avoid:       slices.Clone(u.avoid),
+		OrderedAt:   now.Milliseconds(),
 	}
 	for i, index := range u.taskIndexes() {
 		t := targets[i]
--- /dev/null
+++ b/sesamerunner/capacity.go
@@ -0,0 +1,76 @@
+package sesamerunner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// reportTolerance is how late a target's next report may be before the capacity
+// in the last one counts as unknown: another may be lost.
+const reportTolerance = 1500 * time.Millisecond
+
+// CapacityError says that a target can't take one more run, though the planner
+// has ordered it: the target has shrunk since, or runs what the planner doesn't
+// count.
+type CapacityError struct {
+	// Used is what the target would use with the run, and Capacity what it
+	// offers.
+	Used     sesamework.Resources
+	Capacity sesamework.Resources
+	// Temporary says that the run fits beside what the planner has ordered.
+	Temporary bool
+}
+
+// Error names both amounts.
+func (e *CapacityError) Error() string {
+	return fmt.Sprintf("target would use %+v of %+v", e.Used, e.Capacity)
+}
+
+// isCapacityKnown reports whether the target has reported its capacity recently
+// enough to start runs. The caller holds the lock.
+func (s *session) isCapacityKnown() bool {
+	return s.capacityAt > 0 && s.o.Clock.Steady()-s.capacityAt <= s.o.TargetReportInterval+reportTolerance
+}
+
+// checkCapacity returns a *CapacityError unless the run fits on the target beside
+// all that runs there or may still start. The caller holds the lock.
+func (s *session) checkCapacity(key runKey) error {
+	ordered := s.stateOf(key).reservation
+	used := ordered
+	for other, k := range s.runStates {
+		_, isRunning := s.running[other]
+		isOrdered := s.wanted[other] && k.phase != phaseEnded && (isRunning || k.phase > phaseNew)
+		if other == key || !isRunning && !isOrdered {
+			continue
+		}
+		used = used.Plus(k.reservation)
+		if isOrdered {
+			ordered = ordered.Plus(k.reservation)
+		}
+	}
+	if s.isCapacityKnown() && used.Fits(s.report.Capacity) {
+		return nil
+	}
+	return &CapacityError{
+		Used:      used,
+		Capacity:  s.report.Capacity,
+		Temporary: !s.isCapacityKnown() || ordered.Fits(s.report.Capacity),
+	}
+}
+
+// handleCapacityError ends a run that does not fit on the target, so that the
+// planner places it again. An unanswered order for the run may still be carried
+// out, and then it has to be stopped. The caller holds the lock.
+func (s *session) handleCapacityError(key runKey, err *CapacityError) {
+	k := s.stateOf(key)
+	switch {
+	case err.Temporary:
+		// The next try comes when the target reports or other runs have ended.
+	case k.phase == phaseNew:
+		s.queueNeverRan(key, err.Error())
+	default:
+		k.stopReason = err.Error()
+	}
+}
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -84,19 +84,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var calls []func(context.Context)
-	wantedKeys := make(map[runKey]bool, len(all))
+	s.wanted = make(map[runKey]bool, len(all))
 	for _, w := range all {
-		key := runKey{
-			task: w.task.String(),
-			run:  w.run,
-		}
-		wantedKeys[key] = true
-		if call := s.callFor(w, key, fresh); call != nil {
+		s.wanted[w.key()] = true
+		s.stateOf(w.key()).reservation = w.reservation
+	}
+	for _, w := range all {
+		if call := s.callFor(w, w.key(), fresh); call != nil {
 			calls = append(calls, call)
 		}
 	}
 	if fresh {
-		calls = append(calls, s.stopUnwanted(wantedKeys)...)
+		calls = append(calls, s.stopUnwanted()...)
 	}
 	return calls
 }
@@ -104,8 +103,8 @@
 // callFor returns the start or stop call that a wanted run needs now. It returns
 // nil if none is needed, while an earlier call is in flight, during back-off, and
 // while the answer to a lease renewal must come first. fresh says that the
-// planner's orders were confirmed recently enough to start the run. The end of a
-// new run on a draining target is queued instead. The caller holds the lock.
+// planner's orders were confirmed recently enough to start the run; so must the
+// target's capacity be. The end of a new run on a draining target is queued instead. The caller holds the lock.
 func (s *session) callFor(w wantedRun, key runKey, fresh bool) func(context.Context) {
 	k := s.stateOf(key)
 	if k.orderInFlight || k.phase == phaseEnded || s.o.Clock.Steady() < k.retryAt {
@@ -114,10 +113,11 @@
 	if reason := cmp.Or(w.stopReason, k.stopReason); reason != "" {
 		return s.stopCall(w.task, key, k, reason)
 	}
-	if !fresh || k.stopRenewal > 0 || k.phase == phaseRunning || s.lastAnswered <= k.acceptRenewal {
-		// The view is too old, the target has not answered a renewal yet, or
-		// the run was accepted, stopped or listed as running before: then the
-		// answer to a later renewal shows whether it runs or has ended.
+	if !fresh || !s.isCapacityKnown() || k.stopRenewal > 0 || k.phase == phaseRunning || s.lastAnswered <= k.acceptRenewal {
+		// The view or the capacity is too old, the target has not answered a
+		// renewal yet, or the run was accepted, stopped or listed as running
+		// before: then the answer to a later renewal shows whether it runs or
+		// has ended.
 		return nil
 	}
 	if s.report.Draining && k.phase == phaseNew {
@@ -146,14 +146,13 @@
 
 // stopUnwanted returns calls that stop the runs that the target lists as
 // running and the planner hasn't ordered there, and drops the states of ended
-// runs above maxRunStates. wantedKeys are the runs that the planner has
-// ordered. The caller holds the lock.
-func (s *session) stopUnwanted(wantedKeys map[runKey]bool) []func(context.Context) {
+// runs above maxRunStates. The caller holds the lock.
+func (s *session) stopUnwanted() []func(context.Context) {
 	var calls []func(context.Context)
 	for key := range s.running {
 		task, err := sesamework.ParseTask(key.task)
 		k := s.stateOf(key)
-		if wantedKeys[key] || k.orderInFlight || err != nil {
+		if s.wanted[key] || k.orderInFlight || err != nil {
 			continue
 		}
 		if call := s.stopCall(task, key, k, "not ordered by the planner"); call != nil {
@@ -168,7 +167,7 @@
 	}
 	if len(s.runStates) > maxRunStates {
 		for key, k := range s.runStates {
-			if !wantedKeys[key] && k.phase == phaseEnded && !k.orderInFlight {
+			if !s.wanted[key] && k.phase == phaseEnded && !k.orderInFlight {
 				delete(s.runStates, key)
 			}
 		}
@@ -203,10 +202,14 @@
 }
 
 // sendStart sends the order to start the run. Without a lease to grant it
-// sends nothing and returns a *RefusedError. Other errors are those of
-// Executor.Start.
+// sends nothing and returns a *RefusedError; the same holds for the
+// *CapacityError of checkCapacity. Other errors are those of Executor.Start.
 func (s *session) sendStart(ctx context.Context, w wantedRun, key runKey, specification string) error {
 	s.mu.Lock()
+	if err := s.checkCapacity(key); err != nil {
+		s.mu.Unlock()
+		return err
+	}
 	order := Order{
 		Task:          w.task,
 		Run:           w.run,
@@ -253,7 +256,10 @@
 	s.backOff(k)
 	var refused *RefusedError
 	var unavailable *UnavailableError
+	var capacity *CapacityError
 	switch {
+	case errors.As(err, &capacity):
+		s.handleCapacityError(key, capacity)
 	case errors.As(err, &refused):
 		s.setTargetClock(refused.Clock)
 		s.handleRefusal(key, refused.Reason)
--- a/sesamerunner/runner.go
+++ b/sesamerunner/runner.go
@@ -34,6 +34,8 @@
 	// MaxLease is the longest lease that targets accept; the runner grants none
 	// that is longer.
 	MaxLease time.Duration
+	// TargetReportInterval is how often a target reports to the runner.
+	TargetReportInterval time.Duration
 }
 
 // Runner serves the targets of one node, each in a session of its own.
@@ -152,7 +154,7 @@
 			Draining:     t.State == sesamework.TargetDraining,
 			MinRemaining: time.Duration(t.MinRemaining) * time.Millisecond,
 			Life:         t.Life,
-		})
+		}, 0)
 	}
 }
 
@@ -179,15 +181,15 @@
 	if ok {
 		s.finish("another life of the target reports")
 	}
-	r.add(report)
+	r.add(report, r.o.Clock.Steady())
 	return true
 }
 
-// add begins a session with the target that sent the report. When
-// maxNewSessions sessions wait already, it only logs that, and the target's next
+// add begins a session with the target that sent the report; capacityAt is that
+// of the session. When maxNewSessions sessions wait already, it only logs that, and the target's next
 // report tries again. The caller holds the lock.
-func (r *Runner) add(report Report) {
-	s := newSession(r, report)
+func (r *Runner) add(report Report, capacityAt time.Duration) {
+	s := newSession(r, report, capacityAt)
 	select {
 	case r.newSessions <- s:
 		r.sessions[report.ID] = s
--- a/sesamerunner/runs.go
+++ b/sesamerunner/runs.go
@@ -28,12 +28,22 @@
 type wantedRun struct {
 	task sesamework.TaskID
 	run  int
+	// reservation is what the task takes from the target's capacity.
+	reservation sesamework.Resources
 	// stopReason is why the planner wants the run stopped, empty if it doesn't.
 	stopReason string
 	// checkpoint is the saved state to resume from, empty for none.
 	checkpoint string
 }
 
+// key returns what identifies the run on the target.
+func (w wantedRun) key() runKey {
+	return runKey{
+		task: w.task.String(),
+		run:  w.run,
+	}
+}
+
 // runView holds the runs that the planner has ordered on the targets of this
 // node, as last read. It follows the store's feed of changes.
 type runView struct {
@@ -150,10 +160,11 @@
 				continue
 			}
 			all = append(all, wantedRun{
-				task:       unit.Task(m.Index),
-				run:        run.Number,
-				stopReason: run.StopReason,
-				checkpoint: run.Checkpoint,
+				task:        unit.Task(m.Index),
+				run:         run.Number,
+				reservation: run.Reservation,
+				stopReason:  run.StopReason,
+				checkpoint:  run.Checkpoint,
 			})
 		}
 	}
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -41,6 +41,9 @@
 	// startedAt is when this process ordered the start, on the steady clock; 0 if
 	// it has not.
 	startedAt time.Duration
+	// reservation is what the run takes from the target's capacity, as far as
+	// this process knows.
+	reservation sesamework.Resources
 	// orderInFlight is true while a start or stop of the run is in flight.
 	orderInFlight bool
 	// stopRenewal is the number of the first renewal sent after a stop was
@@ -85,6 +88,9 @@
 	// came.
 	report     Report
 	reportedAt time.Duration
+	// capacityAt is when the target last reported its capacity to this process, 0
+	// if it has not.
+	capacityAt time.Duration
 	// endReason is why the session is over, empty until then.
 	endReason string
 	// agentEpoch is this agent's epoch in the target's row. It is one higher
@@ -108,6 +114,8 @@
 	lastAnswered int64
 	// runStates are the runs that the planner has ordered or the target listed.
 	runStates map[runKey]*runState
+	// wanted are the runs that the planner has ordered here, as last read.
+	wanted map[runKey]bool
 	// running are the runs in the target's last listing.
 	running map[runKey]sesamework.Progress
 	// pendingEnds are the ends to be recorded, by the key of their row.
@@ -132,8 +140,8 @@
 }
 
 // newSession returns a session with the target that sent the report; run begins
-// it.
-func newSession(r *Runner, report Report) *session {
+// it. capacityAt is 0 if the report holds what an earlier process knew.
+func newSession(r *Runner, report Report, capacityAt time.Duration) *session {
 	key := sesamework.TargetKey(r.o.Zone, r.o.Node, report.ID)
 	return &session{
 		Runner:     r,
@@ -146,6 +154,7 @@
 		over:       make(chan struct{}),
 		report:     report,
 		reportedAt: r.o.Clock.Steady(),
+		capacityAt: capacityAt,
 		answeredAt: r.o.Clock.Steady(),
 		// An earlier process may have extended the lease just now.
 		leaseEnd:    r.o.Clock.Steady() + sesamework.LapseTimeout(r.o.MaxLease),
@@ -188,10 +197,23 @@
 func (s *session) update(r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := s.report.Draining != r.Draining
+	old := s.report
+	wasKnown := s.isCapacityKnown()
 	s.report = r
 	s.reportedAt = s.o.Clock.Steady()
-	if changed {
+	s.capacityAt = s.reportedAt
+	if !wasKnown {
+		signal(s.wakeOrders)
+	}
+	if old.Capacity != r.Capacity {
+		s.o.Log.Emit(eventCapacity, sesamelog.Fields{
+			"target":   s.id,
+			"from":     old.Capacity,
+			"to":       r.Capacity,
+			"sequence": r.Sequence,
+		})
+	}
+	if old.Draining != r.Draining {
 		s.o.Log.Emit(eventDraining, sesamelog.Fields{
 			"target":   s.id,
 			"draining": r.Draining,
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -50,7 +50,9 @@
 	MemoryMiB int64 `yaml:"memory"`
 	// MaxLease is the longest lease that the target accepts from the agent.
 	MaxLease time.Duration `yaml:"lease"`
-	Log      Log           `yaml:"log"`
+	// TargetReportInterval is how often the target reports to the agent.
+	TargetReportInterval time.Duration `yaml:"interval"`
+	Log                  Log           `yaml:"log"`
 }
 
 // The defaults of the settings of hosted processes.
@@ -58,6 +60,7 @@
 	defaultHostedMemoryMiB    = 128
 	defaultHostedDrainTimeout = 6 * time.Second
 	defaultHostedMaxLease     = 6 * time.Second
+	defaultHostedInterval     = 1500 * time.Millisecond
 )
 
 // DefaultHostedEntry returns the settings of an entry whose file sets none. Keys
@@ -77,6 +80,8 @@
 		MemoryMiB: defaultHostedMemoryMiB,
 		MaxLease:  defaultHostedMaxLease,
 		Log:       defaultHostedLog(),
+
+		TargetReportInterval: defaultHostedInterval,
 	}
 }
 
@@ -106,6 +111,8 @@
 	minHostedMemoryMiB    = 32
 	maxHostedMemoryMiB    = 1 << 20
 	minHostedMaxLease     = 500 * time.Millisecond
+	minHostedInterval     = 10 * time.Millisecond
+	maxHostedInterval     = time.Minute
 	minHostedDrainTimeout = time.Second
 )
 
@@ -134,6 +141,7 @@
 	d.checkOptionalAddress("metrics", a.Metrics)
 	checkRange(d, "memory", a.MemoryMiB, minHostedMemoryMiB, maxHostedMemoryMiB)
 	checkRange(d, "lease", a.MaxLease, minHostedMaxLease, maxLease)
+	checkRange(d, "interval", a.TargetReportInterval, minHostedInterval, maxHostedInterval)
 	d.checkLog(a.Log)
 }
 
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -21,6 +21,9 @@
 	Number int `json:"n"`
 	// Members are all tasks of the unit.
 	Members []Member `json:"m"`
+	// Reservation is what each member takes from its target's capacity; see
+	// Step.Reservation.
+	Reservation Resources `json:"room"`
 	// StopReason says why the run is to be stopped; empty while it is to go on.
 	StopReason string `json:"stop,omitempty"`
 	// Checkpoint is the checkpoint to resume from; empty means that the run
