Act on a changed capacity when the target reports it

Work that waited for a target to grow started up to 1.1 s after the report that told it, and a planner went on placing work on a target that had shrunk for as long: the agent wrote a changed capacity with its next report to the store, and the planner looked at it with its next tick. Agents refuse such work, so it was only placed again.

The agent now reports a change of the capacity at once, as it does when a target begins to leave, and the planner decides when a report brings one. Event 7107 names the capacity.

TestShrunkTargetGetsNoMore bounds the time from the report to the starts by 50 ms (a report interval before).

--- a/sesamedispatch/capacity_test.go
+++ b/sesamedispatch/capacity_test.go
@@ -59,7 +59,7 @@
 // it grows again.
 func TestShrunkTargetGetsNoMore(t *testing.T) {
 	// startsAfterReport bounds the time from the target's report to the starts.
-	const startsAfterReport = sesamework.ReportInterval + 150*time.Millisecond
+	const startsAfterReport = 50 * time.Millisecond
 	t.Run("below what runs", func(t *testing.T) {
 		testCapacity(t, 1, func(is *is.I, w *world, n *nodeProcess) {
 			w.submit(tasksOf("running", 4), "normal", "key-a", 0)
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -93,20 +93,28 @@
 	if known {
 		t.keepObservations(old)
 	}
-	if !known || old.State != t.State || old.Life != t.Life || old.Refusing != t.Refusing || (old.SilentFor > 0) != (t.SilentFor > 0) {
+	if !known || t.isChanged(old) {
 		v.needsDecision = true
 		v.log.Emit(eventTarget, sesamelog.Fields{
-			"target": name,
-			"state":  t.State,
-			"life":   t.Life,
-			"rack":   t.Rack,
-			"silent": t.SilentFor,
+			"target":   name,
+			"state":    t.State,
+			"life":     t.Life,
+			"rack":     t.Rack,
+			"silent":   t.SilentFor,
+			"capacity": t.Capacity,
 		})
 	}
 	t.updateProgress(v.now.Steady)
 	v.targets[name] = t
 }
 
+// isChanged reports whether the target differs from what was known before in a
+// way that may change a decision.
+func (t *target) isChanged(old *target) bool {
+	return old.State != t.State || old.Life != t.Life || old.Capacity != t.Capacity ||
+		old.Refusing != t.Refusing || (old.SilentFor > 0) != (t.SilentFor > 0)
+}
+
 // keepObservations copies from the target as it was known before what the
 // planner has observed of it, if it is still in the same life. A target that the
 // inventory lacks stays removed until it answers its agent again.
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -192,8 +192,8 @@
 }
 
 // update stores a report from the same life of the target, not older than the
-// one held. If the target began or ceased to drain, it wakes the loops that
-// write reports and give orders.
+// one held. If the target began or ceased to drain, or its capacity changed, it
+// wakes the loops that write reports and give orders.
 func (s *session) update(r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,6 +212,8 @@
 			"to":       r.Capacity,
 			"sequence": r.Sequence,
 		})
+		signal(s.wakeReport)
+		signal(s.wakeOrders)
 	}
 	if old.Draining != r.Draining {
 		s.o.Log.Emit(eventDraining, sesamelog.Fields{
