--- a/sesamedispatch/capacity_test.go
+++ b/sesamedispatch/capacity_test.go
@@ -293,3 +293,19 @@
 	}
 	return count
 }
+
+// capacityFaultKinds are targets that shrink, with the faults that delay what
+// the planner learns of them and what it orders.
+var capacityFaultKinds = []string{
+	"target shrinks", "target shrinks", "target shrinks", "agent killed", "entry killed", "all killed", "orders late",
+	"target silent", "answers late", "store slow", "store silent", "agent cut", "history lost",
+}
+
+// capacityRegressions are those of TestModelCapacities: a new agent started runs
+// by the capacity that the one before it had reported.
+var capacityRegressions = []int{108, 147, 242, 283, 318, 364}
+
+// TestModelCapacities is TestModel with targets that shrink and grow again.
+func TestModelCapacities(t *testing.T) {
+	runSeeds(t, capacityFaultKinds, false, capacityRegressions)
+}
--- a/sesamedispatch/leaving_test.go
+++ b/sesamedispatch/leaving_test.go
@@ -62,3 +62,14 @@
 		assertPromisesKept(t, w, time.Minute)
 	})
 }
+
+// leavingFaultKinds are targets that leave as planned, and faults by which a
+// planner lags behind what their agents record.
+var leavingFaultKinds = []string{
+	"target leaves", "target leaves", "reads unanswered", "reads unanswered", "history lost", "answers lost", "entry killed",
+}
+
+// TestModelLeaving is TestModel with targets that leave, and planners that lag.
+func TestModelLeaving(t *testing.T) {
+	runSeeds(t, leavingFaultKinds, false, nil)
+}
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -80,19 +80,6 @@
 	"target vanished", "target silent", "target crashed", "agent killed", "orders late", "answers lost", "store silent",
 }
 
-// leavingFaultKinds are targets that leave as planned, and faults by which a
-// planner lags behind what their agents record.
-var leavingFaultKinds = []string{
-	"target leaves", "target leaves", "reads unanswered", "reads unanswered", "history lost", "answers lost", "entry killed",
-}
-
-// capacityFaultKinds are targets that shrink, with the faults that delay what
-// the planner learns of them and what it orders.
-var capacityFaultKinds = []string{
-	"target shrinks", "target shrinks", "target shrinks", "agent killed", "entry killed", "all killed", "orders late",
-	"target silent", "answers late", "store slow", "store silent", "agent cut", "history lost",
-}
-
 // drawJob draws a job of one step, submitted from 3 s on.
 func drawJob(t *rapid.T) plannedJob {
 	gang := rapid.Bool().Draw(t, "gang")
@@ -151,10 +138,6 @@
 	196, // the same
 }
 
-// capacityRegressions are those of TestModelCapacities: a new agent started runs
-// by the capacity that the one before it had reported.
-var capacityRegressions = []int{108, 147, 242, 283, 318, 364}
-
 // TestModel runs random scenarios with overlapping faults on the real intake,
 // planner and runner, and checks the promises to callers by what targets and
 // clients saw. A scenario is repeated by its seed: -model-first=SEED
@@ -168,22 +151,12 @@
 	runSeeds(t, targetFaultKinds, false, nil)
 }
 
-// TestModelCapacities is TestModel with targets that shrink and grow again.
-func TestModelCapacities(t *testing.T) {
-	runSeeds(t, capacityFaultKinds, false, capacityRegressions)
-}
-
 // TestModelDetours is TestModel with processes that relay calls to the store
 // for each other.
 func TestModelDetours(t *testing.T) {
 	runSeeds(t, faultKinds, true, nil)
 }
 
-// TestModelLeaving is TestModel with targets that leave, and planners that lag.
-func TestModelLeaving(t *testing.T) {
-	runSeeds(t, leavingFaultKinds, false, nil)
-}
-
 // runSeeds runs the scenarios of these seeds and of those that the flags name.
 func runSeeds(t *testing.T, kinds []string, detours bool, seeds []int) {
 	for seed := *modelFirstSeed; seed < *modelFirstSeed+*modelSeedCount; seed++ {
