--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -34,6 +34,9 @@
 	// numbered by lastNumber.
 	ended      []sesamerunner.EndedRun
 	lastNumber int64
+	// acknowledged is the highest number that an agent has acknowledged. Ends up
+	// to it are not listed, even those of runs that end later.
+	acknowledged int64
 	// highestRun is the highest run of each task that ended or was stopped; a
 	// start of it or of an earlier one is refused.
 	highestRun map[string]int
@@ -47,26 +50,6 @@
 	losesOrder func() (late time.Duration, lost bool)
 }
 
-// SetLostOrders sets the function that chooses which later orders get no
-// answer (lost), and the delay (late) after which the target carries such an
-// order out nevertheless; nil means that every order is answered.
-func (t *LeasedTarget) SetLostOrders(decide func() (late time.Duration, lost bool)) {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.losesOrder = decide
-}
-
-// nextOrderLost returns the delay of the next order and whether its answer is
-// lost, as losesOrder says; 0 and false without that function.
-func (t *LeasedTarget) nextOrderLost() (time.Duration, bool) {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	if t.losesOrder == nil {
-		return 0, false
-	}
-	return t.losesOrder()
-}
-
 var _ sesamerunner.Executor = (*LeasedTarget)(nil)
 
 // Add adds a target with this ID, life number and capacity to the fleet. It has no
@@ -99,56 +82,6 @@
 	return nil
 }
 
-// ForbidStarts makes every later start a violation, as after the deadline of a
-// drain.
-func (t *LeasedTarget) ForbidStarts() {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.startsForbidden = true
-}
-
-// Crash ends the target's life and its runs without a report. The other
-// members of its gangs end with EndGangBroken.
-func (t *LeasedTarget) Crash() {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.fleet.advance()
-	for _, r := range t.running {
-		if !r.definition.Step.Gang || r.workingSince.IsZero() {
-			continue
-		}
-		for _, m := range t.fleet.members(r) {
-			if m.target != t {
-				m.target.endRun(m, sesamework.EndGangBroken, t.fleet.o.Clock.Now())
-			}
-		}
-	}
-	t.crashed = true
-	t.running = nil
-	t.ended = nil
-}
-
-// SetUnreachable makes later calls to the target hang without effect, or ends
-// that.
-func (t *LeasedTarget) SetUnreachable(unreachable bool) {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.unreachable = unreachable
-}
-
-// awaitReachable blocks a call to an unreachable target until its caller gives
-// up and returns a *NoAnswerError then.
-func (t *LeasedTarget) awaitReachable(ctx context.Context) error {
-	t.fleet.mu.Lock()
-	unreachable := t.unreachable
-	t.fleet.mu.Unlock()
-	if !unreachable {
-		return nil
-	}
-	<-ctx.Done()
-	return &NoAnswerError{}
-}
-
 // localClock converts a time to the target's own clock, which counts from its
 // start. The clock runs 2 percent slow, the most that the platform allows.
 func (t *LeasedTarget) localClock(at time.Time) time.Duration {
@@ -196,6 +129,7 @@
 		Outcome:    outcome,
 		Checkpoint: checkpoint,
 	})
+	t.acknowledge(t.acknowledged)
 }
 
 // NoAnswerError is the cause of errors of calls that got no answer.
@@ -385,6 +319,7 @@
 // acknowledge removes the ends up to this number, which the agent has
 // recorded. They are final, unless the lease has lapsed since the end.
 func (t *LeasedTarget) acknowledge(number int64) {
+	t.acknowledged = max(t.acknowledged, number)
 	t.ended = slices.DeleteFunc(t.ended, func(e sesamerunner.EndedRun) bool {
 		if e.Number > number {
 			return false
