--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -144,7 +144,7 @@
 		Node:  n.name,
 		Zone:  n.zone,
 		Store: n.store,
-		Dial: func(_, id string) sesamerunner.Executor {
+		Dial: func(_, id string, _ int64) sesamerunner.Executor {
 			return n.w.fleet.Target(id)
 		},
 		Clock:    n.w.steadyClock,
--- a/sesamerunner/runner.go
+++ b/sesamerunner/runner.go
@@ -25,9 +25,9 @@
 	// Store holds the runs that the planner orders, and takes the targets' rows
 	// and the ends of runs.
 	Store sesamerows.Store
-	// Dial returns an Executor for the target with the ID at the address
-	// (host:port).
-	Dial  func(address, id string) Executor
+	// Dial returns an Executor for one life of the target with the ID at the
+	// address (host:port); see Report.Life.
+	Dial  func(address, id string, life int64) Executor
 	Clock sesameclock.Clock
 	Log   *sesamelog.Logger
 	Scope tally.Scope
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -139,7 +139,7 @@
 		Runner:     r,
 		id:         report.ID,
 		key:        key,
-		executor:   r.o.Dial(report.Address, report.ID),
+		executor:   r.o.Dial(report.Address, report.ID, report.Life),
 		fence:      sesamerows.NewFence(r.o.Store, key),
 		wakeOrders: make(chan struct{}, 1),
 		wakeReport: make(chan struct{}, 1),
