Record an end that a target lists in place of an assumed one

Seen by callers: a task started again after its end as done was acknowledged.

Cause: the agent dropped a listed end while the end of the same run as never started waited for the store. The next recorded end moved the acknowledgement past it, and the row said void.

A listed end now replaces a queued assumed one, and a confirmed report takes only those ends off the queue that it held, so each number up to the acknowledged one is recorded. Event 7216 shows such a run and 7217 what was acknowledged, one line for each report with ends.

--- a/sesamerunner/events.go
+++ b/sesamerunner/events.go
@@ -26,6 +26,8 @@
 	eventUnwanted     = sesamelog.Define(7213, sesamelog.Warn, "target runs what the planner has not ordered")
 	eventBadRow       = sesamelog.Define(7214, sesamelog.Error, "row can't be read")
 	eventStale        = sesamelog.Define(7215, sesamelog.Info, "late report ignored")
+	eventReplaced     = sesamelog.Define(7216, sesamelog.Warn, "run ended that was assumed never to have started")
+	eventAcknowledged = sesamelog.Define(7217, sesamelog.Info, "recorded ends acknowledged")
 )
 
 // callBuckets are the histogram buckets for durations of calls to targets and
--- a/sesamerunner/lease.go
+++ b/sesamerunner/lease.go
@@ -133,6 +133,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.renewalsSent++
+	if s.lastRecorded > s.lastAcknowledged {
+		s.lastAcknowledged = s.lastRecorded
+		s.o.Log.Emit(eventAcknowledged, sesamelog.Fields{
+			"target": s.id,
+			"life":   s.report.Life,
+			"number": s.lastRecorded,
+		})
+	}
 	renewal := LeaseRenewal{
 		AgentEpoch:   s.agentEpoch,
 		LeaseEnd:     s.grantLease(),
@@ -209,7 +217,8 @@
 }
 
 // queueEnd queues an end that the target listed for the next report, unless it
-// is queued or recorded already. The caller holds the lock.
+// is queued or recorded already. It replaces the queued end of a run that was
+// assumed never to have started. The caller holds the lock.
 func (s *session) queueEnd(e EndedRun) {
 	key := runKey{
 		task: e.Task,
@@ -225,9 +234,13 @@
 		return
 	}
 	row := sesamework.EndKey(s.key, task, e.Run)
-	if _, queued := s.pendingEnds[row]; queued || e.Number <= s.lastRecorded {
+	queued, isQueued := s.pendingEnds[row]
+	if isQueued && queued.number > 0 || e.Number <= s.lastRecorded {
 		return
 	}
+	if isQueued {
+		s.logReplaced(task, e, queued.value.Reason)
+	}
 	k.phase = phaseEnded
 	end := sesamework.End{
 		Outcome:    e.Outcome,
@@ -254,6 +267,18 @@
 	signal(s.wakeReport)
 }
 
+// logReplaced logs that a listed end replaces an assumed one, which had the
+// reason.
+func (s *session) logReplaced(task sesamework.TaskID, e EndedRun, reason string) {
+	s.o.Log.Emit(eventReplaced, sesamelog.Fields{
+		"job":    task.Job,
+		"task":   e.Task,
+		"run":    e.Run,
+		"number": e.Number,
+		"reason": reason,
+	})
+}
+
 // resolveStopped queues the end of stopped runs that never started, after the
 // answer to the renewal with that number. A run whose stop was answered before
 // that renewal was sent, and that the target lists neither as running nor as
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -296,13 +296,15 @@
 
 // confirm notes that the store confirmed the report sent at the time sent, on
 // the steady clock. ends are the ended runs in that report; they are recorded
-// now and need not be reported again.
+// now and need not be reported again, unless another end has replaced them.
 func (s *session) confirm(sent time.Duration, ends []pendingEnd) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmedAt = sent
 	for _, e := range ends {
-		delete(s.pendingEnds, e.row)
+		if s.pendingEnds[e.row].number == e.number {
+			delete(s.pendingEnds, e.row)
+		}
 		s.lastRecorded = max(s.lastRecorded, e.number)
 	}
 }
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -112,8 +112,10 @@
 	running map[runKey]sesamework.Progress
 	// pendingEnds are the ends to be recorded, by the key of their row.
 	pendingEnds map[sesamerows.Key]pendingEnd
-	// lastRecorded is the highest number of a recorded end.
-	lastRecorded int64
+	// lastRecorded is the highest number of a recorded end, and lastAcknowledged
+	// the number in the newest renewal.
+	lastRecorded     int64
+	lastAcknowledged int64
 	// refusingUntil is until when reports say that the target refuses runs.
 	refusingUntil time.Duration
 	// storeLost is true while reports are not confirmed.
