Stop a refused run if an earlier start of it may still arrive

Seen by callers: a task that runs twice at the same time, or whose end as done is recorded after it was started again.

Cause: the agent recorded a run as never started when the target refused a start for lack of capacity or as invalid. An earlier start that got no answer can still be carried out seconds later.

After such a start, a refused run is now stopped explicitly, as a run is that the target is not available for. Only the answer to a later renewal then shows that it never ran. Runs whose first start is refused end at once as before.

--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -235,9 +235,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setTargetClock(clock)
+	k.mayStart = k.mayStart || !wasNotCarriedOut(err)
 	return err
 }
 
+// wasNotCarriedOut reports whether the error of an order says that the target
+// did not and will not carry it out; see Executor.
+func wasNotCarriedOut(err error) bool {
+	return errors.HasType(err, (*RefusedError)(nil)) ||
+		errors.HasType(err, (*UnavailableError)(nil)) ||
+		errors.HasType(err, (*OtherLifeError)(nil))
+}
+
 // handleStartError logs a failed start and backs off. For a refusal it also does
 // what handleRefusal does. After maxRefusals answers that the target is not
 // available, it has the run stopped. The caller holds the lock.
@@ -276,16 +285,25 @@
 }
 
 // handleRefusal acts on the reason for which the target refused to start the
-// run: it waits for the answer to a later renewal, queues the run's end, ends the
-// session, or leaves the start to the next try. The caller holds the lock.
+// run: it waits for the answer to a later renewal, queues the run's end or has the
+// run stopped, ends the session, or leaves the start to the next try. The caller
+// holds the lock.
 func (s *session) handleRefusal(key runKey, reason Refusal) {
+	k := s.stateOf(key)
 	switch reason {
 	case RefusedStaleRun:
 		// The run's end is either listed by the target or recorded by an earlier
 		// agent; the answer to the next renewal shows which.
-		s.stateOf(key).stopRenewal = s.renewalsSent + 1
+		k.stopRenewal = s.renewalsSent + 1
 	case RefusedNoCapacity, RefusedInvalid:
-		s.queueNeverRan(key, "target refused: "+string(reason))
+		refused := "target refused: " + string(reason)
+		if !k.mayStart {
+			s.queueNeverRan(key, refused)
+			return
+		}
+		// An earlier order may still arrive, so only an explicit stop makes sure
+		// that the run never starts.
+		k.stopReason = refused
 	case RefusedSuperseded:
 		s.finishLocked(superseded)
 	case RefusedLeaseOver:
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -51,6 +51,8 @@
 	// accepted a start, 0 if it has not. The start is repeated only if the
 	// answer to a later renewal does not list the run.
 	acceptRenewal int64
+	// mayStart says that a start may have been carried out or may be later.
+	mayStart bool
 	// refusals counts the starts answered by an *UnavailableError.
 	refusals int
 	// failures counts the orders in a row that failed, up to
