--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -40,8 +40,8 @@
 	// highestRun is the highest run of each task that ended or was stopped; a
 	// start of it or of an earlier one is refused.
 	highestRun map[string]int
-	// lastLapse is when runs were last killed by the end of the lease, and
-	// endTimes the time of each entry of ended.
+	// lastLapse is when the lease last lapsed, and endTimes the time of each entry
+	// of ended.
 	lastLapse time.Time
 	endTimes  map[int64]time.Time
 	// losesOrder reports whether the next order gets no answer (lost), and the
@@ -96,6 +96,9 @@
 // extendLease extends the lease to a time of the target's clock, at most by
 // MaxLease of that clock from now. It never shortens the lease.
 func (t *LeasedTarget) extendLease(until time.Duration, now time.Time) {
+	if !t.leaseEnd.IsZero() && now.After(t.leaseEnd) {
+		t.lastLapse = t.leaseEnd
+	}
 	left := min(until-t.localClock(now), t.fleet.o.MaxLease) * 100 / 98
 	if end := now.Add(left); until > 0 && end.After(t.leaseEnd) {
 		t.leaseEnd = end
