Say that a target is gone only with the last ends of its runs

Seen by callers: tasks that run again although they had ended, when a target leaves or restarts with many ends to be recorded; and targets that are given up only after the time limit.

Cause: a finished session wrote the state gone with the first report, which holds 48 ends at most. The planner takes runs without an end for lost once the target is gone. If all ends of a report turned out to be recorded, the session ended without writing the state at all.

The row now says draining until a report holds all ends, and a report that drops recorded ends is written without them.

go test ./sesamerunner -run TestGoneWithLastEnds failed before in 2 subtests ('48 != 60', 'ready != gone') and passes; each fails with its half taken out.

--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -127,7 +127,11 @@
 		leaves = max(0, s.report.MinRemaining-(s.o.Clock.Steady()-s.reportedAt))
 	}
 	if s.endReason != "" {
-		state = sesamework.TargetGone
+		// The planner takes runs without an end for lost once the target is gone.
+		state = sesamework.TargetDraining
+		if len(s.pendingEnds) <= maxEndsPerReport {
+			state = sesamework.TargetGone
+		}
 	}
 	t := sesamework.Target{
 		ID:           s.id,
@@ -214,8 +218,8 @@
 }
 
 // writeReport writes one report with the ends that wait, in one fenced
-// transaction. When some of these ends turn out to be recorded already, it only
-// drops them and returns nil.
+// transaction. When some of these ends turn out to be recorded already, it drops
+// them and writes the report without them.
 func (s *session) writeReport(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -235,7 +239,7 @@
 	var conflict *sesamerows.ConflictError
 	if errors.As(err, &conflict) {
 		s.dropRecorded(conflict)
-		return nil
+		return s.writeReport(ctx)
 	}
 	if err != nil {
 		return err
