Keep a session whose own higher epoch refuses its earlier calls

Seen by callers: a target is marked as gone and its runs are started elsewhere while it runs them on under a lease.

Cause: when the planner gives up a target that lives on, the agent acquires the target's row again with a higher epoch. A renewal that was in flight is refused once an order with that epoch arrives. The agent took this for another agent and ended the session.

A refusal counts as another agent's only if the call had the session's present epoch; otherwise the call is repeated.

go test ./sesamerunner -run TestOwnHigherEpoch fails with the comparison of epochs taken out ('gone != ready') and passes with it.

--- a/sesamerunner/gone_test.go
+++ b/sesamerunner/gone_test.go
@@ -108,6 +108,23 @@
 	})
 }
 
+// TestOwnHigherEpoch guards against a session that ends because the target
+// refuses a call which the agent made before it acquired the target's row again.
+func TestOwnHigherEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, time.Second)
+		w.giveUp()
+		for w.targetState() == sesamework.TargetGone {
+			w.sleep(10 * time.Millisecond)
+		}
+		// A renewal with the earlier epoch is in flight.
+		w.order(0)
+		w.sleep(settleTime)
+		w.is.Equal(w.targetState(), sesamework.TargetReady)
+		w.assertOutcomes(sesamework.EndDone)
+	})
+}
+
 // TestGivenUpTarget guards against an agent that goes on with the runs of a
 // target that the planner has given up, and that may be started elsewhere.
 func TestGivenUpTarget(t *testing.T) {
--- a/sesamerunner/lease.go
+++ b/sesamerunner/lease.go
@@ -112,7 +112,7 @@
 }
 
 // renewLease sends one renewal and updates the session from the answer. Errors
-// are those of Executor.RenewLease.
+// are those of Executor.RenewLease and checkEpoch.
 func (s *session) renewLease(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, renewalWait+callTimeout)
 	defer cancel()
@@ -120,7 +120,9 @@
 	started := s.o.Clock.Steady()
 	listing, err := s.executor.RenewLease(ctx, renewal)
 	if err != nil {
-		return err
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.checkEpoch(err, renewal.AgentEpoch)
 	}
 	s.o.Scope.Histogram("hold", callBuckets).RecordDuration(s.o.Clock.Steady() - started)
 	s.applyListing(listing, number)
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -204,7 +204,7 @@
 
 // sendStart sends the order to start the run. Without a lease to grant it
 // sends nothing and returns a *RefusedError. Other errors are those of
-// Executor.Start.
+// Executor.Start and checkEpoch.
 func (s *session) sendStart(ctx context.Context, w wantedRun, key runKey, specification string) error {
 	s.mu.Lock()
 	order := Order{
@@ -236,7 +236,7 @@
 	defer s.mu.Unlock()
 	s.setTargetClock(clock)
 	k.mayStart = k.mayStart || !wasNotCarriedOut(err)
-	return err
+	return s.checkEpoch(err, order.AgentEpoch)
 }
 
 // wasNotCarriedOut reports whether the error of an order says that the target
@@ -328,6 +328,7 @@
 	defer s.mu.Unlock()
 	k := s.stateOf(key)
 	k.orderInFlight = false
+	err = s.checkEpoch(err, order.AgentEpoch)
 	s.setTargetClock(clock)
 	event := eventStopped
 	if err == nil {
@@ -350,17 +351,6 @@
 	})
 }
 
-// superseded is the reason of sessions that end because another agent process
-// has taken over the target.
-const superseded = "a later agent serves the target"
-
-// isSupersededCall reports whether the target refused a call because an agent
-// with a higher epoch has called it.
-func isSupersededCall(err error) bool {
-	var refused *RefusedError
-	return errors.As(err, &refused) && refused.Reason == RefusedSuperseded
-}
-
 // specification returns what the job's tasks execute, from the cache or the
 // store. It returns a *NoSpecificationError when the store has none.
 func (s *session) specification(ctx context.Context, job string) (string, error) {
