Leave the runs of a given-up target that lives on

Seen by callers: 'twice: run 2 was started after its end was recorded as done', or a run that is started although it was ordered elsewhere meanwhile.

Cause: an agent whose target was given up acquired the target's row again at once and went on. It started runs that the planner had ordered before and taken for lost, and acknowledged ends of such runs while their lease still held. An end counts unless the lease has lapsed before its acknowledgement.

The agent now lets the lease lapse before it acquires the row again; after a target was given up for missing reports the lease has lapsed already. Runs whose row is older than the row that says gone are stopped, also by a new process. Event 7218 shows a target that was given up and answers.

--- a/sesamerunner/events.go
+++ b/sesamerunner/events.go
@@ -28,6 +28,7 @@
 	eventStale        = sesamelog.Define(7215, sesamelog.Info, "late report ignored")
 	eventReplaced     = sesamelog.Define(7216, sesamelog.Warn, "run ended that was assumed never to have started")
 	eventAcknowledged = sesamelog.Define(7217, sesamelog.Info, "recorded ends acknowledged")
+	eventGivenUp      = sesamelog.Define(7218, sesamelog.Warn, "planner has given up a target that answers")
 )
 
 // callBuckets are the histogram buckets for durations of calls to targets and
--- a/sesamerunner/lease.go
+++ b/sesamerunner/lease.go
@@ -155,12 +155,13 @@
 // grantLease returns the end of a new lease on the target's clock, and notes
 // until when the target may run under it. It returns 0 when the lease must not
 // be extended: the target's clock is not known, the store has confirmed no
-// report for sesamework.LeaseAfterReport, or the target has not answered for
-// sesamework.MaxTargetSilence. The caller holds the lock.
+// report for sesamework.LeaseAfterReport, the target has not answered for
+// sesamework.MaxTargetSilence, or the planner has given it up. The caller holds
+// the lock.
 func (s *session) grantLease() time.Duration {
 	now := s.o.Clock.Steady()
 	left := min(s.o.MaxLease, s.confirmedAt+sesamework.LeaseAfterReport-now)
-	if s.targetClockAt == 0 || left <= 0 || now-s.answeredAt > sesamework.MaxTargetSilence {
+	if s.isGivenUp || s.targetClockAt == 0 || left <= 0 || now-s.answeredAt > sesamework.MaxTargetSilence {
 		return 0
 	}
 	s.leaseEnd = max(s.leaseEnd, now+sesamework.LapseTimeout(left))
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -111,6 +111,9 @@
 	if k.orderInFlight || k.phase == phaseEnded || s.o.Clock.Steady() < k.retryAt {
 		return nil
 	}
+	if s.isOrderGivenUp(w) {
+		k.stopReason = cmp.Or(k.stopReason, givenUp)
+	}
 	if reason := cmp.Or(w.stopReason, k.stopReason); reason != "" {
 		return s.stopCall(w.task, key, k, reason)
 	}
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -63,6 +63,7 @@
 	}
 	s.mu.Lock()
 	s.agentEpoch = earlier.AgentEpoch + 1
+	s.noteGivenUp(earlier, row.Version)
 	value, err := s.encodeRow()
 	s.mu.Unlock()
 	if err != nil {
@@ -79,6 +80,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmedAt = sent
+	s.isGivenUp = false
 	for _, key := range recorded {
 		s.stateOf(key).phase = phaseEnded
 	}
@@ -179,12 +181,11 @@
 			s.finish(superseded)
 			return
 		case errors.HasType(err, (*sesamerows.FenceLostError)(nil)):
-			// The planner has given up the target: nothing runs there any
-			// more.
 			s.storeFailed(err)
 			if s.isSilent() {
 				s.finish("planner gave up the silent target")
 			}
+			s.awaitLapse(ctx)
 			if !s.acquire(ctx) {
 				return
 			}
--- a/sesamerunner/runs.go
+++ b/sesamerunner/runs.go
@@ -32,6 +32,14 @@
 	stopReason string
 	// checkpoint is the saved state to resume from, empty for none.
 	checkpoint string
+	// version is that of the run's row.
+	version sesamerows.Version
+}
+
+// runRow is a run as it was read from the store. version is that of its row.
+type runRow struct {
+	sesamework.Run
+	version sesamerows.Version
 }
 
 // runView holds the runs that the planner has ordered on the targets of this
@@ -50,7 +58,7 @@
 	confirmedAt time.Duration
 	// rows holds the runs by the name of their row, which is that of the unit (a
 	// task or a gang started together).
-	rows map[string]sesamework.Run
+	rows map[string]runRow
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -63,7 +71,7 @@
 		log:     o.Log,
 		zone:    o.Zone,
 		prefix:  sesamework.TargetKey(o.Zone, o.Node, "").Name,
-		rows:    map[string]sesamework.Run{},
+		rows:    map[string]runRow{},
 		changed: make(chan struct{}),
 	}
 }
@@ -128,7 +136,10 @@
 	}
 	for _, m := range run.Members {
 		if len(m.Target) > len(r.prefix) && m.Target[:len(r.prefix)] == r.prefix {
-			r.rows[row.Key.Name] = run
+			r.rows[row.Key.Name] = runRow{
+				Run:     run,
+				version: row.Version,
+			}
 			return
 		}
 	}
@@ -154,6 +165,7 @@
 				run:        run.Number,
 				stopReason: run.StopReason,
 				checkpoint: run.Checkpoint,
+				version:    run.version,
 			})
 		}
 	}
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -118,6 +118,11 @@
 	// the number in the newest renewal.
 	lastRecorded     int64
 	lastAcknowledged int64
+	// isGivenUp is true from when the planner was found to have given up the
+	// target until the target's row is acquired again. givenUpVersion is the
+	// version of the row that said so; runs with a lower one are not started.
+	isGivenUp      bool
+	givenUpVersion sesamerows.Version
 	// refusingUntil is until when reports say that the target refuses runs.
 	refusingUntil time.Duration
 	// storeLost is true while reports are not confirmed.
