Don't take a run for one that never ran from an incomplete list of ends

Seen by callers: a task started again although its end as done was listed later and recorded.

Cause: an executor lists 500 ends at a time. The agent concluded from such a list that a run which it doesn't name has no end: after a stop, after a start refused as stale, or, in a new process, on a draining target. The run was recorded as void, and its real end came with a later list.

Listing.More now says that ends may be missing, and such a listing neither resolves stopped runs nor lets runs be started.

go test ./sesamerunner -run TestMoreEndsThanListed failed before in 2 subtests ('void != done') and passes; both fail with the condition taken out.

--- a/sesamerunner/ends_test.go
+++ b/sesamerunner/ends_test.go
@@ -1,12 +1,13 @@
 package sesamerunner_test
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamerunner"
-	"github.com/sesamestack/sesamestack/sesamestandin"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -45,14 +46,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t, 300*time.Millisecond, 700*time.Millisecond)
 			w.runNevertheless()
-			w.store.SetFault(func(write bool) sesamestandin.RowFault {
-				if !write {
-					return sesamestandin.RowFault{}
-				}
-				return sesamestandin.RowFault{
-					AnswerDelay: 500 * time.Millisecond,
-				}
-			})
+			w.slowWrites()
 			w.order(0, 1)
 			w.sleep(settleTime)
 			w.assertOutcomes(sesamework.EndDone, sesamework.EndDone)
@@ -91,3 +85,60 @@
 		})
 	}
 }
+
+// endUnrecorded orders one task more than the target lists ends, lets all end as
+// done while the store refuses the agent's writes, and stops the agent.
+func (w *world) endUnrecorded() {
+	w.refuseWrites()
+	for i := range w.durations {
+		w.order(i)
+	}
+	w.sleep(2 * time.Second)
+	w.stop()
+	w.is.NoErr(w.group.Wait())
+	w.store.SetFault(nil)
+}
+
+// assertAllDone checks that the end of each task was recorded as done, and no
+// other end before.
+func (w *world) assertAllDone() {
+	page, err := w.memory.Changes(w.ctx, sesamework.WorkTable, 0, 0)
+	w.is.NoErr(err)
+	done := map[sesamerows.Key]bool{}
+	for _, row := range page.Rows {
+		if _, _, ok := sesamework.ParseEndKey(row.Key); !ok {
+			continue
+		}
+		var e sesamework.End
+		w.is.NoErr(json.Unmarshal(row.Value, &e))
+		w.is.Equal(e.Outcome, sesamework.EndDone)
+		done[row.Key] = true
+	}
+	w.is.Equal(len(done), len(w.durations))
+}
+
+// TestMoreEndsThanListed guards against a run that is taken for one that never
+// started, because the target has more ends than it lists at a time.
+func TestMoreEndsThanListed(t *testing.T) {
+	durations := make([]time.Duration, maxListed+1)
+	t.Run("on a draining target", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, durations...)
+			w.endUnrecorded()
+			w.startWith(sesamerunner.Report{
+				Draining:     true,
+				MinRemaining: time.Minute,
+			})
+			w.assertAllDone()
+		})
+	})
+	t.Run("when the target refuses a start", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, durations...)
+			w.endUnrecorded()
+			w.slowWrites()
+			w.start()
+			w.assertAllDone()
+		})
+	})
+}
--- a/sesamerunner/executor.go
+++ b/sesamerunner/executor.go
@@ -77,6 +77,9 @@
 	// Ended are the runs whose end the target doesn't know to be recorded; see
 	// LeaseRenewal.LastRecorded.
 	Ended []EndedRun
+	// More says that Ended may lack ends with higher numbers, which are listed
+	// once these are acknowledged.
+	More bool
 }
 
 // EndedRun is one task of a run that has ended on the target and whose end was
--- a/sesamerunner/lease.go
+++ b/sesamerunner/lease.go
@@ -189,7 +189,6 @@
 	defer s.mu.Unlock()
 	s.setTargetClock(l.Clock)
 	s.answeredAt = s.o.Clock.Steady()
-	s.lastAnswered = number
 	clear(s.running)
 	for _, p := range l.Running {
 		key := runKey{
@@ -204,7 +203,11 @@
 	for _, e := range l.Ended {
 		s.queueEnd(e)
 	}
-	s.resolveStopped(number)
+	if !l.More {
+		// A run that is not listed is neither running nor has it just ended.
+		s.lastAnswered = number
+		s.resolveStopped(number)
+	}
 	signal(s.wakeOrders)
 }
 
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -105,7 +105,8 @@
 	targetClock   time.Duration
 	targetClockAt time.Duration
 	// renewalsSent counts the renewals sent, and lastAnswered is the number of
-	// the newest one answered, 0 if the target must answer before runs start.
+	// the newest one answered with all ends, 0 if the target must answer before
+	// runs start.
 	renewalsSent int64
 	lastAnswered int64
 	// runStates are the runs that the planner has ordered or the target listed.
--- a/sesamerunner/world_test.go
+++ b/sesamerunner/world_test.go
@@ -32,6 +32,8 @@
 	maxLease = 6 * time.Second
 	// callTime is how long a call to the target takes.
 	callTime = time.Millisecond
+	// maxListed is how many ends the target lists at a time.
+	maxListed = 64
 	// settleTime is longer than any exchange between agent, target and store
 	// takes without faults.
 	settleTime = 4 * time.Second
@@ -74,6 +76,8 @@
 		Lookup:   w.lookup,
 		StopTime: 100 * time.Millisecond,
 		MaxLease: maxLease,
+
+		MaxListed: maxListed,
 	})
 	w.target = &watchedTarget{
 		LeasedTarget: w.fleet.Add(targetID, testLife, sesamework.Resources{}),
@@ -89,8 +93,15 @@
 	return w
 }
 
-// start starts the runner, as a new process on the node does.
+// start starts the runner, as a new process on the node does, and passes it a
+// report of the target.
 func (w *world) start() {
+	w.startWith(sesamerunner.Report{})
+}
+
+// startWith does what start does with the report, which gets the target's
+// identity.
+func (w *world) startWith(r sesamerunner.Report) {
 	w.runner = sesamerunner.New(sesamerunner.Options{
 		Node:  testNode,
 		Zone:  testZone,
@@ -109,16 +120,10 @@
 	w.group.Go(func() error {
 		return w.runner.Run(ctx)
 	})
-	w.report(sesamerunner.Report{})
-	w.sleep(settleTime)
-}
-
-// report passes a report of the target to the runner, with the identity filled
-// in.
-func (w *world) report(r sesamerunner.Report) {
 	r.ID = targetID
 	r.Life = testLife
 	w.runner.Report(r)
+	w.sleep(settleTime)
 }
 
 // lookup tells the fleet how a task behaves.
@@ -206,6 +211,18 @@
 	})
 }
 
+// slowWrites lets each write of the agent take half a second.
+func (w *world) slowWrites() {
+	w.store.SetFault(func(write bool) sesamestandin.RowFault {
+		if !write {
+			return sesamestandin.RowFault{}
+		}
+		return sesamestandin.RowFault{
+			AnswerDelay: 500 * time.Millisecond,
+		}
+	})
+}
+
 // watchedTarget passes an agent's calls on to a target, and checks that each end
 // which the agent acknowledges is recorded as the target listed it.
 type watchedTarget struct {
--- a/sesamestandin/fleet.go
+++ b/sesamestandin/fleet.go
@@ -27,6 +27,8 @@
 	// MaxLease is the longest lease that a target accepts; longer ones are
 	// shortened to it.
 	MaxLease time.Duration
+	// MaxListed is how many ends a target lists at a time; 0 means all.
+	MaxListed int
 }
 
 // FleetTask is the definition of a task: what it needs, how it behaves and
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -313,6 +313,10 @@
 		Life:  t.life,
 		Ended: slices.Clone(t.ended),
 	}
+	if most := f.o.MaxListed; most > 0 && len(l.Ended) > most {
+		l.Ended = l.Ended[:most]
+		l.More = true
+	}
 	for _, r := range t.running {
 		l.Running = append(l.Running, r.report(now))
 	}
