--- a/sesamerunner/lease.go
+++ b/sesamerunner/lease.go
@@ -112,7 +112,7 @@
 }
 
 // renewLease sends one renewal and updates the session from the answer. Errors
-// are those of Executor.RenewLease.
+// are those of Executor.RenewLease and checkEpoch.
 func (s *session) renewLease(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, renewalWait+callTimeout)
 	defer cancel()
@@ -120,7 +120,9 @@
 	started := s.o.Clock.Steady()
 	listing, err := s.executor.RenewLease(ctx, renewal)
 	if err != nil {
-		return err
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.checkEpoch(err, renewal.AgentEpoch)
 	}
 	s.o.Scope.Histogram("hold", callBuckets).RecordDuration(s.o.Clock.Steady() - started)
 	s.applyListing(listing, number)
@@ -133,6 +135,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.renewalsSent++
+	if s.lastRecorded > s.lastAcknowledged {
+		s.lastAcknowledged = s.lastRecorded
+		s.o.Log.Emit(eventAcknowledged, sesamelog.Fields{
+			"target": s.id,
+			"life":   s.report.Life,
+			"number": s.lastRecorded,
+		})
+	}
 	renewal := LeaseRenewal{
 		AgentEpoch:   s.agentEpoch,
 		LeaseEnd:     s.grantLease(),
@@ -145,12 +155,13 @@
 // grantLease returns the end of a new lease on the target's clock, and notes
 // until when the target may run under it. It returns 0 when the lease must not
 // be extended: the target's clock is not known, the store has confirmed no
-// report for sesamework.LeaseAfterReport, or the target has not answered for
-// sesamework.MaxTargetSilence. The caller holds the lock.
+// report for sesamework.LeaseAfterReport, the target has not answered for
+// sesamework.MaxTargetSilence, or the planner has given it up. The caller holds
+// the lock.
 func (s *session) grantLease() time.Duration {
 	now := s.o.Clock.Steady()
 	left := min(s.o.MaxLease, s.confirmedAt+sesamework.LeaseAfterReport-now)
-	if s.targetClockAt == 0 || left <= 0 || now-s.answeredAt > sesamework.MaxTargetSilence {
+	if s.isGivenUp || s.targetClockAt == 0 || left <= 0 || now-s.answeredAt > sesamework.MaxTargetSilence {
 		return 0
 	}
 	s.leaseEnd = max(s.leaseEnd, now+sesamework.LapseTimeout(left))
@@ -178,7 +189,6 @@
 	defer s.mu.Unlock()
 	s.setTargetClock(l.Clock)
 	s.answeredAt = s.o.Clock.Steady()
-	s.lastAnswered = number
 	clear(s.running)
 	for _, p := range l.Running {
 		key := runKey{
@@ -193,7 +203,11 @@
 	for _, e := range l.Ended {
 		s.queueEnd(e)
 	}
-	s.resolveStopped(number)
+	if !l.More {
+		// A run that is not listed is neither running nor has it just ended.
+		s.lastAnswered = number
+		s.resolveStopped(number)
+	}
 	signal(s.wakeOrders)
 }
 
@@ -209,7 +223,8 @@
 }
 
 // queueEnd queues an end that the target listed for the next report, unless it
-// is queued or recorded already. The caller holds the lock.
+// is queued or recorded already. It replaces the queued end of a run that was
+// assumed never to have started. The caller holds the lock.
 func (s *session) queueEnd(e EndedRun) {
 	key := runKey{
 		task: e.Task,
@@ -225,9 +240,13 @@
 		return
 	}
 	row := sesamework.EndKey(s.key, task, e.Run)
-	if _, queued := s.pendingEnds[row]; queued || e.Number <= s.lastRecorded {
+	queued, isQueued := s.pendingEnds[row]
+	if isQueued && queued.number > 0 || e.Number <= s.lastRecorded {
 		return
 	}
+	if isQueued {
+		s.logReplaced(task, e, queued.value.Reason)
+	}
 	k.phase = phaseEnded
 	end := sesamework.End{
 		Outcome:    e.Outcome,
@@ -254,6 +273,18 @@
 	signal(s.wakeReport)
 }
 
+// logReplaced logs that a listed end replaces an assumed one, which had the
+// reason.
+func (s *session) logReplaced(task sesamework.TaskID, e EndedRun, reason string) {
+	s.o.Log.Emit(eventReplaced, sesamelog.Fields{
+		"job":    task.Job,
+		"task":   e.Task,
+		"run":    e.Run,
+		"number": e.Number,
+		"reason": reason,
+	})
+}
+
 // resolveStopped queues the end of stopped runs that never started, after the
 // answer to the renewal with that number. A run whose stop was answered before
 // that renewal was sent, and that the target lists neither as running nor as
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -54,6 +54,8 @@
 	// accepted a start, 0 if it has not. The start is repeated only if the
 	// answer to a later renewal does not list the run.
 	acceptRenewal int64
+	// mayStart says that a start may have been carried out or may be later.
+	mayStart bool
 	// refusals counts the starts answered by an *UnavailableError.
 	refusals int
 	// failures counts the orders in a row that failed, up to
@@ -109,7 +111,8 @@
 	targetClock   time.Duration
 	targetClockAt time.Duration
 	// renewalsSent counts the renewals sent, and lastAnswered is the number of
-	// the newest one answered, 0 if the target must answer before runs start.
+	// the newest one answered with all ends, 0 if the target must answer before
+	// runs start.
 	renewalsSent int64
 	lastAnswered int64
 	// runStates are the runs that the planner has ordered or the target listed.
@@ -120,8 +123,15 @@
 	running map[runKey]sesamework.Progress
 	// pendingEnds are the ends to be recorded, by the key of their row.
 	pendingEnds map[sesamerows.Key]pendingEnd
-	// lastRecorded is the highest number of a recorded end.
-	lastRecorded int64
+	// lastRecorded is the highest number of a recorded end, and lastAcknowledged
+	// the number in the newest renewal.
+	lastRecorded     int64
+	lastAcknowledged int64
+	// isGivenUp is true from when the planner was found to have given up the
+	// target until the target's row is acquired again. givenUpVersion is the
+	// version of the row that said so; runs with a lower one are not started.
+	isGivenUp      bool
+	givenUpVersion sesamerows.Version
 	// refusingUntil is until when reports say that the target refuses runs.
 	refusingUntil time.Duration
 	// storeLost is true while reports are not confirmed.
@@ -147,7 +157,7 @@
 		Runner:     r,
 		id:         report.ID,
 		key:        key,
-		executor:   r.o.Dial(report.Address, report.ID),
+		executor:   r.o.Dial(report.Address, report.ID, report.Life),
 		fence:      sesamerows.NewFence(r.o.Store, key),
 		wakeOrders: make(chan struct{}, 1),
 		wakeReport: make(chan struct{}, 1),
--- a/sesamestandin/lostorders.go
+++ b/sesamestandin/lostorders.go
@@ -5,26 +5,6 @@
 	"time"
 )
 
-// SetLostOrders sets the function that chooses which later orders get no
-// answer (lost), and the delay (late) after which the target carries such an
-// order out nevertheless; nil means that every order is answered.
-func (t *LeasedTarget) SetLostOrders(decide func() (late time.Duration, lost bool)) {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.losesOrder = decide
-}
-
-// nextOrderLost returns the delay of the next order and whether its answer is
-// lost, as losesOrder says; 0 and false without that function.
-func (t *LeasedTarget) nextOrderLost() (time.Duration, bool) {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	if t.losesOrder == nil {
-		return 0, false
-	}
-	return t.losesOrder()
-}
-
 // deliver applies an order and returns the target's clock. An order whose
 // answer is lost is applied after its delay, and the caller gets a
 // *NoAnswerError once it gives up.
