--- a/sesamerunner/world_test.go
+++ b/sesamerunner/world_test.go
@@ -102,6 +102,23 @@
 // startWith does what start does with the report, which gets the target's
 // identity.
 func (w *world) startWith(r sesamerunner.Report) {
+	w.launch()
+	r.ID = targetID
+	r.Life = testLife
+	w.runner.Report(r)
+	w.sleep(settleTime)
+}
+
+// report passes a report of the target to the runner.
+func (w *world) report() {
+	w.runner.Report(sesamerunner.Report{
+		ID:   targetID,
+		Life: testLife,
+	})
+}
+
+// launch starts the runner without a report.
+func (w *world) launch() {
 	w.runner = sesamerunner.New(sesamerunner.Options{
 		Node:  testNode,
 		Zone:  testZone,
@@ -120,10 +137,6 @@
 	w.group.Go(func() error {
 		return w.runner.Run(ctx)
 	})
-	r.ID = targetID
-	r.Life = testLife
-	w.runner.Report(r)
-	w.sleep(settleTime)
 }
 
 // lookup tells the fleet how a task behaves.
