--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -184,6 +184,7 @@
 			s.storeFailed(err)
 			if s.isSilent() {
 				s.finish("planner gave up the silent target")
+				return
 			}
 			s.awaitLapse(ctx)
 			if !s.acquire(ctx) {
