--- a/sesamerunner/events.go
+++ b/sesamerunner/events.go
@@ -26,7 +26,7 @@
 	eventUnwanted     = sesamelog.Define(7213, sesamelog.Warn, "target runs what the planner has not ordered")
 	eventBadRow       = sesamelog.Define(7214, sesamelog.Error, "row can't be read")
 	eventStale        = sesamelog.Define(7215, sesamelog.Info, "late report ignored")
-	eventCapacity     = sesamelog.Define(7216, sesamelog.Info, "capacity of target changed")
+	eventCapacity     = sesamelog.Define(7220, sesamelog.Info, "capacity of target changed")
 )
 
 // callBuckets are the histogram buckets for durations of calls to targets and
