Give up a claim on a target that has become too small

Work that a guarantee owes waited for up to 4 s for a claimed target that had shrunk below it, and claimed another one only then: a claim held as long as its targets accepted work. It now also takes that they could hold the unit.

go test ./sesamedispatch -run TestClaimedTargetShrinks failed before: "claim_test.go:175: 0 != 1", no run was stopped elsewhere for it.

--- a/sesamedispatch/claim.go
+++ b/sesamedispatch/claim.go
@@ -17,8 +17,7 @@
 
 // startClaimed starts a unit on the targets that it has claimed if they have
 // room, or else where it fits now, or else keeps the claim. When the claim has
-// expired or a claimed target accepts no more work, it drops the claim and
-// returns false.
+// expired or no longer holds, it drops the claim and returns false.
 func (p *pass) startClaimed(u *unit) bool {
 	p.unreserveClaim(u)
 	targets := p.claimedWithRoom(u)
@@ -38,11 +37,14 @@
 	return true
 }
 
-// claimHolds reports whether all claimed targets still accept work.
+// claimHolds reports whether all claimed targets still accept work, and could
+// hold the unit's tasks if they were empty.
 func (p *pass) claimHolds(u *unit) bool {
+	taken := map[string]sesamework.Resources{}
 	return !slices.ContainsFunc(u.claim.targets, func(name string) bool {
 		t, ok := p.view.targets[name]
-		return !ok || !t.acceptsWork(u.job.Terms.Service, p.view.now.Steady)
+		taken[name] = taken[name].Plus(u.step.Reservation())
+		return !ok || !t.acceptsWork(u.job.Terms.Service, p.view.now.Steady) || !taken[name].Fits(t.Capacity)
 	})
 }
 
--- a/sesamedispatch/claim_test.go
+++ b/sesamedispatch/claim_test.go
@@ -162,3 +162,16 @@
 		w.is.Equal(w.urgent.claim.targets, []string{w.claimedName})
 	})
 }
+
+// TestClaimedTargetShrinks checks that owed work gives up a claimed target that
+// has become too small for it, and claims another one.
+func TestClaimedTargetShrinks(t *testing.T) {
+	w := newClaimFixture(t)
+	shrunk := w.targets[w.claimedName]
+	shrunk.Capacity.Accelerators = 4
+	w.version++
+	w.is.True(w.view.Apply([]sesamerows.Row{targetRow(shrunk, w.version)}, w.now))
+	d := w.decide()
+	w.is.Equal(len(d.Stops), 1)
+	w.is.Equal(w.urgent.claim.targets, []string{w.otherName})
+}
