Let an end as done of an earlier run complete its task

A task could start a third time after its first run had ended as done, with that end recorded and acknowledged: an agent that was cut off until its target was given up records the end only after the second run was ordered, and the planner ignored the end of a run that was not the newest. When the second run was lost or failed, it ordered a third.

An end as done is final, whichever run it is of. It now completes the unit, and the newest run is stopped, also for a planner that reads the rows anew.

TestEndOfEarlierRun failed before ("3 != 2").

--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -43,7 +43,7 @@
 const (
 	stopCancelled    = "cancelled"
 	stopFailed       = "job failed"
-	stopDone         = "another member is done"
+	stopDone         = "an earlier run is done"
 	stopPreempted    = "room for owed work"
 	stopNoProgress   = "no progress"
 	stopTargetLeaves = "target leaves"
@@ -72,6 +72,7 @@
 	v.stopStalled(&d)
 	v.stopDraining(&d)
 	v.stopIncomplete(&d)
+	v.stopNeedless(&d)
 	v.place(&d)
 	v.publishStates(&d)
 	return d
--- a/sesamedispatch/ends.go
+++ b/sesamedispatch/ends.go
@@ -9,8 +9,9 @@
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
-// setEnd ends the member that an end row names. It ignores, and logs, the end of
-// an earlier run, and one that differs from what the view holds already.
+// setEnd ends the member that an end row names. Of an earlier run only an end as
+// done counts. It ignores, and logs, other ends, and those that differ from what
+// the view holds already.
 func (v *View) setEnd(_ string, row sesamerows.Row) {
 	if row.Removed {
 		delete(v.ends, row.Key)
@@ -35,11 +36,28 @@
 			return
 		}
 	}
+	if u.acceptsEarlier(number, e) {
+		u.done = true
+		u.doneBefore = true
+		v.log.Emit(eventLateEnd, sesamelog.Fields{
+			"job":    u.id.Job,
+			"row":    row.Key.Name,
+			"target": e.Target,
+			"newest": u.run.Number,
+		})
+		return
+	}
 	if !v.loading && number <= u.run.Number {
 		v.logIgnoredEnd(u, row, e, "")
 	}
 }
 
+// acceptsEarlier reports whether the end, of an earlier run or of another life of
+// its target, completes the unit: a task that has ended as done never runs again.
+func (u *unit) acceptsEarlier(number int, e sesamework.End) bool {
+	return e.Outcome == sesamework.EndDone && number <= u.run.Number && !u.done && !u.step.LongRunning
+}
+
 // logIgnoredEnd logs an end row without effect: the member has the outcome known
 // already, or, if known is empty, belongs to a run that is not the newest.
 func (v *View) logIgnoredEnd(u *unit, row sesamerows.Row, e sesamework.End, known sesamework.Outcome) {
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -27,6 +27,7 @@
 	eventViewRebuilt    = sesamelog.Define(7115, sesamelog.Warn, "view read anew, the feed no longer had its changes")
 	eventEndIgnored     = sesamelog.Define(7116, sesamelog.Warn, "end of a run ignored")
 	eventNoEnds         = sesamelog.Define(7117, sesamelog.Warn, "ends can't be read, changed targets are left to the feed")
+	eventLateEnd        = sesamelog.Define(7118, sesamelog.Warn, "earlier run ended as done")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -17,8 +17,10 @@
 	run sesamework.Run
 	// members are the tasks of that run.
 	members []member
-	// done says that a run succeeded, so that no other is needed.
-	done bool
+	// done says that a run succeeded, so that no other is needed. doneBefore says
+	// that it was one before the newest.
+	done       bool
+	doneBefore bool
 	// failures counts the runs that failed, the newest one included if
 	// failureCounted is set, and avoid names the targets on which they did.
 	failures       int
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// stopNeedless stops the runs of units of which an earlier run turned out to be
+// done.
+func (v *View) stopNeedless(d *Decision) {
+	for _, u := range v.units {
+		if u.doneBefore {
+			d.stop(u, stopDone)
+		}
+	}
+}
+
 // remaining estimates how much longer the run of the unit takes, which is as
 // long as its slowest active member; 0 if it has none.
 func (v *View) remaining(u *unit) time.Duration {
