Let a listed end replace one as never run

An agent replaces the end of a run that it assumed never to have started when its target lists a real end. The planner kept the first one and started the task again, although the row said by then that the run was done.

TestEndAfterNeverRan failed before ("2 != 1").

--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -44,10 +44,12 @@
 }
 
 // accepts reports whether an end with that outcome changes what is known of the
-// member. EndLost is only concluded from the target's row: a recorded end, which
-// may become known later, replaces it.
+// member. EndLost is only concluded from the target's row, and EndNeverRan by an
+// agent from what the target does not list: an end that the target has listed,
+// which may become known later, replaces them.
 func (m member) accepts(outcome sesamework.Outcome) bool {
-	return m.outcome == "" || m.outcome == sesamework.EndLost && outcome != sesamework.EndLost
+	concluded := m.outcome == sesamework.EndLost || m.outcome == sesamework.EndNeverRan
+	return m.outcome == "" || concluded && outcome != sesamework.EndLost && outcome != m.outcome
 }
 
 // neverRan reports whether the member has not run and never will.
