Expect known ends at their version when a run is ordered after a loss

No job started any more after a loss: the row of a member's end held that of another life of the target, which the planner passes over, while each start expected no such row. For a gang of over 40 members some ends were not checked at all, all of them perhaps on one of its targets.

A start now expects the rows as the view knows them, absent or at a version, for up to 50 members, which are taken from all targets in turn. A unit whose end can't be read isn't started, rather than refused each time.

--- a/sesamedispatch/conflict.go
+++ b/sesamedispatch/conflict.go
@@ -1,6 +1,7 @@
 package sesamedispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -66,21 +67,54 @@
 }
 
 // maxLossConditions bounds the conditions of one start, so that it fits into a
-// transaction with its other entries. A gang that lost more members has lost
-// several targets, and its members end alike.
-const maxLossConditions = 40
+// transaction with its other entries.
+const maxLossConditions = 50
 
-// lossConditions returns the conditions that no end is in the store of the
-// members of the newest run that count as lost. Another run may only be ordered
-// under these: the end of a lost member may have been recorded all the same.
-func (u *unit) lossConditions() []sesamerows.Expect {
-	var absent []sesamerows.Expect
+// lossConditions returns the conditions that the view knows all ends in the store
+// of those members of the newest run that count as lost; known are the versions of
+// end rows. Another run may only be ordered under these: the end of a lost member
+// may have been recorded all the same. Of a gang that has lost more than
+// maxLossConditions members, only some on each target are checked.
+func (u *unit) lossConditions(known map[sesamerows.Key]sesamerows.Version) []sesamerows.Expect {
+	var conditions []sesamerows.Expect
+	for _, m := range u.lostMembers() {
+		if len(conditions) == maxLossConditions {
+			break
+		}
+		key := sesamework.EndKey(m.TargetKey(), u.id.Task(m.Index), u.run.Number)
+		conditions = append(conditions, sesamerows.Expect{
+			Key:     key,
+			Version: known[key],
+		})
+	}
+	return conditions
+}
+
+// lostMembers returns the members of the newest run that count as lost: first one
+// of each target, then a second of each, and so on.
+func (u *unit) lostMembers() []member {
+	type ranked struct {
+		member
+		rank int
+	}
+	var all []ranked
+	onTarget := map[string]int{}
 	for _, m := range u.members {
-		if m.outcome == sesamework.EndLost && len(absent) < maxLossConditions {
-			absent = append(absent, sesamerows.Expect{
-				Key: sesamework.EndKey(m.TargetKey(), u.id.Task(m.Index), u.run.Number),
-			})
+		if m.outcome != sesamework.EndLost {
+			continue
 		}
+		all = append(all, ranked{
+			member: m,
+			rank:   onTarget[m.Target],
+		})
+		onTarget[m.Target]++
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int {
+		return cmp.Compare(a.rank, b.rank)
+	})
+	members := make([]member, 0, len(all))
+	for _, r := range all {
+		members = append(members, r.member)
 	}
-	return absent
+	return members
 }
--- a/sesamedispatch/ends.go
+++ b/sesamedispatch/ends.go
@@ -17,16 +17,19 @@
 		delete(v.ends, row.Key)
 		return
 	}
-	v.ends[row.Key] = true
+	v.ends[row.Key] = row.Version
 	task, number, ok := sesamework.ParseEndKey(row.Key)
-	var e sesamework.End
-	if !ok || !v.decode(row, row.Value, &e) {
+	if !ok {
 		return
 	}
 	u, ok := v.unitOf(task)
 	if !ok {
 		return
 	}
+	e, ok := v.readEnd(u, number, row)
+	if !ok {
+		return
+	}
 	for _, m := range u.members {
 		if u.run.Number == number && m.Index == task.Index && m.Target == e.Target && m.Life == e.Life {
 			if m.outcome != e.Outcome && !m.accepts(e.Outcome) {
@@ -52,6 +55,17 @@
 	}
 }
 
+// readEnd returns the end of the unit's run with that number from its row, and
+// false for a row that can't be read.
+func (v *View) readEnd(u *unit, number int, row sesamerows.Row) (sesamework.End, bool) {
+	var e sesamework.End
+	ok := v.decode(row, row.Value, &e)
+	if !ok && number == u.run.Number {
+		u.unreadableEnd = true
+	}
+	return e, ok
+}
+
 // acceptsEarlier reports whether the end, of an earlier run or of another life of
 // its target, completes the unit: a task that has ended as done never runs again.
 func (u *unit) acceptsEarlier(number int, e sesamework.End) bool {
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -21,6 +21,9 @@
 	// that it was one before the newest.
 	done       bool
 	doneBefore bool
+	// unreadableEnd says that the end of a member of the newest run can't be read,
+	// so that it is not known whether the unit is done.
+	unreadableEnd bool
 	// failures counts the runs that failed, the newest one included if
 	// failureCounted is set, and avoid names the targets on which they did.
 	failures       int
@@ -67,7 +70,7 @@
 // isWaiting reports whether the unit needs a run: it is not done, and its
 // newest run, if any, has ended.
 func (u *unit) isWaiting() bool {
-	return !u.done && !u.isActive()
+	return !u.done && !u.unreadableEnd && !u.isActive()
 }
 
 // taskCount returns how many tasks are started together.
@@ -185,6 +188,7 @@
 		u.orderedAt = now
 		u.failures = r.Failures
 		u.failureCounted = false
+		u.unreadableEnd = false
 		u.avoid = slices.Clone(r.Avoid)
 		u.checkpoint = r.Checkpoint
 		u.claim = claim{}
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -22,9 +22,9 @@
 	targets map[string]*target
 	// durationModels holds the duration model of each queue, by its name.
 	durationModels map[string]*durationModel
-	// ends holds the keys of all end rows, which are removed with their jobs.
+	// ends holds the versions of all end rows, which are removed with their jobs.
 	// An end row tells how a run ended on one of its targets.
-	ends map[sesamerows.Key]bool
+	ends map[sesamerows.Key]sesamerows.Version
 	// now is the time at which the view is being updated or read.
 	now Now
 	// needsDecision says that the rows being applied may change a decision.
@@ -82,7 +82,7 @@
 		targets: map[string]*target{},
 
 		durationModels: map[string]*durationModel{},
-		ends:           map[sesamerows.Key]bool{},
+		ends:           map[sesamerows.Key]sesamerows.Version{},
 	}
 }
 
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -135,7 +135,7 @@
 	}
 	for _, s := range d.Starts {
 		into := batch
-		if len(s.unit.lossConditions()) > 0 {
+		if len(s.unit.lossConditions(r.view.ends)) > 0 {
 			into = restarts
 		}
 		if err := r.collectStart(s, into); err != nil {
@@ -178,14 +178,14 @@
 }
 
 // collectStart adds the write that orders a run, under the conditions that the
-// job has no cancel row, and that no end is recorded of the members of the run
-// before that count as lost.
+// job has no cancel row, and that the view knows all recorded ends of those
+// members of the run before that count as lost.
 func (r *term) collectStart(s Start, batch *changeBatch) error {
 	rows, err := runRows(s.unit, s.run)
 	if err != nil {
 		return err
 	}
-	rows.Expects = append(s.unit.lossConditions(), sesamerows.Expect{
+	rows.Expects = append(s.unit.lossConditions(r.view.ends), sesamerows.Expect{
 		Key: sesamework.CancelKey(s.unit.id.Job),
 	})
 	written := func() {
