Keep a newer run when the feed brings an older row of it

An agent went back to the earlier run, which could stop the one that is wanted or start the one before.

TestReplayedOrder failed before ("1 != 2").

--- a/sesamerunner/runs.go
+++ b/sesamerunner/runs.go
@@ -128,10 +128,13 @@
 	}
 }
 
-// set stores the run of a row. It drops the run when the row was removed or
-// can't be decoded, or when no member of the run is on a target of this node. The
-// caller holds the lock.
+// set stores the run of a row, unless a newer one is known. It drops the run when
+// the row was removed or can't be decoded, or when no member of the run is on a
+// target of this node. The caller holds the lock.
 func (r *runView) set(row sesamerows.Row) {
+	if row.Version < r.rows[row.Key.Name].version {
+		return
+	}
 	delete(r.rows, row.Key.Name)
 	if row.Removed {
 		return
