Report which runs a crashed target had, and for how long

A crash of a target was known to its agent only, as renewals that fail; the planner saw silence and an inventory without the target, as for a lost VM. So logs could not tell which task was there when target after target crashed.

The agent now tells a refused connection (nothing listens at the address) and another life that answers at once from silence. It logs event 7216 with the runs that were on the target, each with the time since its start was ordered, and writes them into the target's row at once, as silence. The row of a target that starts again under its ID keeps them until the planner has replaced these runs. Draining and leaving targets don't crash.

--- a/sesamerunner/events.go
+++ b/sesamerunner/events.go
@@ -25,6 +25,7 @@
 	eventStoreBack    = sesamelog.Define(7212, sesamelog.Info, "report confirmed again")
 	eventUnwanted     = sesamelog.Define(7213, sesamelog.Warn, "target runs what the planner has not ordered")
 	eventBadRow       = sesamelog.Define(7214, sesamelog.Error, "row can't be read")
+	eventCrashed      = sesamelog.Define(7216, sesamelog.Warn, "target crashed")
 	eventStale        = sesamelog.Define(7215, sesamelog.Info, "late report ignored")
 )
 
--- a/sesamerunner/executor.go
+++ b/sesamerunner/executor.go
@@ -99,8 +99,8 @@
 // may be later.
 type Executor interface {
 	// Start orders a run. The target carries it out at most once for each run. It
-	// was not carried out when the error is a *RefusedError, *UnavailableError or
-	// *OtherLifeError.
+	// was not carried out when the error is a *RefusedError, *UnavailableError,
+	// *OtherLifeError or *NotRunningError.
 	Start(ctx context.Context, o Order) (time.Duration, error)
 	// Stop ends a run, so that one which has not started never will. Errors are
 	// as in Start.
@@ -163,6 +163,23 @@
 	return "target was restarted: another life of it answered"
 }
 
+// NotRunningError says that a call was not carried out because no process
+// accepts connections at the target's address.
+type NotRunningError struct {
+	// Cause is the error of the connection.
+	Cause error
+}
+
+// Error names the cause.
+func (e *NotRunningError) Error() string {
+	return fmt.Sprintf("target is not running: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotRunningError) Unwrap() error {
+	return e.Cause
+}
+
 // Report is what a target tells the agent about itself.
 type Report struct {
 	// ID names the target among those of its node.
--- a/sesamerunner/lease.go
+++ b/sesamerunner/lease.go
@@ -73,6 +73,7 @@
 // was restarted, that another agent serves it, or that its lease has lapsed.
 // failures counts the failed renewals in a row.
 func (s *session) handleRenewError(err error, failures int) {
+	s.noteFailure(err)
 	if errors.HasType(err, (*OtherLifeError)(nil)) {
 		s.finish("another life of the target answered")
 		return
@@ -102,9 +103,13 @@
 }
 
 // silentFor returns for how long the target has answered no renewal, or 0 if
-// that is no longer than silenceToReport. The caller holds the lock.
+// that is no longer than silenceToReport and the target has not crashed. The
+// caller holds the lock.
 func (s *session) silentFor() time.Duration {
 	silent := s.o.Clock.Steady() - s.answeredAt
+	if s.hasCrashed() {
+		return max(silent, time.Millisecond)
+	}
 	if silent <= silenceToReport {
 		return 0
 	}
@@ -171,6 +176,7 @@
 // life ends the session.
 func (s *session) applyListing(l Listing, number int64) {
 	if l.Life != 0 && l.Life != s.life() {
+		s.noteFailure(&OtherLifeError{})
 		s.finish("target was restarted")
 		return
 	}
@@ -179,6 +185,7 @@
 	s.setTargetClock(l.Clock)
 	s.answeredAt = s.o.Clock.Steady()
 	s.lastAnswered = number
+	s.clearCrash()
 	clear(s.running)
 	for _, p := range l.Running {
 		key := runKey{
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -145,6 +145,7 @@
 		Heartbeat:    s.heartbeat,
 		Refusing:     s.o.Clock.Steady() < s.refusingUntil,
 		SilentFor:    s.silentFor().Milliseconds(),
+		Crash:        s.reportedCrash(),
 	}
 	for _, p := range s.running {
 		t.Running = append(t.Running, p)
--- a/sesamerunner/runner.go
+++ b/sesamerunner/runner.go
@@ -152,7 +152,7 @@
 			Draining:     t.State == sesamework.TargetDraining,
 			MinRemaining: time.Duration(t.MinRemaining) * time.Millisecond,
 			Life:         t.Life,
-		})
+		}, t.Crash)
 	}
 }
 
@@ -176,18 +176,21 @@
 		s.update(report)
 		return true
 	}
+	var crash *sesamework.Crash
 	if ok {
 		s.finish("another life of the target reports")
+		crash = s.knownCrash()
 	}
-	r.add(report)
+	r.add(report, crash)
 	return true
 }
 
-// add begins a session with the target that sent the report. When
-// maxNewSessions sessions wait already, it only logs that, and the target's next
-// report tries again. The caller holds the lock.
-func (r *Runner) add(report Report) {
-	s := newSession(r, report)
+// add begins a session with the target that sent the report, and passes it the
+// crash that an earlier session noted, if any. When maxNewSessions sessions wait
+// already, it only logs that, and the target's next report tries again. The
+// caller holds the lock.
+func (r *Runner) add(report Report, crash *sesamework.Crash) {
+	s := newSession(r, report, crash)
 	select {
 	case r.newSessions <- s:
 		r.sessions[report.ID] = s
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -118,6 +118,11 @@
 	refusingUntil time.Duration
 	// storeLost is true while reports are not confirmed.
 	storeLost bool
+	// brokenAt is when renewals began to fail, 0 while they are answered.
+	brokenAt time.Duration
+	// crash tells of a crash of this life of the target, or of an earlier one;
+	// nil without one.
+	crash *sesamework.Crash
 }
 
 // pendingEnd is the end of one task of a run that is not yet in the store.
@@ -132,8 +137,8 @@
 }
 
 // newSession returns a session with the target that sent the report; run begins
-// it.
-func newSession(r *Runner, report Report) *session {
+// it. crash tells of the crash that an earlier session noted, if any.
+func newSession(r *Runner, report Report, crash *sesamework.Crash) *session {
 	key := sesamework.TargetKey(r.o.Zone, r.o.Node, report.ID)
 	return &session{
 		Runner:     r,
@@ -152,6 +157,7 @@
 		runStates:   map[runKey]*runState{},
 		running:     map[runKey]sesamework.Progress{},
 		pendingEnds: map[sesamerows.Key]pendingEnd{},
+		crash:       crash,
 	}
 }
 
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -151,6 +151,9 @@
 	// SilentFor is how long the target has not answered its agent, in
 	// milliseconds; 0 while it answers. Running is as old as that.
 	SilentFor int64 `json:"silent,omitempty"`
+	// Crash tells of a crash of this life, or of an earlier one under the same
+	// ID whose runs the planner has not replaced; nil without one.
+	Crash *Crash `json:"crash,omitempty"`
 }
 
 // JobState is the state of a job as callers see it.
