Reproduce tasks that crash target after target in a test

Callers would see a job that stays running forever while it takes target after target down. The fleet's tasks can crash their target some time after the start; the target starts again 3 s later beside the same agent, and a third start after three crashes is a violation.

The lock order of world and fleet is one now, since the fleet reports crashes to the world.

--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -64,6 +64,8 @@
 	target *sesamestandin.LeasedTarget
 	id     string
 	life   int64
+	// lives counts the lives that were started.
+	lives int64
 	// removed nodes are missing from the inventory, and draining ones report
 	// that. With reportsNothing set, the target sends its agent no reports.
 	removed        bool
@@ -130,11 +132,21 @@
 
 // startNewLife starts another life of the node's target.
 func (n *nodeProcess) startNewLife() {
+	n.w.mu.Lock()
+	n.lives++
+	life := n.lives
+	id := fmt.Sprintf("%s-life-%d", n.name, life)
+	if n.w.keepsIDs {
+		id = n.name
+	}
+	n.w.mu.Unlock()
+	// The fleet calls the world while it holds its own lock.
+	target := n.w.fleet.Add(id, life, nodeCapacity())
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
-	n.life++
-	n.id = fmt.Sprintf("%s-life-%d", n.name, n.life)
-	n.target = n.w.fleet.Add(n.id, n.life, nodeCapacity())
+	n.id = id
+	n.life = life
+	n.target = target
 }
 
 // start starts the node's agent and the reports of its target.
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -34,6 +34,8 @@
 
 	// detours says that processes relay calls to the store for each other.
 	detours bool
+	// keepsIDs says that all lives of a target have the same ID.
+	keepsIDs bool
 
 	mu   sync.Mutex
 	jobs map[string]*clientJob
@@ -103,6 +105,7 @@
 		StopTime:    stopTime,
 		GangTimeout: gangTimeout,
 		MaxLease:    maxLease,
+		Crashed:     w.restartTarget,
 	})
 	t.Cleanup(func() {
 		cancel()
@@ -124,21 +127,26 @@
 		e.start()
 	}
 	for i := range nodes {
-		n := &nodeProcess{
-			w:    w,
-			name: fmt.Sprintf("node-%d", i),
-			zone: fmt.Sprintf("zone-%d", i%2),
-			rack: fmt.Sprintf("rack-%d", i/2),
-			rows: sesamestandin.NewFaultyRows(w.serialStore, clock),
-		}
-		n.store = w.storeFor(n.rows)
-		w.nodes = append(w.nodes, n)
-		n.startNewLife()
-		n.start()
+		w.addNode(i)
 	}
 	return w
 }
 
+// addNode starts the node with that number.
+func (w *world) addNode(i int) {
+	n := &nodeProcess{
+		w:    w,
+		name: fmt.Sprintf("node-%d", i),
+		zone: fmt.Sprintf("zone-%d", i%2),
+		rack: fmt.Sprintf("rack-%d", i/2),
+		rows: sesamestandin.NewFaultyRows(w.serialStore, w.clock),
+	}
+	n.store = w.storeFor(n.rows)
+	w.nodes = append(w.nodes, n)
+	n.startNewLife()
+	n.start()
+}
+
 // storeFor returns the store as a process calls it: directly, or with detours.
 func (w *world) storeFor(rows sesamerows.Store) sesamerows.Store {
 	if !w.detours {
--- a/sesamestandin/fleet.go
+++ b/sesamestandin/fleet.go
@@ -27,6 +27,9 @@
 	// MaxLease is the longest lease that a target accepts; longer ones are
 	// shortened to it.
 	MaxLease time.Duration
+	// Crashed is called when a task has crashed its target, if it is not nil. It
+	// must not call the fleet.
+	Crashed func(*LeasedTarget)
 }
 
 // FleetTask is the definition of a task: what it needs, how it behaves and
@@ -38,6 +41,9 @@
 	// FailsRun reports whether the run with this number fails, after half of
 	// its remaining work. nil means none does.
 	FailsRun func(run int) bool
+	// CrashesAfter is how long after its start the task crashes its target; 0
+	// means that it doesn't.
+	CrashesAfter time.Duration
 	// Specification must be passed with each start.
 	Specification string
 	// MaxFailures is the number of recorded failures after which the task must
@@ -67,6 +73,8 @@
 	completed map[string]bool
 	// starts is the number of runs that were started.
 	starts int
+	// crashes holds the tasks that have crashed targets.
+	crashes map[sesamework.TaskID]taskCrashes
 }
 
 // NewFleet returns a fleet without targets.
@@ -77,6 +85,7 @@
 		recordedFailures: map[string]int{},
 
 		completed: map[string]bool{},
+		crashes:   map[sesamework.TaskID]taskCrashes{},
 	}
 }
 
@@ -134,6 +143,10 @@
 		if !ok || next.at.After(now) {
 			return
 		}
+		if next.outcome == outcomeCrash {
+			f.crash(next.run, next.at)
+			continue
+		}
 		f.end(next.run, next.outcome, next.at)
 	}
 }
@@ -155,7 +168,8 @@
 }
 
 // firstEnd returns the earliest of the events that would end the run: the end
-// of the lease, of a stop, of the wait for the gang, or of the work.
+// of the lease, of a stop, of its target, of the wait for the gang, or of the
+// work.
 func (f *Fleet) firstEnd(r *fleetRun) runEnd {
 	first := runEnd{
 		at:      r.target.lapseTime(),
@@ -171,6 +185,9 @@
 	if !r.stopEnd.IsZero() {
 		keepEarlier(r.stopEnd, sesamework.EndStopped)
 	}
+	if r.definition.CrashesAfter > 0 {
+		keepEarlier(r.startedAt.Add(r.definition.CrashesAfter), outcomeCrash)
+	}
 	if r.workingSince.IsZero() {
 		keepEarlier(r.startedAt.Add(f.o.GangTimeout), sesamework.EndGangTimeout)
 		return first
@@ -278,6 +295,7 @@
 	if definition.MaxFailures > 0 && f.recordedFailures[name] >= definition.MaxFailures {
 		f.addViolation("budget: %s run %d was started after %d failures", name, o.Run, f.recordedFailures[name])
 	}
+	f.checkCrashes(o.Task, o.Run)
 	for _, earlier := range definition.Predecessors {
 		if !f.completed[earlier.String()] {
 			f.addViolation("order: %s was started before %s was done", name, earlier)
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -21,7 +21,9 @@
 	// startsForbidden makes every start a violation.
 	startsForbidden bool
 	// crashed targets run nothing; unreachable ones run on but answer no call.
+	// notRunning says that no other life answers calls to a crashed one.
 	crashed     bool
+	notRunning  bool
 	unreachable bool
 	// startedAt is the start of this life, at which its own clock is 0.
 	startedAt time.Time
@@ -87,11 +89,11 @@
 	return t
 }
 
-// Target returns the target with this ID, or nil.
+// Target returns the latest life of the target with this ID, or nil.
 func (f *Fleet) Target(id string) *LeasedTarget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, t := range f.targets {
+	for _, t := range slices.Backward(f.targets) {
 		if t.id == id {
 			return t
 		}
@@ -107,27 +109,6 @@
 	t.startsForbidden = true
 }
 
-// Crash ends the target's life and its runs without a report. The other
-// members of its gangs end with EndGangBroken.
-func (t *LeasedTarget) Crash() {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.fleet.advance()
-	for _, r := range t.running {
-		if !r.definition.Step.Gang || r.workingSince.IsZero() {
-			continue
-		}
-		for _, m := range t.fleet.members(r) {
-			if m.target != t {
-				m.target.endRun(m, sesamework.EndGangBroken, t.fleet.o.Clock.Now())
-			}
-		}
-	}
-	t.crashed = true
-	t.running = nil
-	t.ended = nil
-}
-
 // SetUnreachable makes later calls to the target hang without effect, or ends
 // that.
 func (t *LeasedTarget) SetUnreachable(unreachable bool) {
@@ -253,7 +234,7 @@
 func (t *LeasedTarget) start(o sesamerunner.Order) error {
 	now := t.fleet.o.Clock.Now()
 	if t.crashed {
-		return &sesamerunner.OtherLifeError{}
+		return t.crashError()
 	}
 	if o.AgentEpoch < t.agentEpoch {
 		return t.refusedError(sesamerunner.RefusedSuperseded)
@@ -314,7 +295,7 @@
 // that they start later. The caller holds the lock.
 func (t *LeasedTarget) stop(o sesamerunner.Order) error {
 	if t.crashed {
-		return &sesamerunner.OtherLifeError{}
+		return t.crashError()
 	}
 	if o.AgentEpoch < t.agentEpoch {
 		return t.refusedError(sesamerunner.RefusedSuperseded)
@@ -363,7 +344,7 @@
 	f.advance()
 	now := f.o.Clock.Now()
 	if t.crashed {
-		return sesamerunner.Listing{}, &sesamerunner.OtherLifeError{}
+		return sesamerunner.Listing{}, t.crashError()
 	}
 	if q.AgentEpoch < t.agentEpoch {
 		return sesamerunner.Listing{}, t.refusedError(sesamerunner.RefusedSuperseded)
