--- a/sesamedispatch/plain_test.go
+++ b/sesamedispatch/plain_test.go
@@ -75,6 +75,18 @@
 	return all
 }
 
+// suspectJobs makes suspects of the units of each job whose number, which its ID
+// holds, has a 0 in the list.
+func (v *View) suspectJobs(list []int) {
+	for _, u := range v.units {
+		for i, drawn := range list {
+			if drawn == 0 && u.id.Job == fmt.Sprintf("job%02d", i) {
+				u.suspicion.suspect = true
+			}
+		}
+	}
+}
+
 // TestSameAsPlain checks that what only makes decisions faster does not change
 // them, over some decisions in a row.
 func TestSameAsPlain(t *testing.T) {
@@ -84,6 +96,7 @@
 			Steady: time.Hour,
 			Store:  time.Hour,
 		}
+		suspects := rapid.SliceOfN(rapid.IntRange(0, 3), 20, 20).Draw(t, "suspects")
 		var views []*View
 		for _, plain := range []bool{false, true} {
 			v := NewView(sesamelog.Discard())
@@ -95,6 +108,7 @@
 				}},
 			})
 			v.Load(rows, nil, nil, now)
+			v.suspectJobs(suspects)
 			views = append(views, v)
 		}
 		for range 4 {
