Count crashes for each task of a gang

Crashes are now counted for each task. Two suffice only if the last one came within a second of the run's order with only its job on the target; three with only its job there, four in any case. A run that has been there for longer is counted but no suspect, so such crashes no longer make suspects of all their neighbours.

TestInnocentGangOnCrashingTargets failed before ("failed != completed").

--- a/sesamedispatch/deadly_test.go
+++ b/sesamedispatch/deadly_test.go
@@ -21,20 +21,26 @@
 func (w *world) restartTarget(t *sesamestandin.LeasedTarget) {
 	w.group.Go(func() error {
 		for _, n := range w.nodes {
-			if n.currentTarget() != t {
-				continue
+			if n.currentTarget() == t {
+				n.replaceTarget()
+				return nil
 			}
-			n.setDown(true)
-			w.sleep(targetRestart)
-			n.startNewLife()
-			t.SetReplaced()
-			n.setDown(false)
-			return nil
 		}
 		return nil
 	})
 }
 
+// replaceTarget starts another life of the node's target, which has crashed,
+// after targetRestart.
+func (n *nodeProcess) replaceTarget() {
+	crashed := n.currentTarget()
+	n.setDown(true)
+	n.w.sleep(targetRestart)
+	n.startNewLife()
+	crashed.SetReplaced()
+	n.setDown(false)
+}
+
 // setDown takes the node's target from the inventory and ends its reports, or
 // undoes that.
 func (n *nodeProcess) setDown(down bool) {
@@ -239,3 +245,26 @@
 		})
 	}
 }
+
+// TestInnocentGangOnCrashingTargets crashes the target of one member of a gang
+// after the other for reasons of their own: the crashes are not those of one
+// task, and the gang must not be given up.
+func TestInnocentGangOnCrashingTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 4)
+		w.sleep(3 * time.Second)
+		w.submit(newClientJob("innocent", sesamework.Step{
+			Count:    4,
+			Need:     accelerators(8),
+			Estimate: 9000,
+			Gang:     true,
+		}, 9*time.Second), "normal", "key-a", 0)
+		for _, n := range w.nodes {
+			w.sleep(6 * time.Second)
+			n.currentTarget().CrashProcess()
+			n.replaceTarget()
+		}
+		assertPromisesKept(t, w, time.Minute)
+		is.New(t).Equal(w.state("innocent"), sesamework.JobCompleted)
+	})
+}
--- a/sesamedispatch/suspect.go
+++ b/sesamedispatch/suspect.go
@@ -1,6 +1,7 @@
 package sesamedispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
@@ -8,16 +9,18 @@
 )
 
 const (
-	// blameWindow is how recently a run must have been ordered for a crash of its
-	// target to be blamed on it. If no run there is that recent, all are blamed.
-	blameWindow = 2 * time.Second
+	// blameWindow is how recently before a crash of its target a run must have
+	// been ordered to be blamed for it.
+	blameWindow = time.Second
 	// isolationTime is how long a suspect's run has its targets to itself.
 	isolationTime = 3 * time.Second
-	// crashesToGiveUp is how many targets must crash under a unit, the last one
-	// while only the unit's job was there, before the job fails. With maxCrashes
-	// it fails in any case.
-	crashesToGiveUp = 2
-	maxCrashes      = 4
+	// minCrashes is how many targets must crash under a task before its job
+	// fails: with that many if the last crash was blamed on it and only its job
+	// was there, with crashesAlone if only its job was there, and with maxCrashes
+	// in any case.
+	minCrashes   = 2
+	crashesAlone = 3
+	maxCrashes   = 4
 	// targetsPerIsolated bounds the targets that suspects have to themselves: one
 	// for each targetsPerIsolated of the service, and at least one.
 	targetsPerIsolated = 4
@@ -25,27 +28,33 @@
 
 // suspicion is what is known of crashes of targets under a unit's runs.
 type suspicion struct {
-	// crashes counts the runs in which a target crashed.
-	crashes int
-	// suspect says that the unit may have caused one of them, so that its next
-	// run shares no target with other jobs.
+	// crashes counts the targets that crashed under each task, by its index in
+	// the step. The map is shared with the run's row and never changed.
+	crashes map[int]int
+	// suspect says that the unit may have caused a crash, so that its next run
+	// shares no target with other jobs.
 	suspect bool
-	// blamed and alone are about the newest run: it is blamed for a crash, and
-	// only its job was on a target that crashed.
+	// givenUp says that with the newest run so many targets have crashed that the
+	// unit must not be started again.
+	givenUp bool
+}
+
+// evidence is what a crash of a member's target tells about the member.
+type evidence struct {
+	// blamed says that its run was ordered just before the crash, and alone that
+	// only its job was on the target.
 	blamed bool
 	alone  bool
 }
 
-// isGivenUp reports whether enough targets have crashed under the unit that it
-// must not be started again.
+// isGivenUp reports whether too many targets have crashed under the unit.
 func (u *unit) isGivenUp() bool {
-	s := u.suspicion
-	return !u.done && (s.crashes >= maxCrashes || s.crashes >= crashesToGiveUp && s.alone)
+	return !u.done && u.suspicion.givenUp
 }
 
 // endOfLost returns the end of a member whose target t is gone or has begun
-// another life, and takes the target's crash, if it ended so, as evidence about
-// the unit. t is nil for an unknown target.
+// another life. If the target crashed with the member on it, it keeps the
+// evidence in the unit. t is nil for an unknown target.
 func (v *View) endOfLost(t *target, u *unit, m member) sesamework.End {
 	e := sesamework.End{
 		Outcome:    sesamework.EndLost,
@@ -55,21 +64,21 @@
 		return e
 	}
 	task := u.id.Task(m.Index).String()
-	exposed, recent, anyRecent, alone := false, false, false, true
+	found := evidence{
+		alone: true,
+	}
 	for _, r := range t.Crash.Runs {
-		isRecent := r.Ran >= 0 && r.Ran < blameWindow.Milliseconds()
-		anyRecent = anyRecent || isRecent
 		other, err := sesamework.ParseTask(r.Task)
-		alone = alone && err == nil && other.Job == u.id.Job
+		found.alone = found.alone && err == nil && other.Job == u.id.Job
 		if r.Task == task && r.Run == u.run.Number {
-			exposed = true
-			recent = isRecent
+			e.Outcome = sesamework.EndCrashed
+			found.blamed = r.Ran >= 0 && r.Ran < blameWindow.Milliseconds()
 		}
 	}
-	if exposed {
-		e.Outcome = sesamework.EndCrashed
-		u.suspicion.blamed = u.suspicion.blamed || recent || !anyRecent
-		u.suspicion.alone = u.suspicion.alone || alone
+	for i := range u.members {
+		if u.members[i].Index == m.Index {
+			u.members[i].crash = found
+		}
 	}
 	return e
 }
@@ -77,17 +86,27 @@
 // updateSuspicion takes the end of the unit's newest run into account. A unit
 // that has run for isolationTime without a crash is no suspect.
 func (v *View) updateSuspicion(u *unit) {
+	s := &u.suspicion
+	crashes := maps.Clone(s.crashes)
 	crashed := false
 	for _, m := range u.members {
-		crashed = crashed || m.outcome == sesamework.EndCrashed
+		if m.outcome != sesamework.EndCrashed {
+			continue
+		}
+		if crashes == nil {
+			crashes = map[int]int{}
+		}
+		crashed = true
+		crashes[m.Index]++
+		n := crashes[m.Index]
+		s.suspect = s.suspect || m.crash.blamed || n >= minCrashes
+		s.givenUp = s.givenUp || m.crash.isProof(n)
 	}
-	s := &u.suspicion
 	if !crashed {
 		s.suspect = s.suspect && v.now.Steady-u.orderedAt < isolationTime
 		return
 	}
-	s.crashes++
-	s.suspect = s.suspect || s.blamed || s.crashes >= crashesToGiveUp
+	s.crashes = crashes
 	if u.job.isOver() {
 		return
 	}
@@ -95,13 +114,18 @@
 		"job":     u.id.Job,
 		"unit":    u.id.String(),
 		"run":     u.run.Number,
-		"crashes": s.crashes,
+		"crashes": crashes,
 		"suspect": s.suspect,
-		"alone":   s.alone,
-		"givenup": u.isGivenUp(),
+		"givenup": s.givenUp,
 	})
 }
 
+// isProof reports whether the evidence of a crash under a task, the nth one,
+// suffices to give the task up.
+func (e evidence) isProof(n int) bool {
+	return n >= maxCrashes || e.alone && (n >= crashesAlone || e.blamed && n >= minCrashes)
+}
+
 // isIsolated reports whether the unit's run, or its next one if it has none, must
 // not share targets with other jobs.
 func (v *View) isIsolated(u *unit) bool {
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -39,6 +39,8 @@
 	sesamework.Member
 	// outcome is empty until the member's end is known.
 	outcome sesamework.Outcome
+	// crash is the evidence of an EndCrashed.
+	crash evidence
 }
 
 // isActive reports whether a member of the newest run may still use its target.
--- a/sesamestandin/crash.go
+++ b/sesamestandin/crash.go
@@ -72,6 +72,15 @@
 	t.endLife(t.fleet.o.Clock.Now())
 }
 
+// CrashProcess does what Crash does, and lets no other life answer calls until
+// SetReplaced.
+func (t *LeasedTarget) CrashProcess() {
+	t.Crash()
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	t.notRunning = true
+}
+
 // endLife does what Crash does. The caller holds the lock.
 func (t *LeasedTarget) endLife(at time.Time) {
 	for _, r := range t.running {
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -31,10 +31,10 @@
 	// Avoid lists the targets on which the unit failed, by the names of their
 	// rows.
 	Avoid []string `json:"avoid,omitempty"`
-	// Crashes counts the earlier runs of the unit in which a target crashed, and
-	// Suspect says that the unit may have caused that.
-	Crashes int  `json:"crashes,omitempty"`
-	Suspect bool `json:"suspect,omitempty"`
+	// Crashes counts the targets that crashed under earlier runs of each task, by
+	// its index, and Suspect says that the unit may have caused that.
+	Crashes map[int]int `json:"crashes,omitempty"`
+	Suspect bool        `json:"suspect,omitempty"`
 	// OrderedAt is when the run was written to the store, on the store's clock
 	// in milliseconds.
 	OrderedAt int64 `json:"at"`
