--- a/sesamerunner/crash.go
+++ b/sesamerunner/crash.go
@@ -38,13 +38,13 @@
 
 // provesCrash reports whether the error of a renewal shows that the target's
 // process has ended while this agent was in touch with it. A target that starts
-// anew after a long silence may have been lost in another way. The caller holds
-// the lock.
+// anew after a long silence, or before it has answered this agent, may have been
+// lost in another way. The caller holds the lock.
 func (s *session) provesCrash(err error) bool {
 	if errors.HasType(err, (*NotRunningError)(nil)) {
 		return true
 	}
-	return errors.HasType(err, (*OtherLifeError)(nil)) && s.o.Clock.Steady()-s.answeredAt <= silenceToReport
+	return errors.HasType(err, (*OtherLifeError)(nil)) && s.targetClockAt > 0 && s.o.Clock.Steady()-s.answeredAt <= silenceToReport
 }
 
 // exposedRuns returns the runs that were on the target when renewals began to
