--- /dev/null
+++ b/sesamedispatch/ends.go
@@ -0,0 +1,149 @@
+package sesamedispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// setEnd ends the member that an end row names. It ignores, and logs, the end of
+// an earlier run, and one that differs from what the view holds already.
+func (v *View) setEnd(_ string, row sesamerows.Row) {
+	if row.Removed {
+		delete(v.ends, row.Key)
+		return
+	}
+	v.ends[row.Key] = true
+	task, number, ok := sesamework.ParseEndKey(row.Key)
+	var e sesamework.End
+	if !ok || !v.decode(row, row.Value, &e) {
+		return
+	}
+	u, ok := v.unitOf(task)
+	if !ok {
+		return
+	}
+	for _, m := range u.members {
+		if u.run.Number == number && m.Index == task.Index && m.Target == e.Target && m.Life == e.Life {
+			if m.outcome != e.Outcome && !m.accepts(e.Outcome) {
+				v.logIgnoredEnd(u, row, e, m.outcome)
+			}
+			v.endMember(u, m, e)
+			return
+		}
+	}
+	if !v.loading && number <= u.run.Number {
+		v.logIgnoredEnd(u, row, e, "")
+	}
+}
+
+// logIgnoredEnd logs an end row without effect: the member has the outcome known
+// already, or, if known is empty, belongs to a run that is not the newest.
+func (v *View) logIgnoredEnd(u *unit, row sesamerows.Row, e sesamework.End, known sesamework.Outcome) {
+	v.log.Emit(eventEndIgnored, sesamelog.Fields{
+		"job":     u.id.Job,
+		"row":     row.Key.Name,
+		"version": row.Version,
+		"how":     e.Outcome,
+		"target":  e.Target,
+		"life":    e.Life,
+		"known":   known,
+		"newest":  u.run.Number,
+	})
+}
+
+// endMember records how a member ended, for its unit and as evidence; see learn.
+// It does nothing when a recorded end of the member is known already.
+func (v *View) endMember(u *unit, m member, e sesamework.End) {
+	if !m.accepts(e.Outcome) {
+		return
+	}
+	over := u.endMember(m.Index, e)
+	v.log.Emit(eventEnded, sesamelog.Fields{
+		"job":    u.id.Job,
+		"task":   u.id.Task(m.Index).String(),
+		"run":    u.run.Number,
+		"how":    e.Outcome,
+		"reason": e.Reason,
+		"target": m.Target,
+		"after":  (v.now.Steady - u.orderedAt).Milliseconds(),
+		"over":   over,
+	})
+	v.learn(u, m, e, over)
+	if over {
+		v.updateSuspicion(u)
+	}
+	if over && e.Outcome == sesamework.EndFailed && len(u.avoid) > 1 {
+		v.clearFailedUnit(u)
+	}
+}
+
+// learn takes the end of a member as evidence about its target and, if the unit
+// is over with it, about the durations of its queue's tasks. While rows of
+// earlier times are loaded, only a duration that the end's row tells counts.
+func (v *View) learn(u *unit, m member, e sesamework.End, over bool) {
+	if t, ok := v.targets[m.Target]; ok && t.Life == m.Life && !v.loading {
+		t.recordEnd(u, e, v.now.Steady)
+	}
+	taken := v.now.Store - time.Duration(u.run.OrderedAt)*time.Millisecond
+	if v.loading {
+		taken = time.Duration(e.Taken) * time.Millisecond
+	}
+	if over && u.done && taken > 0 {
+		v.updateDurationModel(u, taken)
+	}
+}
+
+// clearFailedUnit removes the unit from the failedUnits of the targets on which
+// it failed. Once a unit has failed on several targets, its failures no longer
+// count against these.
+func (v *View) clearFailedUnit(u *unit) {
+	for _, name := range u.avoid {
+		if t, ok := v.targets[name]; ok {
+			delete(t.failedUnits, u.id)
+		}
+	}
+}
+
+// endLostMembers ends, as lost or crashed, the members whose target is gone or
+// has begun another life (one start of a target).
+func (v *View) endLostMembers() {
+	for _, u := range v.units {
+		for _, m := range u.members {
+			t, ok := v.targets[m.Target]
+			if m.outcome != "" || ok && t.Life == m.Life && t.State != sesamework.TargetGone {
+				continue
+			}
+			v.endMember(u, m, v.endOfLost(t, u, m))
+		}
+	}
+}
+
+// lossReason says from what the view concludes that the member is lost. t is its
+// target, nil for an unknown one.
+func lossReason(t *target, m member) string {
+	switch {
+	case t == nil:
+		return "target has no row"
+	case t.Life != m.Life:
+		return fmt.Sprintf("life %d of the target reports at version %d", t.Life, t.version)
+	}
+	return fmt.Sprintf("target is gone at version %d", t.version)
+}
+
+// lastCheckpoint returns the newest checkpoint of the unit's newest run that
+// the target reported for the task with that index, or "" if there is none. t
+// is nil for an unknown target.
+func (v *View) lastCheckpoint(t *target, u *unit, index int) string {
+	if t == nil {
+		return ""
+	}
+	p, ok := t.progress[u.id.Task(index).String()]
+	if !ok || p.Run != u.run.Number {
+		return ""
+	}
+	return p.Checkpoint
+}
--- a/sesamedispatch/suspect.go
+++ b/sesamedispatch/suspect.go
@@ -59,6 +59,7 @@
 	e := sesamework.End{
 		Outcome:    sesamework.EndLost,
 		Checkpoint: v.lastCheckpoint(t, u, m.Index),
+		Reason:     lossReason(t, m),
 	}
 	if t == nil || t.Crash == nil || t.Crash.Life != m.Life {
 		return e
@@ -84,10 +85,13 @@
 }
 
 // updateSuspicion takes the end of the unit's newest run into account. A unit
-// that has run for isolationTime without a crash is no suspect.
+// that has run for isolationTime without a crash is no suspect. A recorded end
+// that replaces a crash takes it back.
 func (v *View) updateSuspicion(u *unit) {
-	s := &u.suspicion
-	crashes := maps.Clone(s.crashes)
+	s := suspicion{
+		suspect: u.run.Suspect,
+	}
+	crashes := maps.Clone(u.run.Crashes)
 	crashed := false
 	for _, m := range u.members {
 		if m.outcome != sesamework.EndCrashed {
@@ -102,12 +106,10 @@
 		s.suspect = s.suspect || m.crash.blamed || n >= minCrashes
 		s.givenUp = s.givenUp || m.crash.isProof(n)
 	}
-	if !crashed {
-		s.suspect = s.suspect && v.now.Steady-u.orderedAt < isolationTime
-		return
-	}
+	s.suspect = s.suspect && (crashed || v.now.Steady-u.orderedAt < isolationTime)
 	s.crashes = crashes
-	if u.job.isOver() {
+	u.suspicion = s
+	if !crashed || u.job.isOver() {
 		return
 	}
 	v.log.Emit(eventCrashes, sesamelog.Fields{
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -171,16 +171,17 @@
 	return nil
 }
 
-// collectStart adds the write that orders a run, under the condition that the
-// job has no cancel row.
+// collectStart adds the write that orders a run, under the conditions that the
+// job has no cancel row, and that no end is recorded of the members of the run
+// before that count as lost.
 func (r *term) collectStart(s Start, batch *changeBatch) error {
 	rows, err := runRows(s.unit, s.run)
 	if err != nil {
 		return err
 	}
-	rows.Expects = []sesamerows.Expect{{
+	rows.Expects = append(s.unit.lossConditions(), sesamerows.Expect{
 		Key: sesamework.CancelKey(s.unit.id.Job),
-	}}
+	})
 	written := func() {
 		waited := r.o.Clock.Steady() - s.unit.readySince
 		s.unit.setRun(s.run, r.o.Clock.Steady())
@@ -242,9 +243,8 @@
 // commit writes one transaction under the fence, so only while this process is
 // the leader, and then updates the view and returns true. When another condition
 // doesn't hold, for instance because the job has just been cancelled, nothing is
-// written and commit returns false; the view is updated by the rows that the
-// conditions named, so that the next decision considers them. All other errors
-// end the term.
+// written and commit returns false; applyConflict updates the view, so that the
+// next decision considers the change. All other errors end the term.
 func (r *term) commit(ctx context.Context, c *change) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -254,8 +254,9 @@
 		r.o.Log.Emit(eventConflict, sesamelog.Fields{
 			"error": err,
 			"rows":  r.differingRows(c.Expects, conflict),
+			"view":  r.viewVersion,
 		})
-		r.view.Apply(conflict.Rows, r.now())
+		r.applyConflict(ctx, conflict.Rows)
 		return false, nil
 	}
 	if err != nil {
@@ -268,18 +269,6 @@
 	return true, nil
 }
 
-// differingRows returns the names of the rows that differ from the conditions of
-// a transaction that conflicted.
-func (r *term) differingRows(expects []sesamerows.Expect, conflict *sesamerows.ConflictError) []string {
-	var names []string
-	for _, e := range expects {
-		if row, _ := conflict.Row(e.Key); row.Version != e.Version {
-			names = append(names, e.Key.Name)
-		}
-	}
-	return names
-}
-
 const (
 	// maxGoneTargets is how many lost targets one transaction marks as gone.
 	maxGoneTargets = 16
