Run random faults beside tasks that crash their targets

TestModelDeadly draws the scenarios of TestModel and adds three jobs whose tasks crash their targets; these must fail, and the promises to callers hold.

--- a/sesamedispatch/deadly_test.go
+++ b/sesamedispatch/deadly_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/sesamestack/sesamestack/sesamestandin"
 	"github.com/sesamestack/sesamestack/sesamework"
@@ -268,3 +270,44 @@
 		is.New(t).Equal(w.state("innocent"), sesamework.JobCompleted)
 	})
 }
+
+// deadlyFaultKinds are the faults beside tasks that crash their targets: those
+// that start no target anew.
+var deadlyFaultKinds = []string{
+	"entry killed", "agent killed", "all killed", "store silent", "store refuses", "answers lost", "answers late",
+	"store slow", "history lost", "orders late", "policy changes", "entry cut", "agent cut",
+}
+
+// TestModelDeadly runs random scenarios as TestModel does, with three jobs in
+// them whose tasks crash their targets.
+func TestModelDeadly(t *testing.T) {
+	for seed := *modelFirstSeed; seed < *modelFirstSeed+*modelSeedCount; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := rapid.Custom(drawScenario(deadlyFaultKinds)).Example(seed)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, scenarioEntries, scenarioNodes)
+				for i := range 3 {
+					a := newDeadlyJob(fmt.Sprintf("deadly-%d", i), singles(1+seed%3), 10*time.Millisecond)
+					w.group.Go(func() error {
+						w.sleep(time.Duration(5+7*i) * time.Second)
+						w.submit(a, "normal", "key-b", i)
+						return nil
+					})
+				}
+				w.run(s)
+				assertPromisesKept(t, w, 4*time.Minute)
+				for id, a := range w.jobs {
+					if a.accepted && strings.HasPrefix(id, "deadly") {
+						is.Equal(w.state(id), sesamework.JobFailed)
+					}
+				}
+				if t.Failed() {
+					for _, f := range s.Faults {
+						t.Logf("%+v", f)
+					}
+				}
+			})
+		})
+	}
+}
