--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -84,20 +84,27 @@
 	return false
 }
 
-// rowKeys returns the keys of all rows of a job. The job's own row comes last,
-// so that a sweep that was interrupted is continued later.
+// finalJobRows is the number of a job's rows that are removed together, in the
+// last sweep of the job: its states and its own row. A job without a state counts
+// as queued.
+const finalJobRows = 3
+
+// rowKeys returns the keys of all rows of a job. Runs come before their ends,
+// since a run without an end is to be started. The last finalJobRows are the
+// job's states and its own row, so that a sweep that was interrupted is continued
+// later.
 func (v *View) rowKeys(j *job) []sesamerows.Key {
 	var keys []sesamerows.Key
-	for key := range v.ends {
-		if task, _, ok := sesamework.ParseEndKey(key); ok && task.Job == j.ID {
-			keys = append(keys, key)
-		}
-	}
 	j.eachUnit(func(u *unit) {
 		for _, zone := range u.run.Zones() {
 			keys = append(keys, sesamework.RunKey(u.id, zone))
 		}
 	})
+	for key := range v.ends {
+		if task, _, ok := sesamework.ParseEndKey(key); ok && task.Job == j.ID {
+			keys = append(keys, key)
+		}
+	}
 	return append(keys,
 		sesamework.CancelKey(j.ID),
 		sesamework.SpecKey(j.ID),
@@ -113,7 +120,7 @@
 	keys := r.view.rowKeys(j)
 	last := len(keys) <= maxSweepRows
 	if !last {
-		keys = keys[:maxSweepRows]
+		keys = keys[:min(maxSweepRows, len(keys)-finalJobRows)]
 	}
 	_, err := r.commit(ctx, &change{
 		Change: sesamerows.Change{
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -56,6 +56,11 @@
 	return outcome == sesamework.EndLost || outcome == sesamework.EndCrashed
 }
 
+// neverRan reports whether the member has not run and never will.
+func (m member) neverRan() bool {
+	return m.outcome == sesamework.EndNeverRan
+}
+
 // isActive reports whether a member of the newest run may still use its target.
 func (u *unit) isActive() bool {
 	return slices.ContainsFunc(u.members, func(m member) bool {
@@ -152,13 +157,14 @@
 // one for each task. now is on the store's clock.
 func (u *unit) nextRun(targets []*target, now time.Duration) sesamework.Run {
 	r := sesamework.Run{
-		Number:     u.run.Number + 1,
-		Checkpoint: u.checkpoint,
-		Failures:   u.failures,
-		Avoid:      slices.Clone(u.avoid),
-		Crashes:    u.suspicion.crashes,
-		Suspect:    u.suspicion.suspect,
-		OrderedAt:  now.Milliseconds(),
+		Number:      u.run.Number + 1,
+		Reservation: u.step.Reservation(),
+		Checkpoint:  u.checkpoint,
+		Failures:    u.failures,
+		Avoid:       slices.Clone(u.avoid),
+		Crashes:     u.suspicion.crashes,
+		Suspect:     u.suspicion.suspect,
+		OrderedAt:   now.Milliseconds(),
 	}
 	for i, index := range u.taskIndexes() {
 		t := targets[i]
--- a/sesamerunner/runner.go
+++ b/sesamerunner/runner.go
@@ -34,6 +34,8 @@
 	// MaxLease is the longest lease that targets accept; the runner grants none
 	// that is longer.
 	MaxLease time.Duration
+	// TargetReportInterval is how often a target reports to the runner.
+	TargetReportInterval time.Duration
 }
 
 // Runner serves the targets of one node, each in a session of its own.
@@ -152,7 +154,7 @@
 			Draining:     t.State == sesamework.TargetDraining,
 			MinRemaining: time.Duration(t.MinRemaining) * time.Millisecond,
 			Life:         t.Life,
-		}, t.Crash)
+		}, 0, t.Crash)
 	}
 }
 
@@ -181,16 +183,15 @@
 		s.finish("another life of the target reports")
 		crash = s.knownCrash()
 	}
-	r.add(report, crash)
+	r.add(report, r.o.Clock.Steady(), crash)
 	return true
 }
 
-// add begins a session with the target that sent the report, and passes it the
-// crash that an earlier session noted, if any. When maxNewSessions sessions wait
-// already, it only logs that, and the target's next report tries again. The
-// caller holds the lock.
-func (r *Runner) add(report Report, crash *sesamework.Crash) {
-	s := newSession(r, report, crash)
+// add begins a session with the target that sent the report; capacityAt and crash
+// are those of the session. When maxNewSessions sessions wait already, it only
+// logs that, and the target's next report tries again. The caller holds the lock.
+func (r *Runner) add(report Report, capacityAt time.Duration, crash *sesamework.Crash) {
+	s := newSession(r, report, capacityAt, crash)
 	select {
 	case r.newSessions <- s:
 		r.sessions[report.ID] = s
