--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -110,6 +110,9 @@
 	if k.orderInFlight || k.phase == phaseEnded || s.o.Clock.Steady() < k.retryAt {
 		return nil
 	}
+	if s.isOrderGivenUp(w) {
+		k.stopReason = cmp.Or(k.stopReason, givenUp)
+	}
 	if reason := cmp.Or(w.stopReason, k.stopReason); reason != "" {
 		return s.stopCall(w.task, key, k, reason)
 	}
@@ -203,7 +206,8 @@
 
 // sendStart sends the order to start the run. Without a lease to grant it
 // sends nothing and returns a *RefusedError; the same holds for the
-// *CapacityError of checkCapacity. Other errors are those of Executor.Start.
+// *CapacityError of checkCapacity. Other errors are those of Executor.Start and
+// checkEpoch.
 func (s *session) sendStart(ctx context.Context, w wantedRun, key runKey, specification string) error {
 	s.mu.Lock()
 	if err := s.checkCapacity(key); err != nil {
@@ -238,7 +242,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setTargetClock(clock)
-	return err
+	k.mayStart = k.mayStart || !wasNotCarriedOut(err)
+	return s.checkEpoch(err, order.AgentEpoch)
+}
+
+// wasNotCarriedOut reports whether the error of an order says that the target
+// did not and will not carry it out; see Executor.
+func wasNotCarriedOut(err error) bool {
+	return errors.HasType(err, (*RefusedError)(nil)) ||
+		errors.HasType(err, (*UnavailableError)(nil)) ||
+		errors.HasType(err, (*OtherLifeError)(nil))
 }
 
 // handleStartError logs a failed start and backs off. For a refusal it also does
@@ -282,16 +295,25 @@
 }
 
 // handleRefusal acts on the reason for which the target refused to start the
-// run: it waits for the answer to a later renewal, queues the run's end, ends the
-// session, or leaves the start to the next try. The caller holds the lock.
+// run: it waits for the answer to a later renewal, queues the run's end or has the
+// run stopped, ends the session, or leaves the start to the next try. The caller
+// holds the lock.
 func (s *session) handleRefusal(key runKey, reason Refusal) {
+	k := s.stateOf(key)
 	switch reason {
 	case RefusedStaleRun:
 		// The run's end is either listed by the target or recorded by an earlier
 		// agent; the answer to the next renewal shows which.
-		s.stateOf(key).stopRenewal = s.renewalsSent + 1
+		k.stopRenewal = s.renewalsSent + 1
 	case RefusedNoCapacity, RefusedInvalid:
-		s.queueNeverRan(key, "target refused: "+string(reason))
+		refused := "target refused: " + string(reason)
+		if !k.mayStart {
+			s.queueNeverRan(key, refused)
+			return
+		}
+		// An earlier order may still arrive, so only an explicit stop makes sure
+		// that the run never starts.
+		k.stopReason = refused
 	case RefusedSuperseded:
 		s.finishLocked(superseded)
 	case RefusedLeaseOver:
@@ -316,6 +338,7 @@
 	defer s.mu.Unlock()
 	k := s.stateOf(key)
 	k.orderInFlight = false
+	err = s.checkEpoch(err, order.AgentEpoch)
 	s.setTargetClock(clock)
 	event := eventStopped
 	if err == nil {
@@ -338,17 +361,6 @@
 	})
 }
 
-// superseded is the reason of sessions that end because another agent process
-// has taken over the target.
-const superseded = "a later agent serves the target"
-
-// isSupersededCall reports whether the target refused a call because an agent
-// with a higher epoch has called it.
-func isSupersededCall(err error) bool {
-	var refused *RefusedError
-	return errors.As(err, &refused) && refused.Reason == RefusedSuperseded
-}
-
 // specification returns what the job's tasks execute, from the cache or the
 // store. It returns a *NoSpecificationError when the store has none.
 func (s *session) specification(ctx context.Context, job string) (string, error) {
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -63,6 +63,7 @@
 	}
 	s.mu.Lock()
 	s.agentEpoch = earlier.AgentEpoch + 1
+	s.noteGivenUp(earlier, row.Version)
 	value, err := s.encodeRow()
 	s.mu.Unlock()
 	if err != nil {
@@ -79,6 +80,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmedAt = sent
+	s.isGivenUp = false
 	for _, key := range recorded {
 		s.stateOf(key).phase = phaseEnded
 	}
@@ -127,7 +129,11 @@
 		leaves = max(0, s.report.MinRemaining-(s.o.Clock.Steady()-s.reportedAt))
 	}
 	if s.endReason != "" {
-		state = sesamework.TargetGone
+		// The planner takes runs without an end for lost once the target is gone.
+		state = sesamework.TargetDraining
+		if len(s.pendingEnds) <= maxEndsPerReport {
+			state = sesamework.TargetGone
+		}
 	}
 	t := sesamework.Target{
 		ID:           s.id,
@@ -176,12 +182,12 @@
 			s.finish(superseded)
 			return
 		case errors.HasType(err, (*sesamerows.FenceLostError)(nil)):
-			// The planner has given up the target: nothing runs there any
-			// more.
 			s.storeFailed(err)
 			if s.isSilent() {
 				s.finish("planner gave up the silent target")
+				return
 			}
+			s.awaitLapse(ctx)
 			if !s.acquire(ctx) {
 				return
 			}
@@ -215,8 +221,8 @@
 }
 
 // writeReport writes one report with the ends that wait, in one fenced
-// transaction. When some of these ends turn out to be recorded already, it only
-// drops them and returns nil.
+// transaction. When some of these ends turn out to be recorded already, it drops
+// them and writes the report without them.
 func (s *session) writeReport(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -236,7 +242,7 @@
 	var conflict *sesamerows.ConflictError
 	if errors.As(err, &conflict) {
 		s.dropRecorded(conflict)
-		return nil
+		return s.writeReport(ctx)
 	}
 	if err != nil {
 		return err
@@ -297,13 +303,15 @@
 
 // confirm notes that the store confirmed the report sent at the time sent, on
 // the steady clock. ends are the ended runs in that report; they are recorded
-// now and need not be reported again.
+// now and need not be reported again, unless another end has replaced them.
 func (s *session) confirm(sent time.Duration, ends []pendingEnd) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmedAt = sent
 	for _, e := range ends {
-		delete(s.pendingEnds, e.row)
+		if s.pendingEnds[e.row].number == e.number {
+			delete(s.pendingEnds, e.row)
+		}
 		s.lastRecorded = max(s.lastRecorded, e.number)
 	}
 }
--- a/sesamerunner/stale_test.go
+++ b/sesamerunner/stale_test.go
@@ -43,16 +43,18 @@
 		Node:     "node",
 		Zone:     "zone",
 		Store:    sesamerows.NewMemory(clock),
-		Dial:     func(string, string) Executor { return target },
+		Dial:     func(string, string, int64) Executor { return target },
 		Clock:    clock,
 		Log:      sesamelog.Discard(),
 		Scope:    tally.NoopScope,
 		MaxLease: 5 * time.Second,
+
+		TargetReportInterval: time.Hour,
 	})
 	s := newSession(r, Report{
 		ID:   "a",
 		Life: 1,
-	}, 0, nil)
+	}, clock.Steady(), nil)
 	is.New(t).NoErr(s.acquireOnce(t.Context()))
 	s.specifications.Add("job", "specification")
 	s.setTargetClock(time.Hour)
@@ -165,7 +167,7 @@
 	earlier := newSession(later.Runner, Report{
 		ID:   later.id,
 		Life: later.life() - 1,
-	}, 0, nil)
+	}, later.o.Clock.Steady(), nil)
 	err := earlier.acquireOnce(t.Context())
 	t.Log("acquired the target:", err)
 	row, _, err := sesamerows.ReadRow(t.Context(), later.o.Store, later.key)
--- a/sesamestandin/fleet.go
+++ b/sesamestandin/fleet.go
@@ -30,6 +30,8 @@
 	// ShrinkGrace is how long after a target's capacity has shrunk starts may
 	// still use what the target offered before.
 	ShrinkGrace time.Duration
+	// MaxListed is how many ends a target lists at a time; 0 means all.
+	MaxListed int
 	// Crashed is called when a task has crashed its target, if it is not nil. It
 	// must not call the fleet.
 	Crashed func(*LeasedTarget)
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -36,11 +36,14 @@
 	// numbered by lastNumber.
 	ended      []sesamerunner.EndedRun
 	lastNumber int64
+	// acknowledged is the highest number that an agent has acknowledged. Ends up
+	// to it are not listed, even those of runs that end later.
+	acknowledged int64
 	// highestRun is the highest run of each task that ended or was stopped; a
 	// start of it or of an earlier one is refused.
 	highestRun map[string]int
-	// lastLapse is when runs were last killed by the end of the lease, and
-	// endTimes the time of each entry of ended.
+	// lastLapse is when the lease last lapsed, and endTimes the time of each entry
+	// of ended.
 	lastLapse time.Time
 	endTimes  map[int64]time.Time
 	// losesOrder reports whether the next order gets no answer (lost), and the
@@ -91,35 +94,6 @@
 	return t.lastNumber > 0
 }
 
-// ForbidStarts makes every later start a violation, as after the deadline of a
-// drain.
-func (t *LeasedTarget) ForbidStarts() {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.startsForbidden = true
-}
-
-// SetUnreachable makes later calls to the target hang without effect, or ends
-// that.
-func (t *LeasedTarget) SetUnreachable(unreachable bool) {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.unreachable = unreachable
-}
-
-// awaitReachable blocks a call to an unreachable target until its caller gives
-// up and returns a *NoAnswerError then.
-func (t *LeasedTarget) awaitReachable(ctx context.Context) error {
-	t.fleet.mu.Lock()
-	unreachable := t.unreachable
-	t.fleet.mu.Unlock()
-	if !unreachable {
-		return nil
-	}
-	<-ctx.Done()
-	return &NoAnswerError{}
-}
-
 // localClock converts a time to the target's own clock, which counts from its
 // start. The clock runs 2 percent slow, the most that the platform allows.
 func (t *LeasedTarget) localClock(at time.Time) time.Duration {
@@ -134,6 +108,9 @@
 // extendLease extends the lease to a time of the target's clock, at most by
 // MaxLease of that clock from now. It never shortens the lease.
 func (t *LeasedTarget) extendLease(until time.Duration, now time.Time) {
+	if !t.leaseEnd.IsZero() && now.After(t.leaseEnd) {
+		t.lastLapse = t.leaseEnd
+	}
 	left := min(until-t.localClock(now), t.fleet.o.MaxLease) * 100 / 98
 	if end := now.Add(left); until > 0 && end.After(t.leaseEnd) {
 		t.leaseEnd = end
@@ -167,6 +144,7 @@
 		Outcome:    outcome,
 		Checkpoint: checkpoint,
 	})
+	t.acknowledge(t.acknowledged)
 }
 
 // NoAnswerError is the cause of errors of calls that got no answer.
@@ -319,6 +297,10 @@
 		Life:  t.life,
 		Ended: slices.Clone(t.ended),
 	}
+	if most := f.o.MaxListed; most > 0 && len(l.Ended) > most {
+		l.Ended = l.Ended[:most]
+		l.More = true
+	}
 	for _, r := range t.running {
 		l.Running = append(l.Running, r.report(now))
 	}
@@ -328,6 +310,7 @@
 // acknowledge removes the ends up to this number, which the agent has
 // recorded. They are final, unless the lease has lapsed since the end.
 func (t *LeasedTarget) acknowledge(number int64) {
+	t.acknowledged = max(t.acknowledged, number)
 	t.ended = slices.DeleteFunc(t.ended, func(e sesamerunner.EndedRun) bool {
 		if e.Number > number {
 			return false
