--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -17,8 +17,10 @@
 	run sesamework.Run
 	// members are the tasks of that run.
 	members []member
-	// done says that a run succeeded, so that no other is needed.
-	done bool
+	// done says that a run succeeded, so that no other is needed. doneBefore says
+	// that it was one before the newest.
+	done       bool
+	doneBefore bool
 	// failures counts the runs that failed, the newest one included if
 	// failureCounted is set, and avoid names the targets on which they did.
 	failures       int
@@ -45,9 +47,12 @@
 }
 
 // accepts reports whether an end with that outcome changes what is known of the
-// member. A recorded end, which may become known later, replaces a concluded one.
+// member. EndLost and EndCrashed are only concluded from the target's row, and
+// EndNeverRan by an agent from what the target does not list: an end that the
+// target has listed, which may become known later, replaces them.
 func (m member) accepts(outcome sesamework.Outcome) bool {
-	return m.outcome == "" || isConcluded(m.outcome) && !isConcluded(outcome)
+	replaceable := isConcluded(m.outcome) || m.outcome == sesamework.EndNeverRan
+	return m.outcome == "" || replaceable && !isConcluded(outcome) && outcome != m.outcome
 }
 
 // isConcluded reports whether the outcome is not recorded by an agent but
