--- a/sesamedispatch/conflict.go
+++ b/sesamedispatch/conflict.go
@@ -100,7 +100,7 @@
 	var all []ranked
 	onTarget := map[string]int{}
 	for _, m := range u.members {
-		if m.outcome != sesamework.EndLost {
+		if !isConcluded(m.outcome) {
 			continue
 		}
 		all = append(all, ranked{
--- a/sesamedispatch/ends.go
+++ b/sesamedispatch/ends.go
@@ -105,6 +105,9 @@
 		"over":   over,
 	})
 	v.learn(u, m, e, over)
+	if over {
+		v.updateSuspicion(u)
+	}
 	if over && e.Outcome == sesamework.EndFailed && len(u.avoid) > 1 {
 		v.clearFailedUnit(u)
 	}
@@ -137,8 +140,8 @@
 	}
 }
 
-// endLostMembers ends, as lost, the members whose target is gone or has begun
-// another life (one start of a target).
+// endLostMembers ends, as lost or crashed, the members whose target is gone or
+// has begun another life (one start of a target).
 func (v *View) endLostMembers() {
 	for _, u := range v.units {
 		for _, m := range u.members {
@@ -146,11 +149,7 @@
 			if m.outcome != "" || ok && t.Life == m.Life && t.State != sesamework.TargetGone {
 				continue
 			}
-			v.endMember(u, m, sesamework.End{
-				Outcome:    sesamework.EndLost,
-				Checkpoint: v.lastCheckpoint(t, u, m.Index),
-				Reason:     lossReason(t, m),
-			})
+			v.endMember(u, m, v.endOfLost(t, u, m))
 		}
 	}
 }
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -28,6 +28,7 @@
 	eventEndIgnored     = sesamelog.Define(7116, sesamelog.Warn, "end of a run ignored")
 	eventNoEnds         = sesamelog.Define(7117, sesamelog.Warn, "ends can't be read, changed targets are left to the feed")
 	eventLateEnd        = sesamelog.Define(7118, sesamelog.Warn, "earlier run ended as done")
+	eventCrashes        = sesamelog.Define(7119, sesamelog.Warn, "target crashed under unit")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -37,6 +37,7 @@
 	readySince time.Duration
 	orderedAt  time.Duration
 	claim      claim
+	suspicion  suspicion
 }
 
 // member is one task of the unit's newest run, on its target.
@@ -44,15 +45,23 @@
 	sesamework.Member
 	// outcome is empty until the member's end is known.
 	outcome sesamework.Outcome
+	// crash is the evidence of an EndCrashed.
+	crash evidence
 }
 
 // accepts reports whether an end with that outcome changes what is known of the
-// member. EndLost is only concluded from the target's row, and EndNeverRan by an
-// agent from what the target does not list: an end that the target has listed,
-// which may become known later, replaces them.
+// member. EndLost and EndCrashed are only concluded from the target's row, and
+// EndNeverRan by an agent from what the target does not list: an end that the
+// target has listed, which may become known later, replaces them.
 func (m member) accepts(outcome sesamework.Outcome) bool {
-	concluded := m.outcome == sesamework.EndLost || m.outcome == sesamework.EndNeverRan
-	return m.outcome == "" || concluded && outcome != sesamework.EndLost && outcome != m.outcome
+	replaceable := isConcluded(m.outcome) || m.outcome == sesamework.EndNeverRan
+	return m.outcome == "" || replaceable && !isConcluded(outcome) && outcome != m.outcome
+}
+
+// isConcluded reports whether the outcome is not recorded by an agent but
+// concluded from the target's row.
+func isConcluded(outcome sesamework.Outcome) bool {
+	return outcome == sesamework.EndLost || outcome == sesamework.EndCrashed
 }
 
 // neverRan reports whether the member has not run and never will.
@@ -146,9 +155,10 @@
 }
 
 // hasFailed reports whether the unit has failed for good: it used up its
-// attempts. Long-running steps are restarted without a bound.
+// attempts, or too many targets have crashed under it. Long-running steps are
+// restarted without a bound on failures.
 func (u *unit) hasFailed() bool {
-	return !u.done && !u.step.LongRunning && u.failures >= u.job.Terms.Attempts
+	return u.isGivenUp() || !u.done && !u.step.LongRunning && u.failures >= u.job.Terms.Attempts
 }
 
 // nextRun returns the run that follows the unit's newest one, on the targets,
@@ -160,6 +170,8 @@
 		Checkpoint:  u.checkpoint,
 		Failures:    u.failures,
 		Avoid:       slices.Clone(u.avoid),
+		Crashes:     u.suspicion.crashes,
+		Suspect:     u.suspicion.suspect,
 		OrderedAt:   now.Milliseconds(),
 	}
 	for i, index := range u.taskIndexes() {
@@ -192,6 +204,10 @@
 		u.avoid = slices.Clone(r.Avoid)
 		u.checkpoint = r.Checkpoint
 		u.claim = claim{}
+		u.suspicion = suspicion{
+			crashes: r.Crashes,
+			suspect: r.Suspect,
+		}
 	}
 	u.run = r
 }
--- a/sesamerunner/runner.go
+++ b/sesamerunner/runner.go
@@ -154,7 +154,7 @@
 			Draining:     t.State == sesamework.TargetDraining,
 			MinRemaining: time.Duration(t.MinRemaining) * time.Millisecond,
 			Life:         t.Life,
-		}, 0)
+		}, 0, t.Crash)
 	}
 }
 
@@ -178,18 +178,20 @@
 		s.update(report)
 		return true
 	}
+	var crash *sesamework.Crash
 	if ok {
 		s.finish("another life of the target reports")
+		crash = s.knownCrash()
 	}
-	r.add(report, r.o.Clock.Steady())
+	r.add(report, r.o.Clock.Steady(), crash)
 	return true
 }
 
-// add begins a session with the target that sent the report; capacityAt is that
-// of the session. When maxNewSessions sessions wait already, it only logs that, and the target's next
-// report tries again. The caller holds the lock.
-func (r *Runner) add(report Report, capacityAt time.Duration) {
-	s := newSession(r, report, capacityAt)
+// add begins a session with the target that sent the report; capacityAt and crash
+// are those of the session. When maxNewSessions sessions wait already, it only
+// logs that, and the target's next report tries again. The caller holds the lock.
+func (r *Runner) add(report Report, capacityAt time.Duration, crash *sesamework.Crash) {
+	s := newSession(r, report, capacityAt, crash)
 	select {
 	case r.newSessions <- s:
 		r.sessions[report.ID] = s
--- a/sesamerunner/stale_test.go
+++ b/sesamerunner/stale_test.go
@@ -54,7 +54,7 @@
 	s := newSession(r, Report{
 		ID:   "a",
 		Life: 1,
-	}, clock.Steady())
+	}, clock.Steady(), nil)
 	is.New(t).NoErr(s.acquireOnce(t.Context()))
 	s.specifications.Add("job", "specification")
 	s.setTargetClock(time.Hour)
@@ -167,7 +167,7 @@
 	earlier := newSession(later.Runner, Report{
 		ID:   later.id,
 		Life: later.life() - 1,
-	}, later.o.Clock.Steady())
+	}, later.o.Clock.Steady(), nil)
 	err := earlier.acquireOnce(t.Context())
 	t.Log("acquired the target:", err)
 	row, _, err := sesamerows.ReadRow(t.Context(), later.o.Store, later.key)
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -21,7 +21,9 @@
 	// startsForbidden makes every start a violation.
 	startsForbidden bool
 	// crashed targets run nothing; unreachable ones run on but answer no call.
+	// notRunning says that no other life answers calls to a crashed one.
 	crashed     bool
+	notRunning  bool
 	unreachable bool
 	// startedAt is the start of this life, at which its own clock is 0.
 	startedAt time.Time
@@ -72,11 +74,11 @@
 	return t
 }
 
-// Target returns the target with this ID, or nil.
+// Target returns the latest life of the target with this ID, or nil.
 func (f *Fleet) Target(id string) *LeasedTarget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, t := range f.targets {
+	for _, t := range slices.Backward(f.targets) {
 		if t.id == id {
 			return t
 		}
@@ -172,7 +174,7 @@
 func (t *LeasedTarget) start(o sesamerunner.Order) error {
 	now := t.fleet.o.Clock.Now()
 	if t.crashed {
-		return &sesamerunner.OtherLifeError{}
+		return t.crashError()
 	}
 	if o.AgentEpoch < t.agentEpoch {
 		return t.refusedError(sesamerunner.RefusedSuperseded)
@@ -233,7 +235,7 @@
 // that they start later. The caller holds the lock.
 func (t *LeasedTarget) stop(o sesamerunner.Order) error {
 	if t.crashed {
-		return &sesamerunner.OtherLifeError{}
+		return t.crashError()
 	}
 	if o.AgentEpoch < t.agentEpoch {
 		return t.refusedError(sesamerunner.RefusedSuperseded)
@@ -282,7 +284,7 @@
 	f.advance()
 	now := f.o.Clock.Now()
 	if t.crashed {
-		return sesamerunner.Listing{}, &sesamerunner.OtherLifeError{}
+		return sesamerunner.Listing{}, t.crashError()
 	}
 	if q.AgentEpoch < t.agentEpoch {
 		return sesamerunner.Listing{}, t.refusedError(sesamerunner.RefusedSuperseded)
--- a/sesamestandin/leasedfaults.go
+++ b/sesamestandin/leasedfaults.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/sesamestack/sesamestack/sesamework"
 )
 
 // SetLostOrders sets the function that chooses which later orders get no
@@ -35,21 +33,14 @@
 	t.startsForbidden = true
 }
 
-// Crash ends the target's life and its runs without a report. The other
-// members of its gangs end with EndGangBroken.
-func (t *LeasedTarget) Crash() {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.crash()
-}
-
 // Restart ends the target's life as Crash does and begins the given one under
 // the same ID. The new life knows nothing of the earlier one and does not reject
 // calls that were meant for it.
 func (t *LeasedTarget) Restart(life int64) {
 	t.fleet.mu.Lock()
 	defer t.fleet.mu.Unlock()
-	t.crash()
+	t.fleet.advance()
+	t.endLife(t.fleet.o.Clock.Now())
 	t.life = life
 	t.crashed = false
 	t.startedAt = t.fleet.o.Clock.Now()
@@ -62,24 +53,6 @@
 	t.endTimes = map[int64]time.Time{}
 }
 
-// crash does what Crash does. The caller holds the lock.
-func (t *LeasedTarget) crash() {
-	t.fleet.advance()
-	for _, r := range t.running {
-		if !r.definition.Step.Gang || r.workingSince.IsZero() {
-			continue
-		}
-		for _, m := range t.fleet.members(r) {
-			if m.target != t {
-				m.target.endRun(m, sesamework.EndGangBroken, t.fleet.o.Clock.Now())
-			}
-		}
-	}
-	t.crashed = true
-	t.running = nil
-	t.ended = nil
-}
-
 // SetUnreachable makes later calls to the target hang without effect, or ends
 // that.
 func (t *LeasedTarget) SetUnreachable(unreachable bool) {
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -49,6 +49,10 @@
 	// Avoid lists the targets on which the unit failed, by the names of their
 	// rows.
 	Avoid []string `json:"avoid,omitempty"`
+	// Crashes counts the targets that crashed under earlier runs of each task, by
+	// its index, and Suspect says that the unit may have caused that.
+	Crashes map[int]int `json:"crashes,omitempty"`
+	Suspect bool        `json:"suspect,omitempty"`
 	// OrderedAt is when the run was written to the store, on the store's clock
 	// in milliseconds.
 	OrderedAt int64 `json:"at"`
@@ -88,6 +92,8 @@
 	EndGangTimeout Outcome = "alone"
 	// EndLost means that the target ended, and the run with it.
 	EndLost Outcome = "lost"
+	// EndCrashed means that the target crashed, and the run ended with it.
+	EndCrashed Outcome = "crashed"
 	// EndNeverRan means that the run never started and never will.
 	EndNeverRan Outcome = "void"
 )
@@ -169,6 +175,9 @@
 	// SilentFor is how long the target has not answered its agent, in
 	// milliseconds; 0 while it answers. Running is as old as that.
 	SilentFor int64 `json:"silent,omitempty"`
+	// Crash tells of a crash of this life, or of an earlier one under the same
+	// ID whose runs the planner has not replaced; nil without one.
+	Crash *Crash `json:"crash,omitempty"`
 }
 
 // JobState is the state of a job as callers see it.
