--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -170,9 +170,10 @@
 	})
 }
 
-// readRuns reads the runs of all zones that ever had a target. The zones are
-// found by the parts of the work table: an agent writes its target's row and
-// the ends of its runs into a part of its zone.
+// readRuns reads the runs of all zones that have a target. The zones are found by
+// the parts of the work table: an agent writes its target's row and the ends of
+// its runs into a part of its zone. The row of a target stays while a run on it
+// matters (see expiredTarget), so that its zone is in the list.
 func (r *term) readRuns(ctx context.Context) ([]sesamerows.Row, error) {
 	parts, err := r.o.Store.Parts(ctx, sesamework.WorkTable)
 	if err != nil {
