--- a/sesamerows/follow.go
+++ b/sesamerows/follow.go
@@ -83,7 +83,8 @@
 // batch, the next batch is a snapshot. After an error, calling Next again
 // skips nothing; it then does not wait for a change, so that an answer soon shows
 // that the store is back. A *HistoryError says that the store discarded changes
-// while a snapshot was read.
+// while a snapshot was read, and a *StaleFeedError that the feed did not bring
+// them.
 func (f *Follower) Next(ctx context.Context) (Batch, error) {
 	if !f.started {
 		return f.readAll(ctx)
--- a/sesamerows/rows.go
+++ b/sesamerows/rows.go
@@ -119,9 +119,10 @@
 	Commit(ctx context.Context, t Transaction) (Version, error)
 	// Changes returns the rows of the table that changed after the version, in
 	// the order of the changes, with tombstones for removed rows. It waits up
-	// to the given time for the first change, and then returns an empty page:
-	// the table has not changed up to the time of the call. A page with rows
-	// has a later version than the given one, and holds all changes up to that.
+	// to the given time for the first change, and then returns an empty page. A
+	// page holds all changes up to its version, which is the store's newest one
+	// at the time of the answer or, if there are many changes, that of the last
+	// of them.
 	// A *HistoryError means that the changes since the version are no longer
 	// kept.
 	Changes(ctx context.Context, table string, after Version, wait time.Duration) (Page, error)
--- a/sesamerows/snapshot.go
+++ b/sesamerows/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 )
@@ -97,11 +98,14 @@
 				found.replayed++
 			}
 		}
-		version = page.Version
-		if len(page.Rows) == 0 {
-			// The table has not changed up to the time of this call.
-			version = max(version, found.newest)
+		if page.Version <= version {
+			return &StaleFeedError{
+				Table:   f.table,
+				Version: page.Version,
+				Read:    found.newest,
+			}
 		}
+		version = page.Version
 		found.now = max(found.now, page.Now)
 	}
 	found.rows = rows.list()
@@ -110,6 +114,20 @@
 	return nil
 }
 
+// StaleFeedError says that the feed of a table ended before a version that was
+// read from the table already.
+type StaleFeedError struct {
+	Table string
+	// Version is that of the feed, and Read the one that was read.
+	Version Version
+	Read    Version
+}
+
+// Error names the table and both versions.
+func (e *StaleFeedError) Error() string {
+	return fmt.Sprintf("the feed of table %q ends at version %d, before version %d that was read", e.Table, e.Version, e.Read)
+}
+
 // rowSet holds the latest change of each row, in the order in which the rows
 // became known. Tombstones are kept as such.
 type rowSet struct {
--- a/sesamerows/snapshot_test.go
+++ b/sesamerows/snapshot_test.go
@@ -429,3 +429,39 @@
 		is.Equal(calls["changes"], 2)
 	})
 }
+
+// staleStore is a store whose feed brings nothing while stale is set.
+type staleStore struct {
+	*busyStore
+	stale bool
+}
+
+// Changes returns an empty page of the version while stale is set.
+func (s *staleStore) Changes(ctx context.Context, table string, after sesamerows.Version, wait time.Duration) (sesamerows.Page, error) {
+	if s.stale {
+		return sesamerows.Page{
+			Version: after,
+		}, nil
+	}
+	return s.busyStore.Changes(ctx, table, after, wait)
+}
+
+// TestStaleFeed checks that a snapshot is not taken for complete while the feed
+// lags behind the reads.
+func TestStaleFeed(t *testing.T) {
+	is := is.New(t)
+	s := &staleStore{
+		busyStore: newBusyStore("a1"),
+		stale:     true,
+	}
+	s.before = once("read a", func() { s.set("b1") })
+	f := sesamerows.NewFollower(s, sesamerows.FollowOptions{
+		Table: busyTable,
+	})
+	_, err := f.Next(t.Context())
+	is.True(errors.HasType(err, (*sesamerows.StaleFeedError)(nil)))
+	s.stale = false
+	batch, err := f.Next(t.Context())
+	is.NoErr(err)
+	is.Equal(len(batch.Rows), 2)
+}
