--- a/sesamerows/snapshot.go
+++ b/sesamerows/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 )
@@ -11,9 +12,8 @@
 const snapshotAttempts = 2
 
 // readAll reads a snapshot of all parts, or of the part in FollowOptions. The
-// next changes are requested from the version up to which the feed was replayed,
-// so that a feed which lags behind the rows brings some of them again. A
-// *HistoryError says that the store discarded the changes during each attempt.
+// next changes are requested from the snapshot's version on. A *HistoryError
+// says that the store discarded the changes during each attempt.
 func (f *Follower) readAll(ctx context.Context) (Batch, error) {
 	var found scan
 	var err error
@@ -25,13 +25,13 @@
 	if err != nil {
 		return Batch{}, err
 	}
-	f.after = found.oldest
+	f.after = found.newest
 	f.started = true
 	return Batch{
 		Rows:     found.rows,
 		Snapshot: true,
 		Now:      found.now,
-		Version:  found.oldest,
+		Version:  found.newest,
 		Parts:    found.parts,
 		Replayed: found.replayed,
 	}, nil
@@ -83,8 +83,7 @@
 
 // replay applies the changes since the scan's oldest version, in their order and
 // at least up to its newest version: by then each row that the scan read too
-// early or too late has had its later changes. It ends before that when the feed
-// brings nothing. Afterwards the scan's oldest version is the one reached.
+// early or too late has had its later changes.
 func (f *Follower) replay(ctx context.Context, found *scan) error {
 	rows := newRowSet(found.rows)
 	version := found.oldest
@@ -99,17 +98,36 @@
 				found.replayed++
 			}
 		}
-		found.now = max(found.now, page.Now)
 		if page.Version <= version {
-			break // the feed lags
+			return &StaleFeedError{
+				Table:   f.table,
+				Version: page.Version,
+				Read:    found.newest,
+			}
 		}
 		version = page.Version
+		found.now = max(found.now, page.Now)
 	}
 	found.rows = rows.list()
 	found.oldest = version
+	found.newest = version
 	return nil
 }
 
+// StaleFeedError says that the feed of a table ended before a version that was
+// read from the table already.
+type StaleFeedError struct {
+	Table string
+	// Version is that of the feed, and Read the one that was read.
+	Version Version
+	Read    Version
+}
+
+// Error names the table and both versions.
+func (e *StaleFeedError) Error() string {
+	return fmt.Sprintf("the feed of table %q ends at version %d, before version %d that was read", e.Table, e.Version, e.Read)
+}
+
 // rowSet holds the latest change of each row, in the order in which the rows
 // became known. Tombstones are kept as such.
 type rowSet struct {
@@ -130,13 +148,10 @@
 	return s
 }
 
-// apply adds a row or replaces it as it was before. A change older than the row
-// has no effect.
+// apply adds a row or replaces it as it was before.
 func (s *rowSet) apply(row Row) {
 	if i, known := s.positions[row.Key]; known {
-		if row.Version >= s.rows[i].Version {
-			s.rows[i] = row
-		}
+		s.rows[i] = row
 		return
 	}
 	s.positions[row.Key] = len(s.rows)
