Don't repeat an unanswered start on a target that drains

The agent refused new runs on a draining target, but repeated orders that had got no answer before it began to drain. Such a run is now stopped, since its order may still arrive, and ends as never run once the target shows that it isn't there.

TestUnansweredOrderForDrainingTarget failed before: "drain: long.0.0.0 was started on node-0-life-1".

--- a/sesamedispatch/inventory_test.go
+++ b/sesamedispatch/inventory_test.go
@@ -118,3 +118,25 @@
 		is.New(t).Equal(w.fleet.Starts(), 1)
 	})
 }
+
+// TestUnansweredOrderForDrainingTarget leaves the orders for a target unanswered
+// until it drains. They must not be repeated then, and the task must run elsewhere.
+func TestUnansweredOrderForDrainingTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 2)
+		w.sleep(3 * time.Second)
+		w.nodes[0].currentTarget().SetLostOrders(func() (time.Duration, bool) {
+			return time.Hour, true
+		})
+		w.submit(jobOnTwoNodes(), "normal", "key-a", 0)
+		w.sleep(time.Second)
+		w.mu.Lock()
+		w.nodes[0].draining = true
+		w.mu.Unlock()
+		const drainBound = 2 * time.Second
+		w.sleep(reportInterval + drainBound)
+		w.nodes[0].currentTarget().ForbidStarts()
+		w.nodes[0].currentTarget().SetLostOrders(nil)
+		assertPromisesKept(t, w, time.Minute)
+	})
+}
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
-	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -104,7 +103,9 @@
 // nil if none is needed, while an earlier call is in flight, during back-off, and
 // while the answer to a lease renewal must come first. fresh says that the
 // planner's orders were confirmed recently enough to start the run; so must the
-// target's capacity be. The end of a new run on a draining target is queued instead. The caller holds the lock.
+// target's capacity be. On a draining target no run is started: the end of a new
+// run is queued, and one whose order got no answer is stopped, since it may still
+// arrive. The caller holds the lock.
 func (s *session) callFor(w wantedRun, key runKey, fresh bool) func(context.Context) {
 	k := s.stateOf(key)
 	if k.orderInFlight || k.phase == phaseEnded || s.o.Clock.Steady() < k.retryAt {
@@ -123,9 +124,8 @@
 		// has ended.
 		return nil
 	}
-	if s.report.Draining && k.phase == phaseNew {
-		s.queueNeverRan(key, "target is leaving")
-		return nil
+	if s.report.Draining {
+		return s.callOnDraining(w, key, k)
 	}
 	k.orderInFlight = true
 	return func(ctx context.Context) {
@@ -133,6 +133,20 @@
 	}
 }
 
+// targetLeaves is why runs don't start on a draining target.
+const targetLeaves = "target is leaving"
+
+// callOnDraining returns the call that a wanted run needs on a draining target
+// which does not list it, or nil. The caller holds the lock.
+func (s *session) callOnDraining(w wantedRun, key runKey, k *runState) func(context.Context) {
+	if k.phase == phaseNew {
+		s.queueNeverRan(key, targetLeaves)
+		return nil
+	}
+	k.stopReason = targetLeaves
+	return s.stopCall(w.task, key, k, targetLeaves)
+}
+
 // stopCall returns the call that stops a run. It returns nil during back-off,
 // and after an answered stop unless the target still lists the run as running
 // in answer to a renewal sent since then. The caller holds the lock.
@@ -360,34 +374,3 @@
 		"error":  err,
 	})
 }
-
-// specification returns what the job's tasks execute, from the cache or the
-// store. It returns a *NoSpecificationError when the store has none.
-func (s *session) specification(ctx context.Context, job string) (string, error) {
-	if text, ok := s.specifications.Get(job); ok {
-		return text, nil
-	}
-	row, _, err := sesamerows.ReadRow(ctx, s.o.Store, sesamework.SpecKey(job))
-	if err != nil {
-		return "", err
-	}
-	if row.Version == 0 {
-		return "", &NoSpecificationError{
-			Job: job,
-		}
-	}
-	text := string(row.Value)
-	s.specifications.Add(job, text)
-	return text, nil
-}
-
-// NoSpecificationError says that a job's specification is not in the store. Job
-// is the job's ID.
-type NoSpecificationError struct {
-	Job string
-}
-
-// Error names the job.
-func (e *NoSpecificationError) Error() string {
-	return "store has no specification of job " + e.Job
-}
