Leave runs to other targets when a target stops reporting its capacity

A job stayed running for good, without a run, on a target that answered its agent and sent it no reports: the agent starts nothing on an unknown capacity, and the planner went on ordering there.

--- a/sesamerunner/capacity.go
+++ b/sesamerunner/capacity.go
@@ -34,6 +34,20 @@
 	return s.capacityAt > 0 && s.o.Clock.Steady()-s.capacityAt <= s.o.TargetReportInterval+reportTolerance
 }
 
+// capacityTimeout is how long a run waits for its target to report a capacity
+// that is not known, before it is left to other targets.
+const capacityTimeout = 2 * time.Second
+
+// isCapacityOverdue reports whether the target's capacity has not been known for
+// capacityTimeout. The caller holds the lock.
+func (s *session) isCapacityOverdue() bool {
+	unknownSince := s.beganAt
+	if s.capacityAt > 0 {
+		unknownSince = s.capacityAt + s.o.TargetReportInterval + reportTolerance
+	}
+	return !s.isCapacityKnown() && s.o.Clock.Steady()-unknownSince > capacityTimeout
+}
+
 // checkCapacity returns a *CapacityError unless the run fits on the target beside
 // all that runs there or may still start. The caller holds the lock.
 func (s *session) checkCapacity(key runKey) error {
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -102,10 +102,9 @@
 // callFor returns the start or stop call that a wanted run needs now. It returns
 // nil if none is needed, while an earlier call is in flight, during back-off, and
 // while the answer to a lease renewal must come first. fresh says that the
-// planner's orders were confirmed recently enough to start the run; so must the
-// target's capacity be. On a draining target no run is started: the end of a new
-// run is queued, and one whose order got no answer is stopped, since it may still
-// arrive. The caller holds the lock.
+// planner's orders were confirmed recently enough to start the run. On a target
+// that drains, or has not reported its capacity for long, no run is started; see
+// leaveToOthers. The caller holds the lock.
 func (s *session) callFor(w wantedRun, key runKey, fresh bool) func(context.Context) {
 	k := s.stateOf(key)
 	if k.orderInFlight || k.phase == phaseEnded || s.o.Clock.Steady() < k.retryAt {
@@ -117,15 +116,20 @@
 	if reason := cmp.Or(w.stopReason, k.stopReason); reason != "" {
 		return s.stopCall(w.task, key, k, reason)
 	}
-	if !fresh || !s.isCapacityKnown() || k.stopRenewal > 0 || k.phase == phaseRunning || s.lastAnswered <= k.acceptRenewal {
-		// The view or the capacity is too old, the target has not answered a
-		// renewal yet, or the run was accepted, stopped or listed as running
-		// before: then the answer to a later renewal shows whether it runs or
-		// has ended.
+	if !fresh || k.stopRenewal > 0 || k.phase == phaseRunning || s.lastAnswered <= k.acceptRenewal {
+		// The view is too old, the target has not answered a renewal yet, or
+		// the run was accepted, stopped or listed as running before: then the
+		// answer to a later renewal shows whether it runs or has ended.
 		return nil
 	}
 	if s.report.Draining {
-		return s.callOnDraining(w, key, k)
+		return s.leaveToOthers(w, key, k, "target is leaving")
+	}
+	if s.isCapacityOverdue() {
+		return s.leaveToOthers(w, key, k, "target does not report its capacity")
+	}
+	if !s.isCapacityKnown() {
+		return nil
 	}
 	k.orderInFlight = true
 	return func(ctx context.Context) {
@@ -133,18 +137,16 @@
 	}
 }
 
-// targetLeaves is why runs don't start on a draining target.
-const targetLeaves = "target is leaving"
-
-// callOnDraining returns the call that a wanted run needs on a draining target
-// which does not list it, or nil. The caller holds the lock.
-func (s *session) callOnDraining(w wantedRun, key runKey, k *runState) func(context.Context) {
+// leaveToOthers ends a wanted run that the target does not list, so that the
+// planner places it again. It returns the call that stops a run whose order got no
+// answer, else nil. The caller holds the lock.
+func (s *session) leaveToOthers(w wantedRun, key runKey, k *runState, reason string) func(context.Context) {
 	if k.phase == phaseNew {
-		s.queueNeverRan(key, targetLeaves)
+		s.queueNeverRan(key, reason)
 		return nil
 	}
-	k.stopReason = targetLeaves
-	return s.stopCall(w.task, key, k, targetLeaves)
+	k.stopReason = reason
+	return s.stopCall(w.task, key, k, reason)
 }
 
 // stopCall returns the call that stops a run. It returns nil during back-off,
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -90,6 +90,8 @@
 	// came.
 	report     Report
 	reportedAt time.Duration
+	// beganAt is when the session began, on the steady clock.
+	beganAt time.Duration
 	// capacityAt is when the target last reported its capacity to this process, 0
 	// if it has not.
 	capacityAt time.Duration
@@ -170,6 +172,7 @@
 		over:       make(chan struct{}),
 		report:     report,
 		reportedAt: r.o.Clock.Steady(),
+		beganAt:    r.o.Clock.Steady(),
 		capacityAt: capacityAt,
 		answeredAt: r.o.Clock.Steady(),
 		// An earlier process may have extended the lease just now.
@@ -220,6 +223,7 @@
 	s.reportedAt = s.o.Clock.Steady()
 	s.capacityAt = s.reportedAt
 	if !wasKnown {
+		signal(s.wakeReport)
 		signal(s.wakeOrders)
 	}
 	if old.Capacity != r.Capacity {
