Give up runs on a target that no longer reports its capacity

Since an agent starts nothing without a recent report, a target that went on answering its agent but no longer reported was given work that never started: jobs stayed running for ever. Its row looked as if it took work, and the agent waited.

--- a/sesamedispatch/capacity_test.go
+++ b/sesamedispatch/capacity_test.go
@@ -293,3 +293,37 @@
 	}
 	return count
 }
+
+// TestTargetStopsReporting lets a target go on answering its agent but no longer
+// report its capacity, from the start of the agent or later. Work must run
+// elsewhere, and work that was ordered there must not wait for it.
+func TestTargetStopsReporting(t *testing.T) {
+	for name, restart := range map[string]bool{
+		"while its agent runs":        false,
+		"before its agent is started": true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1, 2)
+				w.sleep(3 * time.Second)
+				if restart {
+					w.nodes[0].stop()
+				}
+				w.submit(newClientJob("ordered", sesamework.Step{
+					Count:    2,
+					Need:     accelerators(8),
+					Estimate: 1000,
+				}, time.Second), "normal", "key-a", 0)
+				w.mu.Lock()
+				w.nodes[0].reportsNothing = true
+				w.mu.Unlock()
+				if restart {
+					w.nodes[0].start()
+				}
+				w.sleep(4 * time.Second)
+				w.submit(tasksOf("later", 4), "normal", "key-a", 0)
+				assertPromisesKept(t, w, 20*time.Second)
+			})
+		})
+	}
+}
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -143,6 +143,8 @@
 	74,  // after a failure, a gang that needs every target waited for ever
 	162, // the same
 	196, // the same
+	27,  // a target that answered its agent but no longer reported was given work for ever
+	48,  // the same
 }
 
 // capacityRegressions are those of TestModelCapacities: a new agent started runs
--- a/sesamerunner/capacity.go
+++ b/sesamerunner/capacity.go
@@ -34,6 +34,13 @@
 	return s.capacityAt > 0 && s.o.Clock.Steady()-s.capacityAt <= s.o.TargetReportInterval+reportTolerance
 }
 
+// isReportOverdue reports whether the target has sent no report for so long that
+// runs should not wait for the next one. The caller holds the lock.
+func (s *session) isReportOverdue() bool {
+	const missedReports = 2
+	return s.o.Clock.Steady()-s.reportedAt > missedReports*(s.o.TargetReportInterval+reportTolerance)
+}
+
 // checkCapacity returns a *CapacityError unless the run fits on the target beside
 // all that runs there or may still start. The caller holds the lock.
 func (s *session) checkCapacity(key runKey) error {
@@ -60,17 +67,23 @@
 	}
 }
 
-// handleCapacityError ends a run that does not fit on the target, so that the
+// handleCapacityError gives up a run that does not fit on the target, or leaves it
+// to the next try if it will once the target reports or other runs have ended. The
+// caller holds the lock.
+func (s *session) handleCapacityError(key runKey, err *CapacityError) {
+	if !err.Temporary {
+		s.giveUpStart(key, err.Error())
+	}
+}
+
+// giveUpStart ends a run that is not to be started here after all, so that the
 // planner places it again. An unanswered order for the run may still be carried
 // out, and then it has to be stopped. The caller holds the lock.
-func (s *session) handleCapacityError(key runKey, err *CapacityError) {
+func (s *session) giveUpStart(key runKey, reason string) {
 	k := s.stateOf(key)
-	switch {
-	case err.Temporary:
-		// The next try comes when the target reports or other runs have ended.
-	case k.phase == phaseNew:
-		s.queueNeverRan(key, err.Error())
-	default:
-		k.stopReason = err.Error()
+	if k.phase == phaseNew {
+		s.queueNeverRan(key, reason)
+		return
 	}
+	k.stopReason = reason
 }
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -113,17 +113,22 @@
 	if reason := cmp.Or(w.stopReason, k.stopReason); reason != "" {
 		return s.stopCall(w.task, key, k, reason)
 	}
-	if !fresh || !s.isCapacityKnown() || k.stopRenewal > 0 || k.phase == phaseRunning || s.lastAnswered <= k.acceptRenewal {
-		// The view or the capacity is too old, the target has not answered a
-		// renewal yet, or the run was accepted, stopped or listed as running
-		// before: then the answer to a later renewal shows whether it runs or
-		// has ended.
+	if !fresh || k.stopRenewal > 0 || k.phase == phaseRunning || s.lastAnswered <= k.acceptRenewal {
+		// The view is too old, the target has not answered a renewal yet, or
+		// the run was accepted, stopped or listed as running before: then the
+		// answer to a later renewal shows whether it runs or has ended.
 		return nil
 	}
 	if s.report.Draining && k.phase == phaseNew {
 		s.queueNeverRan(key, "target is leaving")
 		return nil
 	}
+	if !s.isCapacityKnown() {
+		if s.isReportOverdue() {
+			s.giveUpStart(key, "target does not report")
+		}
+		return nil
+	}
 	k.orderInFlight = true
 	return func(ctx context.Context) {
 		s.start(ctx, w, key)
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -203,6 +203,7 @@
 	s.reportedAt = s.o.Clock.Steady()
 	s.capacityAt = s.reportedAt
 	if !wasKnown {
+		signal(s.wakeReport)
 		signal(s.wakeOrders)
 	}
 	if old.Capacity != r.Capacity {
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -149,7 +149,8 @@
 	Heartbeat int64 `json:"beat"`
 	// Running are the tasks that run on the target.
 	Running []Progress `json:"run,omitempty"`
-	// Refusing says that the target has lately refused orders.
+	// Refusing says that the target has lately refused orders, or has not
+	// reported its capacity.
 	Refusing bool `json:"refusing,omitempty"`
 	// SilentFor is how long the target has not answered its agent, in
 	// milliseconds; 0 while it answers. Running is as old as that.
