Place work on targets of agents that have just started

The row of a target refused work from the start of its agent until the next report, so the planner passed over targets that were about to report. It does so now only once a report is overdue.

--- a/sesamerunner/capacity.go
+++ b/sesamerunner/capacity.go
@@ -34,11 +34,10 @@
 	return s.capacityAt > 0 && s.o.Clock.Steady()-s.capacityAt <= s.o.TargetReportInterval+reportTolerance
 }
 
-// isReportOverdue reports whether the target has sent no report for so long that
-// runs should not wait for the next one. The caller holds the lock.
-func (s *session) isReportOverdue() bool {
-	const missedReports = 2
-	return s.o.Clock.Steady()-s.reportedAt > missedReports*(s.o.TargetReportInterval+reportTolerance)
+// missedReports reports whether that many reports of the target are overdue since
+// the last one or since the session began. The caller holds the lock.
+func (s *session) missedReports(count int) bool {
+	return s.o.Clock.Steady()-s.reportedAt > time.Duration(count)*(s.o.TargetReportInterval+reportTolerance)
 }
 
 // checkCapacity returns a *CapacityError unless the run fits on the target beside
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -124,7 +124,7 @@
 		return nil
 	}
 	if !s.isCapacityKnown() {
-		if s.isReportOverdue() {
+		if s.missedReports(2) {
 			s.giveUpStart(key, "target does not report")
 		}
 		return nil
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -143,7 +143,7 @@
 		MinRemaining: leaves.Milliseconds(),
 		AgentEpoch:   s.agentEpoch,
 		Heartbeat:    s.heartbeat,
-		Refusing:     s.o.Clock.Steady() < s.refusingUntil || !s.isCapacityKnown(),
+		Refusing:     s.o.Clock.Steady() < s.refusingUntil || s.missedReports(1),
 		SilentFor:    s.silentFor().Milliseconds(),
 	}
 	for _, p := range s.running {
