--- a/sesamerunner/capacity.go
+++ b/sesamerunner/capacity.go
@@ -34,18 +34,10 @@
 	return s.capacityAt > 0 && s.o.Clock.Steady()-s.capacityAt <= s.o.TargetReportInterval+reportTolerance
 }
 
-// capacityTimeout is how long a run waits for its target to report a capacity
-// that is not known, before it is left to other targets.
-const capacityTimeout = 2 * time.Second
-
-// isCapacityOverdue reports whether the target's capacity has not been known for
-// capacityTimeout. The caller holds the lock.
-func (s *session) isCapacityOverdue() bool {
-	unknownSince := s.beganAt
-	if s.capacityAt > 0 {
-		unknownSince = s.capacityAt + s.o.TargetReportInterval + reportTolerance
-	}
-	return !s.isCapacityKnown() && s.o.Clock.Steady()-unknownSince > capacityTimeout
+// missedReports reports whether that many reports of the target are overdue since
+// the last one or since the session began. The caller holds the lock.
+func (s *session) missedReports(count int) bool {
+	return s.o.Clock.Steady()-s.reportedAt > time.Duration(count)*(s.o.TargetReportInterval+reportTolerance)
 }
 
 // checkCapacity returns a *CapacityError unless the run fits on the target beside
@@ -74,17 +66,23 @@
 	}
 }
 
-// handleCapacityError ends a run that does not fit on the target, so that the
+// handleCapacityError gives up a run that does not fit on the target, or leaves it
+// to the next try if it will once the target reports or other runs have ended. The
+// caller holds the lock.
+func (s *session) handleCapacityError(key runKey, err *CapacityError) {
+	if !err.Temporary {
+		s.giveUpStart(key, err.Error())
+	}
+}
+
+// giveUpStart ends a run that is not to be started here after all, so that the
 // planner places it again. An unanswered order for the run may still be carried
 // out, and then it has to be stopped. The caller holds the lock.
-func (s *session) handleCapacityError(key runKey, err *CapacityError) {
+func (s *session) giveUpStart(key runKey, reason string) {
 	k := s.stateOf(key)
-	switch {
-	case err.Temporary:
-		// The next try comes when the target reports or other runs have ended.
-	case k.phase == phaseNew:
-		s.queueNeverRan(key, err.Error())
-	default:
-		k.stopReason = err.Error()
+	if k.phase == phaseNew {
+		s.queueNeverRan(key, reason)
+		return
 	}
+	k.stopReason = reason
 }
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -104,7 +104,7 @@
 // while the answer to a lease renewal must come first. fresh says that the
 // planner's orders were confirmed recently enough to start the run. On a target
 // that drains, or has not reported its capacity for long, no run is started; see
-// leaveToOthers. The caller holds the lock.
+// giveUpStart. The caller holds the lock.
 func (s *session) callFor(w wantedRun, key runKey, fresh bool) func(context.Context) {
 	k := s.stateOf(key)
 	if k.orderInFlight || k.phase == phaseEnded || s.o.Clock.Steady() < k.retryAt {
@@ -123,12 +123,13 @@
 		return nil
 	}
 	if s.report.Draining {
-		return s.leaveToOthers(w, key, k, "target is leaving")
-	}
-	if s.isCapacityOverdue() {
-		return s.leaveToOthers(w, key, k, "target does not report its capacity")
+		s.giveUpStart(key, "target is leaving")
+		return nil
 	}
 	if !s.isCapacityKnown() {
+		if s.missedReports(2) {
+			s.giveUpStart(key, "target does not report")
+		}
 		return nil
 	}
 	k.orderInFlight = true
@@ -137,18 +138,6 @@
 	}
 }
 
-// leaveToOthers ends a wanted run that the target does not list, so that the
-// planner places it again. It returns the call that stops a run whose order got no
-// answer, else nil. The caller holds the lock.
-func (s *session) leaveToOthers(w wantedRun, key runKey, k *runState, reason string) func(context.Context) {
-	if k.phase == phaseNew {
-		s.queueNeverRan(key, reason)
-		return nil
-	}
-	k.stopReason = reason
-	return s.stopCall(w.task, key, k, reason)
-}
-
 // stopCall returns the call that stops a run. It returns nil during back-off,
 // and after an answered stop unless the target still lists the run as running
 // in answer to a renewal sent since then. The caller holds the lock.
