Give a task up at its third crash in any case

A task that crashes its targets late, beside others, could be started a third time after three had crashed: it was given up at the fourth crash, and runs between that were stopped, lost or never ran count as starts too.

Three crashes now suffice in any case, two as before if the last was blamed on the task and only its job was there. TestEvidence expects 3 where it expected 4, which is stricter. TestStartsAfterThreeCrashes failed before.

--- a/sesamedispatch/suspect.go
+++ b/sesamedispatch/suspect.go
@@ -15,12 +15,11 @@
 	// isolationTime is how long a suspect's run has its targets to itself.
 	isolationTime = 3 * time.Second
 	// minCrashes is how many targets must crash under a task before its job
-	// fails: with that many if the last crash was blamed on it and only its job
-	// was there, with crashesAlone if only its job was there, and with maxCrashes
-	// in any case.
-	minCrashes   = 2
-	crashesAlone = 3
-	maxCrashes   = 4
+	// fails, if the last crash was blamed on it and only its job was there. With
+	// maxCrashes the job fails in any case: the platform allows few starts after
+	// that many, and runs that end otherwise count too.
+	minCrashes = 2
+	maxCrashes = 3
 	// targetsPerIsolated bounds the targets that suspects have to themselves: one
 	// for each targetsPerIsolated of the service, and at least one.
 	targetsPerIsolated = 4
@@ -125,7 +124,7 @@
 // isProof reports whether the evidence of a crash under a task, the nth one,
 // suffices to give the task up.
 func (e evidence) isProof(n int) bool {
-	return n >= maxCrashes || e.alone && (n >= crashesAlone || e.blamed && n >= minCrashes)
+	return n >= maxCrashes || n >= minCrashes && e.alone && e.blamed
 }
 
 // isIsolated reports whether the unit's run, or its next one if it has none, must
--- a/sesamedispatch/suspect_test.go
+++ b/sesamedispatch/suspect_test.go
@@ -77,8 +77,8 @@
 	}{
 		{name: "alone and blamed", found: evidence{alone: true, blamed: true}, nth: 2},
 		{name: "alone", found: evidence{alone: true}, nth: 3},
-		{name: "blamed among others", found: evidence{blamed: true}, nth: 4},
-		{name: "among others", nth: 4},
+		{name: "blamed among others", found: evidence{blamed: true}, nth: 3},
+		{name: "among others", nth: 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
