Bound the time that a suspect waits for targets of its own

A job whose target crashed just after its start never ran again where each target had a small task that lasts: a suspect waited for an empty target without a bound, though nearly all room was free.

After 5 s a suspect is placed beside other jobs, as before. The number of crashes bounds what a deadly one can do there.

TestSuspectBesideLastingTasks failed before ("running != completed").

--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -101,7 +101,7 @@
 	p := v.newPass(d)
 	for _, c := range candidates {
 		for _, u := range c.units {
-			if u.suspicion.suspect {
+			if p.needsIsolation(u) {
 				p.placeSuspect(u)
 				continue
 			}
--- a/sesamedispatch/suspect.go
+++ b/sesamedispatch/suspect.go
@@ -14,6 +14,9 @@
 	blameWindow = time.Second
 	// isolationTime is how long a suspect's run has its targets to itself.
 	isolationTime = 3 * time.Second
+	// maxIsolationWait is how long a suspect waits for targets of its own. Then it
+	// runs beside other jobs: these may last, and maxCrashes bounds the harm.
+	maxIsolationWait = 5 * time.Second
 	// minCrashes is how many targets must crash under a task before its job
 	// fails, if the last crash was blamed on it and only its job was there. With
 	// maxCrashes the job fails in any case: the platform allows few starts after
@@ -133,6 +136,12 @@
 	return u.suspicion.suspect && (!u.isActive() || v.now.Steady-u.orderedAt < isolationTime)
 }
 
+// needsIsolation reports whether the unit, which has no run, waits for targets that
+// it shares with no other job.
+func (p *pass) needsIsolation(u *unit) bool {
+	return u.suspicion.suspect && p.view.now.Steady-u.readySince < maxIsolationWait
+}
+
 // occupancy tells whose tasks are on a target.
 type occupancy struct {
 	// tasks counts them. job is that of the first one, and several says that
@@ -174,7 +183,7 @@
 // what is there.
 func (p *pass) mayShare(u *unit, t *target) bool {
 	o := p.occupants[t.name]
-	suspect := u.suspicion.suspect
+	suspect := p.needsIsolation(u)
 	if suspect && len(p.reservations[t.name]) > 0 {
 		return false
 	}
