Reserve for a suspect only the room that it needs

Owed work of one team waited behind suspects of another that had not been placed: each reserved whole targets, and nothing is stopped for room that is reserved.

A suspect now reserves what its tasks need. Since its wait for an empty target is bounded, it doesn't need more. TestOwedWorkBesideWaitingSuspects failed before ("0 != 1").

--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -58,7 +58,7 @@
 	delete(p.reserved, name)
 	delete(p.reservedFrom, name)
 	for i, r := range p.reservations[name] {
-		p.reserved[name] = p.reserved[name].Plus(p.reservedRoom(r, name))
+		p.reserved[name] = p.reserved[name].Plus(r.unit.step.Reservation())
 		if i == 0 || r.from < p.reservedFrom[name] {
 			p.reservedFrom[name] = r.from
 		}
--- a/sesamedispatch/suspect.go
+++ b/sesamedispatch/suspect.go
@@ -228,12 +228,3 @@
 		p.reserve(u, targets, wait)
 	}
 }
-
-// reservedRoom returns the room that the reservation sets aside on the target: a
-// suspect needs all of it.
-func (p *pass) reservedRoom(r reservation, target string) sesamework.Resources {
-	if t, ok := p.view.targets[target]; ok && r.unit.suspicion.suspect {
-		return t.Capacity
-	}
-	return r.unit.step.Reservation()
-}
