--- a/sesamedispatch/suspect.go
+++ b/sesamedispatch/suspect.go
@@ -199,8 +199,14 @@
 // mayIsolateMore reports whether another target may be kept for suspects of the
 // unit's service.
 func (p *pass) mayIsolateMore(u *unit) bool {
-	targets := p.targetsByService[u.job.Terms.Service]
-	return len(p.isolated) < max(1, len(targets)/targetsPerIsolated)
+	service := u.job.Terms.Service
+	kept := 0
+	for _, name := range p.isolated {
+		if t, ok := p.view.targets[name]; ok && t.Service == service {
+			kept++
+		}
+	}
+	return kept < max(1, len(p.targetsByService[service])/targetsPerIsolated)
 }
 
 // hasIsolatedTarget reports whether a target is kept for the unit's job.
