Take only runs that may have started as being there at a crash

A run could be blamed for a crash of a target that it never reached: one that the target had refused, or one that was ordered when the target's process had ended already. Two such crashes gave its job up.

Only runs that the target has listed, or whose order may have been carried out, count; an order that finds no process was not. TestCrashAfterRefusedStart and TestStartOnCrashedTarget failed before.

--- a/sesamerunner/crash.go
+++ b/sesamerunner/crash.go
@@ -49,11 +49,12 @@
 
 // exposedRuns returns the runs that were on the target when renewals began to
 // fail, as far as the session knows: those that it has listed as running, and
-// those ordered until then. The caller holds the lock.
+// those ordered until then which the target has not refused. The caller holds the
+// lock.
 func (s *session) exposedRuns() []sesamework.CrashedRun {
 	var runs []sesamework.CrashedRun
 	for key, k := range s.runStates {
-		ordered := k.phase == phaseOrdered && k.startedAt <= s.brokenAt
+		ordered := k.phase == phaseOrdered && k.startedAt <= s.brokenAt && (k.mayStart || k.orderInFlight)
 		if !ordered && k.phase != phaseRunning {
 			continue
 		}
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -256,6 +256,7 @@
 func wasNotCarriedOut(err error) bool {
 	return errors.HasType(err, (*RefusedError)(nil)) ||
 		errors.HasType(err, (*UnavailableError)(nil)) ||
+		errors.HasType(err, (*NotRunningError)(nil)) ||
 		errors.HasType(err, (*OtherLifeError)(nil))
 }
 
