Publish a job as failed for crashes only while no end is recorded

A job could be shown as failed for the crashes of its targets although the end of its task as done was in the store: only starts had that absence as a condition.

The state now has the same conditions, and a job whose given-up unit turns out to be done is no longer taken for failed. TestGivenUpAfterUnseenEnd failed before ("failed != completed").

--- a/sesamedispatch/conflict.go
+++ b/sesamedispatch/conflict.go
@@ -118,3 +118,19 @@
 	}
 	return members
 }
+
+// stateConditions returns the lossConditions of the unit for whose crashes a job
+// is published as failed: an end of it may have been recorded all the same. Other
+// states have none.
+func (r *term) stateConditions(s State) []sesamerows.Expect {
+	var conditions []sesamerows.Expect
+	if s.state != sesamework.JobFailed {
+		return nil
+	}
+	s.job.eachUnit(func(u *unit) {
+		if u.isGivenUp() && conditions == nil {
+			conditions = u.lossConditions(r.view.ends)
+		}
+	})
+	return conditions
+}
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -101,7 +101,7 @@
 // stops the active runs of a job that was cancelled or has failed, but none of
 // a completed job.
 func (v *View) stopEnded(j *job, d *Decision) {
-	j.failed = j.failed || !j.cancelled && j.hasFailed()
+	j.failed = j.published == sesamework.JobFailed || !j.cancelled && j.hasFailed()
 	if !j.isOver() || j.published == sesamework.JobCompleted {
 		return
 	}
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -124,9 +124,9 @@
 }
 
 // collect adds the writes of the stops, starts and states of a decision to the
-// batch, and starts after a loss to restarts: their conditions are in other parts
-// of the store, and a refusal must not hold up the rest. Errors are those of
-// encoding the rows.
+// batch. Starts after a loss, and states that rest on one, go to restarts: their
+// conditions are in other parts of the store, and a refusal must not hold up the
+// rest. Errors are those of encoding the rows.
 func (r *term) collect(d Decision, batch, restarts *changeBatch) error {
 	for _, s := range d.Stops {
 		if err := r.collectStop(s, batch); err != nil {
@@ -143,7 +143,11 @@
 		}
 	}
 	for _, s := range d.States {
-		if err := r.collectState(s, batch); err != nil {
+		into := batch
+		if len(r.stateConditions(s)) > 0 {
+			into = restarts
+		}
+		if err := r.collectState(s, into); err != nil {
 			return err
 		}
 	}
@@ -210,7 +214,8 @@
 	return nil
 }
 
-// collectState adds the write that publishes a job's state.
+// collectState adds the write that publishes a job's state, under the conditions of
+// stateConditions.
 func (r *term) collectState(s State, batch *changeBatch) error {
 	value, err := json.Marshal(sesamework.JobStatus{
 		State:     s.state,
@@ -236,6 +241,7 @@
 	}
 	batch.add(change{
 		Change: sesamerows.Change{
+			Expects: r.stateConditions(s),
 			Writes: []sesamerows.Write{{
 				Key:   sesamework.StateKey(sesamework.PlanPart, s.job.ID),
 				Value: value,
