--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -298,9 +298,10 @@
 	return all, groupByRack(all)
 }
 
-// tasksThatFit returns how many more tasks of the unit fit on the target now,
-// at most taskCount; 0 if they may not share it with what is there. Reserved room counts as taken unless the unit is expected
-// to end before reservedFrom (backfill).
+// tasksThatFit returns how many more tasks of the unit fit on the target now, at
+// most taskCount; 0 if they may not share it with what is there. Reserved room
+// counts as taken unless the unit is expected to end before reservedFrom
+// (backfill).
 func (p *pass) tasksThatFit(u *unit, t *target) int {
 	if !p.mayShare(u, t) {
 		return 0
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -73,7 +73,8 @@
 }
 
 // renewDuring renews the leader's row each leaderRenewInterval until the context
-// reading ends, so that no other process takes over. Errors are those of commit, whose transactions are bounded by ctx.
+// reading ends, so that no other process takes over. Errors are those of commit,
+// whose transactions are bounded by ctx.
 func (r *term) renewDuring(ctx, reading context.Context) error {
 	for {
 		sesamerows.Sleep(reading, leaderRenewInterval)
@@ -259,18 +260,6 @@
 	return true
 }
 
-// SilentFeedError says that the feed has not answered for longer than
-// maxFeedSilence, though the store answers commits.
-type SilentFeedError struct {
-	// For is the time since the feed's last answer.
-	For time.Duration
-}
-
-// Error tells the duration of the silence.
-func (e *SilentFeedError) Error() string {
-	return "the feed has not answered for " + e.For.String()
-}
-
 // plan is the planning loop: it decides, writes, and waits for changes. It
 // returns the first error of decideAndWrite, wait or awaitFeed.
 func (r *term) plan(ctx context.Context, batches <-chan sesamerows.Batch) error {
@@ -289,38 +278,6 @@
 	}
 }
 
-// feedSilence returns for how long the feed has not answered.
-func (r *term) feedSilence() time.Duration {
-	return r.o.Clock.Steady() - r.feedAnsweredAt
-}
-
-// awaitFeed pauses planning while the feed has been silent for longer than
-// maxFeedSilence. It first commits, which takes as long as an outage of the store
-// lasts. When the feed does not answer within feedRecoveryTime after that, the
-// error is a *SilentFeedError; others are those of commit and apply.
-func (r *term) awaitFeed(ctx context.Context, batches <-chan sesamerows.Batch) error {
-	if r.feedSilence() <= maxFeedSilence {
-		return nil
-	}
-	if _, err := r.commit(ctx, &change{}); err != nil {
-		return err
-	}
-	recovery, cancel := context.WithTimeout(ctx, feedRecoveryTime)
-	defer cancel()
-	select {
-	case batch := <-batches:
-		_, err := r.applyAll(ctx, batch, batches)
-		return err
-	case <-recovery.Done():
-	}
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return &SilentFeedError{
-		For: r.feedSilence(),
-	}
-}
-
 // wait returns nil once a decision may change: after changed rows that matter,
 // an inventory, a newer policy, or a tick without any of these. It applies all
 // batches that have come by then: a view that lags behind leads to conflicts,
--- a/sesamerunner/capacity.go
+++ b/sesamerunner/capacity.go
@@ -19,7 +19,8 @@
 	// offers.
 	Used     sesamework.Resources
 	Capacity sesamework.Resources
-	// Temporary says that the run fits beside what the planner has ordered.
+	// Temporary says that the run may fit later: it fits beside what the planner
+	// has ordered, or the capacity is not known.
 	Temporary bool
 }
 
