Call the hook of a test store by one reader at a time

go test -race ./sesamedispatch -run TestViewLog reported a data race between reads in parallel that call the test's hook. Code outside of tests is not concerned.

--- a/sesamedispatch/torn_test.go
+++ b/sesamedispatch/torn_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
@@ -16,15 +17,20 @@
 // busyMemory is a store that others write to ahead of a planner's reads.
 type busyMemory struct {
 	*sesamerows.Memory
-	// beforeRead is called ahead of each read; it may be nil.
+	// beforeRead is called ahead of each read, by one reader at a time; it may be
+	// nil.
 	beforeRead func(r sesamerows.Range)
+
+	mu sync.Mutex
 }
 
 // Read calls beforeRead and then reads.
 func (m *busyMemory) Read(ctx context.Context, r sesamerows.Range) (sesamerows.Page, error) {
+	m.mu.Lock()
 	if m.beforeRead != nil {
 		m.beforeRead(r)
 	}
+	m.mu.Unlock()
 	return m.Memory.Read(ctx, r)
 }
 
