--- a/sesamerows/snapshot.go
+++ b/sesamerows/snapshot.go
@@ -13,7 +13,8 @@
 
 // readAll reads a snapshot of all parts, or of the part in FollowOptions. The
 // next changes are requested from the snapshot's version on. A *HistoryError
-// says that the store discarded the changes during each attempt.
+// says that the store discarded the changes during each attempt, a *StaleFeedError
+// that the feed lags behind the rows.
 func (f *Follower) readAll(ctx context.Context) (Batch, error) {
 	var found scan
 	var err error
@@ -47,9 +48,9 @@
 	return found, err
 }
 
-// scanTable reads the rows one range after the other. The list of parts has no
-// version, so that the scan's oldest version is that of a read before it: a part
-// that is not in the list and has rows has changed since.
+// scanTable reads the rows of all parts, or of the part in FollowOptions. The list
+// of parts has no version, so the scan's oldest version is that of a read before
+// the list: a part that is not in the list and has rows has changed since.
 func (f *Follower) scanTable(ctx context.Context) (scan, error) {
 	if f.onePart {
 		return scanRange(ctx, f.store, Range{
