Listen for calls before an agent sends its first heartbeat

A call to an agent that was ready could be refused: connection refused. Seen once, in TestAgentLosesKeeper beside four busy processes, in a package that had not changed.

Cause: Run started the listener and the heartbeats side by side, and a heartbeat's answer makes the agent ready. With 300 ms of sleep before listening, as a trial, the test failed 3 of 3 times with the same error.

The agent now listens before it starts any of its loops. With the same sleep the test passes 5 of 5 times. go test ./sesameagent passes.

--- a/sesameagent/agent.go
+++ b/sesameagent/agent.go
@@ -156,8 +156,13 @@
 	if err != nil {
 		return err
 	}
+	// Heartbeats make the agent ready for calls, so it listens before the first.
+	listener, err := a.listenWire(serving)
+	if err != nil {
+		return err
+	}
 	group.Go(func() error { return router.Run(serving) })
-	group.Go(func() error { return a.serveWire(serving) })
+	group.Go(func() error { return a.serveWire(serving, listener) })
 	group.Go(func() error { return a.serveHTTP(serving) })
 	group.Go(func() error { return a.heartbeatLoop(serving) })
 	group.Go(func() error { return a.pollLoop(serving) })
--- a/sesameagent/server.go
+++ b/sesameagent/server.go
@@ -23,13 +23,14 @@
 	maxInputBytes = 64 << 20
 )
 
-// serveWire serves the calls of entries and other agents until ctx ends.
-func (a *Agent) serveWire(ctx context.Context) error {
+// listenWire returns the listener for the calls of entries and other agents.
+func (a *Agent) listenWire(ctx context.Context) (net.Listener, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", a.settings.Wire)
-	if err != nil {
-		return err
-	}
+	return config.Listen(ctx, "tcp", a.settings.Wire)
+}
+
+// serveWire serves the calls of entries and other agents until ctx ends.
+func (a *Agent) serveWire(ctx context.Context, listener net.Listener) error {
 	server := sesamewire.NewServer(a.settings.Leases.Heartbeat)
 	if err := sesamewire.DRPCRegisterAgent(server.Mux(), &agentServer{
 		agent: a,
