--- /dev/null
+++ b/review/standin/kind.go
@@ -0,0 +1,3 @@
+package main
+
+func playKind(w *world, trouble bool) verdict { return nil }
