--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -69,10 +69,19 @@
 	ends     int64
 	highest  map[string]int
 	life     chan struct{}
+	// connections are those that agents have open to this life.
+	connections *connections
+}
+
+// silence makes the open connections to the executor silent for good.
+func (e *executor) silence() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.connections.silence()
 }
 
 func newExecutor(w *world, id, zone, control, rack string, capacity resources) *executor {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", freeAddress())
 	check(err)
 	e := &executor{
 		world:    w,
@@ -108,7 +117,9 @@
 	mux.HandleFunc("POST /hold", e.handle(e.hold))
 	e.server = &http.Server{Handler: mux}
 	server, life := e.server, e.life
-	go func() { _ = server.Serve(listener) }()
+	e.connections = newConnections()
+	wrapped := &silentListener{Listener: listener, connections: e.connections}
+	go func() { _ = server.Serve(wrapped) }()
 	go e.beat(life)
 	go e.tick(life)
 	e.world.log.add(e.id, "begins a life at %d with labels %s", e.born.UnixMilli(), strings.Join(e.labels, ","))
@@ -317,6 +328,8 @@
 				e.end(r, "lapsed")
 			case !r.stopAt.IsZero() && now.After(r.stopAt):
 				e.end(r, "stopped")
+			case e.world.hasFailed(r, now):
+				e.end(r, "failed")
 			case e.world.isDone(r, now):
 				e.end(r, "done")
 			case r.working.IsZero() && now.Sub(r.started) > gangTimeout:
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,7 +28,11 @@
 	"affinity": playAffinity,
 	"gang":     playGang,
 	"silent":   playSilent,
-	"kind":     playKind,
+	"lasting":  playLasting,
+	"starve":   playStarve,
+	// These two are no cases of the review; its report names them.
+	"reclaim":  playReclaim,
+	"estimate": playEstimate,
 }
 
 func main() {
@@ -63,26 +67,47 @@
 // worker is what each executor offers.
 var worker = resources{CPU: 128000, Memory: 512000, GPU: 8}
 
-// prepare starts a small deployment and waits until it serves a first job.
+// maxProbes is how many first jobs are tried until each executor has run a task.
+const maxProbes = 6
+
+// prepare starts a small deployment and waits until each executor has run a task.
 func prepare(w *world, entries, agents int, guaranteed map[string]int) {
 	w.configure(3, map[string][]string{"crews": {"key-crews"}, "buyers": {"key-buyers"}}, guaranteed)
 	w.begin(entries, agents, worker)
 	probe := job{Specification: "probe", Steps: []step{{Count: agents, CPU: 1000, Memory: 100, GPU: 8, Estimate: 200}}}
 	c := w.client(w.entries[0], "key-crews")
-	ready := await(15*time.Second, func() bool {
-		return c.state("late", "00000000000000aa")[:3] == "410"
-	})
-	if !ready {
-		check(fmt.Errorf("the first entry serves nothing"))
+	for i := 0; i < maxProbes && !w.eachStarted(); i++ {
+		id := fmt.Sprintf("%016x", 0xa0+i)
+		ready := await(15*time.Second, func() bool {
+			return c.state("late", id)[:3] == "410"
+		})
+		if !ready {
+			check(fmt.Errorf("the first entry serves nothing"))
+		}
+		time.Sleep(time.Second)
+		if _, ok := c.submit("late", id, probe); !ok {
+			check(fmt.Errorf("a first job was not accepted"))
+		}
+		done := await(20*time.Second, func() bool {
+			return c.state("late", id) == `200 {"state":"completed"}`
+		})
+		if !done {
+			check(fmt.Errorf("a first job did not end"))
+		}
 	}
-	if _, ok := c.submit("late", "00000000000000aa", probe); !ok {
-		check(fmt.Errorf("the first job was not accepted"))
+	if !w.eachStarted() {
+		check(fmt.Errorf("not every executor is in use"))
 	}
-	done := await(20*time.Second, func() bool {
-		return c.state("late", "00000000000000aa") == `200 {"state":"completed"}`
-	})
-	if !done {
-		check(fmt.Errorf("the first job did not end"))
+	w.log.add("case", "each executor has run a task")
+}
+
+// eachStarted reports whether each executor has started a task.
+func (w *world) eachStarted() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	used := map[string]bool{}
+	for _, e := range w.events {
+		used[e.executor] = true
 	}
-	w.log.add("case", "the first job is completed")
+	return len(used) == len(w.executors)
 }
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -27,7 +27,7 @@
 	time.Sleep(5 * time.Second)
 	silenced := time.Now()
 	if trouble {
-		w.log.add("store", "%d open connections go silent; new ones work", w.store.silence())
+		w.log.add("store", "%d open connections go silent; new ones work", w.store.connections.silence())
 	}
 	time.Sleep(300 * time.Millisecond)
 	w.configure(5, map[string][]string{"crews": {"key-new"}, "buyers": {"key-buyers"}}, map[string]int{"buyers": 8})
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -55,8 +55,7 @@
 	// refused counts the transactions answered with 400, by the reason.
 	refused map[string]int
 
-	// connections are the open ones; silenced ones deliver nothing further.
-	connections map[*silentConn]bool
+	connections *connections
 }
 
 func newStore(log *record) *store {
@@ -66,7 +65,7 @@
 		rows:        map[rowKey]row{},
 		changed:     make(chan struct{}),
 		refused:     map[string]int{},
-		connections: map[*silentConn]bool{},
+		connections: newConnections(),
 	}
 }
 
@@ -80,7 +79,7 @@
 	mux.HandleFunc("GET /rows-parts", s.parts)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	server := &http.Server{Handler: mux}
-	go func() { _ = server.Serve(&silentListener{Listener: listener, store: s}) }()
+	go func() { _ = server.Serve(&silentListener{Listener: listener, connections: s.connections}) }()
 	return listener.Addr().String()
 }
 
@@ -284,76 +283,3 @@
 		}
 	}
 }
-
-// silence makes all connections that are open now silent for good: what arrives on
-// them is not read, and nothing is sent, not even a reset. It returns their number.
-func (s *store) silence() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.connections {
-		c.silence()
-	}
-	return len(s.connections)
-}
-
-type silentListener struct {
-	net.Listener
-	store *store
-}
-
-func (l *silentListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	wrapped := &silentConn{Conn: c, store: l.store, silenced: make(chan struct{})}
-	l.store.mu.Lock()
-	l.store.connections[wrapped] = true
-	l.store.mu.Unlock()
-	return wrapped, nil
-}
-
-// silentConn is a connection that can go silent: from then on what the peer sends
-// is taken and dropped, and nothing is sent to it.
-type silentConn struct {
-	net.Conn
-	store    *store
-	once     sync.Once
-	silenced chan struct{}
-}
-
-func (c *silentConn) silence() {
-	c.once.Do(func() { close(c.silenced) })
-}
-
-func (c *silentConn) isSilent() bool {
-	select {
-	case <-c.silenced:
-		return true
-	default:
-		return false
-	}
-}
-
-func (c *silentConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if !c.isSilent() || err != nil {
-			return n, err
-		}
-	}
-}
-
-func (c *silentConn) Write(b []byte) (int, error) {
-	if c.isSilent() {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-func (c *silentConn) Close() error {
-	c.store.mu.Lock()
-	delete(c.store.connections, c)
-	c.store.mu.Unlock()
-	return c.Conn.Close()
-}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -29,6 +29,7 @@
 	Label        string `json:"node-selector,omitempty"`
 	AntiAffinity int    `json:"anti-affinity,omitempty"`
 	Checkpoints  bool   `json:"checkpointing,omitempty"`
+	LongRunning  bool   `json:"long-running,omitempty"`
 }
 
 type job struct {
@@ -58,8 +59,12 @@
 	entries   []*process
 	agents    []*process
 
-	mu     sync.Mutex
-	jobs   map[string]job
+	mu   sync.Mutex
+	jobs map[string]job
+	// actual holds how long tasks really take, by job; others take what they declare.
+	actual map[string]time.Duration
+	// fails holds the number of the run that fails, by task.
+	fails  map[string]int
 	events []event
 	// working counts the members of a gang's run that have begun, by unit and run.
 	present map[string]int
@@ -101,7 +106,7 @@
 	check(err)
 	w := &world{
 		log: log, folder: folder, service: "cosecha", store: newStore(log),
-		jobs: map[string]job{}, present: map[string]int{}, began: map[string]time.Time{},
+		jobs: map[string]job{}, actual: map[string]time.Duration{}, fails: map[string]int{}, present: map[string]int{}, began: map[string]time.Time{},
 	}
 	current = w
 	w.store.started = time.Now()
@@ -134,11 +139,23 @@
 	return listener.Addr().String()
 }
 
+// nextPort is the port that freeAddress tries next. The ports are below those that
+// the system gives to outgoing connections.
+var nextPort = 20000 + os.Getpid()*397%10000
+
+// freeAddress returns a loopback address on which nothing listens.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range 1000 {
+		nextPort = 20000 + (nextPort-20000+1)%10000
+		address := "127.0.0.1:" + strconv.Itoa(nextPort)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			check(listener.Close())
+			return address
+		}
+	}
+	check(fmt.Errorf("no free port was found"))
+	return ""
 }
 
 var zones = []string{"magdalena-a", "magdalena-b", "magdalena-c"}
@@ -328,6 +345,15 @@
 	return w.jobs[id].Steps[number]
 }
 
+// duration returns how long the task really takes. The caller holds the lock.
+func (w *world) duration(task string) time.Duration {
+	id, _, _ := taskParts(task)
+	if actual, ok := w.actual[id]; ok {
+		return actual
+	}
+	return time.Duration(w.stepOf(task).Estimate) * time.Millisecond
+}
+
 func gangKey(r *run) string {
 	return r.task[:strings.LastIndexByte(r.task, '.')] + "/" + strconv.Itoa(r.number)
 }
@@ -378,7 +404,7 @@
 	if s.Gang && r.working.IsZero() {
 		r.working = w.began[gangKey(r)]
 	}
-	return !r.working.IsZero() && now.Sub(r.working) > time.Duration(s.Estimate)*time.Millisecond
+	return !s.LongRunning && !r.working.IsZero() && now.Sub(r.working) > w.duration(r.task)
 }
 
 func (w *world) percent(r *run) int {
@@ -387,8 +413,10 @@
 	if r.working.IsZero() {
 		return 0
 	}
-	whole := time.Duration(w.stepOf(r.task).Estimate) * time.Millisecond
-	return int(min(99, 100*time.Since(r.working)/max(1, whole)))
+	if w.stepOf(r.task).LongRunning {
+		return 100
+	}
+	return int(min(99, 100*time.Since(r.working)/max(1, w.duration(r.task))))
 }
 
 // starts returns the starts of a job's tasks so far.
