--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,11 @@
 	"estimate": playEstimate,
 }
 
+func init() {
+	// Processes are killed with the thread that started them, which is that of main.
+	runtime.LockOSThread()
+}
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -215,7 +215,7 @@
 func (w *world) spawn(p *process) {
 	p.command = exec.Command("target/sesamestack", "hosted", p.role)
 	p.command.Env = append(os.Environ(), "SESAMESTACK_CONFIG="+p.settings)
-	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	logs, err := os.OpenFile(filepath.Join(logFolder(), p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	p.command.Stdout = logs
