--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,9 +31,10 @@
 	"silent":   playSilent,
 	"lasting":  playLasting,
 	"starve":   playStarve,
-	// These two are no cases of the review; its report names them.
+	// These three are no cases of the review; its report names them.
 	"reclaim":  playReclaim,
 	"estimate": playEstimate,
+	"deadly":   playDeadly,
 }
 
 func init() {
