Stores for tests hold the platform's bounds on bytes

The platform bounds a value to 65,536 bytes, a transaction to 1 MB and each name of a key to 200 bytes. The stores for tests held only the 100 entries of a transaction, so that no test could see a row that grows without a bound.

--- a/sesamedispatch/torn_test.go
+++ b/sesamedispatch/torn_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -93,7 +94,9 @@
 	for i := range sesamerows.MaxPageRows {
 		fillers = append(fillers, endRow(fmt.Sprintf("other%03d", i), 1, first, sesamework.EndDone))
 	}
-	f.commit(fillers...)
+	for some := range slices.Chunk(fillers, sesamerows.MaxEntries) {
+		f.commit(some...)
+	}
 	gone := first
 	gone.State = sesamework.TargetGone
 	store := &busyMemory{
--- a/sesamerows/memory.go
+++ b/sesamerows/memory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/base64"
 	"slices"
 	"sync"
 	"time"
@@ -10,8 +11,12 @@
 	"github.com/sesamestack/sesamestack/sesameclock"
 )
 
-// MaxPageRows is the most rows that Memory.Read returns in one page.
-const MaxPageRows = 500
+const (
+	// MaxPageRows is the most rows that Memory.Read returns in one page.
+	MaxPageRows = 500
+	// maxPageBytes bounds the values in such a page, in base64.
+	maxPageBytes = 1_000_000
+)
 
 // Memory is a Store that keeps its rows in memory, for tests and for the
 // emulated platform. It is safe for concurrent use.
@@ -57,13 +62,25 @@
 	slices.SortFunc(page.Rows, func(a, b Row) int {
 		return cmp.Compare(a.Key.Name, b.Key.Name)
 	})
-	if len(page.Rows) > MaxPageRows {
-		page.Rows = page.Rows[:MaxPageRows]
+	if n := rowsPerPage(page.Rows); n < len(page.Rows) {
+		page.Rows = page.Rows[:n]
 		page.More = true
 	}
 	return page, nil
 }
 
+// rowsPerPage returns how many of the rows fit into one page.
+func rowsPerPage(rows []Row) int {
+	bytes := 0
+	for i, row := range rows {
+		bytes += base64.StdEncoding.EncodedLen(len(row.Value))
+		if i == MaxPageRows || bytes > maxPageBytes {
+			return i
+		}
+	}
+	return len(rows)
+}
+
 // Parts returns the parts of a table that have rows; see Store.
 func (m *Memory) Parts(_ context.Context, table string) ([]string, error) {
 	m.mu.Lock()
@@ -78,8 +95,15 @@
 	return parts, nil
 }
 
-// Commit applies the transaction; see Store.
+// Commit applies the transaction, or refuses it with a *RejectedError if it exceeds
+// a limit of the platform; see Store.
 func (m *Memory) Commit(_ context.Context, t Transaction) (Version, error) {
+	if err := t.CheckLimits(); err != nil {
+		return 0, &RejectedError{
+			Operation: "commit",
+			Cause:     err,
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if conflict := m.checkConditions(t.Expects); conflict != nil {
--- a/sesamerows/rows.go
+++ b/sesamerows/rows.go
@@ -71,16 +71,6 @@
 	Removes []Key
 }
 
-// MaxEntries is the platform's limit for one transaction: the sum of its
-// conditions, writes and removals.
-const MaxEntries = 100
-
-// Entries returns the number of conditions, writes and removals, which
-// MaxEntries limits.
-func (t Transaction) Entries() int {
-	return len(t.Expects) + len(t.Writes) + len(t.Removes)
-}
-
 // Range selects the rows of one part whose names are at least From and less
 // than To. An empty To means no upper bound.
 type Range struct {
@@ -113,9 +103,10 @@
 	Parts(ctx context.Context, table string) ([]string, error)
 	// Commit applies the transaction and returns its version. Errors are a
 	// *ConflictError when a condition did not hold, an *UnavailableError when
-	// the transaction certainly had no effect, and an *UnknownError when it
-	// may have taken effect or may still do so later. An error of another
-	// type means that the store rejected the call as invalid.
+	// the transaction certainly had no effect, an *UnknownError when it may have
+	// taken effect or may still do so later, and a *RejectedError when the store
+	// refuses the transaction as such, which has no effect however often it is
+	// repeated.
 	Commit(ctx context.Context, t Transaction) (Version, error)
 	// Changes returns the rows of the table that changed after the version, in
 	// the order of the changes, with tombstones for removed rows. It waits up
@@ -170,6 +161,25 @@
 	return e.Cause
 }
 
+// RejectedError is returned for a transaction that the store refuses as such, for
+// example because it is too large. Unlike after an *UnavailableError, a repetition
+// would be refused as well.
+type RejectedError struct {
+	// Operation names the call, such as "commit".
+	Operation string
+	Cause     error
+}
+
+// Error names the operation and the cause.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("%s is refused by the store: %v", e.Operation, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RejectedError) Unwrap() error {
+	return e.Cause
+}
+
 // UnknownError is returned for a transaction that may have taken effect or may
 // still do so later. It does not unwrap to its cause: that may be the error of
 // one call among several, such as a refusal, which says nothing of the others.
