A write that the store refuses as such holds up nothing else

What callers saw: after one accepted gang of 1,024 tasks no task of any job was started any more, for as long as the gang was there; all waiting jobs stayed queued beside idle targets, and planning changed hands again and again.

Cause: a planner batches the writes of a decision into transactions. One that the store refuses as such (a 4xx other than 412 and 429) ended the term like an outage. The next planner read the same rows, took the same decision and met the same refusal.

TestRefusedStart and TestOtherRefusedWrites fail when commitParts passes the refusal on as before: the first decision ends the term.

Change: a transaction is a list of changes that are each of use alone. When the store refuses it as such, it is committed in halves until only the refused changes are left. Each of these is logged (7120) with its size, counted (rejected_writes) and left out for 5 s, doubling to a minute; a unit's claim ends, so that it holds no room meanwhile. This holds for starts, stops, states, targets that are gone and removed rows. That a job runs is now published in the transaction of a start of it, so that a job whose start is refused is not shown as running. The leader's own row still ends the term when it is refused.

Why this works: a refusal says something of a change, not of the store. The others no longer depend on it, whatever the reason of the refusal is.

--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -17,8 +17,10 @@
 	// version of its row as read last; see markGone.
 	Lost []*target
 
-	// stopping holds the units of Stops.
+	// stopping holds the units of Stops, and at is when the decision is taken, on the
+	// steady clock.
 	stopping map[*unit]bool
+	at       time.Duration
 }
 
 // Start orders a run (one start) of a unit.
@@ -62,6 +64,7 @@
 	v.now = now
 	d := Decision{
 		stopping: map[*unit]bool{},
+		at:       now.Steady,
 	}
 	v.addLostTargets(&d)
 	v.addDueOccurrences()
@@ -117,7 +120,7 @@
 // stop orders the unit's newest run to end, unless it has ended or has such an
 // order already.
 func (d *Decision) stop(u *unit, reason string) {
-	if !u.isActive() || u.run.StopReason != "" || d.stopping[u] {
+	if !u.isActive() || u.run.StopReason != "" || d.stopping[u] || u.rejections.isInForce(d.at) {
 		return
 	}
 	d.stopping[u] = true
@@ -198,7 +201,7 @@
 		if s == sesamework.JobQueued && starting[j] {
 			s = sesamework.JobRunning
 		}
-		if s != j.published {
+		if s != j.published && !j.rejections.isInForce(v.now.Steady) {
 			d.States = append(d.States, State{
 				job:   j,
 				state: s,
@@ -257,7 +260,9 @@
 			if u.readySince == 0 {
 				u.readySince = v.now.Steady
 			}
-			ready = append(ready, u)
+			if !u.rejections.isInForce(v.now.Steady) {
+				ready = append(ready, u)
+			}
 		}
 		if len(ready) > 0 {
 			all = append(all, candidate{
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -29,6 +29,7 @@
 	eventNoEnds         = sesamelog.Define(7117, sesamelog.Warn, "ends can't be read, changed targets are left to the feed")
 	eventLateEnd        = sesamelog.Define(7118, sesamelog.Warn, "earlier run ended as done")
 	eventCrashes        = sesamelog.Define(7119, sesamelog.Warn, "target crashed under unit")
+	eventRejected       = sesamelog.Define(7120, sesamelog.Error, "store refuses a write of the planner, which is left out for a while")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/feed.go
+++ b/sesamedispatch/feed.go
@@ -32,7 +32,7 @@
 	if r.feedSilence() <= maxFeedSilence {
 		return nil
 	}
-	if _, err := r.commit(ctx, &change{}); err != nil {
+	if _, err := r.commit(ctx, change{}); err != nil {
 		return err
 	}
 	recovery, cancel := context.WithTimeout(ctx, feedRecoveryTime)
--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -39,7 +39,8 @@
 // no active run, or nil.
 func (v *View) expiredJob() *job {
 	for _, j := range v.jobs {
-		if j.published.Ended() && v.now.Steady-j.endedAt > endedJobRetention && !j.isActive() {
+		if j.published.Ended() && v.now.Steady-j.endedAt > endedJobRetention &&
+			!j.rejections.isInForce(v.now.Steady) && !j.isActive() {
 			return j
 		}
 	}
@@ -61,7 +62,8 @@
 // that what ran there is lost.
 func (v *View) expiredTarget() *target {
 	for _, t := range v.targets {
-		if t.State == sesamework.TargetGone && v.now.Steady-t.reportedAt >= goneTargetRetention && !v.isReferenced(t) {
+		if t.State == sesamework.TargetGone && v.now.Steady-t.reportedAt >= goneTargetRetention &&
+			!t.rejections.isInForce(v.now.Steady) && !v.isReferenced(t) {
 			return t
 		}
 	}
@@ -122,10 +124,11 @@
 	if !last {
 		keys = keys[:min(maxSweepRows, len(keys)-finalJobRows)]
 	}
-	_, err := r.commit(ctx, &change{
-		Change: sesamerows.Change{
-			Removes: keys,
-		},
+	changed := sesamerows.Change{
+		Removes: keys,
+	}
+	_, err := r.commitParts(ctx, change{
+		Change: changed,
 		onCommit: []func(){func() {
 			r.view.dropRows(j, keys, last)
 			r.o.Log.Emit(eventSwept, sesamelog.Fields{
@@ -134,6 +137,10 @@
 				"last": last,
 			})
 		}},
+		onReject: []func(error){func(err error) {
+			j.rejections.add(r.o.Clock.Steady())
+			r.logRejected("sweep", j.ID, changed, err)
+		}},
 	})
 	return err
 }
@@ -170,20 +177,25 @@
 // sweepTarget removes the row of an expired target, unless the row has changed
 // since the view read it.
 func (r *term) sweepTarget(ctx context.Context, t *target) error {
-	_, err := r.commit(ctx, &change{
-		Change: sesamerows.Change{
-			Expects: []sesamerows.Expect{{
-				Key:     t.key(),
-				Version: t.version,
-			}},
-			Removes: []sesamerows.Key{t.key()},
-		},
+	changed := sesamerows.Change{
+		Expects: []sesamerows.Expect{{
+			Key:     t.key(),
+			Version: t.version,
+		}},
+		Removes: []sesamerows.Key{t.key()},
+	}
+	_, err := r.commitParts(ctx, change{
+		Change: changed,
 		onCommit: []func(){func() {
 			delete(r.view.targets, t.name)
 			r.o.Log.Emit(eventSwept, sesamelog.Fields{
 				"target": t.name,
 			})
 		}},
+		onReject: []func(error){func(err error) {
+			t.rejections.add(r.o.Clock.Steady())
+			r.logRejected("sweep", t.name, changed, err)
+		}},
 	})
 	return err
 }
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -47,6 +47,9 @@
 	// quarantinedUntil is when the latest one ends.
 	quarantines      int
 	quarantinedUntil time.Duration
+	// rejections of its writes keep the target from being marked as gone, and its
+	// row from being removed.
+	rejections rejections
 }
 
 // key returns the key of the target's row.
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -81,7 +81,7 @@
 		if reading.Err() != nil {
 			return nil
 		}
-		if _, err := r.commit(ctx, &change{}); err != nil {
+		if _, err := r.commit(ctx, change{}); err != nil {
 			return err
 		}
 	}
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -38,6 +38,8 @@
 	orderedAt  time.Duration
 	claim      claim
 	suspicion  suspicion
+	// rejections of its writes keep the unit from being started or stopped.
+	rejections rejections
 }
 
 // member is one task of the unit's newest run, on its target.
@@ -204,6 +206,7 @@
 		u.avoid = slices.Clone(r.Avoid)
 		u.checkpoint = r.Checkpoint
 		u.claim = claim{}
+		u.rejections = rejections{}
 		u.suspicion = suspicion{
 			crashes: r.Crashes,
 			suspect: r.Suspect,
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -71,6 +71,9 @@
 	criticalPaths   []time.Duration
 	objective       time.Duration
 	estimateVersion int
+	// rejections of its writes keep the job's state from being published, and its
+	// rows from being removed.
+	rejections rejections
 }
 
 // NewView returns an empty view.
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -13,7 +13,7 @@
 // leases of everything that ran on them have lapsed.
 func (v *View) addLostTargets(d *Decision) {
 	for _, t := range v.targets {
-		if t.isLost(v.now.Steady) {
+		if t.isLost(v.now.Steady) && !t.rejections.isInForce(v.now.Steady) {
 			d.Lost = append(d.Lost, t)
 		}
 	}
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -12,10 +12,15 @@
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
-// maxChangeEntries is the most conditions, writes and removals that are batched
-// into one transaction. It leaves room for the fence's own entries and those of
-// one more run.
-const maxChangeEntries = sesamerows.MaxEntries - 8
+const (
+	// maxChangeEntries is the most conditions, writes and removals that are batched
+	// into one transaction. It leaves room for the fence's own entries and those of
+	// one more run.
+	maxChangeEntries = sesamerows.MaxEntries - 8
+	// maxChangeBytes bounds the body of such a transaction. It leaves room for the
+	// fence's own entries.
+	maxChangeBytes = sesamerows.MaxTransactionBytes * 9 / 10
+)
 
 // decideAndWrite takes a decision and writes it: starts and stops first, which
 // are urgent, then which targets are gone. When there is nothing to decide, it
@@ -34,8 +39,8 @@
 	if err := r.collect(d, batch, restarts); err != nil {
 		return err
 	}
-	for _, c := range slices.Concat(batch.transactions, restarts.transactions) {
-		if _, err := r.commit(ctx, c); err != nil {
+	for _, parts := range slices.Concat(batch.transactions, restarts.transactions) {
+		if _, err := r.commitParts(ctx, parts...); err != nil {
 			return err
 		}
 	}
@@ -53,40 +58,66 @@
 	if r.o.Clock.Steady()-r.leaderWrittenAt < leaderRenewInterval {
 		return nil
 	}
-	_, err := r.commit(ctx, &change{})
+	_, err := r.commit(ctx, change{})
 	return err
 }
 
-// change is one transaction, or a part of one, with the callbacks that update
-// the view once it is committed.
+// change is one transaction, or a part of one that is useful by itself, with the
+// callbacks that update the view once it is committed or the store has refused it
+// as such.
 type change struct {
 	sesamerows.Change
 	onCommit []func()
+	onReject []func(error)
+}
+
+// with returns the change together with another one.
+func (c change) with(other change) change {
+	merged := c
+	merged.Expects = slices.Clone(c.Expects)
+	for _, e := range other.Expects {
+		if !slices.Contains(merged.Expects, e) {
+			merged.Expects = append(merged.Expects, e)
+		}
+	}
+	merged.Writes = slices.Concat(c.Writes, other.Writes)
+	merged.Removes = slices.Concat(c.Removes, other.Removes)
+	merged.onCommit = slices.Concat(c.onCommit, other.onCommit)
+	merged.onReject = slices.Concat(c.onReject, other.onReject)
+	return merged
+}
+
+// entries returns the number of conditions, writes and removals.
+func (c change) entries() int {
+	return len(c.Expects) + len(c.Writes) + len(c.Removes)
 }
 
-// changeBatch packs changes into as few transactions as possible.
+// bytes returns the most that the change takes in the body of a transaction.
+func (c change) bytes() int {
+	return sesamerows.Transaction(c.Change).Bytes()
+}
+
+// changeBatch packs changes into as few transactions as possible, each of which is
+// a list of changes.
 type changeBatch struct {
-	transactions []*change
+	transactions [][]change
+	// entries and bytes are those of the newest transaction.
+	entries int
+	bytes   int
 }
 
 // add appends the change to the newest transaction, or begins another one when
-// that would exceed maxChangeEntries.
+// that would exceed maxChangeEntries or maxChangeBytes.
 func (c *changeBatch) add(added change) {
-	size := len(added.Expects) + len(added.Writes) + len(added.Removes)
-	var last *change
-	if len(c.transactions) > 0 {
-		last = c.transactions[len(c.transactions)-1]
-	}
-	if last == nil || len(last.Expects)+len(last.Writes)+len(last.Removes)+size > maxChangeEntries {
-		last = &change{}
-		c.transactions = append(c.transactions, last)
-	}
-	for _, e := range added.Expects {
-		last.addCondition(e)
+	entries, bytes := added.entries(), added.bytes()
+	if len(c.transactions) == 0 || c.entries+entries > maxChangeEntries || c.bytes+bytes > maxChangeBytes {
+		c.transactions = append(c.transactions, nil)
+		c.entries, c.bytes = 0, 0
 	}
-	last.Writes = append(last.Writes, added.Writes...)
-	last.Removes = append(last.Removes, added.Removes...)
-	last.onCommit = append(last.onCommit, added.onCommit...)
+	last := len(c.transactions) - 1
+	c.transactions[last] = append(c.transactions[last], added)
+	c.entries += entries
+	c.bytes += bytes
 }
 
 // runRows returns the writes of the unit's run r to the run tables of its
@@ -113,18 +144,8 @@
 	return c, nil
 }
 
-// addCondition adds a condition unless the transaction has it already.
-func (c *change) addCondition(e sesamerows.Expect) {
-	for _, other := range c.Expects {
-		if other == e {
-			return
-		}
-	}
-	c.Expects = append(c.Expects, e)
-}
-
 // collect adds the writes of the stops, starts and states of a decision to the
-// batch. Starts after a loss, and states that rest on one, go to restarts: their
+// batch. That a job runs is published with a start of it. Starts after a loss, and states that rest on one, go to restarts: their
 // conditions are in other parts of the store, and a refusal must not hold up the
 // rest. Errors are those of encoding the rows.
 func (r *term) collect(d Decision, batch, restarts *changeBatch) error {
@@ -133,23 +154,45 @@
 			return err
 		}
 	}
+	running := map[*job]State{}
+	for _, s := range d.States {
+		if s.state == sesamework.JobRunning {
+			running[s.job] = s
+		}
+	}
 	for _, s := range d.Starts {
+		c, err := r.startChange(s)
+		if err != nil {
+			return err
+		}
+		if state, ok := running[s.unit.job]; ok {
+			published, err := r.stateChange(state)
+			if err != nil {
+				return err
+			}
+			// Without this start, nothing of the job may run.
+			c = c.with(published)
+			delete(running, s.unit.job)
+		}
 		into := batch
 		if len(s.unit.lossConditions(r.view.ends)) > 0 {
 			into = restarts
 		}
-		if err := r.collectStart(s, into); err != nil {
-			return err
-		}
+		into.add(c)
 	}
 	for _, s := range d.States {
+		if _, open := running[s.job]; s.state == sesamework.JobRunning && !open {
+			continue
+		}
+		c, err := r.stateChange(s)
+		if err != nil {
+			return err
+		}
 		into := batch
 		if len(r.stateConditions(s)) > 0 {
 			into = restarts
 		}
-		if err := r.collectState(s, into); err != nil {
-			return err
-		}
+		into.add(c)
 	}
 	return nil
 }
@@ -158,7 +201,7 @@
 func (r *term) collectStop(s Stop, batch *changeBatch) error {
 	run := s.unit.run
 	run.StopReason = s.reason
-	rows, err := runRows(s.unit, run)
+	changed, err := runRows(s.unit, run)
 	if err != nil {
 		return err
 	}
@@ -175,21 +218,25 @@
 		}).Counter("stops").Inc(1)
 	}
 	batch.add(change{
-		Change:   rows,
+		Change:   changed,
 		onCommit: []func(){written},
+		onReject: []func(error){func(err error) {
+			s.unit.rejections.add(r.o.Clock.Steady())
+			r.logRejected("stop", s.unit.id.String(), changed, err)
+		}},
 	})
 	return nil
 }
 
-// collectStart adds the write that orders a run, under the conditions that the
+// startChange returns the write that orders a run, under the conditions that the
 // job has no cancel row, and that the view knows all recorded ends of those
 // members of the run before that count as lost.
-func (r *term) collectStart(s Start, batch *changeBatch) error {
-	rows, err := runRows(s.unit, s.run)
+func (r *term) startChange(s Start) (change, error) {
+	changed, err := runRows(s.unit, s.run)
 	if err != nil {
-		return err
+		return change{}, err
 	}
-	rows.Expects = append(s.unit.lossConditions(r.view.ends), sesamerows.Expect{
+	changed.Expects = append(s.unit.lossConditions(r.view.ends), sesamerows.Expect{
 		Key: sesamework.CancelKey(s.unit.id.Job),
 	})
 	written := func() {
@@ -207,16 +254,20 @@
 			"queue": s.unit.job.Queue,
 		}).Histogram("start_wait", startWaitBuckets).RecordDuration(waited)
 	}
-	batch.add(change{
-		Change:   rows,
+	return change{
+		Change:   changed,
 		onCommit: []func(){written},
-	})
-	return nil
+		onReject: []func(error){func(err error) {
+			s.unit.claim = claim{}
+			s.unit.rejections.add(r.o.Clock.Steady())
+			r.logRejected("start", s.unit.id.String(), changed, err)
+		}},
+	}, nil
 }
 
-// collectState adds the write that publishes a job's state, under the conditions of
-// stateConditions.
-func (r *term) collectState(s State, batch *changeBatch) error {
+// stateChange returns the write that publishes a job's state, under the conditions
+// of stateConditions.
+func (r *term) stateChange(s State) (change, error) {
 	value, err := json.Marshal(sesamework.JobStatus{
 		State:     s.state,
 		Queue:     s.job.Queue,
@@ -224,7 +275,7 @@
 		Recurring: s.job.Recurs(),
 	})
 	if err != nil {
-		return err
+		return change{}, err
 	}
 	written := func() {
 		r.o.Log.Emit(eventState, sesamelog.Fields{
@@ -239,17 +290,21 @@
 			"state": string(s.state),
 		}).Counter("jobs").Inc(1)
 	}
-	batch.add(change{
-		Change: sesamerows.Change{
-			Expects: r.stateConditions(s),
-			Writes: []sesamerows.Write{{
-				Key:   sesamework.StateKey(sesamework.PlanPart, s.job.ID),
-				Value: value,
-			}},
-		},
+	changed := sesamerows.Change{
+		Expects: r.stateConditions(s),
+		Writes: []sesamerows.Write{{
+			Key:   sesamework.StateKey(sesamework.PlanPart, s.job.ID),
+			Value: value,
+		}},
+	}
+	return change{
+		Change:   changed,
 		onCommit: []func(){written},
-	})
-	return nil
+		onReject: []func(error){func(err error) {
+			s.job.rejections.add(r.o.Clock.Steady())
+			r.logRejected("state", s.job.ID, changed, err)
+		}},
+	}, nil
 }
 
 // commit writes one transaction under the fence, so only while this process is
@@ -257,7 +312,7 @@
 // doesn't hold, for instance because the job has just been cancelled, nothing is
 // written and commit returns false; applyConflict updates the view, so that the
 // next decision considers the change. All other errors end the term.
-func (r *term) commit(ctx context.Context, c *change) (bool, error) {
+func (r *term) commit(ctx context.Context, c change) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	err := r.fence.Commit(ctx, r.leaderValue, c.Change)
@@ -295,24 +350,27 @@
 // commit and of encoding the rows.
 func (r *term) markGone(ctx context.Context, lost []*target) error {
 	for range maxGoneTries {
-		c, err := r.goneChange(lost)
-		if err != nil || len(c.Writes) == 0 {
+		parts, err := r.goneChanges(lost)
+		if err != nil || len(parts) == 0 {
 			return err
 		}
-		written, err := r.commit(ctx, c)
-		if err != nil || written {
+		written, err := r.commitParts(ctx, parts...)
+		if err != nil {
 			return err
 		}
+		if written {
+			r.view.endLostMembers()
+			return nil
+		}
 	}
 	return nil
 }
 
-// goneChange returns the writes that mark those of the targets as gone that are
+// goneChanges returns the writes that mark those of the targets as gone that are
 // lost by the present view, each under the condition that its row is the newest
 // known.
-func (r *term) goneChange(lost []*target) (*change, error) {
-	c := &change{}
-	var gone []*target
+func (r *term) goneChanges(lost []*target) ([]change, error) {
+	var parts []change
 	for _, decided := range lost {
 		t, ok := r.view.targets[decided.name]
 		if !ok || t.Life != decided.Life || !t.isLost(r.o.Clock.Steady()) {
@@ -325,32 +383,35 @@
 		if err != nil {
 			return nil, err
 		}
-		c.Expects = append(c.Expects, sesamerows.Expect{
-			Key:     t.key(),
-			Version: t.version,
-		})
-		c.Writes = append(c.Writes, sesamerows.Write{
-			Key:   t.key(),
-			Value: sesamerows.EncodeUnfencedValue(value),
+		changed := sesamerows.Change{
+			Expects: []sesamerows.Expect{{
+				Key:     t.key(),
+				Version: t.version,
+			}},
+			Writes: []sesamerows.Write{{
+				Key:   t.key(),
+				Value: sesamerows.EncodeUnfencedValue(value),
+			}},
+		}
+		parts = append(parts, change{
+			Change:   changed,
+			onCommit: []func(){func() { r.recordGone(t) }},
+			onReject: []func(error){func(err error) {
+				t.rejections.add(r.o.Clock.Steady())
+				r.logRejected("gone", t.name, changed, err)
+			}},
 		})
-		gone = append(gone, t)
 	}
-	c.onCommit = append(c.onCommit, func() {
-		r.recordGone(gone)
-	})
-	return c, nil
+	return parts, nil
 }
 
-// recordGone updates the view after the targets were marked as gone.
-func (r *term) recordGone(gone []*target) {
-	for _, t := range gone {
-		t.State = sesamework.TargetGone
-		r.o.Log.Emit(eventLost, sesamelog.Fields{
-			"target":  t.name,
-			"life":    t.Life,
-			"removed": t.removed,
-			"silent":  (r.o.Clock.Steady() - t.reportedAt).Milliseconds(),
-		})
-	}
-	r.view.endLostMembers()
+// recordGone updates the view after the target was marked as gone.
+func (r *term) recordGone(t *target) {
+	t.State = sesamework.TargetGone
+	r.o.Log.Emit(eventLost, sesamelog.Fields{
+		"target":  t.name,
+		"life":    t.Life,
+		"removed": t.removed,
+		"silent":  (r.o.Clock.Steady() - t.reportedAt).Milliseconds(),
+	})
 }
