The rows of a run are bounded, whatever the number of its tasks

What callers saw: a gang of 1,024 tasks that fits was accepted and never started.

Cause: the row of a run held an entry of 84 bytes for each task of a gang, in the table of each zone that the gang uses. From some 580 members on it exceeds 65,536 bytes in base64. Nothing bounded the other lists of the row either: the targets to avoid, of which a task that lasts may collect any number, and the crashes of each member.

Change: members with consecutive indexes on one life of a target are one entry with a count. A row holds only members of its zone, 16 KiB of them, and a run has as many rows as it needs, written in one transaction; a member's crashes are in its row. The planner keeps the names of a run's rows, as written or as read, and removes those that the next run lacks: an agent would start a run that is left behind. An agent needs no other row than those that name its target. At most 32 targets are avoided, the newest. Rows of earlier versions can be read.

Why this works: a row's size no longer follows a count that a caller or a fault chooses, and a run fits into one transaction up to some 4,000 targets.

The stand-in of targets compared each waiting task of a gang with all others at each event, which took 28 s of 28 s for 1,024 tasks. It collects them once for each event now.

--- a/sesamedispatch/reject_test.go
+++ b/sesamedispatch/reject_test.go
@@ -148,3 +148,66 @@
 		})
 	}
 }
+
+// TestWideGangOverTakeOver spreads a gang over more targets than one row holds, and
+// lets another planner read the run: all rows of an earlier run must go with the
+// next one, or agents would start it again.
+func TestWideGangOverTakeOver(t *testing.T) {
+	const tasks = 1024
+	rows := []sesamerows.Row{gangOnTargets("gang", tasks)}
+	for i := range tasks {
+		rows = append(rows, targetRow(newTarget(fmt.Sprintf("target-with-a-long-name-%04d", i)), 0))
+	}
+	f := newTermFixture(t, rows...)
+	id := sesamework.UnitID{Job: "gang", Index: sesamework.GangIndex}
+	f.decide(1)
+	f.is.Equal(f.runRows(), len(f.term.view.units[id].rows))
+	f.is.True(f.runRows() > 1)
+
+	f.takeOverAgain()
+	u := f.term.view.units[id]
+	f.is.Equal(len(u.members), tasks)
+	f.is.Equal(f.runRows(), len(u.rows))
+
+	for i := range u.members {
+		u.members[i].outcome = sesamework.EndStopped
+	}
+	u.step.Count = 1
+	f.decide(1)
+	f.is.Equal(u.run.Number, 2)
+	f.is.Equal(f.runRows(), 1)
+}
+
+// gangOnTargets returns the row of a job whose one gang has that many tasks, each
+// on a target of its own.
+func gangOnTargets(id string, tasks int) sesamerows.Row {
+	row := jobFillingTarget(id, 1)
+	row.Value = encode(sesamework.Job{
+		ID: id,
+		Terms: sesamework.Terms{
+			Service:  "service",
+			Attempts: 3,
+			Stretch:  3,
+		},
+		Steps: []sesamework.Step{{
+			Count: tasks,
+			Need: sesamework.Resources{
+				Accelerators: 8,
+			},
+			Estimate: 5000,
+			Gang:     true,
+		}},
+	})
+	return row
+}
+
+// runRows returns the number of rows of runs in the store.
+func (f *termFixture) runRows() int {
+	f.t.Helper()
+	page, err := sesamerows.ReadAll(f.t.Context(), f.memory, sesamerows.Range{
+		Table: sesamework.RunTable("zone"),
+		Part:  sesamework.PlanPart,
+	})
+	f.is.NoErr(err)
+	return len(page.Rows)
+}
--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -98,8 +98,8 @@
 func (v *View) rowKeys(j *job) []sesamerows.Key {
 	var keys []sesamerows.Key
 	j.eachUnit(func(u *unit) {
-		for _, zone := range u.run.Zones() {
-			keys = append(keys, sesamework.RunKey(u.id, zone))
+		for _, row := range u.rows {
+			keys = append(keys, row.Key(u.id))
 		}
 	})
 	for key := range v.ends {
@@ -153,8 +153,11 @@
 		if !sesamework.IsRunTable(key.Table) {
 			continue
 		}
-		if id, err := sesamework.ParseUnit(key.Name); err == nil {
-			v.units[id].dropMembers(key)
+		if id, row, err := sesamework.ParseRunKey(key); err == nil {
+			u := v.units[id]
+			u.rows = slices.DeleteFunc(slices.Clone(u.rows), func(other sesamework.RunRow) bool {
+				return other == row
+			})
 		}
 	}
 	if !last {
@@ -166,14 +169,6 @@
 	delete(v.jobs, j.ID)
 }
 
-// dropMembers removes the run's members in the zone whose run row, with that
-// key, was removed, so that the next sweep of the job doesn't list that row.
-func (u *unit) dropMembers(key sesamerows.Key) {
-	u.run.Members = slices.DeleteFunc(slices.Clone(u.run.Members), func(m sesamework.Member) bool {
-		return sesamework.RunTable(m.Zone) == key.Table
-	})
-}
-
 // sweepTarget removes the row of an expired target, unless the row has changed
 // since the view read it.
 func (r *term) sweepTarget(ctx context.Context, t *target) error {
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -15,6 +15,8 @@
 	// run is the newest run (one start of the unit); its Number is 0 before the
 	// first.
 	run sesamework.Run
+	// rows name the rows in the store that hold the run.
+	rows []sesamework.RunRow
 	// members are the tasks of that run.
 	members []member
 	// done says that a run succeeded, so that no other is needed. doneBefore says
@@ -145,9 +147,7 @@
 	for _, m := range u.members {
 		if m.outcome == sesamework.EndFailed {
 			failed = true
-			if !slices.Contains(u.avoid, m.Target) {
-				u.avoid = append(u.avoid, m.Target)
-			}
+			u.avoid = sesamework.WithAvoided(u.avoid, m.Target)
 		}
 	}
 	if failed && !u.failureCounted {
@@ -193,12 +193,7 @@
 // clock.
 func (u *unit) setRun(r sesamework.Run, now time.Duration) {
 	if r.Number != u.run.Number {
-		u.members = nil
-		for _, m := range r.Members {
-			u.members = append(u.members, member{
-				Member: m,
-			})
-		}
+		u.setMembers(r.Members)
 		u.orderedAt = now
 		u.failures = r.Failures
 		u.failureCounted = false
@@ -214,3 +209,21 @@
 	}
 	u.run = r
 }
+
+// setMembers sets the members of the newest run, whose ends are not known.
+func (u *unit) setMembers(all sesamework.Members) {
+	u.members = nil
+	for _, m := range all {
+		u.members = append(u.members, member{
+			Member: m,
+		})
+	}
+}
+
+// addRunPart adds to the newest run, of which no end is known yet, what another of
+// its rows holds.
+func (u *unit) addRunPart(part sesamework.Run) {
+	u.run = u.run.With(part)
+	u.setMembers(u.run.Members)
+	u.suspicion.crashes = u.run.Crashes
+}
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -264,11 +264,10 @@
 	}
 }
 
-// setRun sets a unit's newest run from its row. A run with members in several
-// zones has a row for each zone. Rows of unknown jobs and of earlier runs are
-// ignored.
+// setRun sets a unit's newest run from one of its rows, or adds what another row of
+// that run holds. Rows of unknown jobs and of earlier runs are ignored.
 func (v *View) setRun(row sesamerows.Row) {
-	id, err := sesamework.ParseUnit(row.Key.Name)
+	id, name, err := sesamework.ParseRunKey(row.Key)
 	var r sesamework.Run
 	if err != nil || !v.decode(row, row.Value, &r) {
 		return
@@ -280,9 +279,17 @@
 	for len(j.occurrences) <= id.Occurrence {
 		v.addOccurrence(j)
 	}
-	if u, ok := v.units[id]; ok && r.Number >= u.run.Number {
+	u, ok := v.units[id]
+	if !ok || r.Number < u.run.Number {
+		return
+	}
+	if r.Number == u.run.Number {
+		u.addRunPart(r)
+	} else {
 		u.setRun(r, v.now.Steady)
+		u.rows = nil
 	}
+	u.rows = append(u.rows, name)
 }
 
 // unitOf returns the unit that the task belongs to, which is the task alone or
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -121,27 +121,28 @@
 }
 
 // runRows returns the writes of the unit's run r to the run tables of its
-// members' zones, and the removals from the tables of zones that only the
-// previous run used. The error is that of the encoding.
-func runRows(u *unit, r sesamework.Run) (sesamerows.Change, error) {
+// members' zones, with the names of the rows, and the removals of rows that only
+// the previous run used. The error is that of the encoding.
+func runRows(u *unit, r sesamework.Run) (sesamerows.Change, []sesamework.RunRow, error) {
 	var c sesamerows.Change
-	value, err := json.Marshal(r)
-	if err != nil {
-		return c, err
-	}
-	zones := r.Zones()
-	for _, zone := range zones {
+	var rows []sesamework.RunRow
+	for _, part := range r.Split() {
+		value, err := json.Marshal(part.Run)
+		if err != nil {
+			return c, nil, err
+		}
 		c.Writes = append(c.Writes, sesamerows.Write{
-			Key:   sesamework.RunKey(u.id, zone),
+			Key:   part.Row.Key(u.id),
 			Value: value,
 		})
+		rows = append(rows, part.Row)
 	}
-	for _, zone := range u.run.Zones() {
-		if !slices.Contains(zones, zone) {
-			c.Removes = append(c.Removes, sesamework.RunKey(u.id, zone))
+	for _, row := range u.rows {
+		if !slices.Contains(rows, row) {
+			c.Removes = append(c.Removes, row.Key(u.id))
 		}
 	}
-	return c, nil
+	return c, rows, nil
 }
 
 // collect adds the writes of the stops, starts and states of a decision to the
@@ -201,12 +202,13 @@
 func (r *term) collectStop(s Stop, batch *changeBatch) error {
 	run := s.unit.run
 	run.StopReason = s.reason
-	changed, err := runRows(s.unit, run)
+	changed, rows, err := runRows(s.unit, run)
 	if err != nil {
 		return err
 	}
 	written := func() {
 		s.unit.run = run
+		s.unit.rows = rows
 		r.o.Log.Emit(eventStopping, sesamelog.Fields{
 			"job":    s.unit.id.Job,
 			"unit":   s.unit.id.String(),
@@ -232,7 +234,7 @@
 // job has no cancel row, and that the view knows all recorded ends of those
 // members of the run before that count as lost.
 func (r *term) startChange(s Start) (change, error) {
-	changed, err := runRows(s.unit, s.run)
+	changed, rows, err := runRows(s.unit, s.run)
 	if err != nil {
 		return change{}, err
 	}
@@ -242,6 +244,7 @@
 	written := func() {
 		waited := r.o.Clock.Steady() - s.unit.readySince
 		s.unit.setRun(s.run, r.o.Clock.Steady())
+		s.unit.rows = rows
 		r.o.Log.Emit(eventOrdered, sesamelog.Fields{
 			"job":     s.unit.id.Job,
 			"unit":    s.unit.id.String(),
--- a/sesamerunner/runs.go
+++ b/sesamerunner/runs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,9 +40,12 @@
 	version sesamerows.Version
 }
 
-// runRow is a run as it was read from the store. version is that of its row.
+// runRow is what one row of a run holds for the targets of this node.
 type runRow struct {
+	// Run has only the members on those targets.
 	sesamework.Run
+	unit sesamework.UnitID
+	// version is that of the row.
 	version sesamerows.Version
 }
 
@@ -66,8 +71,8 @@
 	// confirmedAt is when the last call was sent whose answer confirmed or
 	// changed the view, on the steady clock; 0 before the first answer.
 	confirmedAt time.Duration
-	// rows holds the runs by the name of their row, which is that of the unit (a
-	// task or a gang started together).
+	// rows holds the runs by the names of their rows; a run of a gang may have
+	// several.
 	rows map[string]runRow
 	// changed is closed and replaced at each change.
 	changed chan struct{}
@@ -129,7 +134,7 @@
 }
 
 // set stores the run of a row, unless a newer one is known. It drops the run when
-// the row was removed or can't be decoded, or when no member of the run is on a
+// the row was removed or can't be decoded, or when none of its members is on a
 // target of this node. The caller holds the lock.
 func (r *runView) set(row sesamerows.Row) {
 	if row.Version < r.rows[row.Key.Name].version {
@@ -140,20 +145,25 @@
 		return
 	}
 	var run sesamework.Run
-	if err := json.Unmarshal(row.Value, &run); err != nil {
+	unit, _, err := sesamework.ParseRunKey(row.Key)
+	if err == nil {
+		err = json.Unmarshal(row.Value, &run)
+	}
+	if err != nil {
 		r.log.Emit(eventBadRow, sesamelog.Fields{
 			"row":   row.Key.String(),
 			"error": err,
 		})
 		return
 	}
-	for _, m := range run.Members {
-		if len(m.Target) > len(r.prefix) && m.Target[:len(r.prefix)] == r.prefix {
-			r.rows[row.Key.Name] = runRow{
-				Run:     run,
-				version: row.Version,
-			}
-			return
+	run.Members = slices.Clip(slices.DeleteFunc(run.Members, func(m sesamework.Member) bool {
+		return !strings.HasPrefix(m.Target, r.prefix)
+	}))
+	if len(run.Members) > 0 {
+		r.rows[row.Key.Name] = runRow{
+			Run:     run,
+			unit:    unit,
+			version: row.Version,
 		}
 	}
 }
@@ -164,17 +174,13 @@
 func (r *runView) wantedBy(target string, life int64) (all []wantedRun, changed <-chan struct{}, fresh bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, run := range r.rows {
-		unit, err := sesamework.ParseUnit(name)
-		if err != nil {
-			continue
-		}
+	for _, run := range r.rows {
 		for _, m := range run.Members {
 			if m.Target != target || m.Life != life {
 				continue
 			}
 			all = append(all, wantedRun{
-				task:        unit.Task(m.Index),
+				task:        run.unit.Task(m.Index),
 				run:         run.Number,
 				reservation: run.Reservation,
 				stopReason:  run.StopReason,
--- a/sesamestandin/fleet.go
+++ b/sesamestandin/fleet.go
@@ -168,7 +168,10 @@
 		return runEnd{}, false
 	}
 	return slices.MinFunc(all, func(a, b runEnd) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.run.task.String(), b.run.task.String()))
+		if byTime := a.at.Compare(b.at); byTime != 0 {
+			return byTime
+		}
+		return cmp.Compare(a.run.task.String(), b.run.task.String())
 	}), true
 }
 
@@ -223,18 +226,30 @@
 
 // beginGangs starts the work of those gangs whose members have all started.
 func (f *Fleet) beginGangs(now time.Time) {
+	type start struct {
+		unit sesamework.UnitID
+		run  int
+	}
+	waiting := map[start][]*fleetRun{}
 	for _, t := range f.targets {
 		for _, r := range t.running {
 			if !r.workingSince.IsZero() {
 				continue
 			}
-			members := f.members(r)
-			if len(members) < r.definition.Step.Count {
-				continue
-			}
-			for _, m := range members {
-				m.workingSince = now
+			gang := start{
+				unit: sesamework.UnitID(r.task),
+				run:  r.run,
 			}
+			gang.unit.Index = sesamework.GangIndex
+			waiting[gang] = append(waiting[gang], r)
+		}
+	}
+	for _, members := range waiting {
+		if len(members) < members[0].definition.Step.Count {
+			continue
+		}
+		for _, m := range members {
+			m.workingSince = now
 		}
 	}
 }
--- a/sesamework/rows.go
+++ b/sesamework/rows.go
@@ -144,8 +144,9 @@
 	return strings.HasPrefix(table, runTablePrefix)
 }
 
-// RunKey returns the key of the row of a unit's newest run in the RunTable of a
-// zone. A run with members in several zones has a row in the table of each.
+// RunKey returns the key of the first row of a unit's newest run in the RunTable of
+// a zone; see RunRow. A run with members in several zones has rows in the table of
+// each.
 func RunKey(u UnitID, zone string) sesamerows.Key {
 	return sesamerows.Key{
 		Table: RunTable(zone),
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -29,13 +29,14 @@
 	return TargetKey(m.Zone, node, id)
 }
 
-// Run is the newest run (start) of a unit. Its row is in the store before an
-// order to start it is sent to any target.
+// Run is the newest run (start) of a unit. Its rows, of which each holds a part of
+// the members (see Split), are in the store before an order to start it is sent to
+// any target.
 type Run struct {
 	// Number counts the runs of the unit from 1.
 	Number int `json:"n"`
 	// Members are all tasks of the unit.
-	Members []Member `json:"m"`
+	Members Members `json:"m"`
 	// Reservation is what each member takes from its target's capacity; see
 	// Step.Reservation.
 	Reservation Resources `json:"room"`
@@ -46,8 +47,8 @@
 	Checkpoint string `json:"ckpt,omitempty"`
 	// Failures counts the earlier runs of the unit that failed.
 	Failures int `json:"fails,omitempty"`
-	// Avoid lists the targets on which the unit failed, by the names of their
-	// rows.
+	// Avoid lists the targets on which the unit failed last, at most MaxAvoided, by
+	// the names of their rows.
 	Avoid []string `json:"avoid,omitempty"`
 	// Crashes counts the targets that crashed under earlier runs of each task, by
 	// its index, and Suspect says that the unit may have caused that.
@@ -116,6 +117,10 @@
 // TargetState says whether a target accepts new runs.
 type TargetState string
 
+// MaxCheckpointBytes is the greatest length of a checkpoint that is kept, so that
+// it fits into the rows of runs and ends with all else.
+const MaxCheckpointBytes = 4096
+
 // The states of a target.
 const (
 	// TargetReady means that the target accepts new runs.
