The row of a target is bounded, and its lease outlasts a refused report

What callers would see: all work on a target that runs many tasks ends with its lease and starts again elsewhere, again and again; a crash is never reported; an end is never recorded.

An agent's report held the progress of all running tasks (from some 600 with a checkpoint on it exceeds a row), all runs at a crash, and checkpoints as long as the target likes, which the rows of ends and runs hold as well. A report that the store refuses as such was repeated like one in an outage, until the lease was over.

TestManyRunningTasks, TestCrashUnderManyTasks, TestRefusedReport and TestLongCheckpoint fail before: no report of a target with 1,500 tasks is confirmed and its crash is not told; an end with a long checkpoint is not recorded.

Change: a report lists 16 KiB of progress, and the next one goes on behind it. The planner keeps the progress of other tasks for a minute, and a task counts as stalled only by reports that tell of it (TestProgressInPartialReports). A crash names 200 runs, those ordered last, and the number of the others: then it is no proof that only one job was there. A checkpoint of more than 4,096 bytes is dropped and logged (7222). A refused report is logged (7223), and the next ones hold what the lease needs and one end at a time until one is confirmed.

--- a/sesamedispatch/suspect.go
+++ b/sesamedispatch/suspect.go
@@ -68,7 +68,7 @@
 	}
 	task := u.id.Task(m.Index).String()
 	found := evidence{
-		alone: true,
+		alone: t.Crash.Omitted == 0,
 	}
 	for _, r := range t.Crash.Runs {
 		other, err := sesamework.ParseTask(r.Task)
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -62,12 +62,18 @@
 }
 
 // progress is what a target reported of a run. changedAt is when the percentage
-// last changed, on the steady clock.
+// last changed, and answeredAt when the target last told its agent of the run, both
+// on the steady clock.
 type progress struct {
 	sesamework.Progress
-	changedAt time.Duration
+	changedAt  time.Duration
+	answeredAt time.Duration
 }
 
+// maxProgressAge is how long the progress of a task is kept that partial reports
+// don't repeat. They come each second, and a target's tasks are spread over a few.
+const maxProgressAge = time.Minute
+
 // setTarget updates a target from its row, which holds its agent's latest
 // report. The failures, quarantine and progress of the same life are kept. A
 // removed row removes the target. Rows older than the known one are ignored: a
@@ -171,9 +177,16 @@
 
 // updateProgress replaces the progress by what the target reports to be running
 // now, and keeps changedAt where the run and its percentage are the same; now
-// is on the steady clock.
+// is on the steady clock. A partial report leaves the progress of other tasks.
 func (t *target) updateProgress(now time.Duration) {
 	seen := make(map[string]progress, len(t.Running))
+	if t.Partial {
+		for task, p := range t.progress {
+			if now-p.answeredAt < maxProgressAge {
+				seen[task] = p
+			}
+		}
+	}
 	for _, p := range t.Running {
 		old, ok := t.progress[p.Task]
 		moved := now
@@ -183,6 +196,8 @@
 		seen[p.Task] = progress{
 			Progress:  p,
 			changedAt: moved,
+
+			answeredAt: t.answeredAt(),
 		}
 	}
 	t.progress = seen
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	p, ok := t.progress[u.id.Task(m.Index).String()]
-	return ok && p.Run == u.run.Number && p.Percent < 100 && t.answeredAt()-p.changedAt > u.stallTimeout()
+	return ok && p.Run == u.run.Number && p.Percent < 100 && p.answeredAt-p.changedAt > u.stallTimeout()
 }
 
 // stallTimeout returns how long a task may take for one percent of progress: a
--- a/sesamerunner/crash.go
+++ b/sesamerunner/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,14 +24,18 @@
 	if s.hasCrashed() || s.report.Draining || s.endReason != "" || !s.provesCrash(err) {
 		return
 	}
+	runs := s.exposedRuns()
+	listed := runs[:min(len(runs), sesamework.MaxCrashedRuns)]
 	s.crash = &sesamework.Crash{
-		Life: s.report.Life,
-		Runs: s.exposedRuns(),
+		Life:    s.report.Life,
+		Runs:    listed,
+		Omitted: len(runs) - len(listed),
 	}
 	s.o.Log.Emit(eventCrashed, sesamelog.Fields{
 		"target": s.id,
 		"life":   s.report.Life,
 		"runs":   s.crash.Runs,
+		"more":   s.crash.Omitted,
 		"error":  err,
 	})
 	signal(s.wakeReport)
@@ -49,8 +54,8 @@
 
 // exposedRuns returns the runs that were on the target when renewals began to
 // fail, as far as the session knows: those that it has listed as running, and
-// those ordered until then which the target has not refused. The caller holds the
-// lock.
+// those ordered until then which the target has not refused. Those that a crash may
+// be blamed on, by when they were ordered, come first. The caller holds the lock.
 func (s *session) exposedRuns() []sesamework.CrashedRun {
 	var runs []sesamework.CrashedRun
 	for key, k := range s.runStates {
@@ -69,11 +74,24 @@
 		})
 	}
 	slices.SortFunc(runs, func(a, b sesamework.CrashedRun) int {
-		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+		return cmp.Or(
+			cmp.Compare(secondsBefore(a), secondsBefore(b)),
+			cmp.Compare(a.Task, b.Task),
+			cmp.Compare(a.Run, b.Run),
+		)
 	})
 	return runs
 }
 
+// secondsBefore returns how many whole seconds before the crash the run was
+// ordered, the greatest number if that is not known.
+func secondsBefore(r sesamework.CrashedRun) int64 {
+	if r.Ran < 0 {
+		return math.MaxInt64
+	}
+	return r.Ran / time.Second.Milliseconds()
+}
+
 // hasCrashed reports whether this life of the target has crashed. The caller
 // holds the lock.
 func (s *session) hasCrashed() bool {
--- a/sesamerunner/lease.go
+++ b/sesamerunner/lease.go
@@ -202,6 +202,7 @@
 			task: p.Task,
 			run:  p.Run,
 		}
+		p.Checkpoint = s.boundCheckpoint(key, p.Checkpoint)
 		s.running[key] = p
 		if k := s.stateOf(key); k.phase < phaseRunning {
 			k.phase = phaseRunning
@@ -259,7 +260,7 @@
 		Outcome:    e.Outcome,
 		Target:     s.key.Name,
 		Life:       s.report.Life,
-		Checkpoint: e.Checkpoint,
+		Checkpoint: s.boundCheckpoint(key, e.Checkpoint),
 	}
 	if k.startedAt > 0 {
 		end.Taken = (s.o.Clock.Steady() - k.startedAt).Milliseconds()
@@ -280,6 +281,24 @@
 	signal(s.wakeReport)
 }
 
+// boundCheckpoint returns the checkpoint of the run, or none if it is too long for
+// the rows that would hold it, which is logged once for a run. The caller holds the
+// lock.
+func (s *session) boundCheckpoint(key runKey, checkpoint string) string {
+	if len(checkpoint) <= sesamework.MaxCheckpointBytes {
+		return checkpoint
+	}
+	if k := s.stateOf(key); !k.checkpointDropped {
+		k.checkpointDropped = true
+		s.o.Log.Emit(eventLongCheckpoint, sesamelog.Fields{
+			"task":  key.task,
+			"run":   key.run,
+			"bytes": len(checkpoint),
+		})
+	}
+	return ""
+}
+
 // logReplaced logs that a listed end replaces an assumed one, which had the
 // reason.
 func (s *session) logReplaced(task sesamework.TaskID, e EndedRun, reason string) {
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,12 @@
 	// take a condition and a write; 4 entries stay free, of which the fence
 	// (the target's own row) takes 2.
 	maxEndsPerReport = (sesamerows.MaxEntries - 4) / 2
+	// maxProgressBytes bounds the progress in one report, as JSON. The row also
+	// holds up to sesamework.MaxCrashedRuns runs.
+	maxProgressBytes = 16 << 10
+	// progressOverhead is the most JSON of one task's progress beside its name and
+	// its checkpoint.
+	progressOverhead = 60
 )
 
 // encodeRow returns the target's row for the next report, as JSON, and counts
@@ -37,7 +44,7 @@
 	if s.endReason != "" {
 		// The planner takes runs without an end for lost once the target is gone.
 		state = sesamework.TargetDraining
-		if len(s.pendingEnds) <= maxEndsPerReport {
+		if len(s.pendingEnds) <= s.maxEnds() {
 			state = sesamework.TargetGone
 		}
 	}
@@ -59,13 +66,38 @@
 		SilentFor:    s.silentFor().Milliseconds(),
 		Crash:        s.reportedCrash(),
 	}
-	for _, p := range s.running {
-		t.Running = append(t.Running, p)
+	if s.reportsLeast {
+		t.Partial = true
+		t.Crash = nil
+		return json.Marshal(t)
 	}
-	slices.SortFunc(t.Running, func(a, b sesamework.Progress) int {
+	t.Running, t.Partial = s.nextProgress()
+	return json.Marshal(t)
+}
+
+// nextProgress returns the progress of running tasks for the next report, and
+// whether there is more than fits into it: then each report goes on where the one
+// before ended. The caller holds the lock.
+func (s *session) nextProgress() ([]sesamework.Progress, bool) {
+	all := slices.Collect(maps.Values(s.running))
+	slices.SortFunc(all, func(a, b sesamework.Progress) int {
 		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
 	})
-	return json.Marshal(t)
+	first, _ := slices.BinarySearchFunc(all, s.nextReported, func(p sesamework.Progress, task string) int {
+		return cmp.Compare(p.Task, task)
+	})
+	var listed []sesamework.Progress
+	bytes := 0
+	for _, p := range slices.Concat(all[first:], all[:first]) {
+		bytes += progressOverhead + len(p.Task) + len(p.Checkpoint)
+		if bytes > maxProgressBytes {
+			s.nextReported = p.Task
+			return listed, true
+		}
+		listed = append(listed, p)
+	}
+	s.nextReported = ""
+	return listed, false
 }
 
 // reportLoop writes the target's row and the ends of its runs to the store. It
@@ -97,6 +129,10 @@
 			if !s.acquire(ctx) {
 				return
 			}
+		case errors.HasType(err, (*sesamerows.RejectedError)(nil)):
+			s.reportRejected(err)
+			backoff.Wait(ctx)
+			continue
 		default:
 			s.storeFailed(err)
 			backoff.Wait(ctx)
@@ -169,7 +205,16 @@
 	slices.SortFunc(all, func(a, b pendingEnd) int {
 		return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.key.task, b.key.task))
 	})
-	return all[:min(len(all), maxEndsPerReport)]
+	return all[:min(len(all), s.maxEnds())]
+}
+
+// maxEnds returns how many ends the next report may record. The caller holds the
+// lock.
+func (s *session) maxEnds() int {
+	if s.reportsLeast {
+		return 1
+	}
+	return maxEndsPerReport
 }
 
 // changeOf returns the writes that record the ends. The end of a run that never
@@ -214,6 +259,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmedAt = sent
+	s.reportsLeast = false
 	for _, e := range ends {
 		if s.pendingEnds[e.row].number == e.number {
 			delete(s.pendingEnds, e.row)
@@ -246,6 +292,25 @@
 	return t.AgentEpoch > s.agentEpoch || t.Life > s.report.Life
 }
 
+// reportRejected notes that the store refuses the report as such, and logs that if
+// it is the first time in a row. The lease goes on only with a confirmed report, so
+// that the next ones hold no more than is needed for that; see encodeRow and
+// nextEnds.
+func (s *session) reportRejected(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reportsLeast {
+		return
+	}
+	s.reportsLeast = true
+	s.o.Log.Emit(eventRejected, sesamelog.Fields{
+		"target":  s.id,
+		"running": len(s.running),
+		"ends":    len(s.pendingEnds),
+		"error":   err,
+	})
+}
+
 // isSilent reports whether the target has not answered for longer than
 // silenceToReport.
 func (s *session) isSilent() bool {
--- a/sesamerunner/session.go
+++ b/sesamerunner/session.go
@@ -65,6 +65,8 @@
 	retryAt  time.Duration
 	// stopReason is why this agent stops the run, empty if it doesn't.
 	stopReason string
+	// checkpointDropped says that a checkpoint of the run was too long to be kept.
+	checkpointDropped bool
 }
 
 // session serves one life of a target, that is, the target from one start to
@@ -121,6 +123,9 @@
 	wanted map[runKey]bool
 	// running are the runs in the target's last listing.
 	running map[runKey]sesamework.Progress
+	// nextReported is the task with which the next report begins to list what is
+	// running; empty for the first one.
+	nextReported string
 	// pendingEnds are the ends to be recorded, by the key of their row.
 	pendingEnds map[sesamerows.Key]pendingEnd
 	// lastRecorded is the highest number of a recorded end, and lastAcknowledged
@@ -134,8 +139,10 @@
 	givenUpVersion sesamerows.Version
 	// refusingUntil is until when reports say that the target refuses runs.
 	refusingUntil time.Duration
-	// storeLost is true while reports are not confirmed.
-	storeLost bool
+	// storeLost is true while reports are not confirmed, and reportsLeast after the
+	// store has refused one as such.
+	storeLost    bool
+	reportsLeast bool
 	// brokenAt is when renewals began to fail, 0 while they are answered.
 	brokenAt time.Duration
 	// crash tells of a crash of this life of the target, or of an earlier one;
--- a/sesamerunner/world_test.go
+++ b/sesamerunner/world_test.go
@@ -48,6 +48,7 @@
 	memory *sesamerows.Memory
 	// store is the store as the agent calls it.
 	store  *sesamestandin.FaultyRows
+	picky  *pickyRows
 	fleet  *sesamestandin.Fleet
 	target *watchedTarget
 	runner *sesamerunner.Runner
@@ -70,7 +71,10 @@
 		memory:    sesamerows.NewMemory(sesameclock.Wrap(clock)),
 		durations: durations,
 	}
-	w.store = sesamestandin.NewFaultyRows(w.memory, clock)
+	w.picky = &pickyRows{
+		Store: w.memory,
+	}
+	w.store = sesamestandin.NewFaultyRows(w.picky, clock)
 	w.fleet = sesamestandin.NewFleet(sesamestandin.FleetOptions{
 		Clock:    clock,
 		Lookup:   w.lookup,
@@ -250,6 +254,8 @@
 	refuse func(sesamerunner.Order) error
 	// listed are the ends that the target has listed, by number.
 	listed map[int64]sesamerunner.EndedRun
+	// checkpoint is listed in place of the real ones, unless it is empty.
+	checkpoint string
 }
 
 // setRefuse sets the function that answers starts in place of the target.
@@ -288,7 +294,7 @@
 	for _, e := range l.Ended {
 		t.listed[e.Number] = e
 	}
-	return l, err
+	return t.withCheckpoint(l), err
 }
 
 // testLog returns a log that is written when SESAMESTACK_TEST_LOG is set.
--- a/sesamework/crash.go
+++ b/sesamework/crash.go
@@ -6,10 +6,16 @@
 type Crash struct {
 	// Life is the life that ended so; see Target.Life.
 	Life int64 `json:"l"`
-	// Runs are those that had started there, or may have, and had not ended.
+	// Runs are those that had started there, or may have, and had not ended; at
+	// most MaxCrashedRuns, those ordered last before the others.
 	Runs []CrashedRun `json:"r"`
+	// Omitted is the number of further ones.
+	Omitted int `json:"more,omitempty"`
 }
 
+// MaxCrashedRuns bounds Crash.Runs, so that the target's row holds them.
+const MaxCrashedRuns = 200
+
 // CrashedRun is one task of a run on a target that crashed.
 type CrashedRun struct {
 	// Task is the name of the task; see ParseTask.
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -173,8 +173,10 @@
 	AgentEpoch int64 `json:"holder"`
 	// Heartbeat counts the reports of one agent.
 	Heartbeat int64 `json:"beat"`
-	// Running are the tasks that run on the target.
+	// Running are the tasks that run on the target, or, if Partial is set, some of
+	// them: those that follow in order the ones of the report before.
 	Running []Progress `json:"run,omitempty"`
+	Partial bool       `json:"partial,omitempty"`
 	// Refusing says that the target has lately refused orders, or has not
 	// reported its capacity.
 	Refusing bool `json:"refusing,omitempty"`
