A job that no row holds is refused as invalid

What callers saw: a job whose steps name many earlier steps, 256 steps with 130 KB of these for example, was answered 500, so its caller came back again and again.

Cause: the row of a job was sent whatever its size. The store refused it as such, and that error had no answer of its own.

Change: the limits of the store are checked before anything is sent, and the answer is 400 with the size and the limit.

--- a/sesameintake/submit.go
+++ b/sesameintake/submit.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
@@ -129,6 +131,9 @@
 		}},
 		Writes: writes,
 	}
+	if err := checkLimits(t); err != nil {
+		return err
+	}
 	if in.policies.Age() > maxPolicyAge {
 		t.Expects = append(t.Expects, a.Policy.Guard)
 	}
@@ -216,6 +221,20 @@
 	}, nil
 }
 
+// checkLimits returns a *sesamework.InvalidError for a job whose rows are larger
+// than the store takes.
+func checkLimits(t sesamerows.Transaction) error {
+	err := t.CheckLimits()
+	var limit *sesamerows.LimitError
+	if !errors.As(err, &limit) {
+		return err
+	}
+	return &sesamework.InvalidError{
+		Field:   "job",
+		Problem: "is too large to be stored: " + limit.Error(),
+	}
+}
+
 // sameJob returns nil when the row holds a job with the same body as j, and a
 // *JobConflictError when the bodies differ.
 func sameJob(row sesamerows.Row, j sesamework.Job) error {
