A claim counts under a step's bound on tasks per target

Cause: the tasks of a step on a target were counted from runs and from starts, not from claims. A unit without room stops others and claims their targets; the next unit of its step found no task there and claimed the same target, where it costs nothing more. A claim with room is started without another look at the bound.

Change: a claim counts like a run, in one place, for the room, for what the team is owed and for the bound of the step, and a claim is started only while the bound holds. So each path that places a task counts claims: choosing, backfilling, reserving and preempting read the same number.

--- a/sesamedispatch/claim.go
+++ b/sesamedispatch/claim.go
@@ -32,11 +32,29 @@
 		u.claim = claim{}
 		return false
 	}
-	p.reserve(u, u.claim.targets, 0)
-	p.urgentAccelerators[u.job.Team] += u.accelerators()
+	p.holdClaim(u)
 	return true
 }
 
+// holdClaim sets aside what the unit has claimed: room, the accelerators that its
+// team is owed, and the places of its tasks under Step.MaxPerTarget.
+func (p *pass) holdClaim(u *unit) {
+	p.reserve(u, u.claim.targets, 0)
+	p.countClaim(u, 1)
+}
+
+// countClaim adds the unit's claim, that many times, to what its team and its step
+// use.
+func (p *pass) countClaim(u *unit, times int) {
+	p.urgentAccelerators[u.job.Team] += int64(times) * u.accelerators()
+	if u.step.MaxPerTarget == 0 {
+		return
+	}
+	for _, name := range u.claim.targets {
+		p.tasksOnTarget[u.spreadKey(name)] += times
+	}
+}
+
 // claimHolds reports whether all claimed targets still accept work, and could
 // hold the unit's tasks if they were empty.
 func (p *pass) claimHolds(u *unit) bool {
@@ -48,21 +66,23 @@
 	})
 }
 
-// unreserveClaim undoes the reservation that newPass made for the unit's claim,
-// so that the reserved room doesn't count as taken for the unit itself.
+// unreserveClaim undoes what newPass set aside for the unit's claim, so that it
+// doesn't count as taken for the unit itself.
 func (p *pass) unreserveClaim(u *unit) {
 	if p.view.now.Steady >= u.claim.until {
 		return
 	}
 	p.unreserve(u, u.claim.targets)
 	p.tooLarge = nil // there is more room now
-	p.urgentAccelerators[u.job.Team] -= u.accelerators()
+	p.countClaim(u, -1)
 }
 
 // claimedWithRoom returns the targets of the unit's claim, one for each task, or
-// nil unless all of them accept work and have room now.
+// nil unless all of them accept work, have room now, and hold no more tasks of the
+// step than Step.MaxPerTarget.
 func (p *pass) claimedWithRoom(u *unit) []*target {
 	taken := map[string]sesamework.Resources{}
+	tasks := map[string]int{}
 	var targets []*target
 	for _, name := range u.claim.targets {
 		t, ok := p.view.targets[name]
@@ -70,7 +90,9 @@
 			return nil
 		}
 		taken[name] = taken[name].Plus(u.step.Reservation())
-		if !taken[name].Fits(p.room[name]) {
+		tasks[name]++
+		spread := p.tasksOnTarget[u.spreadKey(name)] + tasks[name]
+		if !taken[name].Fits(p.room[name]) || u.step.MaxPerTarget > 0 && spread > u.step.MaxPerTarget {
 			return nil
 		}
 		targets = append(targets, t)
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -37,7 +37,7 @@
 	// may use the reserved room (backfill).
 	reservedFrom map[string]time.Duration
 	// tasksOnTarget counts the tasks of one step and occurrence on one target:
-	// the active ones and those that this pass starts.
+	// the active ones, those that this pass starts, and those with a claim on it.
 	tasksOnTarget map[spreadKey]int
 	// reservedUnits counts the blocked units for which room is reserved.
 	reservedUnits int
@@ -165,8 +165,7 @@
 		}
 	}
 	if u.isWaiting() && p.view.now.Steady < u.claim.until {
-		p.reserve(u, u.claim.targets, 0)
-		p.urgentAccelerators[u.job.Team] += u.accelerators()
+		p.holdClaim(u)
 	}
 }
 
--- a/sesamedispatch/preempt.go
+++ b/sesamedispatch/preempt.go
@@ -83,8 +83,7 @@
 		targets: best.targets,
 		until:   p.view.now.Steady + claimTimeout,
 	}
-	p.reserve(u, best.targets, 0)
-	p.urgentAccelerators[u.job.Team] += u.accelerators()
+	p.holdClaim(u)
 	p.view.log.Emit(eventClaimed, sesamelog.Fields{
 		"job":     u.id.Job,
 		"unit":    u.id.String(),
