A target on which a task failed is used again after a bounded wait

Cause: a unit leaves out the targets on which it has failed while the others could hold it when empty. They never are: the other tasks of the step last.

Change: the wait is bounded by the expected duration and 2 s, and by 2 s alone for a step that lasts, whose failures are not counted. Then the unit may run on any target; those without failures still come first. The bound holds for each path that places: all of them take their targets from the same function.

--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -17,6 +17,10 @@
 	// claimTimeout is how long targets stay claimed for a unit while the runs
 	// there are being stopped; stops take less than a second each.
 	claimTimeout = 4 * time.Second
+	// minAvoidWait is the least time that a unit waits for targets on which it has
+	// not failed. The platform asks for a start within 3 s of when a task could run,
+	// of which orders take a part.
+	minAvoidWait = 2 * time.Second
 )
 
 // pass is one round of placing all ready units. It tracks the room that is left
@@ -274,11 +278,13 @@
 }
 
 // eligibleTargets returns the targets that accept work of the unit's service
-// and have the label that its step needs, and the same by rack. It leaves out
-// those on which the unit has failed, if the others could hold it when empty.
+// and have the label that its step needs, and the same by rack. While
+// the unit avoids targets, it leaves out those on which it has failed, if the others
+// could hold it when empty.
 func (p *pass) eligibleTargets(u *unit) ([]*target, rackGroups) {
 	service := u.job.Terms.Service
-	if u.step.Label == "" && len(u.avoid) == 0 {
+	avoids := p.avoidsTargets(u)
+	if u.step.Label == "" && !avoids {
 		return p.targetsByService[service], p.racksByService[service]
 	}
 	var fresh, all []*target
@@ -291,12 +297,24 @@
 			fresh = append(fresh, t)
 		}
 	}
-	if len(fresh) < len(all) && p.couldHold(u, fresh) {
+	if avoids && len(fresh) < len(all) && p.couldHold(u, fresh) {
 		all = fresh
 	}
 	return all, groupByRack(all)
 }
 
+// avoidsTargets reports whether the unit waits for targets on which it has not
+// failed, since the failure may have been the target's. What runs there may last, so
+// the wait is bounded: by the expected duration, or for a step that lasts, whose
+// failures are not counted, by minAvoidWait.
+func (p *pass) avoidsTargets(u *unit) bool {
+	wait := minAvoidWait
+	if !u.step.LongRunning {
+		wait = max(wait, u.expectedDuration())
+	}
+	return len(u.avoid) > 0 && p.view.now.Steady-u.readySince < wait
+}
+
 // tasksThatFit returns how many more tasks of the unit fit on the target now, at
 // most taskCount; 0 if they may not share it with what is there. Reserved room
 // counts as taken unless the unit is expected to end before reservedFrom
