A reservation waits for no run without a known end

Cause: room is reserved on the targets where a blocked unit is expected to fit first. Each run was expected to end, one that lasts or takes far longer than declared after a quarter of its expected duration at the latest, again and again. So the gang was expected to fit in a moment for ever.

Change: a run that lasts releases nothing unless it is being stopped, so that no room is reserved for a unit that needs its end. A run that exceeds its expected duration is expected to go on for as long as it has exceeded it: the longer it takes, the more other work may use the reserved room meanwhile.

--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -142,13 +142,16 @@
 }
 
 // releases returns the room that each active member is expected to release at
-// the end of its run, the earliest first.
+// the end of its run, the earliest first. Runs that last have no end to wait for.
 func (p *pass) releases() []release {
 	if p.sortedReleases != nil {
 		return p.sortedReleases
 	}
 	p.sortedReleases = []release{}
 	for _, u := range p.active {
+		if u.step.LongRunning && u.run.StopReason == "" && !p.d.stopping[u] {
+			continue
+		}
 		after := p.view.remaining(u)
 		for _, m := range u.members {
 			if m.outcome != "" {
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -140,7 +140,8 @@
 		}
 	}
 	// A task that takes longer than declared is likely to go on for a while: at
-	// least a quarter of the expected duration.
+	// least a quarter of the expected duration, and as long as it has exceeded that.
 	const leastDivisor = 4
-	return max(u.expectedDuration()-elapsed, u.expectedDuration()/leastDivisor)
+	expected := u.expectedDuration()
+	return max(expected-elapsed, elapsed-expected, expected/leastDivisor)
 }
