Work that is owed may use room that is reserved for work that is not

Cause: room that is reserved for a blocked unit counts as taken for each unit after it in order, also for one that its team's guarantee covers, both when a place is chosen and when runs are stopped for it.

Change: a unit that is owed its room leaves only firm reservations alone: those of units that are owed theirs, and claims, for which runs are being stopped.

--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -43,6 +43,8 @@
 	// tasksOnTarget counts the tasks of one step and occurrence on one target:
 	// the active ones, those that this pass starts, and those with a claim on it.
 	tasksOnTarget map[spreadKey]int
+	// owed is the unit that is being placed if it is owed its room; see isOwed.
+	owed *unit
 	// reservedUnits counts the blocked units for which room is reserved.
 	reservedUnits int
 	// urgentAccelerators counts, by team, the accelerators that urgent jobs
@@ -193,12 +195,16 @@
 	if p.blocked[step] {
 		return
 	}
+	owed := p.isOwed(u)
+	if owed {
+		p.owed = u
+	}
 	if targets := p.choose(u); targets != nil {
 		p.start(u, targets)
 		return
 	}
 	p.blocked[step] = true
-	if p.isOwed(u) && p.preempt(u, true) {
+	if owed && p.preempt(u, true) {
 		// Another unit of the step may be owed room too.
 		p.blocked[step] = false
 		return
@@ -257,9 +263,10 @@
 
 // isTooLarge reports whether a unit that could run on any target, needs no more
 // and ends no later has found no room in this pass: then the unit finds none
-// either, since rooms only shrink.
+// either, since rooms only shrink. Work that is owed may use room that is reserved
+// against others.
 func (p *pass) isTooLarge(u *unit) bool {
-	if p.view.plain || p.hasIsolatedTarget(u) {
+	if p.view.plain || p.owed == u || p.hasIsolatedTarget(u) {
 		return false
 	}
 	return slices.ContainsFunc(p.tooLarge, func(other *unit) bool {
@@ -325,7 +332,7 @@
 	}
 	room := p.room[t.name]
 	if u.expectedDuration() >= p.reservedFrom[t.name] {
-		room = room.Minus(p.reserved[t.name])
+		room = room.Minus(p.reservedAgainst(u, t.name))
 	}
 	n := u.taskCount()
 	need := u.step.Reservation()
--- a/sesamedispatch/preempt.go
+++ b/sesamedispatch/preempt.go
@@ -134,8 +134,8 @@
 func (p *pass) planEviction(u *unit, targets []*target, owed bool) (eviction, bool) {
 	var e eviction
 	room := maps.Clone(p.room)
-	for name, kept := range p.reserved {
-		room[name] = room[name].Minus(kept)
+	for name := range p.reserved {
+		room[name] = room[name].Minus(p.reservedAgainst(u, name))
 	}
 	p.addStoppingRoom(room)
 	for range u.taskCount() {
--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -27,6 +27,9 @@
 type reservation struct {
 	unit *unit
 	from time.Duration
+	// firm says that the room is kept from work that is owed as well: the unit is
+	// owed it, or has claimed it.
+	firm bool
 }
 
 // reserve sets room aside for one task per entry of targets, which may repeat,
@@ -37,11 +40,27 @@
 		p.reservations[name] = append(p.reservations[name], reservation{
 			unit: u,
 			from: wait,
+			firm: p.owed == u || len(u.claim.targets) > 0,
 		})
 		p.sumReservations(name)
 	}
 }
 
+// reservedAgainst returns the room on the target that is set aside against the
+// unit. If the unit is owed its room, only firm reservations count.
+func (p *pass) reservedAgainst(u *unit, name string) sesamework.Resources {
+	if p.owed != u {
+		return p.reserved[name]
+	}
+	var firm sesamework.Resources
+	for _, r := range p.reservations[name] {
+		if r.firm {
+			firm = firm.Plus(r.unit.step.Reservation())
+		}
+	}
+	return firm
+}
+
 // unreserve undoes the unit's reservations on the targets.
 func (p *pass) unreserve(u *unit, targets []string) {
 	for _, name := range targets {
@@ -110,7 +129,7 @@
 	slots := 0
 	for _, t := range targets {
 		byName[t.name] = t
-		future.room[t.name] = p.room[t.name].Minus(p.reserved[t.name])
+		future.room[t.name] = p.room[t.name].Minus(p.reservedAgainst(u, t.name))
 		slots += future.tasksThatFit(u, t)
 	}
 	if slots >= u.taskCount() {
--- a/sesamedispatch/reserve_test.go
+++ b/sesamedispatch/reserve_test.go
@@ -76,3 +76,21 @@
 		})
 	}
 }
+
+// TestOwedWorkBesideReservation guards against owed work that waits beside idle
+// accelerators because these are reserved for work that is not owed.
+func TestOwedWorkBesideReservation(t *testing.T) {
+	f := waitingGang(t, 0, false, time.Second)
+	f.term.view.policy = &sesamework.Policy{
+		Teams: []sesamework.Team{{
+			Name:       "team",
+			Guaranteed: 8,
+		}},
+	}
+	f.writeAndFeed(withStep(jobFillingTarget("owed", 0), func(_ *sesamework.Job, s *sesamework.Step) {
+		s.Need.Accelerators = 1
+		s.Estimate = 60000
+	}))
+	f.decide(1)
+	is.New(t).Equal(f.runsOf("owed"), 1)
+}
