A declared duration that is too short stops a sound task once

Cause: one percent of progress may take a fifth of the expected duration. That bound was the same for each run of the task, and each of these stops was taken as evidence against another target.

Change: the row of a run counts the runs before it that were stopped for lack of progress. The allowed time doubles with each, and only the first one counts against its target: a task that stands still on a second target says more of itself than of that one.

--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -174,6 +174,7 @@
 		Avoid:       slices.Clone(u.avoid),
 		Crashes:     u.suspicion.crashes,
 		Suspect:     u.suspicion.suspect,
+		Stalls:      u.stalls(),
 		OrderedAt:   now.Milliseconds(),
 	}
 	for i, index := range u.taskIndexes() {
@@ -188,6 +189,15 @@
 	return r
 }
 
+// stalls counts the runs, the newest one included, that were stopped for lack of
+// progress.
+func (u *unit) stalls() int {
+	if u.run.StopReason == stopNoProgress {
+		return u.run.Stalls + 1
+	}
+	return u.run.Stalls
+}
+
 // setRun makes the run the newest one. A run with another number starts with
 // members whose ends are not known, and uses up the claim. now is on the steady
 // clock.
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -27,8 +27,8 @@
 	return t.State != sesamework.TargetGone && (lapsed || t.removed)
 }
 
-// stopStalled stops runs with a task that makes no progress, and quarantines
-// the task's target.
+// stopStalled stops runs with a task that makes no progress. It quarantines the
+// task's target unless the unit has made none elsewhere either.
 func (v *View) stopStalled(d *Decision) {
 	for _, u := range v.units {
 		if !u.isActive() || u.run.StopReason != "" || u.step.LongRunning {
@@ -41,8 +41,11 @@
 					"task":   u.id.Task(m.Index).String(),
 					"run":    u.run.Number,
 					"target": m.Target,
+					"stalls": u.run.Stalls,
 				})
-				v.targets[m.Target].quarantine(v.now.Steady)
+				if u.run.Stalls == 0 {
+					v.targets[m.Target].quarantine(v.now.Steady)
+				}
 				d.stop(u, stopNoProgress)
 				break
 			}
@@ -63,10 +66,14 @@
 }
 
 // stallTimeout returns how long a task may take for one percent of progress: a
-// slow one takes up to twenty times as long as expected.
+// slow one takes up to twenty times as long as expected. It doubles with each run
+// that took longer, since the declared duration may be too short.
 func (u *unit) stallTimeout() time.Duration {
-	const slowestPercent = 20
-	return max(minStallTimeout, u.expectedDuration()*slowestPercent/100)
+	const (
+		slowestPercent = 20
+		maxDoublings   = 8
+	)
+	return max(minStallTimeout, u.expectedDuration()*slowestPercent/100) << min(u.run.Stalls, maxDoublings)
 }
 
 // drainStopLead is how long before a draining target's announced end its runs
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -54,6 +54,8 @@
 	// its index, and Suspect says that the unit may have caused that.
 	Crashes map[int]int `json:"crashes,omitempty"`
 	Suspect bool        `json:"suspect,omitempty"`
+	// Stalls counts the earlier runs that were stopped for lack of progress.
+	Stalls int `json:"stalls,omitempty"`
 	// OrderedAt is when the run was written to the store, on the store's clock
 	// in milliseconds.
 	OrderedAt int64 `json:"at"`
