--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -195,10 +195,7 @@
 	if p.blocked[step] {
 		return
 	}
-	owed := p.isOwed(u)
-	if owed {
-		p.owed = u
-	}
+	owed := p.admitOwed(u)
 	if targets := p.choose(u); targets != nil {
 		p.start(u, targets)
 		return
--- a/sesamedispatch/preempt.go
+++ b/sesamedispatch/preempt.go
@@ -19,6 +19,16 @@
 		p.urgentAccelerators[u.job.Team]+u.accelerators() <= guaranteed
 }
 
+// admitOwed reports whether the unit is owed its room, and if so lets it use the room
+// that is reserved for units that are not; see reservedAgainst.
+func (p *pass) admitOwed(u *unit) bool {
+	if !p.isOwed(u) {
+		return false
+	}
+	p.owed = u
+	return true
+}
+
 // borrowedRuns returns the set of those units in active that belong to urgent
 // jobs and whose runs their teams' guarantees don't cover. Runs count against
 // the guarantee in the order of their start orders, and one that would exceed it
