--- a/sesamedispatch/bench_test.go
+++ b/sesamedispatch/bench_test.go
@@ -122,3 +122,32 @@
 		})
 	}
 }
+
+// BenchmarkDecideWideGang measures one decision while a gang of 1,024 tasks waits
+// on full targets.
+func BenchmarkDecideWideGang(b *testing.B) {
+	for _, priority := range []int{0, 1} {
+		b.Run(fmt.Sprint("priority ", priority), func(b *testing.B) {
+			view := overloadedView(300)
+			now := view.now
+			for range 10 {
+				view.applyDecision(view.Decide(now))
+				now.Steady += 10 * time.Millisecond
+			}
+			view.setJob("gang", withStep(jobFillingTarget("gang", priority), func(j *sesamework.Job, s *sesamework.Step) {
+				j.Accepted = now.Store.Milliseconds()
+				j.Terms.Stretch = 1
+				s.Count = 1024
+				s.Need = sesamework.Resources{
+					Cores:        500,
+					Accelerators: 1,
+				}
+				s.Gang = true
+			}))
+			for b.Loop() {
+				now.Steady += time.Millisecond
+				view.Decide(now)
+			}
+		})
+	}
+}
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -146,9 +146,10 @@
 }
 
 // collect adds the writes of the stops, starts and states of a decision to the
-// batch. That a job runs is published with a start of it. Starts after a loss, and states that rest on one, go to restarts: their
-// conditions are in other parts of the store, and a refusal must not hold up the
-// rest. Errors are those of encoding the rows.
+// batch. That a job runs is published with a start of it: if the store refuses the
+// start, nothing of the job may run. Starts after a loss, and states that rest on
+// one, go to restarts: their conditions are in other parts of the store, and a
+// refusal must not hold up the rest. Errors are those of encoding the rows.
 func (r *term) collect(d Decision, batch, restarts *changeBatch) error {
 	for _, s := range d.Stops {
 		if err := r.collectStop(s, batch); err != nil {
@@ -171,7 +172,6 @@
 			if err != nil {
 				return err
 			}
-			// Without this start, nothing of the job may run.
 			c = c.with(published)
 			delete(running, s.unit.job)
 		}
--- a/sesamework/runrows_test.go
+++ b/sesamework/runrows_test.go
@@ -120,3 +120,37 @@
 		})
 	}
 }
+
+// TestRunSizes logs what a gang of 1,024 tasks takes in the store, by the number of
+// its targets; docs/CAPACITY.md quotes it. All of it must fit into one transaction.
+func TestRunSizes(t *testing.T) {
+	const tasks = 1024
+	u := UnitID{Job: "5c0e7a21d94b36f8", Index: GangIndex}
+	for _, targets := range []int{11, 128, tasks} {
+		t.Run(fmt.Sprint(targets), func(t *testing.T) {
+			is := is.New(t)
+			var r Run
+			for i := range tasks {
+				r.Members = append(r.Members, Member{
+					Index:  i,
+					Target: fmt.Sprintf("t/side-magdalena-a-%04d/i-%08x", i*targets/tasks, i*targets/tasks),
+					Zone:   "magdalena-a",
+					Life:   1764892800000,
+				})
+			}
+			var change sesamerows.Transaction
+			bytes := 0
+			for _, part := range r.Split() {
+				value, err := json.Marshal(part.Run)
+				is.NoErr(err)
+				bytes += len(value)
+				change.Writes = append(change.Writes, sesamerows.Write{
+					Key:   part.Row.Key(u),
+					Value: value,
+				})
+			}
+			is.NoErr(change.CheckLimits())
+			t.Logf("%d rows, %d bytes of values, %d in a transaction", len(change.Writes), bytes, change.Bytes())
+		})
+	}
+}
