--- a/sesamework/runrows.go
+++ b/sesamework/runrows.go
@@ -1,7 +1,6 @@
 package sesamework
 
 import (
-	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -23,8 +22,8 @@
 	MaxAvoided = 32
 )
 
-// RunRow names one of the rows that hold a run: a zone with many targets of the
-// run has several, which are numbered from 0.
+// RunRow names one of the rows that hold a run. A zone in which the run has many
+// targets has several rows, numbered from 0.
 type RunRow struct {
 	Zone   string
 	Number int
@@ -59,11 +58,6 @@
 	return u, row, err
 }
 
-// String returns the zone and the number.
-func (r RunRow) String() string {
-	return fmt.Sprintf("%s/%d", r.Zone, r.Number)
-}
-
 // RunPart is the part of a run that one row holds: the run with the members of
 // one zone, or some of them.
 type RunPart struct {
