--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -175,6 +175,43 @@
 	return idle > idleLimit, nil
 }
 
+// survey is a queue for jobs that go before those of batch.
+var survey = route{name: "r-survey", prefix: "/survey/", priority: 1, attempts: 3}
+
+// playReserved hands in two jobs whose data is in a rack that others fill, and then a
+// small job that any executor may run.
+func playReserved(w *world, trouble bool) (bool, error) {
+	const filler, id = "f111000000000001", "5a11000000000001"
+	fronts, err := w.deploy(2, []string{"r1", "r2", "r3"}, []string{"a", "a", "a"}, survey, batch)
+	if err != nil {
+		return false, err
+	}
+	steps := []step{{Count: 1, CPU: 64000, Mem: 262144, GPU: 8, DataRack: "r1", Lasts: true}}
+	if status := w.submitUntilAnswered(fronts[0], survey.prefix, filler, steps, behaviour{}); status != 200 {
+		return false, needsAnswer(filler, status)
+	}
+	if err := w.awaitRun(filler, 10*time.Second); err != nil {
+		return false, err
+	}
+	for i := range 2 {
+		waiting := fmt.Sprintf("da7a00000000000%d", i)
+		steps := []step{{Count: 1, CPU: 64000, Mem: 262144, GPU: 8, DataRack: "r1", Estimate: 600_000}}
+		if !trouble {
+			break
+		}
+		if status := w.submitUntilAnswered(fronts[0], survey.prefix, waiting, steps, behaviour{works: 10 * time.Minute}); status != 200 {
+			return false, needsAnswer(waiting, status)
+		}
+	}
+	small := []step{{Count: 1, CPU: 8000, Mem: 32768, GPU: 1, Estimate: 60_000}}
+	if status := w.submitUntilAnswered(fronts[0], batch.prefix, id, small, behaviour{works: time.Minute}); status != 200 {
+		return false, needsAnswer(id, status)
+	}
+	accepted := time.Now()
+	idle := w.watchIdle(fronts[1], batch.prefix, id, small[0].needs(), accepted.Add(finish), accepted.Add(60*time.Second))
+	return idle > idleLimit, nil
+}
+
 // playAvoid hands in a job that fails once, on the only executor that has room for
 // it.
 func playAvoid(w *world, trouble bool) (bool, error) {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,6 +17,7 @@
 	"renamed":  playRenamed,
 	"twice":    playTwice,
 	"lasting":  playLasting,
+	"reserved": playReserved,
 	"datarack": playDataRack,
 	"avoid":    playAvoid,
 	"backfill": playBackfill,
