--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -111,12 +111,19 @@
 	if err := w.awaitRun(id, 10*time.Second); err != nil {
 		return false, err
 	}
+	broken := w.watchMissing([]string{id + ".0.0.0", id + ".0.0.1"}, steps[0], 60*time.Second)
+	w.state(fronts[1], batch.prefix, id)
+	return broken, nil
+}
+
+// watchMissing watches tasks that last, with the needs of the step, and reports
+// whether one of them didn't run for longer than the rule allows.
+func (w *world) watchMissing(tasks []string, s step, most time.Duration) bool {
 	broken := false
 	var noted time.Time
-	for deadline := time.Now().Add(60 * time.Second); time.Now().Before(deadline); time.Sleep(poll) {
-		for i := range 2 {
-			task := fmt.Sprintf("%s.0.0.%d", id, i)
-			missing := w.missingFor(task, steps[0])
+	for deadline := time.Now().Add(most); time.Now().Before(deadline); time.Sleep(poll) {
+		for _, task := range tasks {
+			missing := w.missingFor(task, s)
 			broken = broken || missing > lastsLimit+idleLimit
 			if missing > lastsLimit+idleLimit && time.Since(noted) > time.Second {
 				noted = time.Now()
@@ -124,8 +131,7 @@
 			}
 		}
 	}
-	w.state(fronts[1], batch.prefix, id)
-	return broken, nil
+	return broken
 }
 
 // missingFor returns for how long a task that lasts has not run since its last run,
@@ -178,19 +184,21 @@
 // survey is a queue for jobs that go before those of batch.
 var survey = route{name: "r-survey", prefix: "/survey/", priority: 1, attempts: 3}
 
-// playReserved hands in two jobs whose data is in a rack that others fill, and then a
-// small job that any executor may run.
+// playReserved hands in two jobs whose data is in a rack that others fill. Then a task
+// that lasts, and that any executor may run, fails once.
 func playReserved(w *world, trouble bool) (bool, error) {
-	const filler, id = "f111000000000001", "5a11000000000001"
+	const filler, id = "f111000000000001", "1a57000000000001"
 	fronts, err := w.deploy(2, []string{"r1", "r2", "r3"}, []string{"a", "a", "a"}, survey, batch)
 	if err != nil {
 		return false, err
 	}
-	steps := []step{{Count: 1, CPU: 64000, Mem: 262144, GPU: 8, DataRack: "r1", Lasts: true}}
-	if status := w.submitUntilAnswered(fronts[0], survey.prefix, filler, steps, behaviour{}); status != 200 {
-		return false, needsAnswer(filler, status)
+	full := []step{{Count: 1, CPU: 64000, Mem: 262144, GPU: 8, DataRack: "r1", Lasts: true}}
+	one := []step{{Count: 1, CPU: 8000, Mem: 32768, GPU: 1, Lasts: true}}
+	fails := func(_ string, run int) (time.Duration, bool) { return 8 * time.Second, run == 1 }
+	if err := w.submitAndAwait(fronts[0], survey.prefix, filler, full, behaviour{}); err != nil {
+		return false, err
 	}
-	if err := w.awaitRun(filler, 10*time.Second); err != nil {
+	if err := w.submitAndAwait(fronts[0], batch.prefix, id, one, behaviour{fails: fails}); err != nil {
 		return false, err
 	}
 	for i := range 2 {
@@ -203,13 +211,17 @@
 			return false, needsAnswer(waiting, status)
 		}
 	}
-	small := []step{{Count: 1, CPU: 8000, Mem: 32768, GPU: 1, Estimate: 60_000}}
-	if status := w.submitUntilAnswered(fronts[0], batch.prefix, id, small, behaviour{works: time.Minute}); status != 200 {
-		return false, needsAnswer(id, status)
+	broken := w.watchMissing([]string{id + ".0.0.0"}, one[0], 60*time.Second)
+	w.state(fronts[1], batch.prefix, id)
+	return broken, nil
+}
+
+// submitAndAwait hands a job in and waits until a task of it runs.
+func (w *world) submitAndAwait(p *process, prefix, id string, steps []step, does ...behaviour) error {
+	if status := w.submitUntilAnswered(p, prefix, id, steps, does...); status != 200 {
+		return needsAnswer(id, status)
 	}
-	accepted := time.Now()
-	idle := w.watchIdle(fronts[1], batch.prefix, id, small[0].needs(), accepted.Add(finish), accepted.Add(60*time.Second))
-	return idle > idleLimit, nil
+	return w.awaitRun(id, 10*time.Second)
 }
 
 // playAvoid hands in a job that fails once, on the only executor that has room for
