Agents start nothing in an evacuated zone

Operators can take a zone out of use. An agent may then still hold runs that it has not ordered, and repeats starts whose answer was lost.

The planner's marker row in the zone's run table, and the new time StartBy in a run's row, forbid starts. A run of which none was sent ends as never run; one whose start was not answered is stopped. The check is repeated after the specification was read. Rows without StartBy are handled as before.

--- a/sesamerunner/events.go
+++ b/sesamerunner/events.go
@@ -32,6 +32,7 @@
 	eventGivenUp        = sesamelog.Define(7218, sesamelog.Warn, "planner has given up a target that answers")
 	eventLongCheckpoint = sesamelog.Define(7222, sesamelog.Warn, "checkpoint is too long to be kept")
 	eventRejected       = sesamelog.Define(7223, sesamelog.Error, "store refuses a report")
+	eventEvacuation     = sesamelog.Define(7230, sesamelog.Info, "zone was evacuated or taken back")
 	eventCapacity       = sesamelog.Define(7220, sesamelog.Info, "capacity of target changed")
 )
 
--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -103,8 +103,8 @@
 // nil if none is needed, while an earlier call is in flight, during back-off, and
 // while the answer to a lease renewal must come first. fresh says that the
 // planner's orders were confirmed recently enough to start the run. On a target
-// that drains, or has not reported its capacity for long, no run is started; see
-// giveUpStart. The caller holds the lock.
+// that drains, or has not reported its capacity for long, no run is started, nor one
+// that checkStart forbids; see giveUpStart. The caller holds the lock.
 func (s *session) callFor(w wantedRun, key runKey, fresh bool) func(context.Context) {
 	k := s.stateOf(key)
 	if k.orderInFlight || k.phase == phaseEnded || s.o.Clock.Steady() < k.retryAt {
@@ -126,6 +126,11 @@
 		s.giveUpStart(key, "target is leaving")
 		return nil
 	}
+	var forbidden *StartForbiddenError
+	if errors.As(s.runs.checkStart(w), &forbidden) {
+		s.forbidStart(key, forbidden)
+		return nil
+	}
 	if !s.isCapacityKnown() {
 		if s.missedReports(2) {
 			s.giveUpStart(key, "target does not report")
@@ -211,11 +216,16 @@
 
 // sendStart sends the order to start the run. Without a lease to grant it
 // sends nothing and returns a *RefusedError; the same holds for the
-// *CapacityError of checkCapacity. Other errors are those of Executor.Start and
+// *StartForbiddenError of checkStart and the *CapacityError of checkCapacity. Other errors are those of Executor.Start and
 // checkEpoch.
 func (s *session) sendStart(ctx context.Context, w wantedRun, key runKey, specification string) error {
 	s.mu.Lock()
-	if err := s.checkCapacity(key); err != nil {
+	// Reading the specification may have taken a while.
+	err := s.runs.checkStart(w)
+	if err == nil {
+		err = s.checkCapacity(key)
+	}
+	if err != nil {
 		s.mu.Unlock()
 		return err
 	}
@@ -276,7 +286,10 @@
 	var refused *RefusedError
 	var unavailable *UnavailableError
 	var capacity *CapacityError
+	var forbidden *StartForbiddenError
 	switch {
+	case errors.As(err, &forbidden):
+		s.forbidStart(key, forbidden)
 	case errors.As(err, &capacity):
 		s.handleCapacityError(key, capacity)
 	case errors.As(err, &refused):
--- a/sesamerunner/runs.go
+++ b/sesamerunner/runs.go
@@ -38,6 +38,9 @@
 	checkpoint string
 	// version is that of the run's row.
 	version sesamerows.Version
+	// startBy is until when a start may be sent, on the store's clock; 0 means at
+	// any time.
+	startBy time.Duration
 }
 
 // runRow is what one row of a run holds for the targets of this node.
@@ -74,6 +77,13 @@
 	// rows holds the runs by the names of their rows; a run of a gang may have
 	// several.
 	rows map[string]runRow
+	// evacuation is the row that says that the zone is evacuated, or its
+	// tombstone; its Version is 0 when neither was read.
+	evacuation sesamerows.Row
+	// storeNow is the store's clock as of the newest answer, which came at
+	// storeNowAt.
+	storeNow   time.Duration
+	storeNowAt time.Duration
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -120,12 +130,23 @@
 func (r *runView) apply(b sesamerows.Batch, asked time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if b.Now > 0 {
+		r.storeNow = b.Now
+		r.storeNowAt = r.clock.Steady()
+	}
+	wasEvacuated := r.isEvacuated()
 	if b.Snapshot {
 		clear(r.rows)
+		r.evacuation = sesamerows.Row{}
 	}
 	for _, row := range b.Rows {
+		if row.Key == sesamework.EvacuationKey(r.zone) {
+			r.setEvacuation(row)
+			continue
+		}
 		r.set(row)
 	}
+	r.logEvacuation(wasEvacuated)
 	r.confirmedAt = max(r.confirmedAt, asked)
 	if b.Snapshot || len(b.Rows) > 0 {
 		close(r.changed)
@@ -186,6 +207,7 @@
 				stopReason:  run.StopReason,
 				checkpoint:  run.Checkpoint,
 				version:     run.version,
+				startBy:     time.Duration(run.StartBy) * time.Millisecond,
 			})
 		}
 	}
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -59,6 +59,10 @@
 	// OrderedAt is when the run was written to the store, on the store's clock
 	// in milliseconds.
 	OrderedAt int64 `json:"at"`
+	// StartBy is until when a start of the run may be sent, on the store's clock in
+	// milliseconds; 0 means at any time. It bounds how late a run can start in a
+	// zone that is evacuated after the planner has ordered the run.
+	StartBy int64 `json:"by,omitempty"`
 }
 
 // Zones returns the zones of the members, each once, in the order in which the
