Evacuation of zones: policies, planner, marker rows, setting

Starts went on in a zone that operators had evacuated, also seconds later, when a write of the planner took effect late.

The reader of op also returns the evacuated zones. Planners with the setting evacuation place nothing in them, and nothing at all once they have not read the zones for 2 s; they write and remove marker rows, first thing after a take-over. Runs carry StartBy, derived from when the zones were read on the store's clock, so that late commits, other planners and agents that were cut off start nothing after the bound. Runs that last move when they fit elsewhere.

--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -114,6 +114,10 @@
 	if settings.Inventory != "" {
 		inventory = platform.NewInventory(settings.Inventory, scope)
 	}
+	var evacuations sesamedispatch.Evacuations
+	if settings.Evacuation > 0 {
+		evacuations = intake.Policies()
+	}
 	e := &hostedEntry{
 		process:  p,
 		settings: settings,
@@ -127,6 +131,9 @@
 			Clock:     clock,
 			Log:       p.log,
 			Scope:     scope,
+
+			Evacuations:     evacuations,
+			EvacuationBound: settings.Evacuation,
 		}),
 		draining: make(chan struct{}),
 	}
--- a/sesamedispatch/capacity_test.go
+++ b/sesamedispatch/capacity_test.go
@@ -307,7 +307,7 @@
 
 // TestModelCapacities is TestModel with targets that shrink and grow again.
 func TestModelCapacities(t *testing.T) {
-	runSeeds(t, capacityFaultKinds, false, capacityRegressions)
+	runSeeds(t, capacityFaultKinds, worldOptions{}, capacityRegressions)
 }
 
 // TestTargetStopsReporting lets a target go on answering its agent but no longer
--- a/sesamedispatch/claim.go
+++ b/sesamedispatch/claim.go
@@ -62,7 +62,7 @@
 	return !slices.ContainsFunc(u.claim.targets, func(name string) bool {
 		t, ok := p.view.targets[name]
 		taken[name] = taken[name].Plus(u.step.Reservation())
-		return !ok || !t.acceptsWork(u.job.Terms.Service, p.view.now.Steady) || !taken[name].Fits(t.Capacity)
+		return !ok || !p.view.takesWork(t, u.job.Terms.Service) || !taken[name].Fits(t.Capacity)
 	})
 }
 
@@ -86,7 +86,7 @@
 	var targets []*target
 	for _, name := range u.claim.targets {
 		t, ok := p.view.targets[name]
-		if !ok || !t.acceptsWork(u.job.Terms.Service, p.view.now.Steady) || !p.mayShare(u, t) {
+		if !ok || !p.view.takesWork(t, u.job.Terms.Service) || !p.mayShare(u, t) {
 			return nil
 		}
 		taken[name] = taken[name].Plus(u.step.Reservation())
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -50,6 +50,7 @@
 	stopNoProgress   = "no progress"
 	stopTargetLeaves = "target leaves"
 	stopIncomplete   = "another member will not run"
+	stopEvacuated    = "zone is evacuated"
 )
 
 // IsEmpty reports whether there is nothing to write.
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -30,9 +30,17 @@
 	eventLateEnd        = sesamelog.Define(7118, sesamelog.Warn, "earlier run ended as done")
 	eventCrashes        = sesamelog.Define(7119, sesamelog.Warn, "target crashed under unit")
 	eventRejected       = sesamelog.Define(7120, sesamelog.Error, "store refuses a write of the planner, which is left out for a while")
+	eventMarker         = sesamelog.Define(7130, sesamelog.Info, "zone was evacuated or taken back")
+	eventUnfit          = sesamelog.Define(7131, sesamelog.Warn, "guaranteed work does not fit outside evacuated zones")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
+// Log events of the planner about its knowledge of evacuated zones.
+var (
+	eventEvacuationsUnknown = sesamelog.Define(7132, sesamelog.Warn, "evacuated zones not known, nothing is started")
+	eventEvacuationsKnown   = sesamelog.Define(7133, sesamelog.Info, "evacuated zones known again")
+)
+
 // startWaitBuckets, for the time from when a unit is ready to its run's order,
 // go from 5 ms to about 80 s.
 var startWaitBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
--- a/sesamedispatch/leaving_test.go
+++ b/sesamedispatch/leaving_test.go
@@ -71,5 +71,5 @@
 
 // TestModelLeaving is TestModel with targets that leave, and planners that lag.
 func TestModelLeaving(t *testing.T) {
-	runSeeds(t, leavingFaultKinds, false, nil)
+	runSeeds(t, leavingFaultKinds, worldOptions{}, nil)
 }
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,22 +146,34 @@
 // clients saw. A scenario is repeated by its seed: -model-first=SEED
 // -model-seeds=1.
 func TestModel(t *testing.T) {
-	runSeeds(t, faultKinds, false, regressions)
+	runSeeds(t, faultKinds, worldOptions{}, regressions)
 }
 
 // TestModelTargets is TestModel with the faults of targets.
 func TestModelTargets(t *testing.T) {
-	runSeeds(t, targetFaultKinds, false, nil)
+	runSeeds(t, targetFaultKinds, worldOptions{}, nil)
 }
 
 // TestModelDetours is TestModel with processes that relay calls to the store
 // for each other.
 func TestModelDetours(t *testing.T) {
-	runSeeds(t, faultKinds, true, nil)
+	runSeeds(t, faultKinds, worldOptions{
+		detours: true,
+	}, nil)
+}
+
+// TestModelEvacuation is TestModel with zones that are evacuated for a while, two of
+// them at once in some scenarios. Nothing may be started in such a zone later than
+// evacuationBound after the evacuation.
+func TestModelEvacuation(t *testing.T) {
+	kinds := slices.Concat(faultKinds, slices.Repeat([]string{"zone evacuated"}, len(faultKinds)))
+	runSeeds(t, kinds, worldOptions{
+		evacuations: true,
+	}, nil)
 }
 
 // runSeeds runs the scenarios of these seeds and of those that the flags name.
-func runSeeds(t *testing.T, kinds []string, detours bool, seeds []int) {
+func runSeeds(t *testing.T, kinds []string, o worldOptions, seeds []int) {
 	for seed := *modelFirstSeed; seed < *modelFirstSeed+*modelSeedCount; seed++ {
 		seeds = append(seeds, seed)
 	}
@@ -168,7 +181,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := rapid.Custom(drawScenario(kinds)).Example(seed)
 			synctest.Test(t, func(t *testing.T) {
-				w := startWorld(t, scenarioEntries, scenarioNodes, detours)
+				w := startWorld(t, scenarioEntries, scenarioNodes, o)
 				w.run(s)
 				assertPromisesKept(t, w, 4*time.Minute)
 				if t.Failed() {
@@ -273,6 +286,8 @@
 		w.store.DropHistory()
 	case "orders late":
 		w.nodes[f.Process].delayOrders(f.For)
+	case "zone evacuated":
+		w.evacuate(fmt.Sprintf("zone-%d", f.Process%2), 2*f.For)
 	case "policy changes":
 		w.putPolicy(2 + f.At.Milliseconds())
 	default:
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -98,10 +98,11 @@
 }
 
 // place starts the ready units that fit, in their order, and makes room for
-// others by reservations and preemption.
+// others by reservations and preemption. Then it moves runs out of evacuated zones.
 func (v *View) place(d *Decision) {
 	candidates := v.sortedCandidates()
-	if len(candidates) == 0 {
+	moves := v.evacuatedRuns()
+	if len(candidates)+len(moves) == 0 || !v.evacuation.mayStart() {
 		return
 	}
 	p := v.newPass(d)
@@ -114,6 +115,9 @@
 			p.placeUnit(u)
 		}
 	}
+	for _, u := range moves {
+		p.move(u)
+	}
 }
 
 // newPass returns a pass with the room that active runs and claims leave.
@@ -137,7 +141,7 @@
 	for _, name := range slices.Sorted(maps.Keys(v.targets)) {
 		t := v.targets[name]
 		p.room[name] = t.Capacity
-		if t.acceptsWork(t.Service, v.now.Steady) {
+		if v.takesWork(t, t.Service) {
 			p.targetsByService[t.Service] = append(p.targetsByService[t.Service], t)
 		}
 	}
@@ -173,6 +177,7 @@
 	if u.isWaiting() && p.view.now.Steady < u.claim.until {
 		p.holdClaim(u)
 	}
+	p.holdMove(u)
 }
 
 // occupy takes the room of one task on the target.
@@ -206,6 +211,7 @@
 		p.blocked[step] = false
 		return
 	}
+	p.reportUnfit(u)
 	urgent := u.job.Terms.Priority == 0 && !v.isCertainlyLate(u)
 	if !urgent && p.reservedUnits >= p.maxReservations() {
 		return
@@ -235,7 +241,7 @@
 	}
 	p.d.Starts = append(p.d.Starts, Start{
 		unit: u,
-		run:  u.nextRun(targets, p.view.now.Store),
+		run:  p.view.evacuation.limitStart(u.nextRun(targets, p.view.now.Store)),
 	})
 }
 
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -73,8 +73,12 @@
 	Policies Policies
 	// Inventory may be nil; then silent targets are given up by time alone.
 	Inventory Inventory
-	Clock     sesameclock.Clock
-	Log       *sesamelog.Logger
+	// Evacuations may be nil; then no zone can be evacuated. Otherwise no run is
+	// started in a zone later than EvacuationBound after its evacuation.
+	Evacuations     Evacuations
+	EvacuationBound time.Duration
+	Clock           sesameclock.Clock
+	Log             *sesamelog.Logger
 	// Scope takes the metrics.
 	Scope tally.Scope
 }
@@ -210,6 +214,7 @@
 		fence:             sesamerows.NewFence(p.o.Store, sesamework.LeaderKey()),
 		view:              NewView(p.o.Log).withDurationModels(p.durationModels),
 		follower:          newWorkFollower(p.o.Store),
+		markers:           newMarkers(),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
--- a/sesamedispatch/policy_test.go
+++ b/sesamedispatch/policy_test.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 
+	"github.com/sesamestack/sesamestack/sesameintake"
 	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
-// policySource decodes the policy from a row of the store.
+// policySource decodes the policy from a row of the store. The other rows of its
+// table are named after evacuated zones.
 type policySource struct {
-	follower *sesamerows.Follower
+	follower  *sesamerows.Follower
+	evacuated map[string]bool
 }
 
 // policyKey names the row of the policy: its number in decimal digits.
@@ -32,18 +37,35 @@
 	}
 }
 
-// Next returns the newest policy, or nil when there is no newer one.
-func (p *policySource) Next(ctx context.Context) (*sesamework.Policy, error) {
+// Next returns the newest policy, if there is a newer one, and the evacuated zones.
+func (p *policySource) Next(ctx context.Context) (sesameintake.PolicyUpdate, error) {
 	batch, err := p.follower.Next(ctx)
-	if err != nil || len(batch.Rows) == 0 {
-		return nil, err
+	if err != nil {
+		return sesameintake.PolicyUpdate{}, err
+	}
+	update := sesameintake.PolicyUpdate{
+		ReadAt: batch.Now,
+	}
+	if batch.Snapshot {
+		clear(p.evacuated)
+	}
+	for _, row := range batch.Rows {
+		if row.Key != policyKey {
+			p.evacuated[row.Key.Name] = !row.Removed
+			continue
+		}
+		var number int64
+		if _, err := fmt.Sscan(string(row.Value), &number); err != nil {
+			return update, err
+		}
+		update.Policy = testPolicy(number, row.Version)
 	}
-	row := batch.Rows[len(batch.Rows)-1]
-	var number int64
-	if _, err := fmt.Sscan(string(row.Value), &number); err != nil {
-		return nil, err
+	for _, zone := range slices.Sorted(maps.Keys(p.evacuated)) {
+		if p.evacuated[zone] {
+			update.Evacuated = append(update.Evacuated, zone)
+		}
 	}
-	return testPolicy(number, row.Version), nil
+	return update, nil
 }
 
 // testPolicy returns a policy that guarantees team-a 16 accelerators, and has
--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -86,13 +86,18 @@
 		Source: &policySource{
 			follower: sesamerows.NewFollower(e.store, sesamerows.FollowOptions{
 				Table: policyKey.Table,
-				Wait:  time.Second,
+				Wait:  500 * time.Millisecond,
 			}),
+			evacuated: map[string]bool{},
 		},
 		Clock: e.w.steadyClock,
 		Log:   testLog(),
 		Scope: tally.NoopScope,
 	})
+	var evacuations sesamedispatch.Evacuations
+	if e.w.evacuations {
+		evacuations = intake.Policies()
+	}
 	planner := sesamedispatch.NewPlanner(sesamedispatch.Options{
 		Name:      e.name,
 		Store:     e.store,
@@ -101,6 +106,9 @@
 		Clock:     e.w.steadyClock,
 		Log:       testLog(),
 		Scope:     tally.NoopScope,
+
+		Evacuations:     evacuations,
+		EvacuationBound: evacuationBound,
 	})
 	e.w.mu.Lock()
 	e.intake = intake
--- a/sesamedispatch/refusal_test.go
+++ b/sesamedispatch/refusal_test.go
@@ -18,7 +18,9 @@
 func TestStoreRefusesPlannerAndAgents(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const work = time.Second
-		w := startWorld(t, 3, 3, true)
+		w := startWorld(t, 3, 3, worldOptions{
+			detours: true,
+		})
 		w.sleep(3 * time.Second)
 		refuse := func(bool) sesamestandin.RowFault {
 			return sesamestandin.RowFault{
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -42,6 +42,10 @@
 	// inventoryRequestedAt is when the last request was made, on the steady
 	// clock.
 	inventoryRequestedAt time.Duration
+	// markers are those of evacuated zones. evacuationsUnknown says that the
+	// planner starts nothing since it doesn't know the evacuated zones.
+	markers            *markers
+	evacuationsUnknown bool
 }
 
 // load reads all rows and fills the view, which is still empty.
@@ -72,10 +76,14 @@
 	return group.Wait()
 }
 
-// renewDuring renews the leader's row each leaderRenewInterval until the context
-// reading ends, so that no other process takes over. Errors are those of commit,
+// renewDuring first writes what markEvacuated does. Then it renews the leader's row
+// each leaderRenewInterval until the context reading ends, so that no other process
+// takes over. Errors are those of commit,
 // whose transactions are bounded by ctx.
 func (r *term) renewDuring(ctx, reading context.Context) error {
+	if err := r.markEvacuated(ctx); err != nil {
+		return err
+	}
 	for {
 		sesamerows.Sleep(reading, leaderRenewInterval)
 		if reading.Err() != nil {
@@ -185,6 +193,7 @@
 		return nil, err
 	}
 	var ranges []sesamerows.Range
+	var zones []string
 	known := map[string]bool{}
 	for _, part := range parts {
 		zone, ok := sesamework.ZoneOf(part)
@@ -192,12 +201,16 @@
 			continue
 		}
 		known[zone] = true
+		zones = append(zones, zone)
 		ranges = append(ranges, sesamerows.Range{
 			Table: sesamework.RunTable(zone),
 			Part:  sesamework.PlanPart,
 		})
 	}
 	page, err := sesamerows.ReadRanges(ctx, r.o.Store, ranges)
+	if err == nil {
+		r.markers.noteRead(zones, page.Rows)
+	}
 	return page.Rows, err
 }
 
@@ -261,13 +274,16 @@
 }
 
 // plan is the planning loop: it decides, writes, and waits for changes. It
-// returns the first error of decideAndWrite, wait or awaitFeed.
+// returns the first error of updateEvacuation, decideAndWrite, wait or awaitFeed.
 func (r *term) plan(ctx context.Context, batches <-chan sesamerows.Batch) error {
 	for {
 		if err := r.awaitFeed(ctx, batches); err != nil {
 			return err
 		}
 		r.view.SetPolicy(r.o.Policies.Current())
+		if err := r.updateEvacuation(ctx); err != nil {
+			return err
+		}
 		if err := r.decideAndWrite(ctx); err != nil {
 			return err
 		}
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -32,6 +32,10 @@
 	// loading is set while the rows of earlier times are applied: when and in
 	// which order runs ended is not known then.
 	loading bool
+	// evacuation is what is known of evacuated zones, and unfit holds the units
+	// that reportUnfit has logged.
+	evacuation evacuation
+	unfit      map[sesamework.UnitID]bool
 	// plain turns off what only makes decisions faster, for tests that compare
 	// both ways.
 	plain bool
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -32,13 +32,22 @@
 	entries     []*entryProcess
 	nodes       []*nodeProcess
 
-	// detours says that processes relay calls to the store for each other.
-	detours bool
+	worldOptions
 	// keepsIDs says that all lives of a target have the same ID.
 	keepsIDs bool
 
 	mu   sync.Mutex
 	jobs map[string]*clientJob
+	// evacuated are the zones that are evacuated now.
+	evacuated map[string]evacuatedZone
+}
+
+// worldOptions are choices that differ between worlds.
+type worldOptions struct {
+	// detours says that processes relay calls to the store for each other.
+	detours bool
+	// evacuations says that zones can be evacuated.
+	evacuations bool
 }
 
 // clientJob is a job that a client submitted.
@@ -81,12 +90,11 @@
 // processes all call the store directly. The policy guarantees team-a 16
 // accelerators.
 func newWorld(t *testing.T, entries, nodes int) *world {
-	return startWorld(t, entries, nodes, false)
+	return startWorld(t, entries, nodes, worldOptions{})
 }
 
-// startWorld is newWorld with a choice: with detours, a process that the store
-// refuses calls it through an entry.
-func startWorld(t *testing.T, entries, nodes int, detours bool) *world {
+// startWorld is newWorld with choices.
+func startWorld(t *testing.T, entries, nodes int, o worldOptions) *world {
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	clock := clockwork.NewRealClock()
@@ -98,7 +106,8 @@
 		steadyClock: sesameclock.Wrap(clock),
 		jobs:        map[string]*clientJob{},
 
-		detours: detours,
+		worldOptions: o,
+		evacuated:    map[string]evacuatedZone{},
 	}
 	w.store = sesamerows.NewMemory(w.steadyClock)
 	w.serialStore = sesamestandin.NewSerializedRows(w.store, clock)
@@ -110,6 +119,7 @@
 		MaxLease:    maxLease,
 		Crashed:     w.restartTarget,
 		ShrinkGrace: shrinkGrace,
+		MayStart:    w.mayStart,
 	})
 	t.Cleanup(func() {
 		cancel()
--- a/sesameintake/events.go
+++ b/sesameintake/events.go
@@ -13,4 +13,6 @@
 	eventStoreLost = sesamelog.Define(7006, sesamelog.Warn, "store does not answer")
 	eventStoreBack = sesamelog.Define(7007, sesamelog.Info, "store answers again")
 	eventBadState  = sesamelog.Define(7008, sesamelog.Error, "state row can't be read")
+
+	eventEvacuations = sesamelog.Define(7030, sesamelog.Info, "evacuated zones changed")
 )
--- a/sesameintake/policies.go
+++ b/sesameintake/policies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,12 +15,23 @@
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
+// PolicyUpdate is what one reading of a PolicySource has found.
+type PolicyUpdate struct {
+	// Policy is a newer policy, nil when none came.
+	Policy *sesamework.Policy
+	// Evacuated are the zones that are evacuated, in order.
+	Evacuated []string
+	// ReadAt is when they were read, on the store's clock.
+	ReadAt time.Duration
+}
+
 // PolicySource returns policies as they come into force.
 type PolicySource interface {
-	// Next waits a limited time for a newer policy, and returns nil when none came.
-	// It returns an *UnreadablePolicyError when the newest policy can't be read,
-	// and another error when the store did not answer.
-	Next(ctx context.Context) (*sesamework.Policy, error)
+	// Next waits a limited time for a newer policy or a change of the evacuated
+	// zones. It returns an *UnreadablePolicyError when the newest policy can't be
+	// read, with the evacuated zones, and another error when the store did not
+	// answer.
+	Next(ctx context.Context) (PolicyUpdate, error)
 }
 
 // Policies holds the newest policy that this process has read.
@@ -32,12 +44,16 @@
 	current atomic.Pointer[sesamework.Policy]
 	// mu guards the fields below and changes of current.
 	mu sync.Mutex
-	// changed is closed and replaced at each change of the policy.
+	// changed is closed and replaced at each change of the policy or of evacuated.
 	changed chan struct{}
 	// answeredAt is when the store last answered, on the steady clock. storeLost
 	// is true from a failed call to the store until its next answer.
 	answeredAt time.Duration
 	storeLost  bool
+	// evacuated are the evacuated zones as of evacuatedReadAt, on the store's
+	// clock.
+	evacuated       []string
+	evacuatedReadAt time.Duration
 }
 
 // NewPolicies returns Policies that hold no policy until Run reads one.
@@ -56,7 +72,8 @@
 	return p.current.Load()
 }
 
-// Changed returns a channel that is closed at the next change of the policy.
+// Changed returns a channel that is closed at the next change of the policy or of
+// the evacuated zones.
 func (p *Policies) Changed() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -71,6 +88,34 @@
 	return p.clock.Steady() - p.answeredAt
 }
 
+// Evacuations returns the evacuated zones as last read.
+func (p *Policies) Evacuations() sesamework.Evacuations {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return sesamework.Evacuations{
+		Zones:  p.evacuated,
+		ReadAt: p.evacuatedReadAt,
+		Age:    p.clock.Steady() - p.answeredAt,
+	}
+}
+
+// setEvacuations stores the evacuated zones of an update, and wakes those who wait
+// for a change of the policy if they differ from the ones before.
+func (p *Policies) setEvacuations(update PolicyUpdate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evacuatedReadAt = update.ReadAt
+	if slices.Equal(p.evacuated, update.Evacuated) {
+		return
+	}
+	p.log.Emit(eventEvacuations, sesamelog.Fields{
+		"zones":  update.Evacuated,
+		"before": p.evacuated,
+	})
+	p.evacuated = update.Evacuated
+	p.signalChange()
+}
+
 // isStoreLost reports whether the last call to the store failed.
 func (p *Policies) isStoreLost() bool {
 	p.mu.Lock()
@@ -83,13 +128,14 @@
 func (p *Policies) Run(ctx context.Context) error {
 	backoff := sesamerows.NewShortBackoff()
 	for ctx.Err() == nil {
-		policy, err := p.source.Next(ctx)
+		update, err := p.source.Next(ctx)
 		var unreadable *UnreadablePolicyError
 		if errors.As(err, &unreadable) {
 			p.log.Emit(eventBadPolicy, sesamelog.Fields{
 				"error": unreadable,
 			})
 			p.storeAnswered()
+			p.setEvacuations(update)
 			p.keepCurrent(unreadable.Guard)
 			continue
 		}
@@ -100,8 +146,9 @@
 		}
 		backoff.Reset()
 		p.storeAnswered()
-		if policy != nil {
-			p.SetIfNewer(policy)
+		p.setEvacuations(update)
+		if update.Policy != nil {
+			p.SetIfNewer(update.Policy)
 		}
 	}
 	return nil
@@ -142,6 +189,11 @@
 // caller holds the lock.
 func (p *Policies) setCurrent(policy *sesamework.Policy) {
 	p.current.Store(policy)
+	p.signalChange()
+}
+
+// signalChange closes the channel that Changed returned. The caller holds the lock.
+func (p *Policies) signalChange() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
--- a/sesameintake/submit_test.go
+++ b/sesameintake/submit_test.go
@@ -35,11 +35,11 @@
 	keys []string
 }
 
-// Next returns the newest policy, or nil if there is no new one.
-func (s *rowSource) Next(ctx context.Context) (*sesamework.Policy, error) {
+// Next returns the newest policy, if there is a new one.
+func (s *rowSource) Next(ctx context.Context) (sesameintake.PolicyUpdate, error) {
 	batch, err := s.follower.Next(ctx)
 	if err != nil || len(batch.Rows) == 0 {
-		return nil, err
+		return sesameintake.PolicyUpdate{}, err
 	}
 	row := batch.Rows[len(batch.Rows)-1]
 	policy := &sesamework.Policy{
@@ -59,7 +59,9 @@
 		Name: "team",
 		Keys: s.keys[policy.Number-1 : policy.Number],
 	}}
-	return policy, nil
+	return sesameintake.PolicyUpdate{
+		Policy: policy,
+	}, nil
 }
 
 // intakeWorld is an intake on a store in memory whose calls can be made to fail.
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -28,7 +28,10 @@
 	MemoryMiB int64 `yaml:"memory"`
 	// DrainTimeout is the longest time that a graceful stop may take.
 	DrainTimeout time.Duration `yaml:"drain"`
-	Log          Log           `yaml:"log"`
+	// Evacuation is how long after the evacuation of a zone a task may still be
+	// started there; 0 means that no zone can be evacuated.
+	Evacuation time.Duration `yaml:"evacuation"`
+	Log        Log           `yaml:"log"`
 }
 
 // HostedAgent holds the settings of an agent beside a target in a hosted
@@ -114,6 +117,8 @@
 	minHostedInterval     = 10 * time.Millisecond
 	maxHostedInterval     = time.Minute
 	minHostedDrainTimeout = time.Second
+	minHostedEvacuation   = time.Second
+	maxHostedEvacuation   = time.Hour
 )
 
 // checkHostedEntry adds a problem to d for each invalid value in e.
@@ -128,6 +133,9 @@
 	d.checkOptionalAddress("metrics", e.Metrics)
 	checkRange(d, "memory", e.MemoryMiB, minHostedMemoryMiB, maxHostedMemoryMiB)
 	checkRange(d, "drain", e.DrainTimeout, minHostedDrainTimeout, maxDrainTimeout)
+	if e.Evacuation != 0 {
+		checkRange(d, "evacuation", e.Evacuation, minHostedEvacuation, maxHostedEvacuation)
+	}
 	d.checkLog(e.Log)
 }
 
--- a/sesamesettings/hosted_test.go
+++ b/sesamesettings/hosted_test.go
@@ -50,6 +50,12 @@
 		is.Equal(entry.DrainTimeout, 6*time.Second)
 		is.Equal(entry.Log.Format, "json")
 	})
+	t.Run("an entry with evacuations", func(t *testing.T) {
+		is := is.New(t)
+		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"evacuation: 5000ms\n"))
+		is.NoErr(err)
+		is.Equal(entry.Evacuation, 5*time.Second)
+	})
 	t.Run("an agent", func(t *testing.T) {
 		is := is.New(t)
 		agent, err := sesamesettings.LoadHostedAgent(writeSettings(t, hostedAgentYAML))
@@ -58,6 +64,7 @@
 	})
 	for name, text := range map[string]string{
 		"unknown key":         hostedEntryYAML + "calers: x\n",
+		"evacuation: is 10ms": hostedEntryYAML + "evacuation: 10ms\n",
 		"expected IP:port":    strings.Replace(hostedEntryYAML, "10.0.0.9:8003", "store.example:8003", 1),
 		"memory: is 1":        strings.Replace(hostedAgentYAML, "152", "1", 1),
 		"a duration such as":  strings.Replace(hostedAgentYAML, "6000ms", "6000", 1),
--- a/sesamestandin/fleet.go
+++ b/sesamestandin/fleet.go
@@ -32,6 +32,9 @@
 	ShrinkGrace time.Duration
 	// MaxListed is how many ends a target lists at a time; 0 means all.
 	MaxListed int
+	// MayStart, if it is not nil, reports whether a run may be started on the
+	// target now. It must not call the fleet.
+	MayStart func(*LeasedTarget) bool
 	// Crashed is called when a task has crashed its target, if it is not nil. It
 	// must not call the fleet.
 	Crashed func(*LeasedTarget)
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -202,6 +202,9 @@
 func (t *LeasedTarget) startRun(o sesamerunner.Order, now time.Time) {
 	definition, known := t.fleet.o.Lookup(o.Task)
 	t.fleet.checkStart(t, o, definition, known)
+	if mayStart := t.fleet.o.MayStart; mayStart != nil && !mayStart(t) {
+		t.fleet.addViolation("evacuation: run %d of %s was started on %s", o.Run, o.Task, t.id)
+	}
 	if t.startsForbidden {
 		t.fleet.addViolation("drain: %s was started on %s", o.Task, t.id)
 	}
