--- a/sesamedispatch/evacuate.go
+++ b/sesamedispatch/evacuate.go
@@ -70,9 +70,17 @@
 }
 
 // takesWork reports whether a run of that service can be ordered on the target now:
-// it accepts work, and its zone is open.
+// it accepts work, its zone is open, and it is not cold. Deployments without
+// evacuations have no cold targets.
 func (v *View) takesWork(t *target, service string) bool {
-	return t.acceptsWork(service, v.now.Steady) && v.evacuation.isOpen(t.Zone)
+	return t.acceptsWork(service, v.now.Steady) && v.evacuation.isOpen(t.Zone) &&
+		!(v.evacuation.enabled && t.isCold(v.now.Steady))
+}
+
+// isCold reports whether the target should get no runs yet after it was out of use.
+// now is on the steady clock.
+func (t *target) isCold(now time.Duration) bool {
+	return now < t.reportedAt+time.Duration(t.ColdFor)*time.Millisecond
 }
 
 // evacuatedRuns returns the runs that last and have a member in an evacuated zone,
--- a/sesamedispatch/evacuate_test.go
+++ b/sesamedispatch/evacuate_test.go
@@ -163,6 +163,18 @@
 		f.plan(1)
 		f.is.Equal(f.started(), 1)
 	})
+	t.Run("a target is cold", func(t *testing.T) {
+		f := newEvacuations(t, jobs[0])
+		for _, target := range f.targets {
+			target.ColdFor = 300
+			f.writeAndFeed(targetRow(target, 0))
+		}
+		f.plan(1)
+		f.is.Equal(f.started(), 0)
+		f.clock.Advance(300 * time.Millisecond)
+		f.plan(1)
+		f.is.Equal(f.started(), 1)
+	})
 	t.Run("the data's rack is there", func(t *testing.T) {
 		f := newEvacuations(t)
 		target := f.targets["a"]
--- a/sesamerunner/executor.go
+++ b/sesamerunner/executor.go
@@ -202,6 +202,9 @@
 	// MinRemaining is the least time that a draining target goes on running, from
 	// the moment of the report.
 	MinRemaining time.Duration
+	// ColdRemaining is how much longer the target should get no runs after it was
+	// out of use, from the moment of the report.
+	ColdRemaining time.Duration
 	// Life is when the target started, in Unix milliseconds.
 	Life int64
 	// Sequence grows with each report of one life.
--- a/sesamerunner/report.go
+++ b/sesamerunner/report.go
@@ -60,6 +60,7 @@
 		State:        state,
 		Life:         s.report.Life,
 		MinRemaining: leaves.Milliseconds(),
+		ColdFor:      max(0, s.report.ColdRemaining-(s.o.Clock.Steady()-s.reportedAt)).Milliseconds(),
 		AgentEpoch:   s.agentEpoch,
 		Heartbeat:    s.heartbeat,
 		Refusing:     s.o.Clock.Steady() < s.refusingUntil || s.missedReports(1),
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -173,6 +173,9 @@
 	// MinRemaining is how much longer a draining target stays at least, in
 	// milliseconds from the report.
 	MinRemaining int64 `json:"leaves,omitempty"`
+	// ColdFor is how much longer the target should get no runs after it was out of
+	// use, in milliseconds from the report.
+	ColdFor int64 `json:"cold,omitempty"`
 	// AgentEpoch counts the agents that served this target. It is a fencing
 	// token: once the target has seen an agent's epoch, orders of earlier
 	// agents have no effect.
