--- a/sesamedispatch/evacuate.go
+++ b/sesamedispatch/evacuate.go
@@ -74,7 +74,7 @@
 // evacuations have no cold targets.
 func (v *View) takesWork(t *target, service string) bool {
 	return t.acceptsWork(service, v.now.Steady) && v.evacuation.isOpen(t.Zone) &&
-		!(v.evacuation.enabled && t.isCold(v.now.Steady))
+		(!v.evacuation.enabled || !t.isCold(v.now.Steady))
 }
 
 // isCold reports whether the target should get no runs yet after it was out of use.
