--- a/sesamecommand/processes_test.go
+++ b/sesamecommand/processes_test.go
@@ -180,9 +180,14 @@
 // process with that name.
 func (c *cluster) start(name, settings string, args ...string) *process {
 	file := c.writeFile(name+".yaml", settings)
+	return c.startCommand(name, exec.Command(binary, append(args, "--settings", file)...))
+}
+
+// startCommand starts the command as the process with that name.
+func (c *cluster) startCommand(name string, cmd *exec.Cmd) *process {
 	p := &process{
 		name:   name,
-		cmd:    exec.Command(binary, append(args, "--settings", file)...),
+		cmd:    cmd,
 		log:    &lockedBuffer{},
 		exited: make(chan struct{}),
 	}
