sesameguard: a listener and a body reader with bounds

Callers that stop halfway or never end took a process over its memory and its descriptors: each connection had its own limits, and nothing bounded all of them together.

The new package bounds the connections of a server, the bytes of heads and bodies in flight, the time of a body, kernel buffers, and how many bodies are decoded at once. At a bound, the callers without progress for longest give way; a request that has been read to its end is not cut off.

--- /dev/null
+++ b/sesameguard/conn.go
@@ -0,0 +1,335 @@
+package sesameguard
+
+import (
+	"bytes"
+	"container/list"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// freeBytes is what the head of a request, and again its body, may take
+	// before more is taken from the guard's bytes. Most requests stay below it,
+	// so that long ones never keep them out. It is a part of connectionBytes.
+	freeBytes = 4 << 10
+	// headCost is the memory for each further byte of a head: its lines are
+	// gathered and then copied into strings.
+	headCost = 2
+	// headSlack is how much more than the limit is read of a head. What a request
+	// with an allowed head may send beyond it is spaces between fields, and its
+	// body, of which net/http reads up to 4 KiB with the head.
+	headSlack = 8 << 10
+	// sendBuffer is the size of the kernel's buffer for answers, in bytes.
+	// Answers are short.
+	sendBuffer = 16 << 10
+	// writeTimeout closes the connection of a caller that does not take its
+	// answers.
+	writeTimeout = 5 * time.Second
+	// drainTime is how long the rest of a refused request is read, and drainBytes
+	// how much of it, so that the caller gets the answer: closing a connection
+	// with unread bytes discards what was sent on it.
+	drainTime  = 500 * time.Millisecond
+	drainBytes = 64 << 10
+)
+
+// conn is a connection of a caller. The guard's mutex protects what is below
+// guard.
+type conn struct {
+	net.Conn
+	guard *Guard
+	// counted says that the connection is counted in guard.open.
+	counted bool
+	// waits and holds are its elements in the lists of the guard, nil for none.
+	waits, holds *list.Element
+	// progress is when bytes last came, or the last request was handled.
+	progress time.Time
+	held     int64
+	// interrupted says that it was closed, or that its room was given to another
+	// caller. Nothing more is read.
+	interrupted bool
+	// inHead says that the head of a request is being read or waited for, and
+	// headBytes how much of it has come.
+	inHead    bool
+	headBytes int
+	// bodyRead says that the request was read to its end.
+	bodyRead bool
+}
+
+// newConn returns a connection whose caller has sent nothing yet.
+func newConn(g *Guard, inner net.Conn) *conn {
+	c := &conn{
+		Conn:     inner,
+		guard:    g,
+		progress: g.options.Clock.Now(),
+	}
+	c.expectHead(g.limits().IdleTimeout)
+	return c
+}
+
+// withConn adds the connection to the context of its requests.
+func withConn(ctx context.Context, inner net.Conn) context.Context {
+	if c, ok := inner.(*conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// followState follows the states that net/http gives a connection: it is active
+// from the end of a request's head to the end of its answer, and then idle.
+func followState(inner net.Conn, state http.ConnState) {
+	c, ok := inner.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.guard.mu.Lock()
+		defer c.guard.mu.Unlock()
+		c.inHead = false
+		c.setDeadlineLocked(time.Time{})
+	case http.StateIdle:
+		c.guard.release(c)
+		c.expectHead(c.guard.limits().IdleTimeout)
+	}
+}
+
+// expectHead prepares for a request whose first byte must come within the time.
+func (c *conn) expectHead(within time.Duration) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.inHead = true
+	c.headBytes = 0
+	c.bodyRead = false
+	c.setDeadlineLocked(c.guard.options.Clock.Now().Add(within))
+}
+
+// setDeadlineLocked sets when reading fails, unless the connection is
+// interrupted. The guard's mutex is held.
+func (c *conn) setDeadlineLocked(at time.Time) {
+	if c.interrupted {
+		return
+	}
+	if c.Conn.SetReadDeadline(at) != nil {
+		// It is closed, and reading fails in any case.
+		c.interrupted = true
+	}
+}
+
+// SetReadDeadline is what net/http and handlers call. While a head is read, the
+// limits in force count instead.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if !c.inHead {
+		c.setDeadlineLocked(at)
+	}
+	return nil
+}
+
+// CloseWrite ends what is sent, so that the caller can read the whole answer
+// before net/http closes the connection.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(*net.TCPConn); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Read reads what the caller sends. In the head of a request it enforces the
+// bounds of heads, and then answers the caller itself.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if refusal := c.count(n); refusal != nil {
+			return 0, c.reject(refusal)
+		}
+		return n, err
+	}
+	c.guard.mu.Lock()
+	displaced := c.inHead && c.counted && c.interrupted
+	c.guard.mu.Unlock()
+	if displaced {
+		return 0, c.reject(c.guard.noRoom(eventNoRoom))
+	}
+	return n, err
+}
+
+// count notes that n bytes have come, as a part of a head if one is being read.
+// The connection moves behind all others that wait. The error is a
+// *HeadTooLargeError or a *NoRoomError.
+func (c *conn) count(n int) error {
+	limits := c.guard.limits()
+	now := c.guard.options.Clock.Now()
+	c.guard.mu.Lock()
+	c.progress = now
+	if c.waits != nil {
+		c.guard.waiting.MoveToBack(c.waits)
+	}
+	if c.holds != nil {
+		c.guard.holding.MoveToBack(c.holds)
+	}
+	if !c.inHead {
+		c.guard.mu.Unlock()
+		return nil
+	}
+	before := c.headBytes
+	c.headBytes += n
+	size := c.headBytes
+	if before == 0 {
+		c.setDeadlineLocked(now.Add(limits.HeadTimeout))
+	}
+	c.guard.mu.Unlock()
+	if size > limits.HeadBytes+headSlack {
+		c.guard.record(eventHead)
+		return &HeadTooLargeError{
+			Size:  size,
+			Limit: limits.HeadBytes,
+		}
+	}
+	if more := size - max(before, freeBytes); more > 0 {
+		return c.guard.take(context.Background(), c, int64(more)*headCost)
+	}
+	return nil
+}
+
+// reject answers a caller whose head is not read further, reads the rest for a
+// short time and returns the error for net/http, which takes it as a failed
+// connection and answers nothing itself.
+func (c *conn) reject(refusal error) error {
+	c.guard.release(c)
+	c.refuse(refusal)
+	if c.CloseWrite() == nil && c.Conn.SetReadDeadline(c.guard.options.Clock.Now().Add(drainTime)) == nil {
+		// The error is the caller's end or the deadline.
+		_, _ = io.CopyN(io.Discard, c.Conn, drainBytes)
+	}
+	return &net.OpError{
+		Op:  "read",
+		Net: "tcp",
+		Err: refusal,
+	}
+}
+
+// refuse writes the answer with the status of the error. It does not wait for a
+// caller that does not take it.
+func (c *conn) refuse(refusal error) {
+	body, err := json.Marshal(map[string]string{
+		"error": refusal.Error(),
+	})
+	if err != nil {
+		return
+	}
+	status := Status(refusal)
+	var answer bytes.Buffer
+	fmt.Fprintf(&answer, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: %d\r\n",
+		status, http.StatusText(status), len(body))
+	if status == http.StatusServiceUnavailable {
+		fmt.Fprintf(&answer, "Retry-After: %d\r\n", retryAfter/time.Second)
+	}
+	fmt.Fprintf(&answer, "\r\n%s", body)
+	if c.SetWriteDeadline(c.guard.options.Clock.Now().Add(drainTime)) != nil {
+		return
+	}
+	if _, err := c.Conn.Write(answer.Bytes()); err != nil {
+		// The caller has disconnected or takes no answer.
+		return
+	}
+}
+
+// Write writes an answer, for at most writeTimeout.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(c.guard.options.Clock.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection and frees what it takes.
+func (c *conn) Close() error {
+	c.guard.release(c)
+	err := c.Conn.Close()
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.forgetLocked()
+	return err
+}
+
+// forgetLocked ends the counting of the connection. The guard's mutex is held.
+func (c *conn) forgetLocked() {
+	c.interrupted = true
+	if !c.counted {
+		return
+	}
+	c.counted = false
+	c.guard.open--
+	c.guard.signalLocked()
+	c.guard.scope.Gauge("guard_connections").Update(float64(c.guard.open))
+	c.unlistLocked()
+}
+
+// unlistLocked takes the connection from the lists of those that wait. The
+// guard's mutex is held.
+func (c *conn) unlistLocked() {
+	if c.waits != nil {
+		c.guard.waiting.Remove(c.waits)
+		c.waits = nil
+	}
+	if c.holds != nil {
+		c.guard.holding.Remove(c.holds)
+		c.holds = nil
+	}
+}
+
+// interruptLocked ends the reading of the connection. What it holds is released
+// by the goroutine that reads. The guard's mutex is held.
+func (c *conn) interruptLocked() {
+	c.setDeadlineLocked(c.guard.options.Clock.Now().Add(-time.Second))
+	c.interrupted = true
+	if c.holds != nil {
+		c.guard.holding.Remove(c.holds)
+		c.holds = nil
+	}
+}
+
+// isInterrupted reports whether the connection was closed, or its room given to
+// another caller.
+func (c *conn) isInterrupted() bool {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return c.interrupted
+}
+
+// beginHandling says that the request was read to its end. From then on the
+// connection is not closed to make room, because its request may take effect. It
+// returns false if that has happened already.
+func (c *conn) beginHandling() bool {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.interrupted {
+		return false
+	}
+	c.unlistLocked()
+	c.bodyRead = true
+	return true
+}
+
+// endHandling says that the handler has returned. The rest of a body that it has
+// not read is read by net/http, for drainTime.
+func (c *conn) endHandling() {
+	c.guard.release(c)
+	now := c.guard.options.Clock.Now()
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.progress = now
+	if c.counted && c.waits == nil {
+		c.waits = c.guard.waiting.PushBack(c)
+		c.guard.signalLocked()
+	}
+	if !c.bodyRead {
+		c.setDeadlineLocked(now.Add(drainTime))
+	}
+}
--- /dev/null
+++ b/sesameguard/listener.go
@@ -0,0 +1,139 @@
+package sesameguard
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// listener accepts connections up to the guard's bound. When it is reached, the
+// connection that has waited longest for its caller is closed for the new one.
+type listener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Listen listens at the address, on sockets with small buffers.
+func (g *Guard) Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{
+		Control: g.setBuffers,
+	}
+	inner, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := shortenBacklog(inner); err != nil {
+		return nil, errors.CombineErrors(err, inner.Close())
+	}
+	return &listener{
+		Listener: inner,
+		guard:    g,
+	}, nil
+}
+
+// backlog is how many connections may wait to be accepted. The kernel's default
+// is 4096, whose receive buffers alone can exceed the memory of a process.
+const backlog = 128
+
+// shortenBacklog sets the backlog of a listening socket.
+func shortenBacklog(l net.Listener) error {
+	socket, ok := l.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failure error
+	err = raw.Control(func(fd uintptr) {
+		failure = unix.Listen(int(fd), backlog)
+	})
+	return errors.CombineErrors(err, failure)
+}
+
+// setBuffers sets the sizes of the listening socket's buffers, which the sockets
+// of its connections inherit.
+func (g *Guard) setBuffers(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = errors.CombineErrors(
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, g.options.ReceiveBuffer),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer),
+		)
+	})
+	return errors.CombineErrors(err, failure)
+}
+
+// Accept returns the next connection. One for which there is no room, because
+// the requests of all others are being handled, is answered 503 and closed.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newConn(l.guard, inner)
+		if l.guard.admit(c) {
+			return c, nil
+		}
+		c.refuse(l.guard.noRoom(eventRefused))
+		if err := inner.Close(); err != nil {
+			continue
+		}
+	}
+}
+
+// admit counts a new connection. Where there are too many, it closes the one
+// that has waited longest, or returns false if none waits.
+func (g *Guard) admit(c *conn) bool {
+	g.awaitRoom()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open >= g.options.Connections {
+		front := g.waiting.Front()
+		if front == nil {
+			return false
+		}
+		victim, _ := front.Value.(*conn)
+		victim.forgetLocked()
+		g.recordLocked(eventClosed)
+		if victim.Conn.Close() != nil {
+			// Its server has closed it at the same moment.
+			victim.interrupted = true
+		}
+	}
+	g.open++
+	c.counted = true
+	c.waits = g.waiting.PushBack(c)
+	g.scope.Gauge("guard_connections").Update(float64(g.open))
+	return true
+}
+
+// awaitRoom returns when there is room for one more connection, when one has
+// made no progress for displaceTime, and after that time in any case.
+func (g *Guard) awaitRoom() {
+	clock := g.options.Clock
+	deadline := clock.Now().Add(displaceTime)
+	for {
+		now := clock.Now()
+		g.mu.Lock()
+		wait := deadline.Sub(now)
+		if front := g.waiting.Front(); front != nil {
+			first, _ := front.Value.(*conn)
+			wait = min(wait, first.progress.Add(displaceTime).Sub(now))
+		}
+		if g.open < g.options.Connections || wait <= 0 {
+			g.mu.Unlock()
+			return
+		}
+		g.mu.Unlock()
+		select {
+		case <-g.freed:
+		case <-clock.After(wait):
+		}
+	}
+}
--- a/sesamelog/log.go
+++ b/sesamelog/log.go
@@ -17,6 +17,7 @@
 //	7100-7199  sesamedispatch
 //	7200-7299  sesamerunner
 //	7300-7399  platform
+//	7400-7499  sesameguard
 //
 // # Usage
 //
