Entries and agents: guard the servers against callers

An entry read each body whole, whatever the number of bodies, decoded lists of 87,000 steps (50 times their bytes), and did not apply header-timeout-ms and idle-timeout-ms. 400 bodies that stopped short of their end took it to 171,068 KiB of 65,536.

All servers of hosted processes now have a guard (sesameguard). The new setting descriptors and the settings under guard set the bounds, by default derived from memory and descriptors. The configuration's limits of connections are applied as they change.

--- a/sesamecommand/hosted.go
+++ b/sesamecommand/hosted.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -12,12 +11,15 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"github.com/sesamestack/sesamestack/platform"
 	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamesettings"
@@ -30,6 +32,10 @@
 	// memory limit, near which it collects garbage more often; the rest is for
 	// stacks and sockets.
 	heapLimitShare = 0.7
+	// defaultDescriptors is how many descriptors a process is taken to have whose
+	// limit is not known, and maxDescriptors the most that it is taken to have.
+	defaultDescriptors = 1024
+	maxDescriptors     = 1 << 20
 	// metricsPath is the URL path that serves the metrics.
 	metricsPath = "/metrics"
 )
@@ -155,15 +161,61 @@
 	}
 }
 
+// guardedServer is a server whose connections a guard bounds.
+type guardedServer struct {
+	*http.Server
+	guard *sesameguard.Guard
+}
+
+// newServer returns a server of the handler, without TLS, for calls from within
+// the platform.
+func newServer(h http.Handler, o sesameguard.Options) guardedServer {
+	guard := sesameguard.New(o)
+	return guardedServer{
+		Server: guard.NewServer(h),
+		guard:  guard,
+	}
+}
+
+// guardOptions returns the bounds of the server with that name.
+func (p *process) guardOptions(name string, connections int, bytes int64, scope tally.Scope) sesameguard.Options {
+	return sesameguard.Options{
+		Name:        name,
+		Connections: connections,
+		Bytes:       bytes,
+		Clock:       clockwork.NewRealClock(),
+		Log:         p.log,
+		Scope:       scope,
+	}
+}
+
+// internalBytes bounds the heads and bodies in flight of a server that is called
+// by the platform only.
+const internalBytes = 4 << 20
+
+// newInternalServer returns a server that is called by the platform only.
+func (p *process) newInternalServer(name string, connections int, h http.Handler, scope tally.Scope) guardedServer {
+	return newServer(h, p.guardOptions(name, connections, internalBytes, scope))
+}
+
+// openFiles returns the process's limit of descriptors (RLIMIT_NOFILE), or
+// defaultDescriptors if it has none that is known.
+func openFiles() int {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
+		return defaultDescriptors
+	}
+	return int(min(limit.Cur, maxDescriptors))
+}
+
 // serve listens at the address and serves in the background until the server
 // is shut down or closed.
-func (p *process) serve(address string, server *http.Server) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(p.ctx, "tcp", address)
+func (p *process) serve(address string, server guardedServer) error {
+	listener, err := server.guard.Listen(p.ctx, address)
 	if err != nil {
 		return err
 	}
-	p.servers = append(p.servers, server)
+	p.servers = append(p.servers, server.Server)
 	p.group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -175,22 +227,13 @@
 
 // serveMetrics serves the metrics, unless the settings leave their address
 // empty.
-func (p *process) serveMetrics(address string, metrics http.Handler) error {
+func (p *process) serveMetrics(address string, connections int, metrics http.Handler, scope tally.Scope) error {
 	if address == "" {
 		return nil
 	}
 	mux := http.NewServeMux()
 	mux.Handle(metricsPath, metrics)
-	return p.serve(address, newServer(mux))
-}
-
-// newServer returns an HTTP server without TLS, for calls from within the
-// platform.
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-	}
+	return p.serve(address, p.newInternalServer("metrics", connections, mux, scope))
 }
 
 // validateOnHangup calls reload, which loads and validates the settings file,
@@ -225,7 +268,7 @@
 
 // shutdownAll shuts the servers down one after another and waits for their
 // open requests, up to the timeout for all together.
-func shutdownAll(timeout time.Duration, servers ...*http.Server) error {
+func shutdownAll(timeout time.Duration, servers ...guardedServer) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var err error
--- a/sesamecommand/hostedagent.go
+++ b/sesamecommand/hostedagent.go
@@ -21,6 +21,10 @@
 // replacement agent should start as soon as possible.
 const agentShutdownTimeout = 200 * time.Millisecond
 
+// agentConnections is the most connections to each server of an agent. The
+// targets of its VM and the platform's collector of metrics use a few.
+const agentConnections = 64
+
 // newHostedAgent returns the command that runs an agent on a platform that
 // provides the store.
 func newHostedAgent(s streams) *cobra.Command {
@@ -56,8 +60,9 @@
 		return err
 	})
 	runner := newRunner(p, settings, scope)
-	reports := newServer(platform.NewReportsHandler(runner, settings.Service, p.log))
-	err := startAgent(p, settings, runner, reports, metrics)
+	handler := platform.NewReportsHandler(runner, settings.Service, p.log)
+	reports := p.newInternalServer("reports", agentConnections, handler, scope)
+	err := startAgent(p, settings, runner, reports, metrics, scope)
 	if err == nil {
 		p.waitForStop(c.Context())
 		err = shutdownAll(agentShutdownTimeout, reports)
@@ -96,14 +101,14 @@
 // metrics, and logs eventServing.
 func startAgent(
 	p *process, settings sesamesettings.HostedAgent, runner *sesamerunner.Runner,
-	reports *http.Server, metrics http.Handler,
+	reports guardedServer, metrics http.Handler, scope tally.Scope,
 ) error {
 	p.group.Go(func() error {
 		return runner.Run(p.ctx)
 	})
 	err := errors.CombineErrors(
 		p.serve(settings.ReportAddress, reports),
-		p.serveMetrics(settings.Metrics, metrics),
+		p.serveMetrics(settings.Metrics, agentConnections, metrics, scope),
 	)
 	p.log.Emit(eventServing, sesamelog.Fields{
 		"zone":    settings.Place.Zone,
--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -12,6 +12,7 @@
 	"github.com/sesamestack/sesamestack/platform"
 	"github.com/sesamestack/sesamestack/sesameclock"
 	"github.com/sesamestack/sesamestack/sesamedispatch"
+	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesameintake"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
@@ -26,12 +27,6 @@
 	// shutdownShare is the share of the drain timeout that open requests have
 	// after that.
 	shutdownShare = 0.3
-	// maxHeaderBytes bounds what is read of a request's headers, in bytes; the
-	// bound that the operators' policy sets is checked after that.
-	maxHeaderBytes = 64 << 10
-	// idleTimeout is how long a caller's connection is kept open without a
-	// request.
-	idleTimeout = time.Minute
 )
 
 // newHostedEntry returns the command that runs an entry on a platform that
@@ -69,11 +64,13 @@
 	// draining is closed when the entry begins to stop.
 	draining        chan struct{}
 	store           *hostedStore
-	callerServer    *http.Server
-	readinessServer *http.Server
+	shares          sesameguard.Shares
+	callerServer    guardedServer
+	readinessServer guardedServer
 	// relayServer forwards store calls of processes whose own calls the store
 	// refuses.
-	relayServer *http.Server
+	relayServer guardedServer
+	scope       tally.Scope
 }
 
 // runHostedEntry runs an entry until the command is told to stop or one of the
@@ -129,15 +126,53 @@
 			Scope:     scope,
 		}),
 		draining: make(chan struct{}),
+		shares:   shares(settings),
+		scope:    scope,
 	}
-	e.callerServer = newServer(platform.NewJobsHandler(intake, e.draining))
-	e.callerServer.MaxHeaderBytes = maxHeaderBytes
-	e.callerServer.IdleTimeout = idleTimeout
-	e.readinessServer = newServer(platform.NewReadinessHandler(e.isReady))
-	e.relayServer = newServer(platform.NewRelayHandler(store.failover.Direct()))
+	e.callerServer = newServer(platform.NewJobsHandler(intake, e.draining), e.callerOptions())
+	e.readinessServer = p.newInternalServer("readiness", e.shares.Internal, platform.NewReadinessHandler(e.isReady), scope)
+	e.relayServer = newServer(platform.NewRelayHandler(store.failover.Direct()),
+		p.guardOptions("relay", e.shares.Relay, e.shares.RelayBytes, scope))
 	return e
 }
 
+// shares returns what each server of the entry may take: what the settings say,
+// and otherwise what its memory and descriptors allow.
+func shares(settings sesamesettings.HostedEntry) sesameguard.Shares {
+	descriptors := settings.Descriptors
+	if descriptors == 0 {
+		descriptors = openFiles()
+	}
+	s := sesameguard.Derive(settings.MemoryMiB, descriptors)
+	if settings.Guard.Connections != 0 {
+		s.Callers = settings.Guard.Connections
+	}
+	if settings.Guard.Bytes != 0 {
+		s.CallerBytes = settings.Guard.Bytes
+	}
+	return s
+}
+
+// callerOptions returns the bounds of the server for callers. Those of the
+// operators' policy hold as soon as it is in force.
+func (e *hostedEntry) callerOptions() sesameguard.Options {
+	o := e.guardOptions("callers", e.shares.Callers, e.shares.CallerBytes, e.scope)
+	o.ReceiveBuffer = e.settings.Guard.ReceiveBuffer
+	o.Decoders = e.settings.Guard.Decoders
+	o.Limits = func() sesameguard.Limits {
+		policy := e.intake.Policies().Current()
+		if policy == nil {
+			return sesameguard.Limits{}
+		}
+		return sesameguard.Limits{
+			HeadBytes:   policy.Bounds.HeaderBytes,
+			HeadTimeout: policy.Bounds.HeaderTimeout,
+			IdleTimeout: policy.Bounds.IdleTimeout,
+		}
+	}
+	return o
+}
+
 // isReady returns nil if the entry takes connections, otherwise the reason why
 // it doesn't, as a *sesameintake.NotReadyError while it is stopping.
 func (e *hostedEntry) isReady() error {
@@ -179,7 +214,7 @@
 	if e.settings.Relay != "" {
 		err = errors.CombineErrors(err, e.serve(e.settings.Relay, e.relayServer))
 	}
-	err = errors.CombineErrors(err, e.serveMetrics(e.settings.Metrics, metrics))
+	err = errors.CombineErrors(err, e.serveMetrics(e.settings.Metrics, e.shares.Internal, metrics, e.scope))
 	e.log.Emit(eventServing, sesamelog.Fields{
 		"zone":  e.settings.Place.Zone,
 		"http":  e.settings.CallerAddress,
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -26,11 +26,30 @@
 	Inventory string `yaml:"inventory"`
 	// MemoryMiB is the memory that the process may use.
 	MemoryMiB int64 `yaml:"memory"`
+	// Descriptors is how many descriptors the process may open; 0 means its limit
+	// of open files (RLIMIT_NOFILE).
+	Descriptors int   `yaml:"descriptors"`
+	Guard       Guard `yaml:"guard"`
 	// DrainTimeout is the longest time that a graceful stop may take.
 	DrainTimeout time.Duration `yaml:"drain"`
 	Log          Log           `yaml:"log"`
 }
 
+// Guard holds the bounds on what callers take of an entry. 0 means the default,
+// which is derived from the entry's memory and descriptors.
+type Guard struct {
+	// Connections is the most connections of callers.
+	Connections int `yaml:"connections"`
+	// Bytes is the most memory for callers' heads and bodies, with what decoding
+	// adds.
+	Bytes int64 `yaml:"bytes"`
+	// ReceiveBuffer is the size of the kernel's buffer for what a caller has sent
+	// and the entry has not read, in bytes.
+	ReceiveBuffer int `yaml:"receive"`
+	// Decoders is how many bodies are decoded at once.
+	Decoders int `yaml:"decoders"`
+}
+
 // HostedAgent holds the settings of an agent beside a target in a hosted
 // deployment. All addresses are IP:port.
 type HostedAgent struct {
@@ -114,6 +133,13 @@
 	minHostedInterval     = 10 * time.Millisecond
 	maxHostedInterval     = time.Minute
 	minHostedDrainTimeout = time.Second
+	minDescriptors        = 400
+	maxDescriptors        = 1 << 20
+	minGuardConnections   = 16
+	minGuardBytes         = 1 << 20
+	minReceiveBuffer      = 4 << 10
+	maxReceiveBuffer      = 16 << 20
+	maxDecoders           = 1024
 )
 
 // checkHostedEntry adds a problem to d for each invalid value in e.
@@ -127,10 +153,30 @@
 	d.checkOptionalAddress("relay", e.Relay)
 	d.checkOptionalAddress("metrics", e.Metrics)
 	checkRange(d, "memory", e.MemoryMiB, minHostedMemoryMiB, maxHostedMemoryMiB)
+	d.checkGuard(e)
 	checkRange(d, "drain", e.DrainTimeout, minHostedDrainTimeout, maxDrainTimeout)
 	d.checkLog(e.Log)
 }
 
+// checkGuard checks the bounds on what callers take, where they are set.
+func (d *document) checkGuard(e HostedEntry) {
+	if e.Descriptors != 0 {
+		checkRange(d, "descriptors", e.Descriptors, minDescriptors, maxDescriptors)
+	}
+	if e.Guard.Connections != 0 {
+		checkRange(d, "guard.connections", e.Guard.Connections, minGuardConnections, maxDescriptors)
+	}
+	if e.Guard.Bytes != 0 {
+		checkRange(d, "guard.bytes", e.Guard.Bytes, minGuardBytes, maxHostedMemoryMiB<<20)
+	}
+	if e.Guard.ReceiveBuffer != 0 {
+		checkRange(d, "guard.receive", e.Guard.ReceiveBuffer, minReceiveBuffer, maxReceiveBuffer)
+	}
+	if e.Guard.Decoders != 0 {
+		checkRange(d, "guard.decoders", e.Guard.Decoders, 1, maxDecoders)
+	}
+}
+
 // checkHostedAgent adds a problem to d for each invalid value in a.
 func checkHostedAgent(d *document, a HostedAgent) {
 	d.checkRequiredName("id", a.ID)
--- a/sesamesettings/hosted_test.go
+++ b/sesamesettings/hosted_test.go
@@ -59,6 +59,8 @@
 	for name, text := range map[string]string{
 		"unknown key":         hostedEntryYAML + "calers: x\n",
 		"expected IP:port":    strings.Replace(hostedEntryYAML, "10.0.0.9:8003", "store.example:8003", 1),
+		"descriptors: is 10":  hostedEntryYAML + "descriptors: 10\n",
+		"guard.bytes: is 10":  hostedEntryYAML + "guard: {bytes: 10}\n",
 		"memory: is 1":        strings.Replace(hostedAgentYAML, "152", "1", 1),
 		"a duration such as":  strings.Replace(hostedAgentYAML, "6000ms", "6000", 1),
 		"service: is missing": strings.Replace(hostedAgentYAML, "service: svc1\n", "", 1),
--- a/sesamework/job.go
+++ b/sesamework/job.go
@@ -209,8 +209,8 @@
 
 // Bounds on what one job may ask for; the row of a job is at most 64 KiB.
 const (
-	// maxSteps is the most steps of a job.
-	maxSteps = 256
+	// MaxSteps is the most steps of a job.
+	MaxSteps = 256
 	// maxTasks is the most tasks of one step.
 	maxTasks = 1 << 16
 	// maxRecurrences is the most occurrences of a recurring job.
@@ -238,10 +238,10 @@
 // depends on earlier steps only. It returns an *InvalidError for the first
 // part that is invalid.
 func (j Job) Validate() error {
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return &InvalidError{
 			Field:   "steps",
-			Problem: fmt.Sprintf("has %d entries, expected 1 to %d", len(j.Steps), maxSteps),
+			Problem: fmt.Sprintf("has %d entries, expected 1 to %d", len(j.Steps), MaxSteps),
 		}
 	}
 	if j.Recurrences < 0 || j.Recurrences > maxRecurrences || j.FirstDue < 0 || j.Interval < 0 {
