sesameguard: tests of decoding, and of short bodies beside a full guard

With each mechanism taken out once, no test failed for the bound on decoding and for the bytes that a short body has free. Now TestDecoders and TestBytes do.

--- a/sesameguard/guard_test.go
+++ b/sesameguard/guard_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -194,7 +195,8 @@
 // TestBytes guards against bodies that together exceed the bound, and against
 // ones that are within the limits and never get room.
 func TestBytes(t *testing.T) {
-	const room = 400 << 10
+	// A body of 100,000 bytes takes nearly all of it.
+	const room = 259_000
 	t.Run("a body that has stalled makes room", func(t *testing.T) {
 		address := serve(t, 100, room, nil, readHandler(nil))
 		stalled := dial(t, address, post("/", 100_000)+jsonText(100_000)[:99_999])
@@ -254,6 +256,46 @@
 	})
 }
 
+// slowValue counts how many values are decoded at once.
+type slowValue struct {
+	now, most *atomic.Int32
+}
+
+// UnmarshalJSON takes some time.
+func (s slowValue) UnmarshalJSON([]byte) error {
+	s.most.Store(max(s.most.Load(), s.now.Add(1)))
+	time.Sleep(20 * time.Millisecond)
+	s.now.Add(-1)
+	return nil
+}
+
+// TestDecoders guards against many bodies that are decoded at once, each of which
+// takes a multiple of its length.
+func TestDecoders(t *testing.T) {
+	is := is.New(t)
+	var now, most atomic.Int32
+	address := serve(t, 100, 1<<20, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := sesameguard.ReadBody(r.Context(), w, r, bodyLimit)
+		if err == nil {
+			err = body.Decode(r.Context(), &slowValue{
+				now:  &now,
+				most: &most,
+			})
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}))
+	var callers []caller
+	for range 10 {
+		callers = append(callers, dial(t, address, post("/", 100)+jsonText(100)))
+	}
+	for _, c := range callers {
+		c.assertStatus(http.StatusOK)
+	}
+	is.Equal(most.Load(), int32(2))
+}
+
 // chunkedPost returns a request whose body has that many bytes in chunks of the
 // given size.
 func chunkedPost(size, chunk int) string {
