Guard: leave the buffers of platform-internal servers to the kernel

A relayed transaction of 1 MB needs 60 round trips with the receive buffer of 16 KiB that callers' connections have, and its sender repeats it after 0.7 s. The kernel now chooses the buffers of the relay and of the other servers that only the platform's processes call.

The relay was not measured.

--- a/sesamecommand/hosted.go
+++ b/sesamecommand/hosted.go
@@ -177,7 +177,9 @@
 	}
 }
 
-// guardOptions returns the bounds of the server with that name.
+// guardOptions returns the bounds of the server with that name, which the
+// platform's own processes call. A relayed transaction of 1 MB would need 60 round
+// trips with the small buffers of callers' connections.
 func (p *process) guardOptions(name string, connections int, bytes int64, scope tally.Scope) sesameguard.Options {
 	return sesameguard.Options{
 		Name:        name,
@@ -186,6 +188,8 @@
 		Clock:       clockwork.NewRealClock(),
 		Log:         p.log,
 		Scope:       scope,
+
+		KernelBuffers: true,
 	}
 }
 
--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -157,6 +157,7 @@
 // operators' policy hold as soon as it is in force.
 func (e *hostedEntry) callerOptions() sesameguard.Options {
 	o := e.guardOptions("callers", e.shares.Callers, e.shares.CallerBytes, e.scope)
+	o.KernelBuffers = false
 	o.ReceiveBuffer = e.settings.Guard.ReceiveBuffer
 	o.Decoders = e.settings.Guard.Decoders
 	o.Limits = func() sesameguard.Limits {
--- a/sesameguard/guard.go
+++ b/sesameguard/guard.go
@@ -66,6 +66,9 @@
 	// and the process has not read, in bytes; 0 means the default. The kernel
 	// takes twice as much.
 	ReceiveBuffer int
+	// KernelBuffers leaves the sizes of buffers to the kernel, for a server whose
+	// callers are known and send or receive much on one connection.
+	KernelBuffers bool
 	// Decoders is how many bodies are decoded at once; 0 means the default.
 	Decoders int
 	// Limits returns the limits in force; nil means the defaults.
--- a/sesameguard/listener.go
+++ b/sesameguard/listener.go
@@ -16,10 +16,12 @@
 	guard *Guard
 }
 
-// Listen listens at the address, on sockets with small buffers.
+// Listen listens at the address. The sockets have small buffers unless the options
+// leave these to the kernel.
 func (g *Guard) Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{
-		Control: g.setBuffers,
+	var config net.ListenConfig
+	if !g.options.KernelBuffers {
+		config.Control = g.setBuffers
 	}
 	inner, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
