Planner: memory and time only for the units that it starts

Change: the units of a step are counted, and created when they are first considered for placement or a row of theirs is read. A unit points to its step instead of copying it. A job that was accepted before is held without further starts (event 7124) and can be cancelled; of a recurring one, occurrences come as earlier ones are done.

--- a/sesamedispatch/claimspread_test.go
+++ b/sesamedispatch/claimspread_test.go
@@ -32,7 +32,7 @@
 			f.writeAndFeed(spreadJob("urgent", gang))
 			f.decide(1)
 			claimed := map[string]int{}
-			for _, u := range f.term.view.jobs["urgent"].occurrences[0][0] {
+			for _, u := range f.term.view.jobs["urgent"].occurrences[0][0].created {
 				for _, name := range u.claim.targets {
 					claimed[name]++
 				}
@@ -44,7 +44,7 @@
 			}
 			f.decide(1)
 			started := map[string]int{}
-			for _, u := range f.term.view.jobs["urgent"].occurrences[0][0] {
+			for _, u := range f.term.view.jobs["urgent"].occurrences[0][0].created {
 				for _, m := range u.members {
 					started[m.Target]++
 				}
--- a/sesamedispatch/crashevidence_test.go
+++ b/sesamedispatch/crashevidence_test.go
@@ -83,7 +83,7 @@
 	f := newTermFixture(t, jobFillingTarget("job", 1), targetRow(large, 0), targetRow(small, 0))
 	p := f.term.view.newPass(&Decision{})
 	p.isolated = append(p.isolated, targetRow(large, 0).Key.Name)
-	is.True(p.mayIsolateMore(f.term.view.units[sesamework.UnitID{Job: "job"}]))
+	is.True(p.mayIsolateMore(f.term.view.unit("job")))
 }
 
 // jobOf returns the row of a job of the team whose one task needs that many
@@ -122,7 +122,7 @@
 	v.applyDecision(v.Decide(now))
 	v.Apply([]sesamerows.Row{jobOf("s1", "other", 1), jobOf("s2", "other", 1), jobOf("urgent", "team", 4)}, now)
 	for _, id := range []string{"s1", "s2"} {
-		v.units[sesamework.UnitID{Job: id}].suspicion.suspect = true
+		v.unit(id).suspicion.suspect = true
 	}
 	now.Steady += 100 * time.Millisecond
 	now.Store += 100 * time.Millisecond
@@ -162,7 +162,7 @@
 		mostStarts = crashes + 2
 	)
 	f := newTermFixture(t, jobFillingTarget("job", 1))
-	unit := f.term.view.units[sesamework.UnitID{Job: "job"}]
+	unit := f.term.view.unit("job")
 	for run := 1; run <= mostStarts+1; run++ {
 		target := newTarget(fmt.Sprint("t", run))
 		f.writeAndFeed(targetRow(target, 0))
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -89,6 +89,10 @@
 			continue
 		}
 		for len(j.occurrences) < j.Recurrences && j.Due(len(j.occurrences)) <= v.now.Wall {
+			v.holdBack(j, !j.holdsMore())
+			if j.tooLarge {
+				break
+			}
 			v.addOccurrence(j)
 		}
 	}
@@ -130,11 +134,11 @@
 	})
 }
 
-// eachUnit calls visit for the units of all occurrences so far.
+// eachUnit calls visit for the created units of all occurrences so far.
 func (j *job) eachUnit(visit func(*unit)) {
 	for _, steps := range j.occurrences {
-		for _, units := range steps {
-			for _, u := range units {
+		for _, s := range steps {
+			for _, u := range s.created {
 				visit(u)
 			}
 		}
@@ -156,11 +160,9 @@
 	if len(j.occurrences) < j.Occurrences() {
 		return false
 	}
-	completed := true
-	j.eachUnit(func(u *unit) {
-		completed = completed && u.done
+	return !slices.ContainsFunc(j.occurrences, func(steps []*stepUnits) bool {
+		return !areAllDone(steps)
 	})
-	return completed
 }
 
 // hasStarted reports whether a run of the job was ever ordered.
@@ -210,10 +212,12 @@
 	}
 }
 
-// candidate holds the units of one step and occurrence that are ready to run,
-// by their indexes, with the sort keys that they share; see isCertainlyLate and
-// latestStart.
+// candidate holds the created units of one step and occurrence that are ready to
+// run, by their indexes, at least one, with the sort keys that they share; see
+// isCertainlyLate and latestStart. Those that are not created are ready as well; see
+// inOrder.
 type candidate struct {
+	step          *stepUnits
 	units         []*unit
 	certainlyLate bool
 	latestStart   time.Duration
@@ -225,7 +229,7 @@
 func (v *View) sortedCandidates() []candidate {
 	var all []candidate
 	for _, j := range v.jobs {
-		if j.isOver() {
+		if j.isOver() || j.isHeldBack() {
 			continue
 		}
 		for _, steps := range j.occurrences {
@@ -248,11 +252,11 @@
 
 // appendReady appends, for each step of an occurrence whose earlier steps are
 // done, the units that need a run. It sets readySince of all units.
-func (v *View) appendReady(all []candidate, steps [][]*unit) []candidate {
-	for _, units := range steps {
+func (v *View) appendReady(all []candidate, steps []*stepUnits) []candidate {
+	for _, s := range steps {
 		var ready []*unit
-		stepReady := areStepsDone(steps, units[0].step.After)
-		for _, u := range units {
+		stepReady := areStepsDone(steps, s.step.After)
+		for _, u := range s.created {
 			if !stepReady || !u.isWaiting() {
 				u.readySince = 0
 				continue
@@ -264,8 +268,13 @@
 				ready = append(ready, u)
 			}
 		}
+		s.setReady(stepReady, v.now.Steady)
+		if stepReady && len(ready) == 0 && s.notCreated() > 0 {
+			ready = append(ready, v.create(s, s.nextNotCreated(0)))
+		}
 		if len(ready) > 0 {
 			all = append(all, candidate{
+				step:          s,
 				units:         ready,
 				certainlyLate: v.isCertainlyLate(ready[0]),
 				latestStart:   v.latestStart(ready[0]),
@@ -277,12 +286,10 @@
 
 // areStepsDone reports whether all units of the steps with these indexes are
 // done.
-func areStepsDone(steps [][]*unit, after []int) bool {
+func areStepsDone(steps []*stepUnits, after []int) bool {
 	for _, i := range after {
-		for _, u := range steps[i] {
-			if !u.done {
-				return false
-			}
+		if !steps[i].areDone() {
+			return false
 		}
 	}
 	return true
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -30,6 +30,7 @@
 	eventLateEnd        = sesamelog.Define(7118, sesamelog.Warn, "earlier run ended as done")
 	eventCrashes        = sesamelog.Define(7119, sesamelog.Warn, "target crashed under unit")
 	eventRejected       = sesamelog.Define(7120, sesamelog.Error, "store refuses a write of the planner, which is left out for a while")
+	eventTooLarge       = sesamelog.Define(7124, sesamelog.Warn, "job has more tasks than the planner holds, the others of its units don't start")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -106,7 +106,7 @@
 	}
 	p := v.newPass(d)
 	for _, c := range candidates {
-		for _, u := range c.units {
+		for u := range p.inOrder(c) {
 			if p.needsIsolation(u) {
 				p.placeSuspect(u)
 				continue
--- a/sesamedispatch/plain_test.go
+++ b/sesamedispatch/plain_test.go
@@ -78,10 +78,14 @@
 // suspectJobs makes suspects of the units of each job whose number, which its ID
 // holds, has a 0 in the list.
 func (v *View) suspectJobs(list []int) {
-	for _, u := range v.units {
-		for i, drawn := range list {
-			if drawn == 0 && u.id.Job == fmt.Sprintf("job%02d", i) {
-				u.suspicion.suspect = true
+	for i, drawn := range list {
+		j, ok := v.jobs[fmt.Sprintf("job%02d", i)]
+		if drawn != 0 || !ok {
+			continue
+		}
+		for _, s := range j.occurrences[0] {
+			for position := range s.count {
+				v.create(s, position).suspicion.suspect = true
 			}
 		}
 	}
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -153,8 +153,8 @@
 			t.updateProgress(v.now.Steady)
 		}
 	}
-	for id, u := range v.units {
-		known, ok := old.units[id]
+	for id, known := range old.units {
+		u, ok := v.createByID(id)
 		if !ok || known.run.Number != u.run.Number {
 			continue
 		}
@@ -163,9 +163,13 @@
 		u.claim = known.claim
 	}
 	for id, j := range v.jobs {
-		if known, ok := old.jobs[id]; ok && known.endedAt > 0 {
+		known, ok := old.jobs[id]
+		if ok && known.endedAt > 0 {
 			j.endedAt = known.endedAt
 		}
+		if ok {
+			j.keepReadySince(known)
+		}
 	}
 }
 
@@ -245,7 +249,7 @@
 
 // hasLabel reports whether the target has the label that the step needs, if
 // any.
-func (t *target) hasLabel(s sesamework.Step) bool {
+func (t *target) hasLabel(s *sesamework.Step) bool {
 	if s.Label == "" {
 		return true
 	}
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -42,6 +42,9 @@
 	// inventoryRequestedAt is when the last request was made, on the steady
 	// clock.
 	inventoryRequestedAt time.Duration
+	// unitsReportedAt is when reportUnits last updated the metrics, on the steady
+	// clock.
+	unitsReportedAt time.Duration
 }
 
 // load reads all rows and fills the view, which is still empty.
@@ -132,7 +135,7 @@
 	r.o.Log.Emit(event, sesamelog.Fields{
 		"jobs":     len(r.view.jobs),
 		"targets":  len(r.view.targets),
-		"units":    len(r.view.units),
+		"units":    r.view.Units(),
 		"ends":     len(r.view.ends),
 		"runs":     len(rows.runs),
 		"states":   len(rows.states),
@@ -271,6 +274,7 @@
 		if err := r.decideAndWrite(ctx); err != nil {
 			return err
 		}
+		r.reportUnits()
 		r.requestInventory()
 		if err := r.wait(ctx, batches); err != nil {
 			return err
--- a/sesamedispatch/torn_test.go
+++ b/sesamedispatch/torn_test.go
@@ -38,7 +38,7 @@
 // unit returns the unit of a job with one task, as the planner knows it.
 func (f *termFixture) unit(job string) *unit {
 	f.t.Helper()
-	u, ok := f.term.view.units[sesamework.UnitID{Job: job}]
+	u, ok := f.term.view.createByID(sesamework.UnitID{Job: job})
 	f.is.True(ok)
 	return u
 }
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -11,7 +11,7 @@
 type unit struct {
 	id   sesamework.UnitID
 	job  *job
-	step sesamework.Step
+	step *sesamework.Step
 	// run is the newest run (one start of the unit); its Number is 0 before the
 	// first.
 	run sesamework.Run
--- /dev/null
+++ b/sesamedispatch/units_test.go
@@ -0,0 +1,178 @@
+package sesamedispatch
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamework"
+)
+
+// viewOfWideJobs returns a view with targets for 8 tasks each, and jobs of steps with
+// that many tasks.
+func viewOfWideJobs(targets, jobs int, counts ...int) *View {
+	v := NewView(sesamelog.Discard())
+	var rows []sesamerows.Row
+	for i := range targets {
+		rows = append(rows, targetRow(sesamework.Target{
+			ID:      fmt.Sprint(i),
+			Zone:    "zone",
+			Service: "service",
+			State:   sesamework.TargetReady,
+			Capacity: sesamework.Resources{
+				Cores:        8000,
+				Accelerators: 8,
+			},
+		}, 1))
+	}
+	for i := range jobs {
+		j := sesamework.Job{
+			ID: fmt.Sprintf("%016x", i),
+			Terms: sesamework.Terms{
+				Service:  "service",
+				Priority: 2,
+				Attempts: 3,
+				Stretch:  3,
+			},
+		}
+		for _, count := range counts {
+			j.Steps = append(j.Steps, sesamework.Step{
+				Count:    count,
+				Estimate: 1000,
+				Need: sesamework.Resources{
+					Cores:        1000,
+					Accelerators: 1,
+				},
+			})
+		}
+		rows = append(rows, sesamerows.Row{
+			Key:     sesamework.JobKey(j.ID),
+			Value:   encode(j),
+			Version: 1,
+		})
+	}
+	v.Load(rows, nil, nil, Now{
+		Steady: time.Hour,
+		Store:  time.Hour,
+	})
+	return v
+}
+
+// unit returns the unit of a job with one task, which is created if need be.
+func (v *View) unit(job string) *unit {
+	u, _ := v.createByID(sesamework.UnitID{
+		Job: job,
+	})
+	return u
+}
+
+// heapBytes returns the size of the live heap.
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// TestWaitingUnitsTakeNoMemory guards against a planner that runs out of memory when
+// one job has many tasks: with a unit in memory for each, eight steps of 65,536 tasks
+// took 397 MB.
+func TestWaitingUnitsTakeNoMemory(t *testing.T) {
+	const maxBytes = 1 << 20
+	is := is.New(t)
+	before := heapBytes()
+	v := viewOfWideJobs(3, 1, 65536, 65536, 65536)
+	d := v.Decide(v.now)
+	is.Equal(len(d.Starts), 24)
+	is.True(heapBytes()-before < maxBytes)
+	is.Equal(v.Units(), 3*65536)
+}
+
+// TestJobAboveBoundIsHeld guards against a job that was accepted before there was a
+// bound and ends each planner in turn: none of its units start, other jobs do, what
+// the job runs already counts, and it can be cancelled.
+func TestJobAboveBoundIsHeld(t *testing.T) {
+	is := is.New(t)
+	v := viewOfWideJobs(1, 1, 65536, 65536, 65536, 65536)
+	running := sesamework.UnitID{
+		Job:   "0000000000000000",
+		Index: 40000,
+	}
+	v.setRun(sesamerows.Row{
+		Key: sesamework.RunKey(running, "zone"),
+		Value: encode(sesamework.Run{
+			Number: 1,
+			Members: sesamework.Members{{
+				Index:  40000,
+				Target: targetRow(sesamework.Target{ID: "0", Zone: "zone"}, 1).Key.Name,
+				Zone:   "zone",
+			}},
+		}),
+		Version: 2,
+	})
+	v.setJob("other", withStep(jobFillingTarget("other", 2), func(_ *sesamework.Job, s *sesamework.Step) {
+		s.Count = 20
+		s.Need = sesamework.Resources{
+			Accelerators: 1,
+		}
+	}))
+	d := v.Decide(v.now)
+	is.Equal(len(d.Starts), 7) // one of eight accelerators is in use
+	for _, s := range d.Starts {
+		is.Equal(s.unit.id.Job, "other")
+	}
+	is.Equal(v.Units(), 20+1)
+	v.setCancel(running.Job, sesamerows.Row{})
+	d = v.Decide(v.now)
+	is.Equal(len(d.Stops), 1)
+	is.True(v.jobs[running.Job].state() == sesamework.JobCancelled)
+}
+
+// TestDueOccurrencesAreBounded guards against a recurring job of which so many
+// occurrences are due that their units end the planner; they come as earlier ones are
+// done.
+func TestDueOccurrencesAreBounded(t *testing.T) {
+	is := is.New(t)
+	v := viewOfWideJobs(1, 0)
+	v.setJob("job", withStep(jobFillingTarget("job", 2), func(j *sesamework.Job, s *sesamework.Step) {
+		j.Recurrences = 1 << 20
+		j.Interval = 1
+		s.Count = 65536
+	}))
+	v.now.Wall = 1 << 20
+	v.Decide(v.now)
+	j := v.jobs["job"]
+	is.Equal(len(j.occurrences), 3)
+	for position := range j.occurrences[0][0].count {
+		v.create(j.occurrences[0][0], position).done = true
+	}
+	v.Decide(v.now)
+	is.Equal(len(j.occurrences), 4)
+}
+
+// BenchmarkDecideManyTasks measures one decision while 190,000 tasks wait.
+func BenchmarkDecideManyTasks(b *testing.B) {
+	for _, c := range []struct {
+		jobs, tasks int
+	}{
+		{jobs: 1, tasks: 190000 / 3},
+		{jobs: 190000 / 39, tasks: 39 / 3},
+	} {
+		b.Run(fmt.Sprint(c.jobs, " jobs"), func(b *testing.B) {
+			before := heapBytes()
+			v := viewOfWideJobs(62, c.jobs, c.tasks, c.tasks, c.tasks)
+			v.applyDecision(v.Decide(v.now))
+			held := float64(heapBytes()-before) / float64(v.Units())
+			for b.Loop() {
+				v.now.Steady += time.Millisecond
+				v.Decide(v.now)
+			}
+			b.ReportMetric(held, "B/unit")
+		})
+	}
+}
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -17,7 +17,8 @@
 	log    *sesamelog.Logger
 	policy *sesamework.Policy
 	jobs   map[string]*job
-	units  map[sesamework.UnitID]*unit
+	// units holds the units that are created; see stepUnits.
+	units map[sesamework.UnitID]*unit
 	// targets holds the targets by the names of their rows.
 	targets map[string]*target
 	// durationModels holds the duration model of each queue, by its name.
@@ -60,8 +61,12 @@
 	published sesamework.JobState
 	endedAt   time.Duration
 	// occurrences holds the units by occurrence (one due time of a recurring
-	// job; other jobs have one) and step.
-	occurrences [][][]*unit
+	// job; other jobs have one) and step. The first doneOccurrences of them are
+	// known to be done.
+	occurrences     [][]*stepUnits
+	doneOccurrences int
+	// tooLarge says that the job is above the bound on its tasks; see holdBack.
+	tooLarge bool
 	// durations holds the expected duration of a task of each step.
 	// criticalPaths holds, for each step, the duration of the longest chain of
 	// steps that begins with it. objective is the time in which an occurrence
@@ -179,6 +184,7 @@
 	v.jobs[id] = j
 	if !j.Recurs() {
 		v.addOccurrence(j)
+		v.holdBack(j, j.occurrenceTasks() > sesamework.MaxJobTasks)
 	}
 }
 
@@ -209,28 +215,11 @@
 // addOccurrence adds the units of the job's next occurrence (one due time of a
 // recurring job; other jobs have one) to the job and the view.
 func (v *View) addOccurrence(j *job) {
-	occurrence := len(j.occurrences)
-	steps := make([][]*unit, len(j.Steps))
-	for i, s := range j.Steps {
-		count := s.Count
-		first := 0
-		if s.Gang {
-			count = 1
-			first = sesamework.GangIndex
-		}
-		for k := range count {
-			u := &unit{
-				id: sesamework.UnitID{
-					Job:        j.ID,
-					Occurrence: occurrence,
-					Step:       i,
-					Index:      first + k,
-				},
-				job:  j,
-				step: s,
-			}
-			steps[i] = append(steps[i], u)
-			v.units[u.id] = u
+	steps := make([]*stepUnits, len(j.Steps))
+	for i := range j.Steps {
+		steps[i] = newStepUnits(j, len(j.occurrences), i)
+		for position := 0; v.plain && position < steps[i].count; position++ {
+			v.create(steps[i], position)
 		}
 	}
 	j.occurrences = append(j.occurrences, steps)
@@ -279,7 +268,7 @@
 	for len(j.occurrences) <= id.Occurrence {
 		v.addOccurrence(j)
 	}
-	u, ok := v.units[id]
+	u, ok := v.createByID(id)
 	if !ok || r.Number < u.run.Number {
 		return
 	}
@@ -293,7 +282,7 @@
 }
 
 // unitOf returns the unit that the task belongs to, which is the task alone or
-// its gang, and whether the view has it.
+// its gang, and whether it is created.
 func (v *View) unitOf(t sesamework.TaskID) (*unit, bool) {
 	if u, ok := v.units[sesamework.UnitID(t)]; ok {
 		return u, true
--- a/sesamedispatch/wide_test.go
+++ b/sesamedispatch/wide_test.go
@@ -58,7 +58,7 @@
 	})
 	r.view.now = r.now
 	r.view.setJob(id, row)
-	return r.view.jobs[id].occurrences[0][0][0]
+	return r.view.create(r.view.jobs[id].occurrences[0][0], 0)
 }
 
 // duration returns how long a run of the unit really takes, which is the same in
