--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -32,6 +32,7 @@
 	eventRejected       = sesamelog.Define(7120, sesamelog.Error, "store refuses a write of the planner, which is left out for a while")
 	eventMarker         = sesamelog.Define(7130, sesamelog.Info, "zone was evacuated or taken back")
 	eventUnfit          = sesamelog.Define(7131, sesamelog.Warn, "guaranteed work does not fit outside evacuated zones")
+	eventTooLarge       = sesamelog.Define(7124, sesamelog.Warn, "job has more tasks than the planner holds, the others of its units don't start")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -46,6 +46,9 @@
 	// planner starts nothing since it doesn't know the evacuated zones.
 	markers            *markers
 	evacuationsUnknown bool
+	// unitsReportedAt is when reportUnits last updated the metrics, on the steady
+	// clock.
+	unitsReportedAt time.Duration
 }
 
 // load reads all rows and fills the view, which is still empty.
@@ -140,7 +143,7 @@
 	r.o.Log.Emit(event, sesamelog.Fields{
 		"jobs":     len(r.view.jobs),
 		"targets":  len(r.view.targets),
-		"units":    len(r.view.units),
+		"units":    r.view.Units(),
 		"ends":     len(r.view.ends),
 		"runs":     len(rows.runs),
 		"states":   len(rows.states),
@@ -287,6 +290,7 @@
 		if err := r.decideAndWrite(ctx); err != nil {
 			return err
 		}
+		r.reportUnits()
 		r.requestInventory()
 		if err := r.wait(ctx, batches); err != nil {
 			return err
