Waiting work is ordered by value and preemption is bounded, if set

Change: the package sesamecontention judges by probabilities of ending in time, late or worthless. With the setting contention: value, the planner orders waiting work by them, and stops runs for work that is not owed only if that gains more than it loses, never a run that is nearly done or whose run before was stopped (new field of a run's row). Owed work waits up to 0.3 s for runs that end by themselves, within 1 s of its acceptance, and may take any room it could before.

--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -127,6 +127,8 @@
 			Clock:     clock,
 			Log:       p.log,
 			Scope:     scope,
+
+			Contention: settings.Contention,
 		}),
 		draining: make(chan struct{}),
 	}
--- a/sesamedispatch/bench_test.go
+++ b/sesamedispatch/bench_test.go
@@ -109,20 +109,30 @@
 func BenchmarkDecide(b *testing.B) {
 	for _, targets := range []int{11, 62, 300} {
 		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			benchmarkDecide(b, overloadedView(targets))
+		})
+		b.Run(fmt.Sprint(targets, " by value"), func(b *testing.B) {
 			view := overloadedView(targets)
-			now := view.now
-			for range 10 {
-				view.applyDecision(view.Decide(now))
-				now.Steady += 10 * time.Millisecond
-			}
-			for b.Loop() {
-				now.Steady += time.Millisecond
-				view.Decide(now)
-			}
+			view.byValue = true
+			benchmarkDecide(b, view)
 		})
 	}
 }
 
+// benchmarkDecide measures one decision on the view, after some.
+func benchmarkDecide(b *testing.B, view *View) {
+	b.Helper()
+	now := view.now
+	for range 10 {
+		view.applyDecision(view.Decide(now))
+		now.Steady += 10 * time.Millisecond
+	}
+	for b.Loop() {
+		now.Steady += time.Millisecond
+		view.Decide(now)
+	}
+}
+
 // BenchmarkDecideWideGang measures one decision while a gang of 1,024 tasks waits
 // on full targets.
 func BenchmarkDecideWideGang(b *testing.B) {
--- a/sesamedispatch/estimate.go
+++ b/sesamedispatch/estimate.go
@@ -31,6 +31,8 @@
 	// squares is the sum of the squared deviations of declared durations, and
 	// products that of the products of both deviations, in those logarithms.
 	squares, products float64
+	// takenSquares is the sum of the squared deviations of actual durations.
+	takenSquares float64
 	// version counts the updates, so that a job's estimate can be compared with
 	// the newest one.
 	version int
@@ -51,15 +53,18 @@
 		m.weight *= decay
 		m.squares *= decay
 		m.products *= decay
+		m.takenSquares *= decay
 	}
 	m.version++
 	m.weight++
 	x, y := logSeconds(declared), logSeconds(taken)
 	deviation := x - m.meanDeclared
 	m.meanDeclared += deviation / m.weight
-	m.meanTaken += (y - m.meanTaken) / m.weight
+	takenDeviation := y - m.meanTaken
+	m.meanTaken += takenDeviation / m.weight
 	m.squares += deviation * (x - m.meanDeclared)
 	m.products += deviation * (y - m.meanTaken)
+	m.takenSquares += takenDeviation * (y - m.meanTaken)
 }
 
 // predict returns how long a task with that declared duration is expected to
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -30,6 +30,7 @@
 	eventLateEnd        = sesamelog.Define(7118, sesamelog.Warn, "earlier run ended as done")
 	eventCrashes        = sesamelog.Define(7119, sesamelog.Warn, "target crashed under unit")
 	eventRejected       = sesamelog.Define(7120, sesamelog.Error, "store refuses a write of the planner, which is left out for a while")
+	eventAwaitsEnds     = sesamelog.Define(7130, sesamelog.Debug, "owed unit waits for runs that end soon")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sesamestack/sesamestack/sesamecontention"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
@@ -75,6 +76,10 @@
 	isolated  []string
 	// borrowed holds the units whose runs are borrowed; see borrowedRuns.
 	borrowed map[*unit]bool
+	// jobs caches the amounts of work of jobs, and stops what is known of runs that
+	// may be stopped; only used when the view orders by value.
+	jobs  map[*job]jobWork
+	stops map[*unit]sesamecontention.Running
 }
 
 // spreadKey identifies the tasks of one step and occurrence on one target, of
@@ -105,6 +110,9 @@
 		return
 	}
 	p := v.newPass(d)
+	if v.byValue {
+		candidates = p.orderByValue(candidates)
+	}
 	for _, c := range candidates {
 		for _, u := range c.units {
 			if p.needsIsolation(u) {
@@ -133,6 +141,8 @@
 		victimsOf:        map[victimKey][]*unit{},
 		blocked:          map[spreadKey]bool{},
 		occupants:        map[string]occupancy{},
+		jobs:             map[*job]jobWork{},
+		stops:            map[*unit]sesamecontention.Running{},
 	}
 	for _, name := range slices.Sorted(maps.Keys(v.targets)) {
 		t := v.targets[name]
@@ -201,7 +211,7 @@
 		return
 	}
 	p.blocked[step] = true
-	if owed && p.preempt(u, true) {
+	if owed && p.makeOwedRoom(u) {
 		// Another unit of the step may be owed room too.
 		p.blocked[step] = false
 		return
@@ -210,8 +220,8 @@
 	if !urgent && p.reservedUnits >= p.maxReservations() {
 		return
 	}
-	targets, wait := p.earliestFit(u)
-	if urgent && p.needsPreemption(u, wait) && p.preempt(u, false) {
+	targets, wait := p.expectedFit(u)
+	if urgent && p.needsPreemption(u, wait) && p.preempt(u, false, wait) {
 		p.blocked[step] = false
 		return
 	}
@@ -235,7 +245,7 @@
 	}
 	p.d.Starts = append(p.d.Starts, Start{
 		unit: u,
-		run:  u.nextRun(targets, p.view.now.Store),
+		run:  p.nextRun(u, targets),
 	})
 }
 
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesamecontention"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
@@ -75,6 +76,8 @@
 	Inventory Inventory
 	Clock     sesameclock.Clock
 	Log       *sesamelog.Logger
+	// Contention says by what waiting work is ordered; empty means by order.
+	Contention sesamecontention.Policy
 	// Scope takes the metrics.
 	Scope tally.Scope
 }
@@ -156,6 +159,13 @@
 	p.o.Scope.Counter("planner_changes").Inc(1)
 }
 
+// newView returns an empty view with the planner's options.
+func (p *Planner) newView() *View {
+	v := NewView(p.o.Log).withDurationModels(p.durationModels)
+	v.byValue = p.o.Contention == sesamecontention.ByValue
+	return v
+}
+
 // isLeaderAbsent reads the leader's row. It returns true if the row is missing,
 // released, or unchanged for longer than leaderTimeout, and if this process wrote
 // it, in an earlier term or before it was started again. Time in which the store
@@ -208,7 +218,7 @@
 		inventoryRequests: make(chan struct{}, 1),
 		inventories:       make(chan inventory, 1),
 		fence:             sesamerows.NewFence(p.o.Store, sesamework.LeaderKey()),
-		view:              NewView(p.o.Log).withDurationModels(p.durationModels),
+		view:              p.newView(),
 		follower:          newWorkFollower(p.o.Store),
 	}
 	value, err := json.Marshal(row)
--- a/sesamedispatch/preempt.go
+++ b/sesamedispatch/preempt.go
@@ -60,6 +60,9 @@
 // fit; wait is from earliestFit.
 func (p *pass) needsPreemption(u *unit, wait time.Duration) bool {
 	v := p.view
+	if v.byValue {
+		return u.job.Terms.Priority == 0 && p.waiting(u).Gain(wait) > 0
+	}
 	return u.job.Terms.Priority == 0 && !v.isCertainlyLate(u) && v.now.Store+wait > v.latestStart(u)
 }
 
@@ -80,10 +83,10 @@
 // preempt orders the runs to stop that cheapestEviction chooses to make room for
 // the unit, and claims the eviction's targets for the unit. It returns false, and
 // stops nothing, if no choice makes room, or if the unit is not owed (see isOwed)
-// and the cost in core-seconds exceeds maxLossRatio times the unit's work.
-func (p *pass) preempt(u *unit, owed bool) bool {
+// and doesn't pay off; wait is in how long it is expected to fit without.
+func (p *pass) preempt(u *unit, owed bool, wait time.Duration) bool {
 	best, ok := p.cheapestEviction(u, owed)
-	if !ok || !owed && best.cost > maxLossRatio*u.work() {
+	if !ok || !owed && !p.paysOff(u, best, wait) {
 		return false
 	}
 	for _, v := range best.victims {
@@ -107,6 +110,16 @@
 	return true
 }
 
+// paysOff reports whether the eviction costs less than the unit gains that would
+// otherwise fit after that wait: by value, or else at most maxLossRatio times the
+// unit's work.
+func (p *pass) paysOff(u *unit, e eviction, wait time.Duration) bool {
+	if p.view.byValue {
+		return p.loss(e.victims, wait) < p.waiting(u).Gain(wait)
+	}
+	return e.cost <= maxLossRatio*u.work()
+}
+
 // cheapestEviction returns the eviction of the least cost; false means that
 // there is none. For a gang that is fast only in one rack it looks within each
 // rack first, and over all racks only when none can hold the gang.
@@ -220,6 +233,9 @@
 		e.victims = append(e.victims, v)
 		e.cost += p.stopCost(v)
 	}
+	if p.view.byValue {
+		e = p.withoutNeedless(e, need, left, t.name)
+	}
 	return e, need.Fits(left)
 }
 
@@ -264,13 +280,14 @@
 	all, ok := p.victimsOf[key]
 	if !ok {
 		for _, u := range p.activeByTarget[t.name] {
-			if u.job.Terms.Priority > 0 || owed && p.borrowed[u] {
+			if (u.job.Terms.Priority > 0 || owed && p.borrowed[u]) && (owed || !p.isProtected(u)) {
 				all = append(all, u)
 			}
 		}
 		slices.SortFunc(all, func(a, b *unit) int {
 			return cmp.Or(
 				cmp.Compare(b.job.Terms.Priority, a.job.Terms.Priority)*p.differInUrgency(a, b),
+				trueFirst(!p.isProtected(a), !p.isProtected(b)),
 				cmp.Compare(p.stopCostPerAccelerator(a), p.stopCostPerAccelerator(b)),
 				cmp.Compare(a.id.String(), b.id.String()),
 			)
@@ -301,6 +318,9 @@
 // stopCost returns what stopping the unit's run costs, in core-seconds: the
 // work that is lost, and for an urgent one also that it is likely to end late.
 func (p *pass) stopCost(u *unit) float64 {
+	if p.view.byValue {
+		return p.loss([]*unit{u}, 0)
+	}
 	cost := p.view.lostWork(u)
 	if u.job.Terms.Priority == 0 {
 		cost += lateUrgentRatio * u.work()
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -32,6 +32,9 @@
 	// loading is set while the rows of earlier times are applied: when and in
 	// which order runs ended is not known then.
 	loading bool
+	// byValue says that waiting work is ordered by value, and preemption bounded;
+	// see sesamecontention.ByValue.
+	byValue bool
 	// plain turns off what only makes decisions faster, for tests that compare
 	// both ways.
 	plain bool
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -1,6 +1,10 @@
 package sesamesettings
 
-import "time"
+import (
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamecontention"
+)
 
 // HostedEntry holds the settings of an entry in a hosted deployment, where the
 // platform provides the store, the load balancer and the operators' policy. All
@@ -28,7 +32,9 @@
 	MemoryMiB int64 `yaml:"memory"`
 	// DrainTimeout is the longest time that a graceful stop may take.
 	DrainTimeout time.Duration `yaml:"drain"`
-	Log          Log           `yaml:"log"`
+	// Contention says who waits when there is too little room.
+	Contention sesamecontention.Policy `yaml:"contention"`
+	Log        Log                     `yaml:"log"`
 }
 
 // HostedAgent holds the settings of an agent beside a target in a hosted
@@ -69,6 +75,7 @@
 	return HostedEntry{
 		MemoryMiB:    defaultHostedMemoryMiB,
 		DrainTimeout: defaultHostedDrainTimeout,
+		Contention:   sesamecontention.ByOrder,
 		Log:          defaultHostedLog(),
 	}
 }
@@ -128,6 +135,7 @@
 	d.checkOptionalAddress("metrics", e.Metrics)
 	checkRange(d, "memory", e.MemoryMiB, minHostedMemoryMiB, maxHostedMemoryMiB)
 	checkRange(d, "drain", e.DrainTimeout, minHostedDrainTimeout, maxDrainTimeout)
+	d.checkOneOf("contention", string(e.Contention), string(sesamecontention.ByOrder), string(sesamecontention.ByValue))
 	d.checkLog(e.Log)
 }
 
--- a/sesamesettings/hosted_test.go
+++ b/sesamesettings/hosted_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/sesamestack/sesamestack/sesamecontention"
 	"github.com/sesamestack/sesamestack/sesamesettings"
 )
 
@@ -49,6 +50,7 @@
 		is.NoErr(err)
 		is.Equal(entry.DrainTimeout, 6*time.Second)
 		is.Equal(entry.Log.Format, "json")
+		is.Equal(entry.Contention, sesamecontention.ByOrder)
 	})
 	t.Run("an agent", func(t *testing.T) {
 		is := is.New(t)
@@ -57,11 +59,12 @@
 		is.Equal(agent.MaxLease, 6*time.Second)
 	})
 	for name, text := range map[string]string{
-		"unknown key":         hostedEntryYAML + "calers: x\n",
-		"expected IP:port":    strings.Replace(hostedEntryYAML, "10.0.0.9:8003", "store.example:8003", 1),
-		"memory: is 1":        strings.Replace(hostedAgentYAML, "152", "1", 1),
-		"a duration such as":  strings.Replace(hostedAgentYAML, "6000ms", "6000", 1),
-		"service: is missing": strings.Replace(hostedAgentYAML, "service: svc1\n", "", 1),
+		"unknown key":             hostedEntryYAML + "calers: x\n",
+		"expected IP:port":        strings.Replace(hostedEntryYAML, "10.0.0.9:8003", "store.example:8003", 1),
+		"contention: is \"valu\"": hostedEntryYAML + "contention: valu\n",
+		"memory: is 1":            strings.Replace(hostedAgentYAML, "152", "1", 1),
+		"a duration such as":      strings.Replace(hostedAgentYAML, "6000ms", "6000", 1),
+		"service: is missing":     strings.Replace(hostedAgentYAML, "service: svc1\n", "", 1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := sesamesettings.Check(writeSettings(t, text))
--- a/sesamework/run.go
+++ b/sesamework/run.go
@@ -56,6 +56,8 @@
 	Suspect bool        `json:"suspect,omitempty"`
 	// Stalls counts the earlier runs that were stopped for lack of progress.
 	Stalls int `json:"stalls,omitempty"`
+	// Preempted says that the unit's run before was stopped to make room for another.
+	Preempted bool `json:"taken,omitempty"`
 	// OrderedAt is when the run was written to the store, on the store's clock
 	// in milliseconds.
 	OrderedAt int64 `json:"at"`
