--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -131,6 +131,7 @@
 
 			Evacuations:     evacuations,
 			EvacuationBound: settings.Evacuation,
+			Contention:      settings.Contention,
 		}),
 		draining: make(chan struct{}),
 		shares:   shares(settings),
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -224,6 +224,11 @@
 	latestStart   time.Duration
 }
 
+// count returns how many units are ready, those that are not created included.
+func (c candidate) count() int {
+	return len(c.units) + c.step.notCreated()
+}
+
 // sortedCandidates returns the units that are ready to run, in the order in
 // which they are placed: by priority, then those that can still end in time
 // before the others, then by latestStart.
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -33,6 +33,7 @@
 	eventMarker         = sesamelog.Define(7130, sesamelog.Info, "zone was evacuated or taken back")
 	eventUnfit          = sesamelog.Define(7131, sesamelog.Warn, "guaranteed work does not fit outside evacuated zones")
 	eventTooLarge       = sesamelog.Define(7124, sesamelog.Warn, "job has more tasks than the planner holds, the others of its units don't start")
+	eventAwaitsEnds     = sesamelog.Define(7134, sesamelog.Debug, "owed unit waits for runs that end soon")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/units.go
+++ b/sesamedispatch/units.go
@@ -90,6 +90,17 @@
 	})
 }
 
+// openTasks returns how many tasks belong to units that are not done.
+func (s *stepUnits) openTasks() int {
+	tasks := s.step.Count
+	for _, u := range s.created {
+		if u.done {
+			tasks -= u.taskCount()
+		}
+	}
+	return tasks
+}
+
 // create returns the unit at the position, and creates it if need be.
 func (v *View) create(s *stepUnits, position int) *unit {
 	i, ok := s.search(position)
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -37,6 +37,9 @@
 	// that reportUnfit has logged.
 	evacuation evacuation
 	unfit      map[sesamework.UnitID]bool
+	// byValue says that waiting work is ordered by value, and preemption bounded;
+	// see sesamecontention.ByValue.
+	byValue bool
 	// plain turns off what only makes decisions faster, for tests that compare
 	// both ways.
 	plain bool
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -1,6 +1,10 @@
 package sesamesettings
 
-import "time"
+import (
+	"time"
+
+	"github.com/sesamestack/sesamestack/sesamecontention"
+)
 
 // HostedEntry holds the settings of an entry in a hosted deployment, where the
 // platform provides the store, the load balancer and the operators' policy. All
@@ -35,7 +39,9 @@
 	// Evacuation is how long after the evacuation of a zone a task may still be
 	// started there; 0 means that no zone can be evacuated.
 	Evacuation time.Duration `yaml:"evacuation"`
-	Log        Log           `yaml:"log"`
+	// Contention says who waits when there is too little room.
+	Contention sesamecontention.Policy `yaml:"contention"`
+	Log        Log                     `yaml:"log"`
 }
 
 // Guard holds the bounds on what callers take of an entry. 0 means the default,
@@ -91,6 +97,7 @@
 	return HostedEntry{
 		MemoryMiB:    defaultHostedMemoryMiB,
 		DrainTimeout: defaultHostedDrainTimeout,
+		Contention:   sesamecontention.ByOrder,
 		Log:          defaultHostedLog(),
 	}
 }
@@ -163,6 +170,7 @@
 	if e.Evacuation != 0 {
 		checkRange(d, "evacuation", e.Evacuation, minHostedEvacuation, maxHostedEvacuation)
 	}
+	d.checkOneOf("contention", string(e.Contention), string(sesamecontention.ByOrder), string(sesamecontention.ByValue))
 	d.checkLog(e.Log)
 }
 
