sesamedispatch: expectedEnd tells when a run ends

Releases of room and the stops on draining targets asked for the remaining time each in its own way. View.expectedEnd, in a file of its own, is now the only place that tells when a run ends, so that the speed of targets can count there.

--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -171,7 +171,7 @@
 		if u.step.LongRunning && u.run.StopReason == "" && !p.d.stopping[u] {
 			continue
 		}
-		after := p.view.remaining(u)
+		after := p.view.expectedEnd(u) - p.view.now.Steady
 		for _, m := range u.members {
 			if m.outcome != "" {
 				continue
--- a/sesamedispatch/watch.go
+++ b/sesamedispatch/watch.go
@@ -96,7 +96,7 @@
 				continue
 			}
 			stays := time.Duration(t.MinRemaining)*time.Millisecond - (v.now.Steady - t.reportedAt)
-			if stays <= drainStopLead && v.remaining(u) > stays {
+			if stays <= drainStopLead && v.expectedEnd(u) > v.now.Steady+stays {
 				d.stop(u, stopTargetLeaves)
 			}
 		}
@@ -122,33 +122,3 @@
 		}
 	}
 }
-
-// remaining estimates how much longer the run of the unit takes, which is as
-// long as its slowest active member; 0 if it has none.
-func (v *View) remaining(u *unit) time.Duration {
-	var longest time.Duration
-	for _, m := range u.members {
-		if m.outcome == "" {
-			longest = max(longest, v.remainingOf(u, m))
-		}
-	}
-	return longest
-}
-
-// remainingOf estimates how much longer an active member takes, from its
-// reported progress if there is some, or else from the expected duration.
-func (v *View) remainingOf(u *unit, m member) time.Duration {
-	elapsed := v.now.Steady - u.orderedAt
-	t, ok := v.targets[m.Target]
-	if ok {
-		p, reported := t.progress[u.id.Task(m.Index).String()]
-		if reported && p.Run == u.run.Number && p.Percent > 0 {
-			return elapsed * time.Duration(100-p.Percent) / time.Duration(p.Percent)
-		}
-	}
-	// A task that takes longer than declared is likely to go on for a while: at
-	// least a quarter of the expected duration, and as long as it has exceeded that.
-	const leastDivisor = 4
-	expected := u.expectedDuration()
-	return max(expected-elapsed, elapsed-expected, expected/leastDivisor)
-}
