sesamedispatch: place work by the speed of targets

Urgent gangs were late because one member ran on a slow target while fast ones ran work with slack. With the setting speeds: auto (default off), the planner learns targets' speeds from ends and progress, sends urgent units and the last tasks of a step to the fastest kind, work with slack to the slowest kind on which it ends in time, keeps gangs on one kind where possible, and counts the factor in durations, expected ends, releases and backfill.

--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -127,6 +127,7 @@
 			Clock:     clock,
 			Log:       p.log,
 			Scope:     scope,
+			Speeds:    settings.Speeds == sesamesettings.SpeedsAuto,
 		}),
 		draining: make(chan struct{}),
 	}
--- a/sesamedispatch/bench_test.go
+++ b/sesamedispatch/bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamespeed"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -151,3 +152,36 @@
 		})
 	}
 }
+
+// BenchmarkDecideSpeeds is BenchmarkDecide on targets that differ in speed.
+func BenchmarkDecideSpeeds(b *testing.B) {
+	for _, targets := range []int{62, 300} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			view := overloadedView(targets)
+			view.speeds = sesamespeed.NewModel()
+			now := view.now
+			for i := range 20 {
+				for _, t := range view.targets {
+					factor := time.Duration(1 + len(t.ID)%2)
+					view.speeds.Observe(sesamespeed.Observation{
+						ID:     t.name,
+						Group:  fmt.Sprint(i),
+						Target: t.speedID(),
+						Taken:  factor * time.Second,
+					})
+				}
+			}
+			for range 10 {
+				view.applyDecision(view.Decide(now))
+				now.Steady += 10 * time.Millisecond
+			}
+			if !view.speeds.Differ() {
+				b.Fatal("targets do not differ")
+			}
+			for b.Loop() {
+				now.Steady += time.Millisecond
+				view.Decide(now)
+			}
+		})
+	}
+}
--- a/sesamedispatch/claim.go
+++ b/sesamedispatch/claim.go
@@ -23,6 +23,9 @@
 	targets := p.claimedWithRoom(u)
 	if targets == nil {
 		targets = p.choose(u)
+		if targets != nil && p.isLateOn(u, targets) && p.mayWaitForSpeed(u, 0) {
+			targets = nil
+		}
 	}
 	if targets != nil {
 		p.start(u, targets)
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -21,6 +21,9 @@
 	// steady clock.
 	stopping map[*unit]bool
 	at       time.Duration
+	// speedWaits counts the units that wait for faster targets than they could
+	// have.
+	speedWaits int
 }
 
 // Start orders a run (one start) of a unit.
@@ -66,6 +69,7 @@
 		stopping: map[*unit]bool{},
 		at:       now.Steady,
 	}
+	v.refreshSpeeds()
 	v.addLostTargets(&d)
 	v.addDueOccurrences()
 	for _, j := range v.jobs {
--- a/sesamedispatch/ends.go
+++ b/sesamedispatch/ends.go
@@ -124,6 +124,7 @@
 	if v.loading {
 		taken = time.Duration(e.Taken) * time.Millisecond
 	}
+	v.observeEnd(u, m, e)
 	if over && u.done && taken > 0 {
 		v.updateDurationModel(u, taken)
 	}
--- a/sesamedispatch/estimate.go
+++ b/sesamedispatch/estimate.go
@@ -103,7 +103,8 @@
 }
 
 // updateDurationModel adds how long the run with which a unit was done has taken
-// to the model of durations that estimates its queue's next tasks. It leaves out
+// to the model of durations that estimates its queue's next tasks, as if it had run
+// on a target of middle speed. It leaves out
 // durations that say little: those of long-running steps, of runs after the first
 // or from a checkpoint, and of runs outside the rack in which the unit is fast.
 func (v *View) updateDurationModel(u *unit, taken time.Duration) {
@@ -115,7 +116,7 @@
 		model = &durationModel{}
 		v.durationModels[u.job.Queue] = model
 	}
-	model.update(u.step.Duration(), taken)
+	model.update(u.step.Duration(), scaled(taken, 1/v.runFactor(u)))
 }
 
 // missedFastRack reports whether a member ran outside the rack in which the
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -30,6 +30,8 @@
 	eventLateEnd        = sesamelog.Define(7118, sesamelog.Warn, "earlier run ended as done")
 	eventCrashes        = sesamelog.Define(7119, sesamelog.Warn, "target crashed under unit")
 	eventRejected       = sesamelog.Define(7120, sesamelog.Error, "store refuses a write of the planner, which is left out for a while")
+	eventSpeeds         = sesamelog.Define(7140, sesamelog.Info, "kinds of targets by speed changed")
+	eventSpeedWait      = sesamelog.Define(7141, sesamelog.Debug, "unit waits for faster targets")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/expected.go
+++ b/sesamedispatch/expected.go
@@ -23,6 +23,9 @@
 // remainingOf estimates how much longer an active member takes, from its
 // reported progress if there is some, or else from the expected duration.
 func (v *View) remainingOf(u *unit, m member) time.Duration {
+	if v.speedsDiffer() {
+		return v.remainingBySpeed(u, m)
+	}
 	elapsed := v.now.Steady - u.orderedAt
 	t, ok := v.targets[m.Target]
 	if ok {
@@ -31,9 +34,14 @@
 			return elapsed * time.Duration(100-p.Percent) / time.Duration(p.Percent)
 		}
 	}
+	return overdue(u.expectedDuration(), elapsed)
+}
+
+// overdue returns how much longer a task takes that has run for the time elapsed,
+// if nothing but its expected duration is known.
+func overdue(expected, elapsed time.Duration) time.Duration {
 	// A task that takes longer than declared is likely to go on for a while: at
 	// least a quarter of the expected duration, and as long as it has exceeded that.
 	const leastDivisor = 4
-	expected := u.expectedDuration()
 	return max(expected-elapsed, elapsed-expected, expected/leastDivisor)
 }
--- a/sesamedispatch/gang.go
+++ b/sesamedispatch/gang.go
@@ -12,6 +12,9 @@
 // has to wait. A gang that is fast only in one rack waits for room in one,
 // while some rack could hold it when empty and hasWaitedForRack is false.
 func (p *pass) chooseGang(u *unit, usable []*target, racks rackGroups) []*target {
+	if best := p.chooseUniformGang(u, usable); best != nil {
+		return best
+	}
 	if best := p.chooseRack(u, racks); best != nil {
 		return best
 	}
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -75,6 +75,9 @@
 	isolated  []string
 	// borrowed holds the units whose runs are borrowed; see borrowedRuns.
 	borrowed map[*unit]bool
+	// speeds are the levels of speed of the targets; nil while these don't clearly
+	// differ.
+	speeds *speedLevels
 }
 
 // spreadKey identifies the tasks of one step and occurrence on one target, of
@@ -105,6 +108,7 @@
 		return
 	}
 	p := v.newPass(d)
+	p.speeds = v.newSpeedLevels(candidates)
 	for _, c := range candidates {
 		for _, u := range c.units {
 			if p.needsIsolation(u) {
@@ -197,7 +201,7 @@
 	}
 	owed := p.admitOwed(u)
 	if targets := p.choose(u); targets != nil {
-		p.start(u, targets)
+		p.startOrTakeFaster(u, targets)
 		return
 	}
 	p.blocked[step] = true
@@ -328,7 +332,7 @@
 		return 0
 	}
 	room := p.room[t.name]
-	if u.expectedDuration() >= p.reservedFrom[t.name] {
+	if u.expectedDurationOn(t) >= p.reservedFrom[t.name] {
 		room = room.Minus(p.reservedAgainst(u, t.name))
 	}
 	n := u.taskCount()
@@ -355,11 +359,12 @@
 // which a single task fits and whose rack acceptsRack allows, or nil.
 func (p *pass) chooseSingle(u *unit, usable []*target) []*target {
 	var best *target
+	ranks := p.levelRanks(u)
 	for _, t := range usable {
 		if p.tasksThatFit(u, t) == 0 || !p.acceptsRack(u, t.Rack) {
 			continue
 		}
-		if best == nil || p.compareTargets(u, t, best) < 0 {
+		if best == nil || p.compareTargets(u, t, best, ranks) < 0 {
 			best = t
 		}
 	}
@@ -370,12 +375,13 @@
 }
 
 // compareTargets orders targets by how well they suit the unit, the best first:
-// near its data, then with few units that failed on it, then with little room
-// left (best fit).
-func (p *pass) compareTargets(u *unit, a, b *target) int {
+// near its data, then with few units that failed on it, then by the ranks of their
+// speeds (see levelRanks), then with little room left (best fit).
+func (p *pass) compareTargets(u *unit, a, b *target, ranks []int) int {
 	return cmp.Or(
 		cmp.Compare(rackDistance(u, a), rackDistance(u, b)),
 		cmp.Compare(len(a.failedUnits), len(b.failedUnits)),
+		p.compareSpeeds(ranks, a, b),
 		cmp.Compare(p.room[a.name].Accelerators, p.room[b.name].Accelerators),
 		cmp.Compare(p.room[a.name].Cores, p.room[b.name].Cores),
 	)
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -10,6 +10,7 @@
 	"github.com/sesamestack/sesamestack/sesameclock"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamespeed"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -77,6 +78,9 @@
 	Log       *sesamelog.Logger
 	// Scope takes the metrics.
 	Scope tally.Scope
+	// Speeds says that decisions take into account how fast targets are, where
+	// these clearly differ.
+	Speeds bool
 }
 
 // Planner takes part in the leader election and plans while it is the leader.
@@ -98,6 +102,8 @@
 	// durationModels by queue outlast the terms of this process. Another
 	// process learns its own.
 	durationModels map[string]*durationModel
+	// speeds outlasts the terms in the same way; nil without Options.Speeds.
+	speeds *sesamespeed.Model
 }
 
 // leader is the row of the process that plans.
@@ -117,12 +123,16 @@
 
 // NewPlanner returns a planner that does nothing until Run is called.
 func NewPlanner(o Options) *Planner {
-	return &Planner{
+	p := &Planner{
 		o:          o,
 		storeClock: sesamerows.NewStoreClock(o.Clock),
 
 		durationModels: map[string]*durationModel{},
 	}
+	if o.Speeds {
+		p.speeds = sesamespeed.NewModel()
+	}
+	return p
 }
 
 // Run makes this process the leader whenever there is none, and plans until the
@@ -208,7 +218,7 @@
 		inventoryRequests: make(chan struct{}, 1),
 		inventories:       make(chan inventory, 1),
 		fence:             sesamerows.NewFence(p.o.Store, sesamework.LeaderKey()),
-		view:              NewView(p.o.Log).withDurationModels(p.durationModels),
+		view:              NewView(p.o.Log).withDurationModels(p.durationModels).withSpeeds(p.speeds),
 		follower:          newWorkFollower(p.o.Store),
 	}
 	value, err := json.Marshal(row)
--- a/sesamedispatch/preempt.go
+++ b/sesamedispatch/preempt.go
@@ -109,9 +109,23 @@
 
 // cheapestEviction returns the eviction of the least cost; false means that
 // there is none. For a gang that is fast only in one rack it looks within each
-// rack first, and over all racks only when none can hold the gang.
+// rack first, and over all racks only when none can hold the gang. Where targets
+// differ in speed, it looks among those that are fast enough; only a unit that is
+// owed its room takes others.
 func (p *pass) cheapestEviction(u *unit, owed bool) (eviction, bool) {
 	usable, racks := p.eligibleTargets(u)
+	if fast := p.evictionTargets(u, usable); len(fast) < len(usable) {
+		best, ok := p.cheapestEvictionAmong(u, fast, groupByRack(fast), owed)
+		if ok || !owed {
+			return best, ok
+		}
+	}
+	return p.cheapestEvictionAmong(u, usable, racks, owed)
+}
+
+// cheapestEvictionAmong returns what cheapestEviction does, but for these targets
+// only, which racks holds by rack.
+func (p *pass) cheapestEvictionAmong(u *unit, usable []*target, racks rackGroups, owed bool) (eviction, bool) {
 	groups := [][]*target{usable}
 	if u.step.Gang && u.step.SameRack {
 		groups = racks.inOrder()
--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// earliestFit returns the targets on which a blocked unit is expected to fit
+// earliestFit returns the targets on which a blocked unit is expected to end
 // first, one for each task, and how long that takes from now. It returns nil
 // and 0 if the unit would not fit after the ends of all active runs either.
 func (p *pass) earliestFit(u *unit) ([]string, time.Duration) {
@@ -94,12 +94,16 @@
 		groups = racks.inOrder()
 	}
 	var best []string
-	var shortest time.Duration
-	for _, targets := range groups {
+	var shortest, earliestEnd time.Duration
+	for _, targets := range p.uniformGroups(u, groups) {
 		names, wait := p.earliestFitAmong(u, targets)
-		if names != nil && (best == nil || wait < shortest) {
+		if names == nil {
+			continue
+		}
+		if end := wait + p.durationOn(u, names); best == nil || end < earliestEnd {
 			best = names
 			shortest = wait
+			earliestEnd = end
 		}
 	}
 	return best, shortest
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamespeed"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -38,6 +39,8 @@
 	reportedAt time.Duration
 	// progress is the last reported progress by task name.
 	progress map[string]progress
+	// speed is what is known of the target's speed.
+	speed sesamespeed.Estimate
 	// removed says that the platform does not run this life any more.
 	removed bool
 	// failedUnits are the units that failed on the target since its last success
@@ -63,11 +66,14 @@
 
 // progress is what a target reported of a run. changedAt is when the percentage
 // last changed, and answeredAt when the target last told its agent of the run, both
-// on the steady clock.
+// on the steady clock. firstPercent is the percentage that was reported first of the
+// run, at firstAt.
 type progress struct {
 	sesamework.Progress
-	changedAt  time.Duration
-	answeredAt time.Duration
+	changedAt    time.Duration
+	answeredAt   time.Duration
+	firstAt      time.Duration
+	firstPercent int
 }
 
 // maxProgressAge is how long the progress of a task is kept that partial reports
@@ -84,6 +90,7 @@
 	if row.Removed {
 		if !known || row.Version >= old.version {
 			delete(v.targets, name)
+			v.forgetSpeed(old)
 			v.needsDecision = true
 		}
 		return
@@ -118,6 +125,8 @@
 	}
 	t.updateProgress(v.now.Steady)
 	v.targets[name] = t
+	v.setSpeed(t, old)
+	v.observeProgress(t)
 }
 
 // isChanged reports whether the target differs from what was known before in a
@@ -193,11 +202,17 @@
 		if ok && old.Run == p.Run && old.Percent == p.Percent {
 			moved = old.changedAt
 		}
+		firstAt, firstPercent := now, p.Percent
+		if ok && old.Run == p.Run {
+			firstAt, firstPercent = old.firstAt, old.firstPercent
+		}
 		seen[p.Task] = progress{
 			Progress:  p,
 			changedAt: moved,
 
-			answeredAt: t.answeredAt(),
+			answeredAt:   t.answeredAt(),
+			firstAt:      firstAt,
+			firstPercent: firstPercent,
 		}
 	}
 	t.progress = seen
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -158,7 +158,7 @@
 		return err
 	}
 	before := r.view
-	r.view = NewView(r.o.Log).withDurationModels(before.durationModels)
+	r.view = NewView(r.o.Log).withDurationModels(before.durationModels).withSpeeds(before.speeds)
 	r.fillView(rows)
 	r.view.keepObservations(before)
 	r.rebuiltVersion = rows.work.Version
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamespeed"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -22,6 +23,8 @@
 	targets map[string]*target
 	// durationModels holds the duration model of each queue, by its name.
 	durationModels map[string]*durationModel
+	// speeds is the model of the targets' speeds; nil while all count as alike.
+	speeds *sesamespeed.Model
 	// ends holds the versions of all end rows, which are removed with their jobs.
 	// An end row tells how a run ended on one of its targets.
 	ends map[sesamerows.Key]sesamerows.Version
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -29,6 +29,7 @@
 // the rows.
 func (r *term) decideAndWrite(ctx context.Context) error {
 	d := r.view.Decide(r.now())
+	r.countSpeeds(d)
 	if d.IsEmpty() {
 		if err := r.sweep(ctx); err != nil {
 			return err
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -28,9 +28,18 @@
 	MemoryMiB int64 `yaml:"memory"`
 	// DrainTimeout is the longest time that a graceful stop may take.
 	DrainTimeout time.Duration `yaml:"drain"`
-	Log          Log           `yaml:"log"`
+	// Speeds says whether the planner takes into account how fast targets are:
+	// SpeedsAuto, where they clearly differ, or SpeedsOff.
+	Speeds string `yaml:"speeds"`
+	Log    Log    `yaml:"log"`
 }
 
+// The values of HostedEntry.Speeds.
+const (
+	SpeedsAuto = "auto"
+	SpeedsOff  = "off"
+)
+
 // HostedAgent holds the settings of an agent beside a target in a hosted
 // deployment. All addresses are IP:port.
 type HostedAgent struct {
@@ -69,6 +78,7 @@
 	return HostedEntry{
 		MemoryMiB:    defaultHostedMemoryMiB,
 		DrainTimeout: defaultHostedDrainTimeout,
+		Speeds:       SpeedsOff,
 		Log:          defaultHostedLog(),
 	}
 }
@@ -128,6 +138,7 @@
 	d.checkOptionalAddress("metrics", e.Metrics)
 	checkRange(d, "memory", e.MemoryMiB, minHostedMemoryMiB, maxHostedMemoryMiB)
 	checkRange(d, "drain", e.DrainTimeout, minHostedDrainTimeout, maxDrainTimeout)
+	d.checkOneOf("speeds", e.Speeds, SpeedsAuto, SpeedsOff)
 	d.checkLog(e.Log)
 }
 
--- a/sesamesettings/hosted_test.go
+++ b/sesamesettings/hosted_test.go
@@ -49,6 +49,10 @@
 		is.NoErr(err)
 		is.Equal(entry.DrainTimeout, 6*time.Second)
 		is.Equal(entry.Log.Format, "json")
+		is.Equal(entry.Speeds, sesamesettings.SpeedsOff) // earlier deployments are placed as before
+		entry, err = sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"speeds: auto\n"))
+		is.NoErr(err)
+		is.Equal(entry.Speeds, sesamesettings.SpeedsAuto)
 	})
 	t.Run("an agent", func(t *testing.T) {
 		is := is.New(t)
@@ -57,6 +61,7 @@
 		is.Equal(agent.MaxLease, 6*time.Second)
 	})
 	for name, text := range map[string]string{
+		"speeds: is":          hostedEntryYAML + "speeds: on\n",
 		"unknown key":         hostedEntryYAML + "calers: x\n",
 		"expected IP:port":    strings.Replace(hostedEntryYAML, "10.0.0.9:8003", "store.example:8003", 1),
 		"memory: is 1":        strings.Replace(hostedAgentYAML, "152", "1", 1),
