sesamedispatch: simulate releases with the occupants of the targets in question only

earliestFitAmong copied the occupants of all targets for each rack; with levels of speed there are more such groups.

--- a/sesamedispatch/placespeed.go
+++ b/sesamedispatch/placespeed.go
@@ -319,9 +319,10 @@
 }
 
 // uniformGroups returns, besides the groups of targets, their parts of one level,
-// so that a place among equally fast targets can be compared with others.
+// so that a place among equally fast targets can be compared with others. Groups
+// that are racks are compared as they are, since the rack matters more.
 func (p *pass) uniformGroups(u *unit, groups [][]*target) [][]*target {
-	if p.speeds == nil || u.step.LongRunning || !u.step.Gang && u.job.Terms.Priority > 0 {
+	if p.speeds == nil || u.step.LongRunning || len(groups) > 1 || !u.step.Gang && u.job.Terms.Priority > 0 {
 		return groups
 	}
 	var all [][]*target
--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -125,7 +124,7 @@
 		view:          p.view,
 		room:          map[string]sesamework.Resources{},
 		tasksOnTarget: p.tasksOnTarget,
-		occupants:     maps.Clone(p.occupants),
+		occupants:     make(map[string]occupancy, len(targets)),
 
 		targetsByService: p.targetsByService,
 	}
@@ -133,6 +132,9 @@
 	slots := 0
 	for _, t := range targets {
 		byName[t.name] = t
+		if o, ok := p.occupants[t.name]; ok {
+			future.occupants[t.name] = o
+		}
 		future.room[t.name] = p.room[t.name].Minus(p.reservedAgainst(u, t.name))
 		slots += future.tasksThatFit(u, t)
 	}
