sesamedispatch: learn durations at the speeds that ends show, slack for whole steps

A planner that took over learnt durations from ends before any speed was known; now it fits speeds first. A wide step counted as having slack on slow targets by the chance of one task; now all its tasks must be in time with 0.5 as well. The stand-in's targets get a time factor, and the worlds of the tests run with speeds on.

--- a/sesamedispatch/ends.go
+++ b/sesamedispatch/ends.go
@@ -125,9 +125,33 @@
 		taken = time.Duration(e.Taken) * time.Millisecond
 	}
 	v.observeEnd(u, m, e)
-	if over && u.done && taken > 0 {
-		v.updateDurationModel(u, taken)
+	if !over || !u.done || taken <= 0 {
+		return
+	}
+	if v.loading {
+		v.loadedRuns = append(v.loadedRuns, doneRun{
+			unit:  u,
+			taken: taken,
+		})
+		return
 	}
+	v.updateDurationModel(u, taken)
+}
+
+// doneRun is a run with which a unit was done, and how long it took.
+type doneRun struct {
+	unit  *unit
+	taken time.Duration
+}
+
+// learnLoadedRuns teaches the duration models the runs that were found while
+// loading, now that their ends have shown how fast the targets are.
+func (v *View) learnLoadedRuns() {
+	v.refreshSpeeds()
+	for _, r := range v.loadedRuns {
+		v.updateDurationModel(r.unit, r.taken)
+	}
+	v.loadedRuns = nil
 }
 
 // clearFailedUnit removes the unit from the failedUnits of the targets on which
--- a/sesamedispatch/placespeed.go
+++ b/sesamedispatch/placespeed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -14,9 +15,11 @@
 	// faster ones. The platform asks for a start within 3 s of when a task could
 	// run beside free targets, of which orders take a part.
 	maxSpeedWait = 2 * time.Second
-	// safeShare is the probability with which a run must end in time on a kind of
-	// targets for the unit to count as having slack there.
-	safeShare = 0.9
+	// safeShare is the probability with which a task must end in time on a kind of
+	// targets for its unit to count as having slack there, and safeStepShare the one
+	// for all tasks of the step together.
+	safeShare     = 0.9
+	safeStepShare = 0.5
 	// lastShare is the part of a step's tasks that counts as its last ones, from
 	// lastMinCount tasks on: they decide when the step ends.
 	lastShare    = 8
@@ -137,9 +140,10 @@
 		return order
 	}
 	left := p.timeLeft(u)
+	share := max(safeShare, math.Pow(safeStepShare, 1/float64(u.step.Count)))
+	longest := p.view.speeds.Quantile(u.expectedDuration(), share)
 	isSafe := func(i int) bool {
-		expected := scaled(u.expectedDuration(), levels[i].slowest)
-		return p.view.speeds.Quantile(expected, safeShare) <= left
+		return scaled(longest, levels[i].slowest) <= left
 	}
 	safe := 0
 	for safe < len(order) && isSafe(order[safe]) {
--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -101,6 +101,7 @@
 		Clock:     e.w.steadyClock,
 		Log:       testLog(),
 		Scope:     tally.NoopScope,
+		Speeds:    !e.w.noSpeeds,
 	})
 	e.w.mu.Lock()
 	e.intake = intake
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -35,6 +35,9 @@
 	// loading is set while the rows of earlier times are applied: when and in
 	// which order runs ended is not known then.
 	loading bool
+	// loadedRuns are runs that are done, found while loading, which teach the
+	// duration models once the speeds of their targets are known.
+	loadedRuns []doneRun
 	// plain turns off what only makes decisions faster, for tests that compare
 	// both ways.
 	plain bool
@@ -115,6 +118,7 @@
 	}
 	v.applyPrefix(work, sesamework.EndPrefix, v.setEnd)
 	v.endLostMembers()
+	v.learnLoadedRuns()
 }
 
 // Apply updates the view by changed rows of the work table. It reports whether
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -34,6 +34,8 @@
 
 	// detours says that processes relay calls to the store for each other.
 	detours bool
+	// noSpeeds turns the model of targets' speeds off in entries that start later.
+	noSpeeds bool
 	// keepsIDs says that all lives of a target have the same ID.
 	keepsIDs bool
 
--- a/sesamestandin/fleet.go
+++ b/sesamestandin/fleet.go
@@ -123,6 +123,9 @@
 	// began to work. A member of a gang begins when all others have started.
 	startedAt    time.Time
 	workingSince time.Time
+	// timeFactor is how long work takes as a multiple of the task's Duration. A gang
+	// is as slow as its slowest member.
+	timeFactor float64
 	// initialProgress is the progress of the checkpoint that the run resumed
 	// from, as part of the task's Duration.
 	initialProgress time.Duration
@@ -201,6 +204,7 @@
 		return first
 	}
 	left := max(0, r.definition.Duration-r.initialProgress)
+	left = time.Duration(float64(left) * r.timeFactor)
 	if r.definition.FailsRun != nil && r.definition.FailsRun(r.run) {
 		keepEarlier(r.workingSince.Add(left/2), sesamework.EndFailed)
 		return first
@@ -248,8 +252,13 @@
 		if len(members) < members[0].definition.Step.Count {
 			continue
 		}
+		factor := 0.0
+		for _, m := range members {
+			factor = max(factor, m.timeFactor)
+		}
 		for _, m := range members {
 			m.workingSince = now
+			m.timeFactor = factor
 		}
 	}
 }
@@ -276,7 +285,8 @@
 	if r.workingSince.IsZero() {
 		return r.initialProgress
 	}
-	return min(r.definition.Duration, r.initialProgress+now.Sub(r.workingSince))
+	worked := time.Duration(float64(now.Sub(r.workingSince)) / r.timeFactor)
+	return min(r.definition.Duration, r.initialProgress+worked)
 }
 
 // checkpoint returns the progress in milliseconds as a target reports it, ""
--- a/sesamestandin/leased.go
+++ b/sesamestandin/leased.go
@@ -28,6 +28,8 @@
 	// startedAt is the start of this life, at which its own clock is 0.
 	startedAt time.Time
 	leaseEnd  time.Time
+	// timeFactor is how long work takes as a multiple of a task's Duration.
+	timeFactor float64
 	// agentEpoch is the highest epoch of an agent seen so far; calls of agents
 	// with a lower one are refused.
 	agentEpoch int64
@@ -67,6 +69,7 @@
 		life:       life,
 		capacity:   newCapacityHistory(capacity),
 		startedAt:  f.o.Clock.Now(),
+		timeFactor: 1,
 		highestRun: map[string]int{},
 		endTimes:   map[int64]time.Time{},
 	}
@@ -212,6 +215,7 @@
 		run:        o.Run,
 		definition: definition,
 		startedAt:  now,
+		timeFactor: t.timeFactor,
 	}
 	if n, err := strconv.ParseInt(o.Checkpoint, 10, 64); err == nil {
 		r.initialProgress = time.Duration(n) * time.Millisecond
--- a/sesamestandin/leasedfaults.go
+++ b/sesamestandin/leasedfaults.go
@@ -25,6 +25,14 @@
 	return t.losesOrder()
 }
 
+// SetTimeFactor sets how long work takes on the target from its start on, as a
+// multiple of a task's Duration. It is set before the first run starts.
+func (t *LeasedTarget) SetTimeFactor(factor float64) {
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	t.timeFactor = factor
+}
+
 // ForbidStarts makes every later start a violation, as after the deadline of a
 // drain.
 func (t *LeasedTarget) ForbidStarts() {
