sesamedispatch, sesamespeed: tests fail without the wait bound, the least weight, and durations without speed

With these three mechanisms taken out one at a time the tests still passed. The test of the bound now keeps the fast targets almost free all the time, a single slow task runs on a new target, and TestDurationsWithoutSpeed is new. Each fails now without its mechanism and passes with it.

--- a/sesamedispatch/speed_test.go
+++ b/sesamedispatch/speed_test.go
@@ -308,30 +308,58 @@
 		})
 	}
 	t.Run("never for longer than maxSpeedWait", func(t *testing.T) {
+		is := is.New(t)
 		r := newSpeedReplay(true, 6, 7, 0.7, 0.7, 1.7)
 		r.learn()
-		r.fillFast(0, time.Second)
-		u := r.submitUrgent(gangStep())
-		for range maxSpeedWait/time.Second + 1 {
-			r.fillFastAgain()
-			r.now.Steady += time.Second
-			r.now.Store += time.Second
-			r.report()
+		remaining := r.fillFast(0, 5*time.Second)
+		s := gangStep()
+		s.Estimate = 60000 // there would be time to wait for longer
+		u := r.submitUrgent(s)
+		waited := time.Duration(0)
+		for waited <= maxSpeedWait {
+			r.almostEnd(remaining)
 			r.view.applyDecision(r.view.Decide(r.now))
+			if u.run.Number > 0 {
+				break
+			}
+			const tick = 100 * time.Millisecond
+			waited += tick
+			r.now.Steady += tick
+			r.now.Store += tick
 		}
-		is.New(t).True(u.run.Number > 0)
+		is.True(waited >= maxSpeedWait/4)
+		is.Equal(r.kindsOf(u), []float64{1.7})
 	})
 }
 
-// fillFastAgain restarts the runs on the fast targets, so that they seem to end
-// soon but never do.
-func (r *speedReplay) fillFastAgain() {
+// almostEnd lets the runs on the fast targets have been ordered that long ago, and
+// all targets have reported just now.
+func (r *speedReplay) almostEnd(elapsed time.Duration) {
 	for _, u := range r.view.units {
 		if u.isActive() && u.step.Count == 1 {
-			u.orderedAt = r.now.Steady
-			u.run.OrderedAt = r.now.Store.Milliseconds()
+			u.run.OrderedAt = (r.now.Store - elapsed).Milliseconds()
 		}
 	}
+	for _, t := range r.view.targets {
+		t.reportedAt = r.now.Steady
+	}
+}
+
+// TestDurationsWithoutSpeed guards against queues whose tasks seem to take longer
+// because they ran on slow targets.
+func TestDurationsWithoutSpeed(t *testing.T) {
+	is := is.New(t)
+	r := newSpeedReplay(true, 6, 7, 0.7, 0.7, 1.7)
+	r.learn()
+	u := r.submit(1, gangStep())
+	r.step(time.Millisecond)
+	is.Equal(r.kindsOf(u), []float64{1.7})
+	const middle = 2 * time.Second
+	for range 10 * windowTasks {
+		r.view.updateDurationModel(u, scaled(middle, r.view.runFactor(u)))
+	}
+	predicted := r.view.durationModels[""].predict(u.step.Duration())
+	is.True(predicted > middle*9/10 && predicted < middle*11/10)
 }
 
 // TestSameWithoutEvidence checks that decisions on targets that are alike, or of
--- a/sesamespeed/model_test.go
+++ b/sesamespeed/model_test.go
@@ -164,16 +164,23 @@
 	is.Equal(after.Kind, before.Kind)
 	is.True(after.Factor < 1.1*before.Factor)
 
-	for i := range 2 {
+	const newTarget = 100
+	for i := range 12 {
+		taken := time.Duration(f.factors[i] * float64(time.Second))
+		target := i
+		if i == 0 {
+			taken = 7 * time.Second
+			target = newTarget
+		}
 		f.model.Observe(sesamespeed.Observation{
-			ID:     fmt.Sprint("new ", i),
-			Group:  "1",
-			Target: id(100),
-			Taken:  time.Hour,
+			ID:     fmt.Sprint(i),
+			Group:  "with a new target",
+			Target: id(target),
+			Taken:  taken,
 		})
 	}
 	f.model.Refresh(f.now + 2*time.Second)
-	is.Equal(f.model.Factor(id(100)), 1.0) // too little is known of a new target
+	is.Equal(f.model.Factor(id(newTarget)), 1.0) // one task tells too little
 }
 
 // TestLives checks that a factor belongs to one life of a target.
