Merge placement by the speed of targets

Speeds count only where the slowest kind of targets exceeds the least stretch of the policy's queues. TestMildDifferences fails without the condition.

--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -132,6 +132,7 @@
 			Evacuations:     evacuations,
 			EvacuationBound: settings.Evacuation,
 			Contention:      settings.Contention,
+			Speeds:          settings.Speeds == sesamesettings.SpeedsAuto,
 		}),
 		draining: make(chan struct{}),
 		shares:   shares(settings),
--- a/sesamedispatch/contend.go
+++ b/sesamedispatch/contend.go
@@ -116,7 +116,7 @@
 	r := sesamecontention.Running{
 		Outlook:       p.view.outlook(u),
 		Remaining:     remaining,
-		Expected:      u.expectedDuration(),
+		Expected:      scaled(u.expectedDuration(), p.view.runFactor(u)),
 		StoppedBefore: u.run.Preempted,
 		Lost:          p.view.lostWork(u),
 		Value:         p.workOf(u).all,
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -80,6 +80,9 @@
 	// may be stopped; only used when the view orders by value.
 	jobs  map[*job]jobWork
 	stops map[*unit]sesamecontention.Running
+	// speeds are the levels of speed of the targets; nil while these don't clearly
+	// differ.
+	speeds *speedLevels
 }
 
 // spreadKey identifies the tasks of one step and occurrence on one target, of
@@ -114,6 +117,7 @@
 	if v.byValue {
 		candidates = p.orderByValue(candidates)
 	}
+	p.speeds = v.newSpeedLevels(candidates)
 	for _, c := range candidates {
 		for u := range p.inOrder(c) {
 			if p.needsIsolation(u) {
@@ -212,7 +216,7 @@
 	}
 	owed := p.admitOwed(u)
 	if targets := p.choose(u); targets != nil {
-		p.start(u, targets)
+		p.startOrTakeFaster(u, targets)
 		return
 	}
 	p.blocked[step] = true
@@ -344,7 +348,7 @@
 		return 0
 	}
 	room := p.room[t.name]
-	if u.expectedDuration() >= p.reservedFrom[t.name] {
+	if u.expectedDurationOn(t) >= p.reservedFrom[t.name] {
 		room = room.Minus(p.reservedAgainst(u, t.name))
 	}
 	n := u.taskCount()
@@ -371,11 +375,12 @@
 // which a single task fits and whose rack acceptsRack allows, or nil.
 func (p *pass) chooseSingle(u *unit, usable []*target) []*target {
 	var best *target
+	ranks := p.levelRanks(u)
 	for _, t := range usable {
 		if p.tasksThatFit(u, t) == 0 || !p.acceptsRack(u, t.Rack) {
 			continue
 		}
-		if best == nil || p.compareTargets(u, t, best) < 0 {
+		if best == nil || p.compareTargets(u, t, best, ranks) < 0 {
 			best = t
 		}
 	}
@@ -386,12 +391,13 @@
 }
 
 // compareTargets orders targets by how well they suit the unit, the best first:
-// near its data, then with few units that failed on it, then with little room
-// left (best fit).
-func (p *pass) compareTargets(u *unit, a, b *target) int {
+// near its data, then with few units that failed on it, then by the ranks of their
+// speeds (see levelRanks), then with little room left (best fit).
+func (p *pass) compareTargets(u *unit, a, b *target, ranks []int) int {
 	return cmp.Or(
 		cmp.Compare(rackDistance(u, a), rackDistance(u, b)),
 		cmp.Compare(len(a.failedUnits), len(b.failedUnits)),
+		p.compareSpeeds(ranks, a, b),
 		cmp.Compare(p.room[a.name].Accelerators, p.room[b.name].Accelerators),
 		cmp.Compare(p.room[a.name].Cores, p.room[b.name].Cores),
 	)
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -11,6 +11,7 @@
 	"github.com/sesamestack/sesamestack/sesamecontention"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamespeed"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -84,6 +85,9 @@
 	Contention sesamecontention.Policy
 	// Scope takes the metrics.
 	Scope tally.Scope
+	// Speeds says that decisions take into account how fast targets are, where
+	// these clearly differ.
+	Speeds bool
 }
 
 // Planner takes part in the leader election and plans while it is the leader.
@@ -105,6 +109,8 @@
 	// durationModels by queue outlast the terms of this process. Another
 	// process learns its own.
 	durationModels map[string]*durationModel
+	// speeds outlasts the terms in the same way; nil without Options.Speeds.
+	speeds *sesamespeed.Model
 }
 
 // leader is the row of the process that plans.
@@ -124,12 +130,16 @@
 
 // NewPlanner returns a planner that does nothing until Run is called.
 func NewPlanner(o Options) *Planner {
-	return &Planner{
+	p := &Planner{
 		o:          o,
 		storeClock: sesamerows.NewStoreClock(o.Clock),
 
 		durationModels: map[string]*durationModel{},
 	}
+	if o.Speeds {
+		p.speeds = sesamespeed.NewModel()
+	}
+	return p
 }
 
 // Run makes this process the leader whenever there is none, and plans until the
@@ -165,8 +175,9 @@
 
 // newView returns an empty view with the planner's options.
 func (p *Planner) newView() *View {
-	v := NewView(p.o.Log).withDurationModels(p.durationModels)
+	v := NewView(p.o.Log).withDurationModels(p.durationModels).withSpeeds(p.speeds)
 	v.byValue = p.o.Contention == sesamecontention.ByValue
+	v.SetPolicy(p.o.Policies.Current())
 	return v
 }
 
--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -109,6 +109,7 @@
 
 		Evacuations:     evacuations,
 		EvacuationBound: evacuationBound,
+		Speeds:          !e.w.noSpeeds,
 	})
 	e.w.mu.Lock()
 	e.intake = intake
--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -84,7 +83,7 @@
 	}
 }
 
-// earliestFit returns the targets on which a blocked unit is expected to fit
+// earliestFit returns the targets on which a blocked unit is expected to end
 // first, one for each task, and how long that takes from now. It returns nil
 // and 0 if the unit would not fit after the ends of all active runs either.
 func (p *pass) earliestFit(u *unit) ([]string, time.Duration) {
@@ -94,12 +93,16 @@
 		groups = racks.inOrder()
 	}
 	var best []string
-	var shortest time.Duration
-	for _, targets := range groups {
+	var shortest, earliestEnd time.Duration
+	for _, targets := range p.uniformGroups(u, groups) {
 		names, wait := p.earliestFitAmong(u, targets)
-		if names != nil && (best == nil || wait < shortest) {
+		if names == nil {
+			continue
+		}
+		if end := wait + p.durationOn(u, names); best == nil || end < earliestEnd {
 			best = names
 			shortest = wait
+			earliestEnd = end
 		}
 	}
 	return best, shortest
@@ -121,7 +124,7 @@
 		view:          p.view,
 		room:          map[string]sesamework.Resources{},
 		tasksOnTarget: p.tasksOnTarget,
-		occupants:     maps.Clone(p.occupants),
+		occupants:     make(map[string]occupancy, len(targets)),
 
 		targetsByService: p.targetsByService,
 	}
@@ -129,6 +132,9 @@
 	slots := 0
 	for _, t := range targets {
 		byName[t.name] = t
+		if o, ok := p.occupants[t.name]; ok {
+			future.occupants[t.name] = o
+		}
 		future.room[t.name] = p.room[t.name].Minus(p.reservedAgainst(u, t.name))
 		slots += future.tasksThatFit(u, t)
 	}
@@ -171,7 +177,7 @@
 		if u.step.LongRunning && u.run.StopReason == "" && !p.d.stopping[u] {
 			continue
 		}
-		after := p.view.remaining(u)
+		after := p.view.expectedEnd(u) - p.view.now.Steady
 		for _, m := range u.members {
 			if m.outcome != "" {
 				continue
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
+	"github.com/sesamestack/sesamestack/sesamespeed"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -23,6 +24,12 @@
 	targets map[string]*target
 	// durationModels holds the duration model of each queue, by its name.
 	durationModels map[string]*durationModel
+	// speeds is the model of the targets' speeds; nil while all count as alike.
+	speeds *sesamespeed.Model
+	// speedsCount says that decisions take the speeds into account, by the policy
+	// speedsPolicy.
+	speedsCount  bool
+	speedsPolicy *sesamework.Policy
 	// ends holds the versions of all end rows, which are removed with their jobs.
 	// An end row tells how a run ended on one of its targets.
 	ends map[sesamerows.Key]sesamerows.Version
@@ -40,6 +47,9 @@
 	// byValue says that waiting work is ordered by value, and preemption bounded;
 	// see sesamecontention.ByValue.
 	byValue bool
+	// loadedRuns are runs that are done, found while loading, which teach the
+	// duration models once the speeds of their targets are known.
+	loadedRuns []doneRun
 	// plain turns off what only makes decisions faster, for tests that compare
 	// both ways.
 	plain bool
@@ -124,6 +134,7 @@
 	}
 	v.applyPrefix(work, sesamework.EndPrefix, v.setEnd)
 	v.endLostMembers()
+	v.learnLoadedRuns()
 }
 
 // Apply updates the view by changed rows of the work table. It reports whether
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -33,6 +33,8 @@
 	nodes       []*nodeProcess
 
 	worldOptions
+	// noSpeeds turns the model of targets' speeds off in entries that start later.
+	noSpeeds bool
 	// keepsIDs says that all lives of a target have the same ID.
 	keepsIDs bool
 
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -41,7 +41,10 @@
 	Evacuation time.Duration `yaml:"evacuation"`
 	// Contention says who waits when there is too little room.
 	Contention sesamecontention.Policy `yaml:"contention"`
-	Log        Log                     `yaml:"log"`
+	// Speeds says whether the planner takes into account how fast targets are:
+	// SpeedsAuto, where a slow one alone makes work late, or SpeedsOff.
+	Speeds string `yaml:"speeds"`
+	Log    Log    `yaml:"log"`
 }
 
 // Guard holds the bounds on what callers take of an entry. 0 means the default,
@@ -59,6 +62,12 @@
 	Decoders int `yaml:"decoders"`
 }
 
+// The values of HostedEntry.Speeds.
+const (
+	SpeedsAuto = "auto"
+	SpeedsOff  = "off"
+)
+
 // HostedAgent holds the settings of an agent beside a target in a hosted
 // deployment. All addresses are IP:port.
 type HostedAgent struct {
@@ -98,6 +107,7 @@
 		MemoryMiB:    defaultHostedMemoryMiB,
 		DrainTimeout: defaultHostedDrainTimeout,
 		Contention:   sesamecontention.ByOrder,
+		Speeds:       SpeedsOff,
 		Log:          defaultHostedLog(),
 	}
 }
@@ -171,6 +181,7 @@
 		checkRange(d, "evacuation", e.Evacuation, minHostedEvacuation, maxHostedEvacuation)
 	}
 	d.checkOneOf("contention", string(e.Contention), string(sesamecontention.ByOrder), string(sesamecontention.ByValue))
+	d.checkOneOf("speeds", e.Speeds, SpeedsAuto, SpeedsOff)
 	d.checkLog(e.Log)
 }
 
--- a/sesamesettings/hosted_test.go
+++ b/sesamesettings/hosted_test.go
@@ -58,6 +58,15 @@
 		is.NoErr(err)
 		is.Equal(entry.Evacuation, 5*time.Second)
 	})
+	t.Run("an entry with speeds", func(t *testing.T) {
+		is := is.New(t)
+		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML))
+		is.NoErr(err)
+		is.Equal(entry.Speeds, sesamesettings.SpeedsOff) // earlier deployments are placed as before
+		entry, err = sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"speeds: auto\n"))
+		is.NoErr(err)
+		is.Equal(entry.Speeds, sesamesettings.SpeedsAuto)
+	})
 	t.Run("an agent", func(t *testing.T) {
 		is := is.New(t)
 		agent, err := sesamesettings.LoadHostedAgent(writeSettings(t, hostedAgentYAML))
@@ -74,6 +83,7 @@
 		"a duration such as":      strings.Replace(hostedAgentYAML, "6000ms", "6000", 1),
 		"service: is missing":     strings.Replace(hostedAgentYAML, "service: svc1\n", "", 1),
 		"contention: is \"valu\"": hostedEntryYAML + "contention: valu\n",
+		"speeds: is":              hostedEntryYAML + "speeds: on\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := sesamesettings.Check(writeSettings(t, text))
