Planner: a small entry hands over to a larger one

Cause: any entry may plan, also one with a quarter of the cores of another, whose decisions then take four times as long.

Change: entries announce cores and memory in their relay rows (setting cores, from limits.cpu-share). A planner that is clearly smaller than another entry, or whose decisions lag behind the tick for 3 s, releases the lead and names its successor in the leader's row; others leave the row alone for 1 s. At most one hand-over in 30 s, none while the store is slow; an entry that does not take over, or falls silent while it plans, is not named for 5 minutes. A smaller entry waits 0.5 s longer for a vacant lead. Nothing is written or read otherwise where all entries are alike. Settings accept an empty value for a key that may be unset, since platforms fill in nothing for what they don't have.

--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -98,10 +99,17 @@
 // and opens no port.
 func newHostedEntryProcess(p *process, settings sesamesettings.HostedEntry, scope tally.Scope) *hostedEntry {
 	clock := sesameclock.Boot{}
+	size := sesamerows.Size{
+		Memory: settings.MemoryMiB,
+	}
+	if settings.Cores != nil {
+		size.Cores = int64(math.Round(*settings.Cores * 1000))
+	}
 	store := p.newStore(settings.Store, sesamerows.RelayOptions{
 		Name:    settings.ID,
 		Zone:    settings.Place.Zone,
 		Address: settings.Relay,
+		Size:    size,
 	}, clock, scope)
 	intake := sesameintake.New(sesameintake.Options{
 		Store:  store,
@@ -124,6 +132,8 @@
 			Store:     store,
 			Policies:  intake.Policies(),
 			Inventory: inventory,
+			Size:      size,
+			Peers:     store.relays,
 			Clock:     clock,
 			Log:       p.log,
 			Scope:     scope,
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -31,6 +31,8 @@
 	eventCrashes        = sesamelog.Define(7119, sesamelog.Warn, "target crashed under unit")
 	eventRejected       = sesamelog.Define(7120, sesamelog.Error, "store refuses a write of the planner, which is left out for a while")
 	eventTooLarge       = sesamelog.Define(7124, sesamelog.Warn, "job has more tasks than the planner holds, the others of its units don't start")
+	eventHandedOver     = sesamelog.Define(7125, sesamelog.Info, "planning is handed over to a larger entry")
+	eventNoSuccessor    = sesamelog.Define(7126, sesamelog.Warn, "entry does not plan, it is not named as successor for a while")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -73,8 +73,12 @@
 	Policies Policies
 	// Inventory may be nil; then silent targets are given up by time alone.
 	Inventory Inventory
-	Clock     sesameclock.Clock
-	Log       *sesamelog.Logger
+	// Size is that of this process, and Peers lists the others; see succession. Peers
+	// may be nil.
+	Size  sesamerows.Size
+	Peers Peers
+	Clock sesameclock.Clock
+	Log   *sesamelog.Logger
 	// Scope takes the metrics.
 	Scope tally.Scope
 }
@@ -110,6 +114,7 @@
 	// steady clock was at zero. The first leader sets it and the others keep
 	// it, so that jumps of a process's time of day don't matter afterwards.
 	Epoch int64 `json:"epoch"`
+	succession
 
 	// version is that of the row; 0 when there is none.
 	version sesamerows.Version
@@ -158,7 +163,9 @@
 
 // isLeaderAbsent reads the leader's row. It returns true if the row is missing,
 // released, or unchanged for longer than leaderTimeout, and if this process wrote
-// it, in an earlier term or before it was started again. Time in which the store
+// it, in an earlier term or before it was started again. A row that a leader has
+// released for its successor counts as released for that one first, and smaller
+// processes wait longer (see isFirst). Time in which the store
 // didn't answer does not count, since the leader could not write then either.
 // Errors are those of the store and of the decoding.
 func (p *Planner) isLeaderAbsent(ctx context.Context) (bool, error) {
@@ -184,8 +191,7 @@
 	// Only the first reading goes by the name: another process may use the same.
 	own := p.ownFence != nil && p.ownFence.Wrote(row) || !p.hasPolled && found.Name == p.o.Name
 	p.hasPolled = true
-	vacant := found.version == 0 || found.Released || own
-	return vacant || now-p.leaderSeenAt > leaderTimeout, nil
+	return p.mayTakeOver(found, own, now), nil
 }
 
 // takeOver makes this process the leader and reads all rows. If another process
@@ -196,8 +202,9 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	row := leader{
-		Name:  p.o.Name,
-		Epoch: p.seenLeader.Epoch,
+		Name:       p.o.Name,
+		Epoch:      p.seenLeader.Epoch,
+		succession: p.inheritSuccession(),
 	}
 	if row.Epoch == 0 {
 		row.Epoch = p.o.Clock.Wall().UnixMilli() - p.storeClock.Now().Milliseconds()
@@ -221,7 +228,11 @@
 	}
 	r.leaderValue = value
 	r.leaderWrittenAt = p.o.Clock.Steady()
+	r.storeSlowAt = r.leaderWrittenAt
 	if err := r.whileRenewing(ctx, r.load); err != nil {
+		if p.seenLeader.Successor == p.o.Name {
+			r.leaderRow.avoid(p.o.Name, p.storeClock.Now())
+		}
 		r.stepDown()
 		return nil, err
 	}
--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -50,6 +50,25 @@
 	rows   *sesamestandin.FaultyRows
 	store  sesamerows.Store
 	intake *sesameintake.Intake
+	// size is what the entry announces from its next start on.
+	size sesamerows.Size
+}
+
+// Peers returns the other entries as the relay rows announce them, also those that
+// have ended.
+func (e *entryProcess) Peers() []sesamerows.Peer {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	var peers []sesamerows.Peer
+	for name, size := range e.w.announced {
+		if name != e.name {
+			peers = append(peers, sesamerows.Peer{
+				Name: name,
+				Size: size,
+			})
+		}
+	}
+	return peers
 }
 
 // nodeProcess is a node with a target and the agent beside it.
@@ -98,6 +117,8 @@
 		Store:     e.store,
 		Policies:  intake.Policies(),
 		Inventory: e.w,
+		Size:      e.size,
+		Peers:     e,
 		Clock:     e.w.steadyClock,
 		Log:       testLog(),
 		Scope:     tally.NoopScope,
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -45,6 +45,15 @@
 	// unitsReportedAt is when reportUnits last updated the metrics, on the steady
 	// clock.
 	unitsReportedAt time.Duration
+	// successionCheckedAt is when handOver last looked for a successor, and
+	// storeSlowAt when the store last answered slowly or not at all, or else when the
+	// term began; both on the steady clock.
+	successionCheckedAt time.Duration
+	storeSlowAt         time.Duration
+	// lag is that of the decisions. committing is the part of the present one that
+	// commits have taken.
+	lag        lag
+	committing time.Duration
 }
 
 // load reads all rows and fills the view, which is still empty.
@@ -264,16 +273,23 @@
 }
 
 // plan is the planning loop: it decides, writes, and waits for changes. It
-// returns the first error of decideAndWrite, wait or awaitFeed.
+// returns the first error of decideAndWrite, handOver, wait or awaitFeed.
 func (r *term) plan(ctx context.Context, batches <-chan sesamerows.Batch) error {
 	for {
 		if err := r.awaitFeed(ctx, batches); err != nil {
 			return err
 		}
 		r.view.SetPolicy(r.o.Policies.Current())
+		began := r.o.Clock.Steady()
+		r.committing = 0
 		if err := r.decideAndWrite(ctx); err != nil {
 			return err
 		}
+		now := r.o.Clock.Steady()
+		r.lag.observe(now, now-began-r.committing)
+		if err := r.handOver(); err != nil {
+			return err
+		}
 		r.reportUnits()
 		r.requestInventory()
 		if err := r.wait(ctx, batches); err != nil {
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -39,6 +39,8 @@
 
 	mu   sync.Mutex
 	jobs map[string]*clientJob
+	// announced holds the sizes in the relay rows, by entry.
+	announced map[string]sesamerows.Size
 }
 
 // clientJob is a job that a client submitted.
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -318,9 +318,11 @@
 func (r *term) commit(ctx context.Context, c change) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
+	began := r.o.Clock.Steady()
 	err := r.fence.Commit(ctx, r.leaderValue, c.Change)
 	var conflict *sesamerows.ConflictError
 	if errors.As(err, &conflict) {
+		r.observeCommit(began, nil)
 		r.o.Log.Emit(eventConflict, sesamelog.Fields{
 			"error": err,
 			"rows":  r.differingRows(c.Expects, conflict),
@@ -329,6 +331,7 @@
 		r.applyConflict(ctx, conflict.Rows)
 		return false, nil
 	}
+	r.observeCommit(began, err)
 	if err != nil {
 		return false, err
 	}
--- a/sesamerows/relays.go
+++ b/sesamerows/relays.go
@@ -30,6 +30,21 @@
 type relayRow struct {
 	Address string `json:"a"`
 	Zone    string `json:"z"`
+	Size
+}
+
+// Size is what a process announces of its resources. The zero value announces nothing.
+type Size struct {
+	// Cores is in thousandths of a core, and Memory in MiB.
+	Cores  int64 `json:"c,omitempty"`
+	Memory int64 `json:"m,omitempty"`
+}
+
+// Peer is another process that is a relay, with its size. It may have ended since it
+// wrote its row.
+type Peer struct {
+	Name string
+	Size
 }
 
 // RelayOptions are the settings of a Relays.
@@ -40,6 +55,8 @@
 	// Address is where this process relays calls of others (host:port). If it
 	// is empty, the process is not a relay.
 	Address string
+	// Size is what the relay announces of itself; Memory counts only with Cores.
+	Size Size
 	// Dial returns a store whose calls go to the relay at the address.
 	Dial func(address string) Store
 }
@@ -55,6 +72,8 @@
 	// dialed holds the results of Dial by address, so that they are reused while
 	// the address stays in the list.
 	dialed map[string]Store
+	// peers are the relays with their sizes.
+	peers []Peer
 }
 
 var _ RelayList = (*Relays)(nil)
@@ -79,6 +98,14 @@
 	return r.stores[number%len(r.stores)]
 }
 
+// Peers returns the other processes that are relays, as read last, with the sizes
+// that they announce.
+func (r *Relays) Peers() []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.peers)
+}
+
 // Run writes this process's row if it is a relay, and then reads the list of
 // relays every listInterval until ctx ends. It returns an error only if the row
 // can't be encoded.
@@ -107,10 +134,14 @@
 	if r.o.Address == "" {
 		return nil
 	}
-	value, err := json.Marshal(relayRow{
+	row := relayRow{
 		Address: r.o.Address,
 		Zone:    r.o.Zone,
-	})
+	}
+	if r.o.Size.Cores > 0 {
+		row.Size = r.o.Size
+	}
+	value, err := json.Marshal(row)
 	if err != nil {
 		return err
 	}
@@ -151,6 +182,7 @@
 // order differs from process to process, so that calls spread over the relays.
 func (r *Relays) update(rows []Row) {
 	var all []candidate
+	var peers []Peer
 	for _, row := range rows {
 		var c candidate
 		if row.Key.Name == r.o.Name || json.Unmarshal(row.Value, &c.relayRow) != nil || c.Address == "" {
@@ -161,6 +193,10 @@
 		}
 		c.orderHash = xxhash.Sum64String(r.o.Name + "\x00" + row.Key.Name)
 		all = append(all, c)
+		peers = append(peers, Peer{
+			Name: row.Key.Name,
+			Size: c.Size,
+		})
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
 		return cmp.Or(
@@ -182,4 +218,5 @@
 		r.stores = append(r.stores, store)
 	}
 	r.dialed = dialed
+	r.peers = peers
 }
--- a/sesamerows/relays_test.go
+++ b/sesamerows/relays_test.go
@@ -106,3 +106,42 @@
 		is.NoErr(group.Wait())
 	})
 }
+
+// TestRelaySizes checks that a process reads the sizes that others announce, and that
+// the row of one that announces none is the same as before there were sizes.
+func TestRelaySizes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		memory := sesamerows.NewMemory(virtualClock())
+		var group errgroup.Group
+		var last *sesamerows.Relays
+		for _, o := range []sesamerows.RelayOptions{
+			{Name: "large", Zone: "a", Address: "large:1", Size: sesamerows.Size{Cores: 800, Memory: 536}},
+			{Name: "none", Zone: "a", Address: "none:1", Size: sesamerows.Size{Memory: 536}},
+			{Name: "own", Zone: "a", Address: "own:1", Size: sesamerows.Size{Cores: 192, Memory: 184}},
+		} {
+			o.Dial = func(string) sesamerows.Store { return memory }
+			relays := sesamerows.NewRelays(o)
+			group.Go(func() error {
+				return relays.Run(ctx, memory)
+			})
+			last = relays
+		}
+		is.Equal(len(last.Peers()), 0)
+		time.Sleep(3 * time.Second)
+		is.Equal(last.Peers(), []sesamerows.Peer{
+			{Name: "large", Size: sesamerows.Size{Cores: 800, Memory: 536}},
+			{Name: "none"},
+		})
+		row, _, err := sesamerows.ReadRow(ctx, memory, sesamerows.Key{
+			Table: "relays",
+			Part:  "relays",
+			Name:  "none",
+		})
+		is.NoErr(err)
+		is.Equal(string(row.Value), `{"a":"none:1","z":"a"}`)
+		cancel()
+		is.NoErr(group.Wait())
+	})
+}
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -26,6 +26,9 @@
 	Inventory string `yaml:"inventory"`
 	// MemoryMiB is the memory that the process may use.
 	MemoryMiB int64 `yaml:"memory"`
+	// Cores is how many cores the process may use, which it announces to the other
+	// entries; nil announces nothing.
+	Cores *float64 `yaml:"cores"`
 	// DrainTimeout is the longest time that a graceful stop may take.
 	DrainTimeout time.Duration `yaml:"drain"`
 	Log          Log           `yaml:"log"`
@@ -110,6 +113,8 @@
 const (
 	minHostedMemoryMiB    = 32
 	maxHostedMemoryMiB    = 1 << 20
+	minHostedCores        = 0.001
+	maxHostedCores        = 1 << 10
 	minHostedMaxLease     = 500 * time.Millisecond
 	minHostedInterval     = 10 * time.Millisecond
 	maxHostedInterval     = time.Minute
@@ -127,6 +132,9 @@
 	d.checkOptionalAddress("relay", e.Relay)
 	d.checkOptionalAddress("metrics", e.Metrics)
 	checkRange(d, "memory", e.MemoryMiB, minHostedMemoryMiB, maxHostedMemoryMiB)
+	if e.Cores != nil {
+		checkRange(d, "cores", *e.Cores, minHostedCores, maxHostedCores)
+	}
 	checkRange(d, "drain", e.DrainTimeout, minHostedDrainTimeout, maxDrainTimeout)
 	d.checkLog(e.Log)
 }
--- a/sesamesettings/hosted_test.go
+++ b/sesamesettings/hosted_test.go
@@ -45,8 +45,12 @@
 func TestHosted(t *testing.T) {
 	t.Run("an entry", func(t *testing.T) {
 		is := is.New(t)
-		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML))
+		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"cores:\n"))
 		is.NoErr(err)
+		is.True(entry.Cores == nil) // the platform's configuration has no value for it
+		entry, err = sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"cores: 0.192\n"))
+		is.NoErr(err)
+		is.Equal(*entry.Cores, 0.192)
 		is.Equal(entry.DrainTimeout, 6*time.Second)
 		is.Equal(entry.Log.Format, "json")
 	})
@@ -57,6 +61,7 @@
 		is.Equal(agent.MaxLease, 6*time.Second)
 	})
 	for name, text := range map[string]string{
+		"cores: is -1":        hostedEntryYAML + "cores: -1\n",
 		"unknown key":         hostedEntryYAML + "calers: x\n",
 		"expected IP:port":    strings.Replace(hostedEntryYAML, "10.0.0.9:8003", "store.example:8003", 1),
 		"memory: is 1":        strings.Replace(hostedAgentYAML, "152", "1", 1),
--- a/sesamesettings/strict.go
+++ b/sesamesettings/strict.go
@@ -21,12 +21,20 @@
 var durationType = reflect.TypeFor[time.Duration]()
 
 // decodeValue reads the node at the path key into out, by the kind of out. Null
-// values and YAML aliases are problems.
+// values and YAML aliases are problems, but a pointer stays nil for null: a platform
+// fills in nothing for what it does not have.
 func (d *document) decodeValue(n *yaml.Node, out reflect.Value, key string) {
 	if n.Kind == yaml.AliasNode {
 		d.addProblem(key, "is a YAML alias, which is not supported")
 		return
 	}
+	if out.Kind() == reflect.Pointer {
+		if n.Tag != "!!null" {
+			out.Set(reflect.New(out.Type().Elem()))
+			d.decodeValue(n, out.Elem(), key)
+		}
+		return
+	}
 	if n.Tag == "!!null" {
 		d.addProblem(key, "is empty")
 		return
