--- a/sesamedispatch/units_test.go
+++ b/sesamedispatch/units_test.go
@@ -155,6 +155,21 @@
 	is.Equal(len(j.occurrences), 4)
 }
 
+// TestRebuiltViewKeepsWaits guards against units that wait anew for their data's rack
+// or for other targets after the view was read anew, created or not.
+func TestRebuiltViewKeepsWaits(t *testing.T) {
+	is := is.New(t)
+	old := viewOfWideJobs(1, 1, 100)
+	old.Decide(old.now)
+	v := viewOfWideJobs(1, 1, 100)
+	v.keepObservations(old)
+	v.now.Steady += time.Second
+	v.Decide(v.now)
+	step := v.jobs["0000000000000000"].occurrences[0][0]
+	is.Equal(v.create(step, 0).readySince, old.now.Steady)
+	is.Equal(v.create(step, 99).readySince, old.now.Steady)
+}
+
 // BenchmarkDecideManyTasks measures one decision while 190,000 tasks wait.
 func BenchmarkDecideManyTasks(b *testing.B) {
 	for _, c := range []struct {
