--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -36,6 +36,8 @@
 	eventAwaitsEnds     = sesamelog.Define(7134, sesamelog.Debug, "owed unit waits for runs that end soon")
 	eventSpeeds         = sesamelog.Define(7140, sesamelog.Info, "kinds of targets by speed changed")
 	eventSpeedWait      = sesamelog.Define(7141, sesamelog.Debug, "unit waits for faster targets")
+	eventHandedOver     = sesamelog.Define(7125, sesamelog.Info, "planning is handed over to a larger entry")
+	eventNoSuccessor    = sesamelog.Define(7126, sesamelog.Warn, "entry does not plan, it is not named as successor for a while")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
 )
 
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -83,6 +83,10 @@
 	Log             *sesamelog.Logger
 	// Contention says by what waiting work is ordered; empty means by order.
 	Contention sesamecontention.Policy
+	// Size is that of this process, and Peers lists the others; see succession. Peers
+	// may be nil.
+	Size  sesamerows.Size
+	Peers Peers
 	// Scope takes the metrics.
 	Scope tally.Scope
 	// Speeds says that decisions take into account how fast targets are, where
@@ -123,6 +127,7 @@
 	// steady clock was at zero. The first leader sets it and the others keep
 	// it, so that jumps of a process's time of day don't matter afterwards.
 	Epoch int64 `json:"epoch"`
+	succession
 
 	// version is that of the row; 0 when there is none.
 	version sesamerows.Version
@@ -177,13 +182,14 @@
 func (p *Planner) newView() *View {
 	v := NewView(p.o.Log).withDurationModels(p.durationModels).withSpeeds(p.speeds)
 	v.byValue = p.o.Contention == sesamecontention.ByValue
-	v.SetPolicy(p.o.Policies.Current())
 	return v
 }
 
 // isLeaderAbsent reads the leader's row. It returns true if the row is missing,
 // released, or unchanged for longer than leaderTimeout, and if this process wrote
-// it, in an earlier term or before it was started again. Time in which the store
+// it, in an earlier term or before it was started again. A row that a leader has
+// released for its successor counts as released for that one first, and smaller
+// processes wait longer (see isFirst). Time in which the store
 // didn't answer does not count, since the leader could not write then either.
 // Errors are those of the store and of the decoding.
 func (p *Planner) isLeaderAbsent(ctx context.Context) (bool, error) {
@@ -209,8 +215,7 @@
 	// Only the first reading goes by the name: another process may use the same.
 	own := p.ownFence != nil && p.ownFence.Wrote(row) || !p.hasPolled && found.Name == p.o.Name
 	p.hasPolled = true
-	vacant := found.version == 0 || found.Released || own
-	return vacant || now-p.leaderSeenAt > leaderTimeout, nil
+	return p.mayTakeOver(found, own, now), nil
 }
 
 // takeOver makes this process the leader and reads all rows. If another process
@@ -221,8 +226,9 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	row := leader{
-		Name:  p.o.Name,
-		Epoch: p.seenLeader.Epoch,
+		Name:       p.o.Name,
+		Epoch:      p.seenLeader.Epoch,
+		succession: p.inheritSuccession(),
 	}
 	if row.Epoch == 0 {
 		row.Epoch = p.o.Clock.Wall().UnixMilli() - p.storeClock.Now().Milliseconds()
@@ -247,7 +253,11 @@
 	}
 	r.leaderValue = value
 	r.leaderWrittenAt = p.o.Clock.Steady()
+	r.storeSlowAt = r.leaderWrittenAt
 	if err := r.whileRenewing(ctx, r.load); err != nil {
+		if p.seenLeader.Successor == p.o.Name {
+			r.leaderRow.avoid(p.o.Name, p.storeClock.Now())
+		}
 		r.stepDown()
 		return nil, err
 	}
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -50,6 +50,8 @@
 	detours bool
 	// evacuations says that zones can be evacuated.
 	evacuations bool
+	// announced holds the sizes in the relay rows, by entry.
+	announced map[string]sesamerows.Size
 }
 
 // clientJob is a job that a client submitted.
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -34,6 +34,9 @@
 	// of open files (RLIMIT_NOFILE).
 	Descriptors int   `yaml:"descriptors"`
 	Guard       Guard `yaml:"guard"`
+	// Cores is how many cores the process may use, which it announces to the other
+	// entries; nil announces nothing.
+	Cores *float64 `yaml:"cores"`
 	// DrainTimeout is the longest time that a graceful stop may take.
 	DrainTimeout time.Duration `yaml:"drain"`
 	// Evacuation is how long after the evacuation of a zone a task may still be
@@ -149,6 +152,8 @@
 const (
 	minHostedMemoryMiB    = 32
 	maxHostedMemoryMiB    = 1 << 20
+	minHostedCores        = 0.001
+	maxHostedCores        = 1 << 10
 	minHostedMaxLease     = 500 * time.Millisecond
 	minHostedInterval     = 10 * time.Millisecond
 	maxHostedInterval     = time.Minute
@@ -176,6 +181,9 @@
 	d.checkOptionalAddress("metrics", e.Metrics)
 	checkRange(d, "memory", e.MemoryMiB, minHostedMemoryMiB, maxHostedMemoryMiB)
 	d.checkGuard(e)
+	if e.Cores != nil {
+		checkRange(d, "cores", *e.Cores, minHostedCores, maxHostedCores)
+	}
 	checkRange(d, "drain", e.DrainTimeout, minHostedDrainTimeout, maxDrainTimeout)
 	if e.Evacuation != 0 {
 		checkRange(d, "evacuation", e.Evacuation, minHostedEvacuation, maxHostedEvacuation)
--- a/sesamesettings/hosted_test.go
+++ b/sesamesettings/hosted_test.go
@@ -46,8 +46,12 @@
 func TestHosted(t *testing.T) {
 	t.Run("an entry", func(t *testing.T) {
 		is := is.New(t)
-		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML))
+		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"cores:\n"))
+		is.NoErr(err)
+		is.True(entry.Cores == nil) // the platform's configuration has no value for it
+		entry, err = sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"cores: 0.192\n"))
 		is.NoErr(err)
+		is.Equal(*entry.Cores, 0.192)
 		is.Equal(entry.DrainTimeout, 6*time.Second)
 		is.Equal(entry.Log.Format, "json")
 		is.Equal(entry.Contention, sesamecontention.ByOrder)
@@ -84,6 +88,7 @@
 		"service: is missing":     strings.Replace(hostedAgentYAML, "service: svc1\n", "", 1),
 		"contention: is \"valu\"": hostedEntryYAML + "contention: valu\n",
 		"speeds: is":              hostedEntryYAML + "speeds: on\n",
+		"cores: is -1":            hostedEntryYAML + "cores: -1\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := sesamesettings.Check(writeSettings(t, text))
