Let a quarantine give way for units that have no other target

Tasks that run until cancelled never end as done, which would reset the count, and nothing looked for another way when no other target could run the unit.

Ruled out: avoided targets, since with one eligible target none is left out. Not counting failures of tasks that run until cancelled, since a faulty target would get each of them again at once.

Change: a unit that found no room may use a target in quarantine after 2 s if it runs until cancelled, or if no other target could hold it and only units of one job have failed there. Tasks of a step that have waited longer come first, since one that may not start yet blocks its step.

--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -265,6 +265,14 @@
 				ready = append(ready, u)
 			}
 		}
+		longestWaiting := func(a, b *unit) int {
+			return cmp.Compare(a.readySince, b.readySince)
+		}
+		if !slices.IsSortedFunc(ready, longestWaiting) {
+			// A unit that may not yet take what is left blocks its whole step, so
+			// those that have waited longer come first.
+			slices.SortStableFunc(ready, longestWaiting)
+		}
 		if len(ready) > 0 {
 			all = append(all, candidate{
 				units:         ready,
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -58,6 +58,9 @@
 	// racksByService the same targets by rack.
 	targetsByService map[string][]*target
 	racksByService   map[string]rackGroups
+	// quarantined holds the targets that accept no work because of a quarantine
+	// alone, by service.
+	quarantined map[string][]*target
 	// tooLarge are units that found no room in this pass; see isTooLarge.
 	tooLarge []*unit
 	// victimsOf caches the runs that may be preempted, by target and by whether
@@ -135,6 +138,7 @@
 		activeByTarget:   map[string][]*unit{},
 		targetsByService: map[string][]*target{},
 		victimsOf:        map[victimKey][]*unit{},
+		quarantined:      map[string][]*target{},
 		blocked:          map[spreadKey]bool{},
 		occupants:        map[string]occupancy{},
 	}
@@ -143,6 +147,8 @@
 		p.room[name] = t.Capacity
 		if v.takesWork(t, t.Service) {
 			p.targetsByService[t.Service] = append(p.targetsByService[t.Service], t)
+		} else if v.isQuarantined(t, t.Service) {
+			p.quarantined[t.Service] = append(p.quarantined[t.Service], t)
 		}
 	}
 	p.racksByService = map[string]rackGroups{}
@@ -248,20 +254,24 @@
 // choose returns a target for each task of the unit, with room for it now, or
 // nil when the unit has to wait.
 func (p *pass) choose(u *unit) []*target {
-	if p.isTooLarge(u) {
-		return nil
+	if !p.isTooLarge(u) {
+		usable, racks := p.eligibleTargets(u)
+		if chosen := p.chooseAmong(u, usable, racks); chosen != nil {
+			return chosen
+		}
+		if u.mayRunAnywhere() {
+			p.tooLarge = append(p.tooLarge, u)
+		}
 	}
-	usable, racks := p.eligibleTargets(u)
-	var chosen []*target
+	return p.chooseQuarantined(u)
+}
+
+// chooseAmong returns what choose does, but of the usable targets only.
+func (p *pass) chooseAmong(u *unit, usable []*target, racks rackGroups) []*target {
 	if u.step.Gang {
-		chosen = p.chooseGang(u, usable, racks)
-	} else {
-		chosen = p.chooseSingle(u, usable)
-	}
-	if chosen == nil && u.mayRunAnywhere() {
-		p.tooLarge = append(p.tooLarge, u)
+		return p.chooseGang(u, usable, racks)
 	}
-	return chosen
+	return p.chooseSingle(u, usable)
 }
 
 // isTooLarge reports whether a unit that could run on any target, needs no more
--- a/sesamedispatch/target.go
+++ b/sesamedispatch/target.go
@@ -47,6 +47,9 @@
 	// quarantinedUntil is when the latest one ends.
 	quarantines      int
 	quarantinedUntil time.Duration
+	// isSuspect says that the latest quarantine followed failures of several jobs
+	// or a task without progress, not failures of one job.
+	isSuspect bool
 	// rejections of its writes keep the target from being marked as gone, and its
 	// row from being removed.
 	rejections rejections
@@ -137,6 +140,7 @@
 	t.failedUnits = old.failedUnits
 	t.quarantines = old.quarantines
 	t.quarantinedUntil = old.quarantinedUntil
+	t.isSuspect = old.isSuspect
 	t.progress = old.progress
 	t.removed = old.removed && t.SilentFor > 0
 }
@@ -226,6 +230,7 @@
 	if now < t.quarantinedUntil {
 		return
 	}
+	t.isSuspect = len(t.failedUnits) < failedUnitsToQuarantine || areOfSeveralJobs(t.failedUnits)
 	t.quarantinedUntil = now + min(firstQuarantine<<t.quarantines, maxQuarantine)
 	t.quarantines++
 	clear(t.failedUnits)
