Reserve room only in the data's rack while a unit waits for it

Ruled out: quarantine and avoided targets, since a task that never failed is kept out as well.

Change: earliestFit looks only in the rack of the data while the unit waits for it.

--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -93,6 +93,10 @@
 	if u.step.Gang && u.step.SameRack {
 		groups = racks.inOrder()
 	}
+	if !p.acceptsRack(u, "") {
+		// The unit would not use room that is reserved in other racks.
+		groups = [][]*target{racks.targets[u.step.DataRack]}
+	}
 	var best []string
 	var shortest time.Duration
 	for _, targets := range groups {
