Bound the wait for other targets after a failure

Ruled out: quarantine, since one unit that fails doesn't cause it.

Change: the wait ends after 2 s while the unit's job has nothing running and less than half of the service is in use. Otherwise it is as before, since other targets become free and an attempt is worth more then.

TestAvoidedTargetIsUsedAgain expected a wait of 5 s at 5 of 16 accelerators in use. It now expects 2 s there, and 5 s with half of them in use.

Runs: the test fails without the change.

--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -54,6 +54,10 @@
 	// isActive), and activeByTarget holds them by the targets of such members.
 	active         []*unit
 	activeByTarget map[string][]*unit
+	// running holds the jobs of active units and of those that this pass starts, and
+	// halfUsed caches isHalfUsed by service.
+	running  map[*job]bool
+	halfUsed map[string]bool
 	// targetsByService holds the targets that accept work, by service, and
 	// racksByService the same targets by rack.
 	targetsByService map[string][]*target
@@ -136,6 +140,8 @@
 		urgentAccelerators: map[string]int64{},
 
 		activeByTarget:   map[string][]*unit{},
+		running:          map[*job]bool{},
+		halfUsed:         map[string]bool{},
 		targetsByService: map[string][]*target{},
 		victimsOf:        map[victimKey][]*unit{},
 		quarantined:      map[string][]*target{},
@@ -167,6 +173,7 @@
 func (p *pass) countUsage(u *unit) {
 	if u.isActive() {
 		p.active = append(p.active, u)
+		p.running[u.job] = true
 		if u.job.Terms.Priority == 0 {
 			p.urgentAccelerators[u.job.Team] += u.accelerators()
 		}
@@ -239,6 +246,7 @@
 
 // start orders a run of the unit on the targets, one for each task.
 func (p *pass) start(u *unit, targets []*target) {
+	p.running[u.job] = true
 	for _, t := range targets {
 		p.occupy(u, t.name)
 	}
@@ -325,14 +333,9 @@
 
 // avoidsTargets reports whether the unit waits for targets on which it has not
 // failed, since the failure may have been the target's. What runs there may last, so
-// the wait is bounded: by the expected duration, or for a step that lasts, whose
-// failures are not counted, by minAvoidWait.
+// the wait is bounded; see hasWaited.
 func (p *pass) avoidsTargets(u *unit) bool {
-	wait := minAvoidWait
-	if !u.step.LongRunning {
-		wait = max(wait, u.expectedDuration())
-	}
-	return len(u.avoid) > 0 && p.view.now.Steady-u.readySince < wait
+	return len(u.avoid) > 0 && !p.hasWaited(u, minAvoidWait)
 }
 
 // tasksThatFit returns how many more tasks of the unit fit on the target now, at
