Bound the wait for a rack

Ruled out: reservations, since the job waits alone.

Change: the wait for a rack, that of the data or one for a gang, ends after 2 s while the unit's job has nothing running and less than half of the service is in use, and always for tasks that last. Otherwise it is as before.

Runs: the new test fails without the change.

--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -419,10 +419,10 @@
 	return p.hasWaitedForRack(u) || !p.rackCouldRun(u, u.step.DataRack)
 }
 
-// hasWaitedForRack reports whether the unit has waited for the rack in which it
-// is fast for as long as its run is expected to take, and at least minRackWait.
+// hasWaitedForRack reports whether the unit has waited long enough for the rack in
+// which it is fast; see hasWaited.
 func (p *pass) hasWaitedForRack(u *unit) bool {
-	return p.view.now.Steady-u.readySince >= max(minRackWait, u.expectedDuration())
+	return p.hasWaited(u, minRackWait)
 }
 
 // rackCouldRun reports whether an eligible target of the rack could run one
--- a/sesamedispatch/waits_test.go
+++ b/sesamedispatch/waits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -56,3 +57,48 @@
 	is.Equal(f.runsOf("second"), 0)
 	is.Equal(f.runsOf("small"), 1)
 }
+
+// TestRackWaitIsBounded guards against a job that waits for the rack of its data for
+// its expected duration, with nothing running, beside empty targets.
+func TestRackWaitIsBounded(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// targets are filled by other work up to that number, of five, and running says
+		// that another task of the job runs.
+		filled  int
+		running bool
+		starts  bool
+	}{
+		{name: "a job with nothing running", filled: 1, starts: true},
+		{name: "a job with another task running", filled: 1, running: true},
+		{name: "half of the service is in use", filled: 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			targets := inRacks(5)
+			f := newTermFixture(t, targets...)
+			for i := range c.filled {
+				f.writeAndFeed(lastingOn(fmt.Sprint("full-", i), fmt.Sprint("rack-", i), 8))
+			}
+			f.decide(1)
+			f.writeAndFeed(withStep(nearData("job"), func(j *sesamework.Job, _ *sesamework.Step) {
+				if c.running {
+					j.Steps = append(j.Steps, sesamework.Step{
+						Count:    1,
+						Need:     j.Steps[0].Need,
+						Estimate: 600_000,
+					})
+				}
+			}))
+			f.decide(1)
+			f.clock.Advance(minRackWait - time.Millisecond)
+			f.writeAndFeed(targets...)
+			f.decide(1)
+			is.Equal(f.runsOf("job"), 0)
+			f.clock.Advance(time.Millisecond)
+			f.writeAndFeed(targets...)
+			f.decide(1)
+			is.Equal(f.runsOf("job") == 1, c.starts)
+		})
+	}
+}
