Reserve room for a blocked unit only while its wait is worth the idle time

A gang that waits for one task of 10 minutes kept 31 of 32 accelerators idle.

Ruled out: to let jobs with nothing running through always. A stream of small jobs would keep a gang from ever running.

Change: room is reserved only while what would stand idle is not more than the work of the unit itself. A job with nothing running while less than half of the service is in use passes after 2 s, unless the blocked unit fits within 2 s, has firm reservations, or has waited for long.

--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -234,7 +234,7 @@
 		p.blocked[step] = false
 		return
 	}
-	if targets != nil && p.reservedUnits < p.maxReservations() {
+	if targets != nil && p.reservedUnits < p.maxReservations() && p.isWorthHolding(u, targets, wait) {
 		p.reservedUnits++
 		p.reserve(u, targets, wait)
 	}
@@ -284,10 +284,10 @@
 
 // isTooLarge reports whether a unit that could run on any target, needs no more
 // and ends no later has found no room in this pass: then the unit finds none
-// either, since rooms only shrink. Work that is owed may use room that is reserved
-// against others.
+// either, since rooms only shrink. Work that is owed, or that passesReservations,
+// may use room that is reserved against others.
 func (p *pass) isTooLarge(u *unit) bool {
-	if p.view.plain || p.owed == u || p.hasIsolatedTarget(u) {
+	if p.view.plain || p.owed == u || p.hasIsolatedTarget(u) || p.passesReservations(u) {
 		return false
 	}
 	return slices.ContainsFunc(p.tooLarge, func(other *unit) bool {
--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -30,6 +30,9 @@
 	// firm says that the room is kept from work that is owed as well: the unit is
 	// owed it, or has claimed it.
 	firm bool
+	// bindsIdle says that it is kept from jobs with nothing running too; see
+	// passesReservations.
+	bindsIdle bool
 }
 
 // reserve sets room aside for one task per entry of targets, which may repeat,
@@ -41,24 +44,24 @@
 			unit: u,
 			from: wait,
 			firm: p.owed == u || len(u.claim.targets) > 0,
+
+			bindsIdle: p.bindsIdle(u, wait),
 		})
 		p.sumReservations(name)
 	}
 }
 
 // reservedAgainst returns the room on the target that is set aside against the
-// unit. If the unit is owed its room, only firm reservations count.
+// unit. If the unit is owed its room, only firm reservations count, and if it
+// passesReservations, only those that bind it.
 func (p *pass) reservedAgainst(u *unit, name string) sesamework.Resources {
-	if p.owed != u {
-		return p.reserved[name]
-	}
-	var firm sesamework.Resources
-	for _, r := range p.reservations[name] {
-		if r.firm {
-			firm = firm.Plus(r.unit.step.Reservation())
-		}
+	switch {
+	case p.owed == u:
+		return p.bindingOn(name, func(r reservation) bool { return r.firm })
+	case p.passesReservations(u):
+		return p.bindingOn(name, func(r reservation) bool { return r.firm || r.bindsIdle })
 	}
-	return firm
+	return p.reserved[name]
 }
 
 // unreserve undoes the unit's reservations on the targets.
