--- a/sesamedispatch/holding.go
+++ b/sesamedispatch/holding.go
@@ -19,6 +19,16 @@
 	minAgedWait = 10 * time.Second
 )
 
+// hold reserves the targets, on which a blocked unit is expected to fit in wait, if that
+// isWorthHolding and not too many units hold some; nil targets mean that it won't fit.
+func (p *pass) hold(u *unit, targets []string, wait time.Duration) {
+	if targets == nil || p.reservedUnits >= p.maxReservations() || !p.isWorthHolding(u, targets, wait) {
+		return
+	}
+	p.reservedUnits++
+	p.reserve(u, targets, wait)
+}
+
 // isWorthHolding reports whether room should be set aside on the targets, one for each
 // task, for a blocked unit that is expected to fit in wait: what would stand idle is
 // then not more than the work of the unit. Work that is owed is always worth it.
@@ -50,10 +60,13 @@
 }
 
 // passesReservations reports whether the unit may use room that is reserved for units
-// that are not expected to fit soon: it has waited for maxIdleWait with nothing of its
-// job running.
+// that are not expected to fit soon: it has waited for maxIdleWait, and it mustNotIdle or
+// lasts and has to be restarted, for which the platform asks at any load.
 func (p *pass) passesReservations(u *unit) bool {
-	return len(p.reservations) > 0 && p.view.now.Steady-u.readySince >= maxIdleWait && p.mustNotIdle(u)
+	if len(p.reservations) == 0 || p.view.now.Steady-u.readySince < maxIdleWait {
+		return false
+	}
+	return u.step.LongRunning && u.run.Number > 0 || p.mustNotIdle(u)
 }
 
 // bindingOn returns the room on the target that is reserved by binding reservations.
--- a/sesamedispatch/holding_test.go
+++ b/sesamedispatch/holding_test.go
@@ -29,7 +29,7 @@
 // takes longer from 31 of 32 free accelerators until a long task ends, and against
 // gangs that start too late because longer work takes what they wait for.
 func TestReservationIsWorthItsIdleTime(t *testing.T) {
-	const fewSeconds = 3 * time.Second
+	const longWait = 3 * time.Second
 	for _, c := range []struct {
 		name string
 		// running and gang are the expected durations of a task of one accelerator and
@@ -40,8 +40,8 @@
 	}{
 		{name: "a task of ten minutes", running: 10 * time.Minute, gang: time.Minute},
 		{name: "a task half as long as the gang", running: 30 * time.Second, gang: time.Minute, wait: maxIdleWait},
-		{name: "a task that ends soon", running: 6 * time.Second, gang: time.Minute, before: 4 * time.Second, wait: fewSeconds},
-		{name: "a gang that has waited for long", running: 20 * time.Second, gang: 5 * time.Second, before: 21 * time.Second, wait: fewSeconds},
+		{name: "a task that ends soon", running: 6 * time.Second, gang: time.Minute, before: 4 * time.Second, wait: longWait},
+		{name: "a gang that has waited for long", running: 20 * time.Second, gang: 5 * time.Second, before: 21 * time.Second, wait: longWait},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -63,7 +63,7 @@
 				is.Equal(f.runsOf("small"), 0)
 				pass(500 * time.Millisecond)
 			}
-			is.Equal(f.runsOf("small") == 1, c.wait < fewSeconds)
+			is.Equal(f.runsOf("small") == 1, c.wait < longWait)
 		})
 	}
 }
@@ -85,3 +85,27 @@
 	is.Equal(f.runsOf("newer"), 0)
 	is.Equal(f.runsOf("small"), 1)
 }
+
+// TestRestartBesideReservation guards against a task that lasts and is not started again
+// while a blocked gang holds the room that it had, also when half of the service is in
+// use.
+func TestRestartBesideReservation(t *testing.T) {
+	is := is.New(t)
+	targets := inRacks(2)
+	f := newTermFixture(t, targets...)
+	f.writeAndFeed(expectedToTake("running", 1, 8, 30*time.Second))
+	f.decide(1)
+	f.writeAndFeed(withStep(lastingOn("lasting", "", 1), func(_ *sesamework.Job, s *sesamework.Step) {
+		s.Estimate = time.Hour.Milliseconds()
+	}))
+	f.decide(1)
+	f.writeAndFeed(expectedToTake("gang", 2, 8, time.Minute))
+	f.decide(1)
+	f.failAll("lasting")
+	f.decide(1)
+	is.Equal(f.runsOf("lasting"), 1)
+	f.clock.Advance(maxIdleWait)
+	f.writeAndFeed(targets...)
+	f.decide(1)
+	is.Equal(f.runsOf("lasting"), 2)
+}
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -234,10 +234,7 @@
 		p.blocked[step] = false
 		return
 	}
-	if targets != nil && p.reservedUnits < p.maxReservations() && p.isWorthHolding(u, targets, wait) {
-		p.reservedUnits++
-		p.reserve(u, targets, wait)
-	}
+	p.hold(u, targets, wait)
 	v.log.Emit(eventWaiting, sesamelog.Fields{
 		"job":  u.id.Job,
 		"unit": u.id.String(),
