--- a/sesamedispatch/quarantine_test.go
+++ b/sesamedispatch/quarantine_test.go
@@ -118,3 +118,22 @@
 	is.Equal(first.run.Number, 1)
 	is.Equal(second.run.Number, 2)
 }
+
+// TestQuarantineAfterStall guards against a target on which a task made no progress and
+// that gets other tasks again because no other target could hold them.
+func TestQuarantineAfterStall(t *testing.T) {
+	is := is.New(t)
+	row := targetRow(labelled("target-0"), 0)
+	f := newTermFixture(t, row)
+	f.term.view.targets[row.Key.Name].quarantine(f.term.now().Steady)
+	f.writeAndFeed(taskWithLabel("job", 1, false))
+	f.decide(1)
+	f.clock.Advance(maxQuarantineWait)
+	f.writeAndFeed(row)
+	f.decide(1)
+	is.Equal(f.runsOf("job"), 0)
+	f.clock.Advance(firstQuarantine - maxQuarantineWait)
+	f.writeAndFeed(row)
+	f.decide(1)
+	is.Equal(f.runsOf("job"), 1)
+}
