--- a/sesamedispatch/contend.go
+++ b/sesamedispatch/contend.go
@@ -107,8 +107,8 @@
 	return sorted
 }
 
-// running returns what is known of a run that may be stopped.
-func (p *pass) running(u *unit) sesamecontention.Running {
+// runOutlook returns what is known of a run that may be stopped.
+func (p *pass) runOutlook(u *unit) sesamecontention.Running {
 	if r, ok := p.stops[u]; ok {
 		return r
 	}
@@ -134,7 +134,7 @@
 // isProtected reports whether the run must not be stopped for work that is not
 // owed; false unless the view orders by value.
 func (p *pass) isProtected(u *unit) bool {
-	return p.view.byValue && p.running(u).IsProtected()
+	return p.view.byValue && p.runOutlook(u).IsProtected()
 }
 
 // loss returns what stopping the runs costs, in core-seconds: the work that is
@@ -144,7 +144,7 @@
 	sum := 0.0
 	worst := map[*job]float64{}
 	for _, u := range victims {
-		r := p.running(u)
+		r := p.runOutlook(u)
 		delay := max(worst[u.job], r.Delay(wait))
 		sum += r.Lost + delay - worst[u.job]
 		worst[u.job] = delay
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -282,6 +282,14 @@
 		if stepReady && len(ready) == 0 && s.notCreated() > 0 {
 			ready = append(ready, v.create(s, s.nextNotCreated(0)))
 		}
+		longestWaiting := func(a, b *unit) int {
+			return cmp.Compare(a.readySince, b.readySince)
+		}
+		if !slices.IsSortedFunc(ready, longestWaiting) {
+			// A unit that may not yet take what is left blocks its whole step, so
+			// those that have waited longer come first.
+			slices.SortStableFunc(ready, longestWaiting)
+		}
 		if len(ready) > 0 {
 			all = append(all, candidate{
 				step:          s,
--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -55,10 +55,17 @@
 	// isActive), and activeByTarget holds them by the targets of such members.
 	active         []*unit
 	activeByTarget map[string][]*unit
+	// running holds the jobs of active units and of those that this pass starts, and
+	// halfUsed caches isHalfUsed by service.
+	running  map[*job]bool
+	halfUsed map[string]bool
 	// targetsByService holds the targets that accept work, by service, and
 	// racksByService the same targets by rack.
 	targetsByService map[string][]*target
 	racksByService   map[string]rackGroups
+	// quarantined holds the targets that accept no work because of a quarantine
+	// alone, by service.
+	quarantined map[string][]*target
 	// tooLarge are units that found no room in this pass; see isTooLarge.
 	tooLarge []*unit
 	// victimsOf caches the runs that may be preempted, by target and by whether
@@ -145,8 +152,11 @@
 		urgentAccelerators: map[string]int64{},
 
 		activeByTarget:   map[string][]*unit{},
+		running:          map[*job]bool{},
+		halfUsed:         map[string]bool{},
 		targetsByService: map[string][]*target{},
 		victimsOf:        map[victimKey][]*unit{},
+		quarantined:      map[string][]*target{},
 		blocked:          map[spreadKey]bool{},
 		occupants:        map[string]occupancy{},
 		jobs:             map[*job]jobWork{},
@@ -157,6 +167,8 @@
 		p.room[name] = t.Capacity
 		if v.takesWork(t, t.Service) {
 			p.targetsByService[t.Service] = append(p.targetsByService[t.Service], t)
+		} else if v.isQuarantined(t, t.Service) {
+			p.quarantined[t.Service] = append(p.quarantined[t.Service], t)
 		}
 	}
 	p.racksByService = map[string]rackGroups{}
@@ -175,6 +187,7 @@
 func (p *pass) countUsage(u *unit) {
 	if u.isActive() {
 		p.active = append(p.active, u)
+		p.running[u.job] = true
 		if u.job.Terms.Priority == 0 {
 			p.urgentAccelerators[u.job.Team] += u.accelerators()
 		}
@@ -235,10 +248,7 @@
 		p.blocked[step] = false
 		return
 	}
-	if targets != nil && p.reservedUnits < p.maxReservations() {
-		p.reservedUnits++
-		p.reserve(u, targets, wait)
-	}
+	p.hold(u, targets, wait)
 	v.log.Emit(eventWaiting, sesamelog.Fields{
 		"job":  u.id.Job,
 		"unit": u.id.String(),
@@ -247,6 +257,7 @@
 
 // start orders a run of the unit on the targets, one for each task.
 func (p *pass) start(u *unit, targets []*target) {
+	p.running[u.job] = true
 	for _, t := range targets {
 		p.occupy(u, t.name)
 	}
@@ -262,28 +273,32 @@
 // choose returns a target for each task of the unit, with room for it now, or
 // nil when the unit has to wait.
 func (p *pass) choose(u *unit) []*target {
-	if p.isTooLarge(u) {
-		return nil
+	if !p.isTooLarge(u) {
+		usable, racks := p.eligibleTargets(u)
+		if chosen := p.chooseAmong(u, usable, racks); chosen != nil {
+			return chosen
+		}
+		if u.mayRunAnywhere() {
+			p.tooLarge = append(p.tooLarge, u)
+		}
 	}
-	usable, racks := p.eligibleTargets(u)
-	var chosen []*target
+	return p.chooseQuarantined(u)
+}
+
+// chooseAmong returns what choose does, but of the usable targets only.
+func (p *pass) chooseAmong(u *unit, usable []*target, racks rackGroups) []*target {
 	if u.step.Gang {
-		chosen = p.chooseGang(u, usable, racks)
-	} else {
-		chosen = p.chooseSingle(u, usable)
+		return p.chooseGang(u, usable, racks)
 	}
-	if chosen == nil && u.mayRunAnywhere() {
-		p.tooLarge = append(p.tooLarge, u)
-	}
-	return chosen
+	return p.chooseSingle(u, usable)
 }
 
 // isTooLarge reports whether a unit that could run on any target, needs no more
 // and ends no later has found no room in this pass: then the unit finds none
-// either, since rooms only shrink. Work that is owed may use room that is reserved
-// against others.
+// either, since rooms only shrink. Work that is owed, or that passesReservations,
+// may use room that is reserved against others.
 func (p *pass) isTooLarge(u *unit) bool {
-	if p.view.plain || p.owed == u || p.hasIsolatedTarget(u) {
+	if p.view.plain || p.owed == u || p.hasIsolatedTarget(u) || p.passesReservations(u) {
 		return false
 	}
 	return slices.ContainsFunc(p.tooLarge, func(other *unit) bool {
@@ -329,14 +344,9 @@
 
 // avoidsTargets reports whether the unit waits for targets on which it has not
 // failed, since the failure may have been the target's. What runs there may last, so
-// the wait is bounded: by the expected duration, or for a step that lasts, whose
-// failures are not counted, by minAvoidWait.
+// the wait is bounded; see hasWaited.
 func (p *pass) avoidsTargets(u *unit) bool {
-	wait := minAvoidWait
-	if !u.step.LongRunning {
-		wait = max(wait, u.expectedDuration())
-	}
-	return len(u.avoid) > 0 && p.view.now.Steady-u.readySince < wait
+	return len(u.avoid) > 0 && !p.hasWaited(u, minAvoidWait)
 }
 
 // tasksThatFit returns how many more tasks of the unit fit on the target now, at
@@ -422,10 +432,10 @@
 	return p.hasWaitedForRack(u) || !p.rackCouldRun(u, u.step.DataRack)
 }
 
-// hasWaitedForRack reports whether the unit has waited for the rack in which it
-// is fast for as long as its run is expected to take, and at least minRackWait.
+// hasWaitedForRack reports whether the unit has waited long enough for the rack in
+// which it is fast; see hasWaited.
 func (p *pass) hasWaitedForRack(u *unit) bool {
-	return p.view.now.Steady-u.readySince >= max(minRackWait, u.expectedDuration())
+	return p.hasWaited(u, minRackWait)
 }
 
 // rackCouldRun reports whether an eligible target of the rack could run one
--- a/sesamedispatch/units.go
+++ b/sesamedispatch/units.go
@@ -144,7 +144,7 @@
 	return v.create(s, position), true
 }
 
-// inOrder returns the candidate's ready units in the order of their indexes, and
+// inOrder returns the ready units of the candidate, the longest waiting first, and
 // creates those that are not while room is found for them: once the step is blocked,
 // they would find none either.
 func (p *pass) inOrder(c candidate) iter.Seq[*unit] {
@@ -163,7 +163,12 @@
 			return true
 		}
 		for _, u := range c.units {
-			if !offer(u.id.Index-s.firstIndex()) || !yield(u) {
+			end := u.id.Index - s.firstIndex()
+			if u.readySince > s.readySince {
+				// Those that are not created have waited longer.
+				end = s.count
+			}
+			if !offer(end) || !yield(u) {
 				return
 			}
 		}
