--- a/sesamedispatch/contend_test.go
+++ b/sesamedispatch/contend_test.go
@@ -339,9 +339,9 @@
 }
 
 // TestByOrderUnchanged guards against a change of what is decided by order, which
-// earlier deployments use. The digest is that of the decisions of commit 12751b8, from
-// before there was another policy. A change that is meant for all deployments changes
-// it too.
+// earlier deployments use. The digest is that of the decisions before there was another
+// policy, with the bounded waits (holding.go, quarantine.go, waits.go), which apply to
+// all deployments. Another change that is meant for all changes it too.
 func TestByOrderUnchanged(t *testing.T) {
 	b := newBusyDay(20, false, 7)
 	b.run(10*time.Second, 3)
