--- a/sesamesettings/hosted_test.go
+++ b/sesamesettings/hosted_test.go
@@ -61,6 +61,13 @@
 		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"evacuation: 5000ms\n"))
 		is.NoErr(err)
 		is.Equal(entry.Evacuation, 5*time.Second)
+		// As deploy/entry.yaml renders it with and without the bound.
+		entry, err = sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"evacuation: 05000ms\n"))
+		is.NoErr(err)
+		is.Equal(entry.Evacuation, 5*time.Second)
+		entry, err = sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"evacuation: 0ms\n"))
+		is.NoErr(err)
+		is.Equal(entry.Evacuation, time.Duration(0))
 	})
 	t.Run("an entry with speeds", func(t *testing.T) {
 		is := is.New(t)
