--- a/sesamecommand/hosted.go
+++ b/sesamecommand/hosted.go
@@ -41,20 +41,21 @@
 )
 
 // newHosted returns the command whose subcommands run an entry or an agent on
-// a platform that provides the store.
+// a platform that provides the store, and check the operators' configuration.
 func newHosted(s streams) *cobra.Command {
 	c := &cobra.Command{
 		Use:   "hosted",
 		Short: "Run a process on a platform that provides the store",
 		Long: `Runs an entry or an agent on a platform that provides the store, the load balancer
-and the operators' policy. Nothing is stored on the VM.`,
+and the operators' policy, or checks that policy. Nothing is stored on the VM.`,
 		Example: `  sesamestack hosted entry --settings /etc/sesamestack/entry.yaml
-  sesamestack hosted agent --settings /etc/sesamestack/agent.yaml`,
+  sesamestack hosted agent --settings /etc/sesamestack/agent.yaml
+  sesamestack hosted check config.json`,
 		RunE: func(c *cobra.Command, _ []string) error {
 			return c.Help()
 		},
 	}
-	c.AddCommand(newHostedEntry(s), newHostedAgent(s))
+	c.AddCommand(newHostedEntry(s), newHostedAgent(s), newHostedCheck(s))
 	return c
 }
 
