Test the conditions of rules that no case covered

Found by removing them one at a time: empty keys of two teams, a key twice in one team, unset upper limits, a negative guarantee that hides one that is too high, and names that are missing twice.

--- a/sesamereview/review_test.go
+++ b/sesamereview/review_test.go
@@ -75,7 +75,8 @@
 			second(c).Host, second(c).Prefix = "JOBS.example", "/urgent/"
 		}, `error queue "batch" prefix`},
 		{"longer prefix inside another queue's", func(c *config) { second(c).Prefix = "/urgent/batch/" }, ""},
-		{"queue without a name", func(c *config) { second(c).Name = "" }, `error queue 2 name, warning queue "batch" `},
+		{"queues without a name", func(c *config) { first(c).Name, second(c).Name = "", "" },
+			`error queue 1 name, error queue 2 name, warning queue "urgent" , warning queue "batch" `},
 		{"queue without a host", func(c *config) { first(c).Host = "" }, `error queue "urgent" host`},
 		{"queue without a prefix", func(c *config) { first(c).Prefix = "" }, `error queue "urgent" prefix`},
 		{"queue without a service", func(c *config) { first(c).Terms.Service = "" }, `error queue "urgent" service`},
@@ -89,10 +90,16 @@
 		{"negative latency", func(c *config) { first(c).Terms.Latency = -1 }, `error queue "urgent" latency`},
 		{"negative timeout", func(c *config) { first(c).Timeout = -time.Second }, `error queue "urgent" timeout`},
 		{"key of two teams", func(c *config) { team(c).Keys = []string{"secret-2"} }, `error team "buyers" keys`},
-		{"empty key", func(c *config) { team(c).Keys = []string{""} }, `error team "buyers" keys`},
-		{"team without a name", func(c *config) { team(c).Name = "" }, `error team 2 name, warning team "buyers" `},
+		{"key twice in one team", func(c *config) { team(c).Keys = []string{"secret-3", "secret-3"} }, ""},
+		{"empty keys", func(c *config) {
+			c.Policy.Teams[0].Keys[0], team(c).Keys[0] = "", ""
+		}, `error team "crews" keys, error team "buyers" keys`},
+		{"teams without a name", func(c *config) { c.Policy.Teams[0].Name, team(c).Name = "", "" },
+			`error team 1 name, error team 2 name, warning team "crews" , warning team "buyers" `},
 		{"two teams of one name", func(c *config) { team(c).Name = "crews" }, `error team "crews" name, warning team "buyers" `},
-		{"negative guarantee", func(c *config) { team(c).Guaranteed = -1 }, `error team "buyers" guarantee`},
+		{"negative guarantee before one that is too high", func(c *config) {
+			c.Policy.Teams[0].Guaranteed, team(c).Guaranteed = -1, 33
+		}, `error team "crews" guarantee, error team "buyers" guarantee`},
 		{"guarantees above the accelerators", func(c *config) { team(c).Guaranteed = 25 }, `error team "buyers" guarantee`},
 		{"guarantees of all accelerators", func(c *config) { team(c).Guaranteed = 24 }, ""},
 		{"negative limits", func(c *config) {
@@ -103,7 +110,7 @@
 				IdleTimeout:   -time.Second,
 			}
 		}, "error limits header bytes, error limits body bytes, error limits header timeout, error limits idle timeout"},
-		{"limits not set", func(c *config) { c.Policy.Bounds = sesamework.Bounds{} }, ""},
+		{"upper limits not set", func(c *config) { c.Policy.Bounds.BodyBytes, c.Policy.Bounds.IdleTimeout = 0, 0 }, ""},
 		{"head larger than a body", func(c *config) { c.Policy.Bounds.BodyBytes = 4096 }, "warning limits header bytes"},
 		{"head slower than an idle connection", func(c *config) { c.Policy.Bounds.IdleTimeout = time.Second }, "warning limits header timeout"},
 		{"head slower than a request", func(c *config) { second(c).Timeout = time.Second }, "warning limits header timeout"},
