--- a/sesamework/job.go
+++ b/sesamework/job.go
@@ -121,6 +121,15 @@
 	return reserved
 }
 
+// UnitAccelerators returns how many accelerators one unit of the step needs: a task, or
+// all tasks of a gang.
+func (s Step) UnitAccelerators() int64 {
+	if s.Gang {
+		return s.Need.Accelerators * int64(s.Count)
+	}
+	return s.Need.Accelerators
+}
+
 // Duration returns the declared duration of a task; see Estimate.
 func (s Step) Duration() time.Duration {
 	return time.Duration(s.Estimate) * time.Millisecond
--- a/sesamework/tasks.go
+++ b/sesamework/tasks.go
@@ -56,6 +56,33 @@
 	}
 }
 
+// LongestChain returns the declared duration of the longest chain of dependent steps.
+func (j Job) LongestChain() time.Duration {
+	durations := make([]time.Duration, len(j.Steps))
+	for i, s := range j.Steps {
+		durations[i] = s.Duration()
+	}
+	var longest time.Duration
+	for _, path := range j.CriticalPaths(durations) {
+		longest = max(longest, path)
+	}
+	return longest
+}
+
+// DueUnits returns how many units of the valid job may be due together. now is the
+// time of day in Unix milliseconds.
+func (j Job) DueUnits(now int64) int {
+	units := 0
+	for _, s := range j.Steps {
+		if s.Gang {
+			units++
+		} else {
+			units += s.Count
+		}
+	}
+	return units * j.dueTogether(now)
+}
+
 // dueTogether returns how many occurrences of the job may wait or run at once: those
 // that are due already at now, in Unix milliseconds, and those that become due until
 // they have lost their value.
@@ -66,15 +93,7 @@
 	if j.Interval == 0 {
 		return j.Recurrences
 	}
-	durations := make([]time.Duration, len(j.Steps))
-	for i, s := range j.Steps {
-		durations[i] = s.Duration()
-	}
-	var longest time.Duration
-	for _, path := range j.CriticalPaths(durations) {
-		longest = max(longest, path)
-	}
-	window := max(minDueWindow, lateObjectives*j.Objective(longest)).Milliseconds()
+	window := max(minDueWindow, lateObjectives*j.Objective(j.LongestChain())).Milliseconds()
 	overdue := max(0, now-j.FirstDue)
 	return int(min(int64(j.Recurrences), (overdue+window)/j.Interval+1))
 }
