Publish the planner's summary while jobs could earn nothing

Entries know nothing of the backlog. The planner now writes a summary of waits and units, at most once a second and with transactions that it writes anyway, and removes it once when a new job could earn something again and the units are at most half of the bound.

--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -34,6 +34,7 @@
 	eventUnfit          = sesamelog.Define(7131, sesamelog.Warn, "guaranteed work does not fit outside evacuated zones")
 	eventTooLarge       = sesamelog.Define(7124, sesamelog.Warn, "job has more tasks than the planner holds, the others of its units don't start")
 	eventAwaitsEnds     = sesamelog.Define(7134, sesamelog.Debug, "owed unit waits for runs that end soon")
+	eventSummary        = sesamelog.Define(7135, sesamelog.Info, "summary for entries written or removed, new jobs are or are no longer turned away")
 	eventSpeeds         = sesamelog.Define(7140, sesamelog.Info, "kinds of targets by speed changed")
 	eventSpeedWait      = sesamelog.Define(7141, sesamelog.Debug, "unit waits for faster targets")
 	eventHandedOver     = sesamelog.Define(7125, sesamelog.Info, "planning is handed over to a larger entry")
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -46,6 +46,8 @@
 	// planner starts nothing since it doesn't know the evacuated zones.
 	markers            *markers
 	evacuationsUnknown bool
+	// summary is that for the entries.
+	summary summaryState
 	// unitsReportedAt is when reportUnits last updated the metrics, on the steady
 	// clock.
 	unitsReportedAt time.Duration
@@ -146,6 +148,7 @@
 	// The policy decides whether durations are learnt by the speeds of targets.
 	r.view.SetPolicy(r.o.Policies.Current())
 	r.view.Load(rows.work.Rows, rows.runs, rows.states, r.now())
+	r.summary.noteRead(rows.states)
 }
 
 // logView logs an event with the extent of the view and the rows from which it
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -40,6 +40,11 @@
 	if err := r.collect(d, batch, restarts); err != nil {
 		return err
 	}
+	if len(batch.transactions) > 0 {
+		if c, due := r.summaryChange(); due {
+			batch.add(c)
+		}
+	}
 	for _, parts := range slices.Concat(batch.transactions, restarts.transactions) {
 		if _, err := r.commitParts(ctx, parts...); err != nil {
 			return err
@@ -54,12 +59,17 @@
 }
 
 // renewLeaderRow writes the leader's row when no transaction has written it for
-// leaderRenewInterval.
+// leaderRenewInterval, and with it the summary if that is due.
 func (r *term) renewLeaderRow(ctx context.Context) error {
 	if r.o.Clock.Steady()-r.leaderWrittenAt < leaderRenewInterval {
 		return nil
 	}
-	_, err := r.commit(ctx, change{})
+	var err error
+	if c, due := r.summaryChange(); due {
+		_, err = r.commitParts(ctx, c)
+	} else {
+		_, err = r.commit(ctx, change{})
+	}
 	return err
 }
 
