--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -130,6 +130,7 @@
 
 		Evacuations:     evacuations,
 		EvacuationBound: evacuationBound,
+		Contention:      e.w.contention,
 		Speeds:          !e.w.noSpeeds,
 	})
 	e.w.mu.Lock()
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/sesameclock"
+	"github.com/sesamestack/sesamestack/sesamecontention"
 	"github.com/sesamestack/sesamestack/sesameintake"
 	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamestandin"
@@ -50,6 +51,8 @@
 	detours bool
 	// evacuations says that zones can be evacuated.
 	evacuations bool
+	// contention says by what entries order waiting work.
+	contention sesamecontention.Policy
 	// announced holds the sizes in the relay rows, by entry.
 	announced map[string]sesamerows.Size
 }
--- a/sesameintake/errors.go
+++ b/sesameintake/errors.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/sesamestack/sesamestack/sesamecontention"
 	"github.com/sesamestack/sesamestack/sesamerows"
 )
 
@@ -19,6 +20,22 @@
 	return fmt.Sprintf("not ready: %s", e.Reason)
 }
 
+// OverloadedError says that a job was turned away before anything of it was written,
+// since there is too little room for it.
+type OverloadedError struct {
+	// Verdict is why, and Wait the expected time until the job would have started.
+	Verdict sesamecontention.Verdict
+	Wait    time.Duration
+	// RetryAfter is how long the caller should wait before it tries again, in whole
+	// seconds.
+	RetryAfter time.Duration
+}
+
+// Error gives the reason and the expected wait.
+func (e *OverloadedError) Error() string {
+	return fmt.Sprintf("too little room: job %s, expected wait is %s", e.Verdict, e.Wait)
+}
+
 // NoQueueError says that no queue takes requests for a path.
 type NoQueueError struct {
 	Host string
--- a/sesameintake/states.go
+++ b/sesameintake/states.go
@@ -22,6 +22,10 @@
 	jobs map[string]jobRow
 	// queued counts queued jobs that don't recur, by queue.
 	queued map[string]int
+	// summary is the planner's, of the row with summaryVersion; nil if there is no
+	// such row.
+	summary        *sesamework.Summary
+	summaryVersion sesamerows.Version
 }
 
 // jobRow is a job's status and the version of the row it came from.
@@ -82,9 +86,17 @@
 // those whose row is newer than the snapshot. The caller holds the lock.
 func (s *states) dropMissing(b sesamerows.Batch) {
 	present := make(map[string]bool, len(b.Rows))
+	hasSummary := false
 	for _, row := range b.Rows {
+		if row.Key == sesamework.SummaryKey() {
+			hasSummary = true
+			continue
+		}
 		present[row.Key.Name] = true
 	}
+	if !hasSummary && s.summaryVersion <= b.Version {
+		s.summary = nil
+	}
 	for id, old := range s.jobs {
 		if !present[id] && old.version <= b.Version {
 			s.remove(id)
@@ -96,6 +108,10 @@
 // held for that job. A row that was removed or can't be decoded removes the job.
 // The caller holds the lock.
 func (s *states) set(row sesamerows.Row) {
+	if row.Key == sesamework.SummaryKey() {
+		s.setSummary(row)
+		return
+	}
 	id := row.Key.Name
 	if row.Version < s.jobs[id].version {
 		return
@@ -120,6 +136,34 @@
 	}
 }
 
+// setSummary updates the planner's summary from its row. Without a row, or with one
+// that can't be decoded, there is none. The caller holds the lock.
+func (s *states) setSummary(row sesamerows.Row) {
+	if row.Version < s.summaryVersion {
+		return
+	}
+	s.summaryVersion = row.Version
+	s.summary = nil
+	if row.Removed {
+		return
+	}
+	var summary sesamework.Summary
+	if err := json.Unmarshal(row.Value, &summary); err != nil {
+		s.log.Emit(eventBadSummary, sesamelog.Fields{
+			"error": err,
+		})
+		return
+	}
+	s.summary = &summary
+}
+
+// currentSummary returns the planner's summary as last read, or nil if there is none.
+func (s *states) currentSummary() *sesamework.Summary {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.summary
+}
+
 // remove drops a job, if it is held, and no longer counts it in s.queued. The
 // caller holds the lock.
 func (s *states) remove(id string) {
--- a/sesameintake/submit.go
+++ b/sesameintake/submit.go
@@ -32,7 +32,8 @@
 
 // Submit accepts the job under its ID, at most once: to submit the same body
 // again is an idempotent retry and succeeds. Errors are a
-// *sesamework.InvalidError, a *sesamework.TooManyTasksError, a *JobConflictError, those of Admit, and those of
+// *sesamework.InvalidError, a *sesamework.TooManyTasksError, an
+// *OverloadedError, a *JobConflictError, those of Admit, and those of
 // Store.Commit; after all but an *sesamerows.UnknownError the job has not been
 // accepted by this call and never will be.
 func (in *Intake) Submit(ctx context.Context, a Admission, j sesamework.Job, specification string) error {
@@ -57,6 +58,9 @@
 			RetryAfter: retryAfter,
 		}
 	}
+	if err := in.checkLoad(ctx, a, j); err != nil {
+		return err
+	}
 	for range maxReadmissions {
 		err := in.accept(ctx, a, j, specification)
 		if !isPolicyChange(err) {
