Soak: evacuate zones beside the other faults

The soak did not cover evacuation. Entries now have the setting evacuation (5 s). Each of the two zones is evacuated twice for up to 9 s and taken back, and the fleet records each start in an evacuated zone later than 5 s after the store's answer, of all agents, cut off or not.

--- a/sesamesoak/soak_test.go
+++ b/sesamesoak/soak_test.go
@@ -37,6 +37,11 @@
 	// The number of jobs and of faults of one seed.
 	soakJobs   = 14
 	soakFaults = 7
+	// zoneEvacuations is how often each zone is evacuated, and maxEvacuationSpan
+	// the longest time that it is evacuated or in use between. Some evacuations
+	// have to last longer than evacuationBound.
+	zoneEvacuations   = 2
+	maxEvacuationSpan = 9 * time.Second
 )
 
 // TestSoak submits jobs while random, overlapping faults hit the processes and
@@ -95,6 +100,15 @@
 			return nil
 		})
 	}
+	for zone := range soakZones {
+		var spans []time.Duration
+		for range 2 * zoneEvacuations {
+			spans = append(spans, time.Duration(r.IntN(int(maxEvacuationSpan))))
+		}
+		group.Go(func() error {
+			return s.evacuateRepeatedly(zone, spans)
+		})
+	}
 	is.New(s.t).NoErr(group.Wait())
 }
 
--- a/sesamesoak/world_test.go
+++ b/sesamesoak/world_test.go
@@ -34,6 +34,7 @@
 	// specification of the jobs.
 	soakEntries  = 2
 	soakAgents   = 4
+	soakZones    = 2
 	taskDuration = 700 * time.Millisecond
 	specText     = "soak"
 )
@@ -79,8 +80,13 @@
 	folder    string
 	fleet     *sesamestandin.Fleet
 	processes []*program
+	rows      *sesamerows.Memory
 
 	mu sync.Mutex
+	// zones are those of the targets, and evacuatedAt is when the evacuations that
+	// are in force were acknowledged, by zone.
+	zones       map[string]int
+	evacuatedAt map[int]time.Time
 	// jobs are all submitted jobs by their IDs.
 	jobs map[string]*submission
 }
@@ -123,8 +129,12 @@
 		t:      t,
 		folder: t.TempDir(),
 		jobs:   map[string]*submission{},
+		zones:  map[string]int{},
+
+		evacuatedAt: map[int]time.Time{},
 	}
 	rows := sesamerows.NewMemory(sesameclock.Wrap(clock))
+	s.rows = rows
 	is.New(t).NoErr(emulator.PutPolicy(t.Context(), rows, soakPolicy()))
 	store := httptest.NewServer(emulator.NewStoreHandler(rows))
 	t.Cleanup(store.Close)
@@ -134,6 +144,7 @@
 		StopTime:    200 * time.Millisecond,
 		GangTimeout: 3 * time.Second,
 		MaxLease:    6 * time.Second,
+		MayStart:    s.mayStart,
 	})
 	address := strings.TrimPrefix(store.URL, "http://")
 	for i := range soakEntries {
@@ -156,7 +167,8 @@
 store: %q
 memory: 256
 drain: 2s
-`, i, callers, freeAddress(s.t), freeAddress(s.t), p.address()))
+evacuation: %v
+`, i, callers, freeAddress(s.t), freeAddress(s.t), p.address(), evacuationBound))
 }
 
 // addAgent starts an agent with a simulated target, whose state is reported to
@@ -170,8 +182,11 @@
 store: %q
 memory: 256
 lease: 6s
-`, i, i%2, reports, p.address()))
+`, i, i%soakZones, reports, p.address()))
 	id := fmt.Sprintf("i-%d", i)
+	s.mu.Lock()
+	s.zones[id] = i % soakZones
+	s.mu.Unlock()
 	life := int64(1700000000000 + i)
 	capacity := sesamework.Resources{
 		Cores:        64000,
