Tests of gangs that move and of unfit guaranteed work; merge tests of evacuation

No test covered event 7131 and a gang without an end that moves whole. Each new test was seen to fail: without the log line or with one for each decision, and when only single units move or the members' own room does not count.

Merged, with all their checks: the subtests 'one zone' and 'all zones' of TestNothingPlacedInEvacuatedZone; 'another planner', 'not removed without knowledge' and 'evacuations are no longer set' of TestMarkers; 'a gang needs both zones' is now the begin of TestLastingGangMovesWhole (with a gang without an end, which is placed by the same code).

--- a/sesamedispatch/evacuate_test.go
+++ b/sesamedispatch/evacuate_test.go
@@ -1,9 +1,13 @@
 package sesamedispatch
 
 import (
+	"bytes"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
@@ -112,8 +116,11 @@
 // against an effect where the deployment has no evacuations.
 func TestNothingPlacedInEvacuatedZone(t *testing.T) {
 	jobs := []sesamerows.Row{jobFillingTarget("first", 1), jobFillingTarget("second", 1)}
-	t.Run("one zone", func(t *testing.T) {
+	t.Run("all zones and then one", func(t *testing.T) {
 		f := newEvacuations(t, jobs...)
+		f.evacuate("a", "b")
+		f.plan(2)
+		f.is.Equal(f.started(), 0)
 		f.evacuate("a")
 		f.plan(2)
 		f.is.Equal(f.zones("first"), []string{"b"})
@@ -122,15 +129,6 @@
 		f.evacuate()
 		f.plan(1)
 		f.is.Equal(f.zones("second"), []string{"a"})
-	})
-	t.Run("all zones", func(t *testing.T) {
-		f := newEvacuations(t, jobs...)
-		f.evacuate("a", "b")
-		f.plan(2)
-		f.is.Equal(f.started(), 0)
-		f.evacuate()
-		f.plan(1)
-		f.is.Equal(f.started(), 2)
 		f.is.Equal(f.marked(), nil)
 	})
 	t.Run("not known", func(t *testing.T) {
@@ -151,18 +149,6 @@
 		f.is.Equal(f.unit("first").run.StartBy, int64(0))
 		f.is.Equal(f.marked(), nil)
 	})
-	t.Run("a gang needs both zones", func(t *testing.T) {
-		f := newEvacuations(t, withStep(jobFillingTarget("gang", 1), func(_ *sesamework.Job, s *sesamework.Step) {
-			s.Count = 2
-			s.Gang = true
-		}))
-		f.evacuate("a")
-		f.plan(2)
-		f.is.Equal(f.started(), 0)
-		f.evacuate()
-		f.plan(1)
-		f.is.Equal(f.started(), 1)
-	})
 	t.Run("a target is cold", func(t *testing.T) {
 		f := newEvacuations(t, jobs[0])
 		for _, target := range f.targets {
@@ -233,25 +219,24 @@
 		f.plan(1)
 		f.is.Equal(f.marked(), []string{"c"})
 	})
-	t.Run("another planner", func(t *testing.T) {
+	t.Run("other planners", func(t *testing.T) {
 		f := newEvacuations(t)
 		f.evacuate("a")
 		f.plan(1)
+		f.evacuate()
+		f.operators.known.Age = maxEvacuationsAge + 1
+		f.takeOverAgain()
+		f.plan(1)
+		f.is.Equal(f.marked(), []string{"a"}) // not removed without knowledge
 		f.evacuate("b")
 		f.takeOverAgain()
 		f.is.Equal(f.marked(), []string{"a", "b"}) // b before anything was read
 		f.plan(1)
 		f.is.Equal(f.marked(), []string{"b"})
-	})
-	t.Run("not removed without knowledge", func(t *testing.T) {
-		f := newEvacuations(t)
-		f.evacuate("a")
-		f.plan(1)
-		f.evacuate()
-		f.operators.known.Age = maxEvacuationsAge + 1
+		f.term.o.Evacuations = nil // no longer set
 		f.takeOverAgain()
 		f.plan(1)
-		f.is.Equal(f.marked(), []string{"a"})
+		f.is.Equal(f.marked(), nil)
 	})
 	t.Run("a zone that the view lacked", func(t *testing.T) {
 		f := newEvacuations(t)
@@ -266,15 +251,6 @@
 		f.plan(1)
 		f.is.Equal(f.marked(), nil)
 	})
-	t.Run("evacuations are no longer set", func(t *testing.T) {
-		f := newEvacuations(t)
-		f.evacuate("a")
-		f.plan(1)
-		f.term.o.Evacuations = nil
-		f.takeOverAgain()
-		f.plan(1)
-		f.is.Equal(f.marked(), nil)
-	})
 }
 
 // TestLastingRunMoves guards against work without an end that stays in an evacuated
@@ -298,3 +274,72 @@
 	f.is.Equal(f.unit("lasts").run.Number, 2)
 	f.is.True(f.zones("lasts")[0] != from)
 }
+
+// TestLastingGangMovesWhole guards against a gang that starts while it needs an
+// evacuated zone, and against one without an end of which only the members in such a
+// zone are stopped, or that starts again before all of them have ended.
+func TestLastingGangMovesWhole(t *testing.T) {
+	f := newEvacuations(t, withStep(lasting("gang"), func(_ *sesamework.Job, s *sesamework.Step) {
+		s.Count = 2
+		s.Gang = true
+	}))
+	f.evacuate("a")
+	f.plan(2)
+	f.is.Equal(f.started(), 0)
+	f.evacuate()
+	f.plan(1)
+	u, ok := f.term.view.createByID(sesamework.UnitID{
+		Job:   "gang",
+		Index: sesamework.GangIndex,
+	})
+	f.is.True(ok)
+	f.is.Equal(u.run.Zones(), []string{"a", "b"})
+	f.evacuate("a")
+	f.plan(2)
+	f.is.Equal(u.run.StopReason, "") // no room
+	target := newTarget("c")
+	target.Zone = "c"
+	f.writeAndFeed(targetRow(target, 0))
+	f.plan(2)
+	f.is.Equal(u.run.StopReason, stopEvacuated)
+	for i := range u.members {
+		f.is.Equal(u.run.Number, 1) // not all have ended
+		f.term.view.endMember(u, u.members[i], sesamework.End{
+			Outcome: sesamework.EndStopped,
+		})
+		f.plan(1)
+	}
+	f.is.Equal(u.run.Number, 2)
+	f.is.Equal(u.run.Zones(), []string{"b", "c"})
+}
+
+// TestUnfitGuaranteedWork guards against guaranteed work that waits for an evacuated
+// zone without a word to operators, and against a log line of each decision.
+func TestUnfitGuaranteedWork(t *testing.T) {
+	f := newEvacuations(t)
+	var log bytes.Buffer
+	f.term.view.log = sesamelog.New(&log, sesamelog.Info, sesamelog.JSON)
+	f.term.view.SetPolicy(&sesamework.Policy{
+		Teams: []sesamework.Team{{
+			Name:       "team",
+			Guaranteed: 16,
+		}},
+	})
+	f.writeAndFeed(jobFillingTarget("fits", 0), jobFillingTarget("unfit", 0))
+	logged := func() int {
+		return strings.Count(log.String(), fmt.Sprintf(`"event":%d`, eventUnfit.Number))
+	}
+	f.evacuate("a")
+	f.plan(3)
+	f.is.Equal(f.started(), 1)
+	f.is.Equal(logged(), 1)
+	for _, field := range []string{`"team":"team"`, `"job":"unfit"`, `"requested":8`, `"guaranteed":16`, `"remaining":8`, `"zones":["a"]`} {
+		if !strings.Contains(log.String(), field) {
+			t.Errorf("%s is not in %s", field, log.String())
+		}
+	}
+	f.evacuate()
+	f.plan(2)
+	f.is.Equal(f.started(), 2)
+	f.is.Equal(logged(), 1)
+}
