Policy source: ignore evacuation rows without the setting

An entry without the setting evacuation still read rows under evacuate/, logged event 7030 and woke those who wait for a new policy. The new check of the log in TestHostedEvacuation failed on that. The source now ignores such rows unless the setting is there; the test passes.

--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -110,7 +110,7 @@
 	}, clock, scope)
 	intake := sesameintake.New(sesameintake.Options{
 		Store:  store,
-		Source: platform.NewPolicySource(store),
+		Source: platform.NewPolicySource(store, settings.Evacuation > 0),
 		Clock:  clock,
 		Log:    p.log,
 		Scope:  scope,
