--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -115,39 +115,16 @@
 		Log:    p.log,
 		Scope:  scope,
 	})
-	var inventory sesamedispatch.Inventory
-	if settings.Inventory != "" {
-		inventory = platform.NewInventory(settings.Inventory, scope)
-	}
-	var evacuations sesamedispatch.Evacuations
-	if settings.Evacuation > 0 {
-		evacuations = intake.Policies()
-	}
 	e := &hostedEntry{
 		process:  p,
 		settings: settings,
 		store:    store,
 		intake:   intake,
-		planner: sesamedispatch.NewPlanner(sesamedispatch.Options{
-			Name:      settings.ID,
-			Store:     store,
-			Policies:  intake.Policies(),
-			Inventory: inventory,
-			Size:      size,
-			Peers:     store.relays,
-			Clock:     clock,
-			Log:       p.log,
-			Scope:     scope,
-
-			Evacuations:     evacuations,
-			EvacuationBound: settings.Evacuation,
-			Contention:      settings.Contention,
-			Speeds:          settings.Speeds == sesamesettings.SpeedsAuto,
-		}),
 		draining: make(chan struct{}),
 		shares:   shares(settings),
 		scope:    scope,
 	}
+	e.planner = e.newPlanner(size, clock)
 	e.callerServer = newServer(platform.NewJobsHandler(intake, e.draining), e.callerOptions())
 	e.readinessServer = p.newInternalServer("readiness", e.shares.Internal, platform.NewReadinessHandler(e.isReady), scope)
 	e.relayServer = newServer(platform.NewRelayHandler(store.failover.Direct()),
@@ -155,6 +132,32 @@
 	return e
 }
 
+// newPlanner returns the entry's planner, which takes into account that the process
+// is of this size.
+func (e *hostedEntry) newPlanner(size sesamerows.Size, clock sesameclock.Clock) *sesamedispatch.Planner {
+	o := sesamedispatch.Options{
+		Name:     e.settings.ID,
+		Store:    e.store,
+		Policies: e.intake.Policies(),
+		Size:     size,
+		Peers:    e.store.relays,
+		Clock:    clock,
+		Log:      e.log,
+		Scope:    e.scope,
+
+		EvacuationBound: e.settings.Evacuation,
+		Contention:      e.settings.Contention,
+		Speeds:          e.settings.Speeds == sesamesettings.SpeedsAuto,
+	}
+	if e.settings.Inventory != "" {
+		o.Inventory = platform.NewInventory(e.settings.Inventory, e.scope)
+	}
+	if e.settings.Evacuation > 0 {
+		o.Evacuations = e.intake.Policies()
+	}
+	return sesamedispatch.NewPlanner(o)
+}
+
 // shares returns what each server of the entry may take: what the settings say,
 // and otherwise what its memory and descriptors allow.
 func shares(settings sesamesettings.HostedEntry) sesameguard.Shares {
