--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -110,7 +110,7 @@
 	}, clock, scope)
 	intake := sesameintake.New(sesameintake.Options{
 		Store:  store,
-		Source: platform.NewPolicySource(store),
+		Source: platform.NewPolicySource(store, settings.Evacuation > 0),
 		Clock:  clock,
 		Log:    p.log,
 		Scope:  scope,
@@ -124,7 +124,7 @@
 		shares:   shares(settings),
 		scope:    scope,
 	}
-	e.planner = sesamedispatch.NewPlanner(e.plannerOptions(size, clock))
+	e.planner = e.newPlanner(size, clock)
 	e.callerServer = newServer(platform.NewJobsHandler(intake, e.draining), e.callerOptions())
 	e.readinessServer = p.newInternalServer("readiness", e.shares.Internal, platform.NewReadinessHandler(e.isReady), scope)
 	e.relayServer = newServer(platform.NewRelayHandler(store.failover.Direct()),
@@ -132,8 +132,9 @@
 	return e
 }
 
-// plannerOptions returns the dependencies of the planner of an entry of that size.
-func (e *hostedEntry) plannerOptions(size sesamerows.Size, clock sesameclock.Clock) sesamedispatch.Options {
+// newPlanner returns the entry's planner, which takes into account that the process
+// is of this size.
+func (e *hostedEntry) newPlanner(size sesamerows.Size, clock sesameclock.Clock) *sesamedispatch.Planner {
 	o := sesamedispatch.Options{
 		Name:     e.settings.ID,
 		Store:    e.store,
@@ -154,7 +155,7 @@
 	if e.settings.Evacuation > 0 {
 		o.Evacuations = e.intake.Policies()
 	}
-	return o
+	return sesamedispatch.NewPlanner(o)
 }
 
 // shares returns what each server of the entry may take: what the settings say,
