--- a/sesamecommand/crowds_test.go
+++ b/sesamecommand/crowds_test.go
@@ -51,13 +51,37 @@
 	crowdPause   = 200 * time.Millisecond
 )
 
-// crowdConfig is the operators' configuration, with the usual limits. A request
-// may take longer than the test, so that no time limit ends it.
-const crowdConfig = `{"version":1,
-"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000},
-"routes":[{"name":"batch","host":"crowd","path-prefix":"/batch/","timeout-ms":60000,"priority":2,"service":"svc",
-"max-attempts":3,"stretch":3,"target-latency-ms":3000}],
-"tenants":[{"name":"team","api-keys":["key"],"guaranteed-gpus":{"gpu":8}}]}`
+// crowdPolicy is the operators' policy, with the usual limits. A request may take
+// longer than the test, so that no time limit ends it.
+func crowdPolicy() *sesamework.Policy {
+	return &sesamework.Policy{
+		Number: 1,
+		Bounds: sesamework.Bounds{
+			HeaderBytes:   16_384,
+			BodyBytes:     crowdBody,
+			HeaderTimeout: 3 * time.Second,
+			IdleTimeout:   15 * time.Second,
+		},
+		Queues: []sesamework.Queue{{
+			Name:    "batch",
+			Host:    "crowd",
+			Prefix:  "/batch/",
+			Timeout: time.Minute,
+			Terms: sesamework.Terms{
+				Service:  "svc",
+				Priority: 2,
+				Attempts: 3,
+				Stretch:  3,
+				Latency:  3000,
+			},
+		}},
+		Teams: []sesamework.Team{{
+			Name:       "team",
+			Keys:       []string{"key"},
+			Guaranteed: 8,
+		}},
+	}
+}
 
 // crowdHead is the head of a client's submission, without the fields that say
 // how long its body is.
@@ -105,16 +129,7 @@
 func startCrowdEntry(t *testing.T) *crowdEntry {
 	is := is.New(t)
 	rows := sesamerows.NewMemory(sesameclock.Wrap(clockwork.NewRealClock()))
-	_, err := rows.Commit(t.Context(), sesamerows.Transaction{
-		Writes: []sesamerows.Write{{
-			Key: sesamerows.Key{
-				Table: "op",
-				Name:  "config",
-			},
-			Value: []byte(crowdConfig),
-		}},
-	})
-	is.NoErr(err)
+	is.NoErr(emulator.PutPolicy(t.Context(), rows, crowdPolicy()))
 	store := httptest.NewServer(emulator.NewStoreHandler(rows))
 	t.Cleanup(store.Close)
 	c := newCluster(t)
--- a/sesamecommand/hostedcheck_test.go
+++ b/sesamecommand/hostedcheck_test.go
@@ -43,10 +43,13 @@
 		is.NoErr(os.WriteFile(file, []byte(text), 0o600))
 		return file
 	}
-	old := write("old.json", crowdConfig)
+	encoded, err := emulator.EncodePolicy(crowdPolicy())
+	is.NoErr(err)
+	config := string(encoded)
+	old := write("old.json", config)
 	// The changed configuration keeps the version.
 	changed := write("new.json", strings.NewReplacer(`"stretch":3`, `"stretch":0`, `"max-body-bytes":262144`,
-		`"max-body-bytes":4096`, `["key"]`, `["secret"]`).Replace(crowdConfig))
+		`"max-body-bytes":4096`, `["key"]`, `["secret"]`).Replace(config))
 	const findings = `error: queue "batch": stretch: 0 is not above 0
 error: policy: version: 1 is not higher than the one in force, 1
 warning: limits: max-header-bytes: 16384 is more than a body may have, 4096
@@ -57,7 +60,7 @@
 	is.Equal(assertCommand(t, sesamecommand.ExitOK, "hosted", "check", old), "no findings\n")
 	is.Equal(assertCommand(t, sesamecommand.ExitOK, "hosted", "check", old, "--store", address), "no findings\n") // none in force
 	is.Equal(assertCommand(t, sesamecommand.ExitInput, "hosted", "check", changed, "--against", old), findings+changed+" has errors\n")
-	put(crowdConfig)
+	put(config)
 	is.Equal(assertCommand(t, sesamecommand.ExitInput, "hosted", "check", changed, "--store", address), findings+changed+" has errors\n")
 	put("{")
 	assertContains(t, assertCommand(t, sesamecommand.ExitOK, "hosted", "check", old, "--store", address), "warning: policy: the one in force can't be read")
