--- a/sesamecommand/hostedentry.go
+++ b/sesamecommand/hostedentry.go
@@ -161,9 +161,9 @@
 // shares returns what each server of the entry may take: what the settings say,
 // and otherwise what its memory and descriptors allow.
 func shares(settings sesamesettings.HostedEntry) sesameguard.Shares {
-	descriptors := settings.Descriptors
-	if descriptors == 0 {
-		descriptors = openFiles()
+	descriptors := openFiles()
+	if settings.Descriptors != nil {
+		descriptors = *settings.Descriptors
 	}
 	s := sesameguard.Derive(settings.MemoryMiB, descriptors)
 	if settings.Guard.Connections != 0 {
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -30,9 +30,9 @@
 	Inventory string `yaml:"inventory"`
 	// MemoryMiB is the memory that the process may use.
 	MemoryMiB int64 `yaml:"memory"`
-	// Descriptors is how many descriptors the process may open; 0 means its limit
+	// Descriptors is how many descriptors the process may open; nil means its limit
 	// of open files (RLIMIT_NOFILE).
-	Descriptors int   `yaml:"descriptors"`
+	Descriptors *int  `yaml:"descriptors"`
 	Guard       Guard `yaml:"guard"`
 	// Cores is how many cores the process may use, which it announces to the other
 	// entries; nil announces nothing.
@@ -195,8 +195,8 @@
 
 // checkGuard checks the bounds on what callers take, where they are set.
 func (d *document) checkGuard(e HostedEntry) {
-	if e.Descriptors != 0 {
-		checkRange(d, "descriptors", e.Descriptors, minDescriptors, maxDescriptors)
+	if e.Descriptors != nil {
+		checkRange(d, "descriptors", *e.Descriptors, minDescriptors, maxDescriptors)
 	}
 	if e.Guard.Connections != 0 {
 		checkRange(d, "guard.connections", e.Guard.Connections, minGuardConnections, maxDescriptors)
--- a/sesamesettings/hosted_test.go
+++ b/sesamesettings/hosted_test.go
@@ -46,9 +46,10 @@
 func TestHosted(t *testing.T) {
 	t.Run("an entry", func(t *testing.T) {
 		is := is.New(t)
-		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"cores:\n"))
+		entry, err := sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"cores:\ndescriptors:\n"))
 		is.NoErr(err)
 		is.True(entry.Cores == nil) // the platform's configuration has no value for it
+		is.True(entry.Descriptors == nil)
 		entry, err = sesamesettings.LoadHostedEntry(writeSettings(t, hostedEntryYAML+"cores: 0.192\n"))
 		is.NoErr(err)
 		is.Equal(*entry.Cores, 0.192)
