--- a/sesamerunner/orders.go
+++ b/sesamerunner/orders.go
@@ -216,8 +216,8 @@
 
 // sendStart sends the order to start the run. Without a lease to grant it
 // sends nothing and returns a *RefusedError; the same holds for the
-// *StartForbiddenError of checkStart and the *CapacityError of checkCapacity. Other errors are those of Executor.Start and
-// checkEpoch.
+// *StartForbiddenError of checkStart and the *CapacityError of checkCapacity. Other
+// errors are those of Executor.Start and checkEpoch.
 func (s *session) sendStart(ctx context.Context, w wantedRun, key runKey, specification string) error {
 	s.mu.Lock()
 	// Reading the specification may have taken a while.
