Release tasks that are done from the planner and the store

Cause: the rows of a task, its run and the ends of its runs, lived as long as its job and 5 minutes more. The planner held them, each agent held the runs, and a planner that took over read them anew. A job chooses their number. The same held for due occurrences of recurring jobs, for the earlier ends of tasks that last, fail or are preempted, for ended jobs, and for ends without a unit.

Change: above 2,048 ends, one transaction records units as done, as a bitmap for each step, or whole occurrences, and removes the rows of their runs; their ends follow. Of units that are not done, ends of earlier runs are removed under the condition that they are the known ones: an end that has become "done" still counts. Of a recurring job, 64 occurrences wait in memory.

It works since a bit replaces all that is kept of a done task, and the record is in the store before anything else of the task leaves it.

TestJobAboveBoundIsHeld asserted that nothing of a job above the bound starts, which was the fault's stopgap; TestWidestJob replaces it with a job of 16.7 million tasks that starts beside another one. TestDueOccurrencesAreBounded asserts the new bound, and that it takes under 1 MiB.

--- a/sesamedispatch/contend.go
+++ b/sesamedispatch/contend.go
@@ -24,7 +24,7 @@
 		return w
 	}
 	var w jobWork
-	for i, units := range u.job.occurrences[u.id.Occurrence] {
+	for i, units := range u.job.stepsOf(u.id.Occurrence) {
 		s := u.job.Steps[i]
 		task := s.Need.CoreEquivalent() * u.job.durations[i].Seconds()
 		w.all += task * float64(s.Count)
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -86,19 +86,15 @@
 	return d
 }
 
-// addDueOccurrences adds the units of those occurrences of recurring jobs whose
-// due times have come.
+// addDueOccurrences opens those occurrences of recurring jobs whose due times have
+// come, as long as few that are open wait for room.
 func (v *View) addDueOccurrences() {
 	for _, j := range v.jobs {
 		if !j.Recurs() || j.isOver() {
 			continue
 		}
-		for len(j.occurrences) < j.Recurrences && j.Due(len(j.occurrences)) <= v.now.Wall {
-			v.holdBack(j, !j.holdsMore())
-			if j.tooLarge {
-				break
-			}
-			v.addOccurrence(j)
+		for range j.mayOpen(v.now.Wall) {
+			v.openNext(j)
 		}
 	}
 }
@@ -162,7 +158,7 @@
 
 // isCompleted reports whether all units of all occurrences are done.
 func (j *job) isCompleted() bool {
-	if len(j.occurrences) < j.Occurrences() {
+	if j.nextOccurrence() < j.Occurrences() {
 		return false
 	}
 	return !slices.ContainsFunc(j.occurrences, func(steps []*stepUnits) bool {
@@ -172,7 +168,11 @@
 
 // hasStarted reports whether a run of the job was ever ordered.
 func (j *job) hasStarted() bool {
-	started := false
+	started := j.doneOccurrences.Len() > 0 || slices.ContainsFunc(j.occurrences, func(steps []*stepUnits) bool {
+		return slices.ContainsFunc(steps, func(s *stepUnits) bool {
+			return s.released.Len() > 0
+		})
+	})
 	j.eachUnit(func(u *unit) {
 		started = started || u.run.Number > 0
 	})
@@ -239,7 +239,7 @@
 func (v *View) sortedCandidates() []candidate {
 	var all []candidate
 	for _, j := range v.jobs {
-		if j.isOver() || j.isHeldBack() {
+		if j.isOver() || j.unreadable {
 			continue
 		}
 		for _, steps := range j.occurrences {
--- a/sesamedispatch/ends.go
+++ b/sesamedispatch/ends.go
@@ -15,17 +15,19 @@
 func (v *View) setEnd(_ string, row sesamerows.Row) {
 	if row.Removed {
 		delete(v.ends, row.Key)
+		delete(v.obsolete.rows, row.Key)
 		return
 	}
-	v.ends[row.Key] = row.Version
 	task, number, ok := sesamework.ParseEndKey(row.Key)
 	if !ok {
 		return
 	}
 	u, ok := v.unitOf(task)
 	if !ok {
+		v.addOrphan(row.Key, task.Job)
 		return
 	}
+	v.holdEnd(u, row)
 	e, ok := v.readEnd(u, number, row)
 	if !ok {
 		return
@@ -55,6 +57,15 @@
 	}
 }
 
+// holdEnd notes that the row holds an end of a run of the unit.
+func (v *View) holdEnd(u *unit, row sesamerows.Row) {
+	if _, known := v.ends[row.Key]; !known {
+		u.endKeys = append(u.endKeys, row.Key)
+	}
+	v.ends[row.Key] = row.Version
+	delete(v.obsolete.rows, row.Key)
+}
+
 // readEnd returns the end of the unit's run with that number from its row, and
 // false for a row that can't be read.
 func (v *View) readEnd(u *unit, number int, row sesamerows.Row) (sesamework.End, bool) {
--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -32,7 +32,7 @@
 	eventRejected       = sesamelog.Define(7120, sesamelog.Error, "store refuses a write of the planner, which is left out for a while")
 	eventMarker         = sesamelog.Define(7130, sesamelog.Info, "zone was evacuated or taken back")
 	eventUnfit          = sesamelog.Define(7131, sesamelog.Warn, "guaranteed work does not fit outside evacuated zones")
-	eventTooLarge       = sesamelog.Define(7124, sesamelog.Warn, "job has more tasks than the planner holds, the others of its units don't start")
+	eventReleased       = sesamelog.Define(7127, sesamelog.Info, "units that are done are kept as a set, the rows of their runs are removed")
 	eventAwaitsEnds     = sesamelog.Define(7134, sesamelog.Debug, "owed unit waits for runs that end soon")
 	eventSummary        = sesamelog.Define(7135, sesamelog.Info, "summary for entries written or removed, new jobs are or are no longer turned away")
 	eventSpeeds         = sesamelog.Define(7140, sesamelog.Info, "kinds of targets by speed changed")
--- a/sesamedispatch/model_test.go
+++ b/sesamedispatch/model_test.go
@@ -172,6 +172,14 @@
 	}, nil)
 }
 
+// TestModelCompaction is TestModel with planners that keep of almost nothing that has
+// ended more than that it is done.
+func TestModelCompaction(t *testing.T) {
+	runSeeds(t, slices.Concat(faultKinds, targetFaultKinds), worldOptions{
+		heldEnds: 1,
+	}, nil)
+}
+
 // runSeeds runs the scenarios of these seeds and of those that the flags name.
 func runSeeds(t *testing.T, kinds []string, o worldOptions, seeds []int) {
 	for seed := *modelFirstSeed; seed < *modelFirstSeed+*modelSeedCount; seed++ {
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -1,6 +1,7 @@
 package sesamedispatch
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"time"
@@ -87,6 +88,9 @@
 	// may be nil.
 	Size  sesamerows.Size
 	Peers Peers
+	// HeldEnds is how many ends of runs the planner holds before it compacts; 0 means
+	// DefaultHeldEnds.
+	HeldEnds int
 	// Scope takes the metrics.
 	Scope tally.Scope
 	// Speeds says that decisions take into account how fast targets are, where
@@ -135,6 +139,7 @@
 
 // NewPlanner returns a planner that does nothing until Run is called.
 func NewPlanner(o Options) *Planner {
+	o.HeldEnds = cmp.Or(o.HeldEnds, DefaultHeldEnds)
 	p := &Planner{
 		o:          o,
 		storeClock: sesamerows.NewStoreClock(o.Clock),
--- a/sesamedispatch/processes_test.go
+++ b/sesamedispatch/processes_test.go
@@ -132,6 +132,7 @@
 		EvacuationBound: evacuationBound,
 		Contention:      e.w.contention,
 		Speeds:          !e.w.noSpeeds,
+		HeldEnds:        e.w.heldEnds,
 	})
 	e.w.mu.Lock()
 	e.intake = intake
--- a/sesamedispatch/summary.go
+++ b/sesamedispatch/summary.go
@@ -201,12 +201,12 @@
 		}
 	}
 	for _, j := range v.jobs {
-		if j.isOver() || j.isHeldBack() {
+		if j.isOver() {
 			continue
 		}
 		b := of(j.Terms.Service)
-		for occurrence, steps := range j.occurrences {
-			waiting, lasting := v.occurrenceWork(j, occurrence, steps)
+		for _, steps := range j.occurrences {
+			waiting, lasting := v.occurrenceWork(j, steps)
 			b.waiting[j.Terms.Priority] += waiting
 			b.room -= lasting
 		}
@@ -217,7 +217,7 @@
 // occurrenceWork returns the waiting work of an occurrence in core-seconds, 0 if it
 // is worth nothing any more, and as a number of cores what its runs that last until
 // cancelled use.
-func (v *View) occurrenceWork(j *job, occurrence int, steps []*stepUnits) (waiting, lasting float64) {
+func (v *View) occurrenceWork(j *job, steps []*stepUnits) (waiting, lasting float64) {
 	var first *unit
 	for i, s := range steps {
 		open, active := s.openTasks(), 0
@@ -234,7 +234,7 @@
 		if open > 0 && (first == nil || j.criticalPaths[i] > j.criticalPaths[first.id.Step]) {
 			first = &unit{
 				id: sesamework.UnitID{
-					Occurrence: occurrence,
+					Occurrence: s.occurrence,
 					Step:       i,
 				},
 				job:  j,
--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -23,9 +23,13 @@
 	goneTargetRetention = 30 * time.Second
 )
 
-// sweep removes rows of one expired job, or else the row of one expired target.
-// Errors are those of commit.
+// sweep removes obsolete rows, or else rows of one expired job, or the row of one
+// expired target. Errors are those of commit.
 func (r *term) sweep(ctx context.Context) error {
+	if r.view.hasObsolete() {
+		_, err := r.removeObsolete(ctx)
+		return err
+	}
 	if j := r.view.expiredJob(); j != nil {
 		return r.sweepJob(ctx, j)
 	}
@@ -102,11 +106,14 @@
 			keys = append(keys, row.Key(u.id))
 		}
 	})
-	for key := range v.ends {
-		if task, _, ok := sesamework.ParseEndKey(key); ok && task.Job == j.ID {
-			keys = append(keys, key)
+	j.eachUnit(func(u *unit) {
+		for _, key := range u.endKeys {
+			if _, ok := v.ends[key]; ok {
+				keys = append(keys, key)
+			}
 		}
-	}
+	})
+	keys = append(keys, j.doneKeys()...)
 	return append(keys,
 		sesamework.CancelKey(j.ID),
 		sesamework.SpecKey(j.ID),
@@ -150,6 +157,9 @@
 func (v *View) dropRows(j *job, keys []sesamerows.Key, last bool) {
 	for _, key := range keys {
 		delete(v.ends, key)
+		if key.Table == sesamework.DoneTable {
+			j.dropDoneRow(key)
+		}
 		if !sesamework.IsRunTable(key.Table) {
 			continue
 		}
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -112,7 +112,7 @@
 // viewRows are the rows from which a view is filled.
 type viewRows struct {
 	// runs and states are written by planners only, but for the first state of a
-	// job, which comes with the job's row.
+	// job, which comes with the job's row. What is done of jobs is among the states.
 	runs   []sesamerows.Row
 	states []sesamerows.Row
 	// work is a snapshot of the work table.
@@ -130,8 +130,7 @@
 	if rows.runs, err = r.readRuns(ctx); err != nil {
 		return rows, err
 	}
-	states, err := sesamerows.ReadParts(ctx, r.o.Store, sesamework.StateTable,
-		append(sesamework.EntryParts(), sesamework.PlanPart))
+	states, err := sesamerows.ReadRanges(ctx, r.o.Store, stateRanges())
 	if err != nil {
 		return rows, err
 	}
@@ -140,6 +139,22 @@
 	return rows, err
 }
 
+// stateRanges returns the ranges of the rows that hold the states of jobs, and what is
+// done of them.
+func stateRanges() []sesamerows.Range {
+	ranges := []sesamerows.Range{{
+		Table: sesamework.DoneTable,
+		Part:  sesamework.PlanPart,
+	}}
+	for _, part := range append(sesamework.EntryParts(), sesamework.PlanPart) {
+		ranges = append(ranges, sesamerows.Range{
+			Table: sesamework.StateTable,
+			Part:  part,
+		})
+	}
+	return ranges
+}
+
 // fillView fills the empty view from the rows.
 func (r *term) fillView(rows viewRows) {
 	r.storeClock.AddSample(rows.work.Now)
--- a/sesamedispatch/unit.go
+++ b/sesamedispatch/unit.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -15,8 +16,10 @@
 	// run is the newest run (one start of the unit); its Number is 0 before the
 	// first.
 	run sesamework.Run
-	// rows name the rows in the store that hold the run.
-	rows []sesamework.RunRow
+	// rows name the rows in the store that hold the run, and endKeys those that hold
+	// ends of this and of earlier runs; some of these may be removed already.
+	rows    []sesamework.RunRow
+	endKeys []sesamerows.Key
 	// members are the tasks of that run.
 	members []member
 	// done says that a run succeeded, so that no other is needed. doneBefore says
--- a/sesamedispatch/units.go
+++ b/sesamedispatch/units.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/sesamestack/sesamestack/sesamelog"
+	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -21,11 +21,13 @@
 	occurrence int
 	index      int
 	// count is the number of all units, and created holds those that are created, in
-	// the order of their indexes.
-	count   int
-	created []*unit
-	// allCreatedBefore is a position before which all units are created.
-	allCreatedBefore int
+	// the order of their indexes. released are the positions of those that are done
+	// and not held any more, since the store has a record of them.
+	count    int
+	created  []*unit
+	released sesamework.IndexSet
+	// noneMissingBefore is a position before which all units are created or released.
+	noneMissingBefore int
 	// readySince is that of the units that are not created.
 	readySince time.Duration
 }
@@ -58,29 +60,58 @@
 // search returns where in created the unit at the position is or belongs, and
 // whether it is there.
 func (s *stepUnits) search(position int) (int, bool) {
-	if position < s.allCreatedBefore {
-		return position, true
-	}
 	return slices.BinarySearchFunc(s.created, position+s.firstIndex(), func(u *unit, index int) int {
 		return cmp.Compare(u.id.Index, index)
 	})
 }
 
-// notCreated returns how many units are not created.
+// notCreated returns how many units are not created yet.
 func (s *stepUnits) notCreated() int {
-	return s.count - len(s.created)
+	return s.count - len(s.created) - s.released.Len()
+}
+
+// doneKey returns the key of the row that records which units are done.
+func (s *stepUnits) doneKey() sesamerows.Key {
+	return sesamework.DoneUnitsKey(s.job.ID, s.occurrence, s.index)
+}
+
+// setReleased sets which units of the step are done and not held any more, and drops
+// these from the view.
+func (v *View) setReleased(s *stepUnits, released sesamework.IndexSet) {
+	s.released = released
+	s.created = slices.DeleteFunc(s.created, func(u *unit) bool {
+		drop := released.Has(u.id.Index - s.firstIndex())
+		if drop {
+			delete(v.units, u.id)
+		}
+		return drop
+	})
+	s.noneMissingBefore = s.nextNotCreated(0)
+}
+
+// isReleased reports whether the unit is done and not held any more.
+func (j *job) isReleased(id sesamework.UnitID) bool {
+	if j.doneOccurrences.Has(id.Occurrence) {
+		return true
+	}
+	steps := j.stepsOf(id.Occurrence)
+	if id.Step >= len(steps) {
+		return false
+	}
+	s := steps[id.Step]
+	return id.Index >= s.firstIndex() && s.released.Has(id.Index-s.firstIndex())
 }
 
 // nextNotCreated returns the first position from the given one on whose unit is not
 // created, or count if there is none.
 func (s *stepUnits) nextNotCreated(position int) int {
-	position = max(position, s.allCreatedBefore)
+	position = s.released.NextAbsent(max(position, s.noneMissingBefore))
 	i, _ := s.search(position)
 	for i < len(s.created) && s.created[i].id.Index == position+s.firstIndex() {
 		i++
-		position++
+		position = s.released.NextAbsent(position + 1)
 	}
-	return position
+	return min(position, s.count)
 }
 
 // areDone reports whether all units are done.
@@ -92,7 +123,10 @@
 
 // openTasks returns how many tasks belong to units that are not done.
 func (s *stepUnits) openTasks() int {
-	tasks := s.step.Count
+	if s.step.Gang && s.released.Len() > 0 {
+		return 0
+	}
+	tasks := s.step.Count - s.released.Len()
 	for _, u := range s.created {
 		if u.done {
 			tasks -= u.taskCount()
@@ -119,26 +153,31 @@
 		readySince: s.readySince,
 	}
 	s.created = slices.Insert(s.created, i, u)
-	if position == s.allCreatedBefore {
-		s.allCreatedBefore = s.nextNotCreated(position)
+	if position == s.noneMissingBefore {
+		s.noneMissingBefore = s.nextNotCreated(position)
 	}
 	v.units[u.id] = u
 	return u
 }
 
 // createByID returns the unit with that ID, and creates it if need be. It returns
-// false if the job has no such unit in its occurrences so far.
+// false if the job has no such unit in the occurrences that it holds, or if the unit is
+// done and not held any more.
 func (v *View) createByID(id sesamework.UnitID) (*unit, bool) {
 	if u, ok := v.units[id]; ok {
 		return u, true
 	}
 	j, ok := v.jobs[id.Job]
-	if !ok || id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) || id.Step < 0 || id.Step >= len(j.Steps) {
+	if !ok {
+		return nil, false
+	}
+	steps := j.stepsOf(id.Occurrence)
+	if id.Step < 0 || id.Step >= len(steps) {
 		return nil, false
 	}
-	s := j.occurrences[id.Occurrence][id.Step]
+	s := steps[id.Step]
 	position := id.Index - s.firstIndex()
-	if position < 0 || position >= s.count {
+	if position < 0 || position >= s.count || s.released.Has(position) {
 		return nil, false
 	}
 	return v.create(s, position), true
@@ -176,25 +215,6 @@
 	}
 }
 
-// occurrenceTasks returns the number of tasks in one occurrence of the job.
-func (j *job) occurrenceTasks() int {
-	tasks := 0
-	for i := range j.Steps {
-		tasks += j.Steps[i].Count
-	}
-	return tasks
-}
-
-// holdsMore reports whether another occurrence of the job stays within
-// sesamework.MaxJobTasks, together with those that are not done.
-func (j *job) holdsMore() bool {
-	for j.doneOccurrences < len(j.occurrences) && areAllDone(j.occurrences[j.doneOccurrences]) {
-		j.doneOccurrences++
-	}
-	open := len(j.occurrences) - j.doneOccurrences
-	return (open+1)*j.occurrenceTasks() <= sesamework.MaxJobTasks
-}
-
 // areAllDone reports whether all units of an occurrence are done.
 func areAllDone(steps []*stepUnits) bool {
 	return !slices.ContainsFunc(steps, func(s *stepUnits) bool {
@@ -202,12 +222,6 @@
 	})
 }
 
-// isHeldBack reports whether one occurrence of the job alone is above the bound on the
-// tasks of a job, as that of a job may be that was accepted before there was a bound.
-func (j *job) isHeldBack() bool {
-	return j.tooLarge && !j.Recurs()
-}
-
 // setReady sets readySince of the units that are not created. now is on the steady
 // clock.
 func (s *stepUnits) setReady(ready bool, now time.Duration) {
@@ -221,34 +235,19 @@
 // keepReadySince copies readySince of the units that are not created from the job as
 // the view that is replaced knew it.
 func (j *job) keepReadySince(known *job) {
-	for i := range min(len(j.occurrences), len(known.occurrences)) {
-		for k, s := range j.occurrences[i] {
-			s.readySince = known.occurrences[i][k].readySince
+	for _, steps := range j.occurrences {
+		for i, before := range known.stepsOf(steps[0].occurrence) {
+			steps[i].readySince = before.readySince
 		}
 	}
 }
 
-// holdBack sets whether the job is above the bound on its tasks, and logs it when it
-// becomes so. None of its units are then started that are not created yet.
-func (v *View) holdBack(j *job, tooLarge bool) {
-	if tooLarge && !j.tooLarge {
-		v.log.Emit(eventTooLarge, sesamelog.Fields{
-			"job":         j.ID,
-			"team":        j.Team,
-			"tasks":       j.occurrenceTasks(),
-			"occurrences": len(j.occurrences) - j.doneOccurrences,
-			"bound":       sesamework.MaxJobTasks,
-		})
-	}
-	j.tooLarge = tooLarge
-}
-
 // Units returns how many units the planner holds: those of jobs that can still start
 // some, and the created ones of all other jobs whose rows are not removed yet.
 func (v *View) Units() int {
 	n := len(v.units)
 	for _, j := range v.jobs {
-		if j.isOver() || j.occurrenceTasks() > sesamework.MaxJobTasks {
+		if j.isOver() {
 			continue
 		}
 		for _, steps := range j.occurrences {
--- a/sesamedispatch/units_test.go
+++ b/sesamedispatch/units_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,14 +94,16 @@
 	is.Equal(v.Units(), 3*65536)
 }
 
-// TestJobAboveBoundIsHeld guards against a job that was accepted before there was a
-// bound and ends each planner in turn: none of its units start, other jobs do, what
-// the job runs already counts, and it can be cancelled.
-func TestJobAboveBoundIsHeld(t *testing.T) {
+// TestWidestJob guards against a job that is so wide that none of its tasks start, or
+// none of others: it starts beside another job of its priority, what it runs already
+// counts, and it can be cancelled.
+func TestWidestJob(t *testing.T) {
 	is := is.New(t)
-	v := viewOfWideJobs(1, 1, 65536, 65536, 65536, 65536)
+	counts := slices.Repeat([]int{65536}, sesamework.MaxSteps)
+	v := viewOfWideJobs(3, 1, counts...)
+	const wide = "0000000000000000"
 	running := sesamework.UnitID{
-		Job:   "0000000000000000",
+		Job:   wide,
 		Index: 40000,
 	}
 	v.setRun(sesamerows.Row{
@@ -121,24 +124,25 @@
 			Accelerators: 1,
 		}
 	}))
-	d := v.Decide(v.now)
-	is.Equal(len(d.Starts), 7) // one of eight accelerators is in use
-	for _, s := range d.Starts {
-		is.Equal(s.unit.id.Job, "other")
+	started := map[string]int{}
+	for _, s := range v.Decide(v.now).Starts {
+		started[s.unit.id.Job]++
 	}
-	is.Equal(v.Units(), 20+1)
-	v.setCancel(running.Job, sesamerows.Row{})
-	d = v.Decide(v.now)
+	is.Equal(started, map[string]int{wide: 3, "other": 20}) // one of 24 accelerators is in use
+	v.setCancel(wide, sesamerows.Row{})
+	d := v.Decide(v.now)
 	is.Equal(len(d.Stops), 1)
-	is.True(v.jobs[running.Job].state() == sesamework.JobCancelled)
+	is.True(v.jobs[wide].state() == sesamework.JobCancelled)
 }
 
 // TestDueOccurrencesAreBounded guards against a recurring job of which so many
 // occurrences are due that their units end the planner; they come as earlier ones are
 // done.
 func TestDueOccurrencesAreBounded(t *testing.T) {
+	const maxBytes = 1 << 20
 	is := is.New(t)
 	v := viewOfWideJobs(1, 0)
+	before := heapBytes()
 	v.setJob("job", withStep(jobFillingTarget("job", 2), func(j *sesamework.Job, s *sesamework.Step) {
 		j.Recurrences = 1 << 20
 		j.Interval = 1
@@ -147,12 +151,13 @@
 	v.now.Wall = 1 << 20
 	v.Decide(v.now)
 	j := v.jobs["job"]
-	is.Equal(len(j.occurrences), 3)
+	is.Equal(len(j.occurrences), maxWaitingOccurrences)
+	is.True(heapBytes()-before < maxBytes)
 	for position := range j.occurrences[0][0].count {
 		v.create(j.occurrences[0][0], position).done = true
 	}
 	v.Decide(v.now)
-	is.Equal(len(j.occurrences), 4)
+	is.Equal(len(j.occurrences), maxWaitingOccurrences+1)
 }
 
 // TestRebuiltViewKeepsWaits guards against units that wait anew for their data's rack
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -30,9 +30,13 @@
 	// speedsPolicy.
 	speedsCount  bool
 	speedsPolicy *sesamework.Policy
-	// ends holds the versions of all end rows, which are removed with their jobs.
-	// An end row tells how a run ended on one of its targets.
-	ends map[sesamerows.Key]sesamerows.Version
+	// ends holds the versions of the end rows of the units that the view holds. An
+	// end row tells how a run ended on one of its targets. Rows that are needed no
+	// more are in obsolete.
+	ends     map[sesamerows.Key]sesamerows.Version
+	obsolete obsolete
+	// unreadable holds the IDs of jobs of which a row can't be read.
+	unreadable map[string]bool
 	// now is the time at which the view is being updated or read.
 	now Now
 	// needsDecision says that the rows being applied may change a decision.
@@ -77,13 +81,16 @@
 	// final, on the steady clock.
 	published sesamework.JobState
 	endedAt   time.Duration
-	// occurrences holds the units by occurrence (one due time of a recurring
-	// job; other jobs have one) and step. The first doneOccurrences of them are
-	// known to be done.
+	// occurrences holds, in their order, the units by step of the occurrences (one
+	// due time of a recurring job; other jobs have one) that were opened, but for
+	// doneOccurrences, which are done and not held any more. opened is the first
+	// occurrence that was not opened yet.
 	occurrences     [][]*stepUnits
-	doneOccurrences int
-	// tooLarge says that the job is above the bound on its tasks; see holdBack.
-	tooLarge bool
+	doneOccurrences sesamework.IndexSet
+	opened          int
+	// unreadable says that a record of what is done of the job can't be read, so that
+	// no unit of it may be started.
+	unreadable bool
 	// durations holds the expected duration of a task of each step.
 	// criticalPaths holds, for each step, the duration of the longest chain of
 	// steps that begins with it. objective is the time in which an occurrence
@@ -108,6 +115,10 @@
 
 		durationModels: map[string]*durationModel{},
 		ends:           map[sesamerows.Key]sesamerows.Version{},
+		unreadable:     map[string]bool{},
+		obsolete: obsolete{
+			rows: map[sesamerows.Key]sesamerows.Version{},
+		},
 	}
 }
 
@@ -118,14 +129,18 @@
 }
 
 // Load fills an empty view from all rows of the work table, of the zones' run
-// tables and of the state table.
+// tables, and, as states, of the state table and the done table.
 func (v *View) Load(work, runs, states []sesamerows.Row, now Now) {
 	v.now = now
 	v.loading = true
 	defer func() { v.loading = false }()
 	v.applyPrefix(work, sesamework.JobPrefix, v.setJob)
 	for _, row := range states {
-		v.setState(row)
+		if row.Key.Table == sesamework.DoneTable {
+			v.setDone(row)
+		} else {
+			v.setState(row)
+		}
 	}
 	v.applyPrefix(work, sesamework.CancelPrefix, v.setCancel)
 	v.applyPrefix(work, sesamework.TargetPrefix, v.setTarget)
@@ -189,9 +204,11 @@
 		published: sesamework.JobQueued,
 	}
 	if !v.decode(row, row.Value, &j.Job) {
+		v.unreadable[id] = true
 		return
 	}
 	if err := j.problem(id); err != nil {
+		v.unreadable[id] = true
 		v.log.Emit(eventBadRow, sesamelog.Fields{
 			"row":   row.Key.String(),
 			"error": err,
@@ -201,8 +218,7 @@
 	v.estimate(j)
 	v.jobs[id] = j
 	if !j.Recurs() {
-		v.addOccurrence(j)
-		v.holdBack(j, j.occurrenceTasks() > sesamework.MaxJobTasks)
+		v.openNext(j)
 	}
 }
 
@@ -230,19 +246,6 @@
 	return j.Validate()
 }
 
-// addOccurrence adds the units of the job's next occurrence (one due time of a
-// recurring job; other jobs have one) to the job and the view.
-func (v *View) addOccurrence(j *job) {
-	steps := make([]*stepUnits, len(j.Steps))
-	for i := range j.Steps {
-		steps[i] = newStepUnits(j, len(j.occurrences), i)
-		for position := 0; v.plain && position < steps[i].count; position++ {
-			v.create(steps[i], position)
-		}
-	}
-	j.occurrences = append(j.occurrences, steps)
-}
-
 // setState sets the state that callers see for a job (published) from the job's
 // status row. A row of an unknown job, or one that cannot be decoded, is ignored.
 func (v *View) setState(row sesamerows.Row) {
@@ -275,16 +278,25 @@
 // that run holds. Rows of unknown jobs and of earlier runs are ignored.
 func (v *View) setRun(row sesamerows.Row) {
 	id, name, err := sesamework.ParseRunKey(row.Key)
+	if err != nil {
+		return
+	}
 	var r sesamework.Run
-	if err != nil || !v.decode(row, row.Value, &r) {
+	if !v.decode(row, row.Value, &r) {
+		v.unreadable[id.Job] = true
 		return
 	}
 	j, ok := v.jobs[id.Job]
-	if !ok || id.Occurrence >= j.Occurrences() {
+	if !ok {
+		v.addOrphan(row.Key, id.Job)
 		return
 	}
-	for len(j.occurrences) <= id.Occurrence {
-		v.addOccurrence(j)
+	if j.isReleased(id) {
+		v.addObsolete(row.Key, 0)
+		return
+	}
+	if !v.openUpTo(j, id.Occurrence) {
+		return
 	}
 	u, ok := v.createByID(id)
 	if !ok || r.Number < u.run.Number {
--- a/sesamedispatch/world_test.go
+++ b/sesamedispatch/world_test.go
@@ -53,6 +53,9 @@
 	evacuations bool
 	// contention says by what entries order waiting work.
 	contention sesamecontention.Policy
+	// heldEnds is how many ends of runs a planner holds before it compacts; 0 means
+	// the default.
+	heldEnds int
 	// announced holds the sizes in the relay rows, by entry.
 	announced map[string]sesamerows.Size
 }
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -22,40 +22,54 @@
 	maxChangeBytes = sesamerows.MaxTransactionBytes * 9 / 10
 )
 
-// decideAndWrite takes a decision and writes it: starts and stops first, which
-// are urgent, then which targets are gone. When there is nothing to decide, it
-// sweeps rows that have expired. In any case it renews the leader's row, since
-// transactions that conflict don't. Errors are those of commit and of encoding
-// the rows.
+// decideAndWrite takes a decision and writes it. When there is nothing to decide, it
+// sweeps rows that have expired. In any case it compacts what has ended, and renews the
+// leader's row, since transactions that conflict don't. Errors are those of commit and
+// of encoding the rows.
 func (r *term) decideAndWrite(ctx context.Context) error {
 	d := r.view.Decide(r.now())
 	r.countSpeeds(d)
+	written := 0
+	var err error
 	if d.IsEmpty() {
-		if err := r.sweep(ctx); err != nil {
-			return err
-		}
-		return r.renewLeaderRow(ctx)
+		err = r.sweep(ctx)
+	} else {
+		written, err = r.write(ctx, d)
+	}
+	if err == nil {
+		err = r.compact(ctx, written)
+	}
+	if err != nil {
+		return err
 	}
+	return r.renewLeaderRow(ctx)
+}
+
+// write writes a decision: starts and stops first, which are urgent, then which targets
+// are gone. It returns how many transactions it took for the former. Errors are those of
+// commit and of encoding the rows.
+func (r *term) write(ctx context.Context, d Decision) (int, error) {
 	batch, restarts := &changeBatch{}, &changeBatch{}
 	if err := r.collect(d, batch, restarts); err != nil {
-		return err
+		return 0, err
 	}
 	if len(batch.transactions) > 0 {
 		if c, due := r.summaryChange(); due {
 			batch.add(c)
 		}
 	}
-	for _, parts := range slices.Concat(batch.transactions, restarts.transactions) {
+	transactions := slices.Concat(batch.transactions, restarts.transactions)
+	for _, parts := range transactions {
 		if _, err := r.commitParts(ctx, parts...); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	for lost := range slices.Chunk(d.Lost, maxGoneTargets) {
 		if err := r.markGone(ctx, lost); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	return r.renewLeaderRow(ctx)
+	return len(transactions), nil
 }
 
 // renewLeaderRow writes the leader's row when no transaction has written it for
