Count what takes memory, not tasks that wait, against the bound on units

Callers saw: while one accepted job of 196,608 tasks waited, each other job that no guarantee covers was answered 503, "would exceed what the planner holds, expected wait is 0s".

Cause: entries keep the planner within its memory by a bound on its units, and View.Units counted all tasks that wait. The bound was the same for entries of 184 and of 536 MB.

Change: Units counts created units, jobs, and the steps of jobs and of their open occurrences; a new job counts by its steps. The bound is 60% of the entry's memory at 1 KiB a unit. Metric max_units.

It works since what is counted is what takes memory, so a caller takes a place only by what takes it from others too.

Tests: TestSummary/many_tasks_that_wait fails with the former count, and TestCheckLoad/job_with_many_tasks_that_wait with the tasks of a new job. What TestWaitingUnitsTakeNoMemory, TestSummary/many_units, TestViewLog and TestCheckLoad/planner_near_its_bound assert of the count follows its new meaning, exactly as before; the last one's load is 97 instead of 95, since the new job counts as 4 units instead of 10.

--- a/sesamedispatch/occurrences.go
+++ b/sesamedispatch/occurrences.go
@@ -7,10 +7,6 @@
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
-// maxWaitingOccurrences is how many open occurrences of a job may have units that wait
-// to be started. Further ones that are due would wait behind them.
-const maxWaitingOccurrences = 64
-
 // setDone takes in a row of the done table: which units of a step, or which occurrences
 // of a job, are done and have no other rows any more. The row of an unknown job, or of
 // an occurrence that is done as a whole, becomes obsolete.
@@ -97,7 +93,7 @@
 func (j *job) mayOpen(wall int64) int {
 	end := min(j.Recurrences, j.doneOccurrences.NextAbsent(0)+sesamework.MaxIndexSpan)
 	due := 0
-	for next := j.nextOccurrence(); due < maxWaitingOccurrences && next < end && j.Due(next) <= wall; due++ {
+	for next := j.nextOccurrence(); due < sesamework.MaxWaitingOccurrences && next < end && j.Due(next) <= wall; due++ {
 		next = j.doneOccurrences.NextAbsent(next + 1)
 	}
 	if due == 0 {
@@ -109,7 +105,7 @@
 			waiting++
 		}
 	}
-	return max(0, min(due, maxWaitingOccurrences-waiting))
+	return max(0, min(due, sesamework.MaxWaitingOccurrences-waiting))
 }
 
 // haveWaiting reports whether a unit of an occurrence could be started if there were
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -187,6 +187,7 @@
 func (p *Planner) newView() *View {
 	v := NewView(p.o.Log).withDurationModels(p.durationModels).withSpeeds(p.speeds)
 	v.byValue = p.o.Contention == sesamecontention.ByValue
+	v.maxUnits = maxUnits(p.o.Size.Memory)
 	return v
 }
 
--- a/sesamedispatch/summary.go
+++ b/sesamedispatch/summary.go
@@ -108,7 +108,7 @@
 func (v *View) summary() (sesamework.Summary, bool) {
 	s := sesamework.Summary{
 		Units: v.Units(),
-		Bound: sesamework.MaxJobTasks,
+		Bound: v.maxUnits,
 	}
 	needed := float64(s.Units) > summaryUnitsShare*float64(s.Bound)
 	if !v.byValue || v.policy == nil {
--- a/sesamedispatch/units.go
+++ b/sesamedispatch/units.go
@@ -242,19 +242,31 @@
 	}
 }
 
-// Units returns how many units the planner holds: those of jobs that can still start
-// some, and the created ones of all other jobs whose rows are not removed yet.
+const (
+	// unitBytes is what a unit takes of a planner's memory; see BenchmarkUnitBytes.
+	unitBytes = 1 << 10
+	// unitsMemoryShare is the part of the memory that units may take. The rest is for
+	// targets, callers and what the garbage collector has not freed yet.
+	unitsMemoryShare = 0.6
+	// defaultMaxUnits is the bound on units of a planner whose memory is not known.
+	defaultMaxUnits = 3 << 16
+)
+
+// maxUnits returns how many units a planner with that memory, in MiB, should hold.
+func maxUnits(memory int64) int {
+	if memory <= 0 {
+		return defaultMaxUnits
+	}
+	return int(unitsMemoryShare * float64(memory<<20) / unitBytes)
+}
+
+// Units returns how many units the view holds in memory. A job counts as one, and so
+// does each of its steps, in the job and in each occurrence that is held: these take
+// about as much. Units that wait and are not created take none.
 func (v *View) Units() int {
 	n := len(v.units)
 	for _, j := range v.jobs {
-		if j.isOver() {
-			continue
-		}
-		for _, steps := range j.occurrences {
-			for _, s := range steps {
-				n += s.notCreated()
-			}
-		}
+		n += 1 + len(j.Steps)*(1+len(j.occurrences))
 	}
 	return n
 }
@@ -271,4 +283,5 @@
 	r.unitsReportedAt = now
 	r.o.Scope.Gauge("units").Update(float64(r.view.Units()))
 	r.o.Scope.Gauge("units_created").Update(float64(len(r.view.units)))
+	r.o.Scope.Gauge("max_units").Update(float64(r.view.maxUnits))
 }
--- a/sesamedispatch/view.go
+++ b/sesamedispatch/view.go
@@ -18,8 +18,10 @@
 	log    *sesamelog.Logger
 	policy *sesamework.Policy
 	jobs   map[string]*job
-	// units holds the units that are created; see stepUnits.
-	units map[sesamework.UnitID]*unit
+	// units holds the units that are created; see stepUnits. maxUnits is how many
+	// the view should hold at the most; see Units.
+	units    map[sesamework.UnitID]*unit
+	maxUnits int
 	// targets holds the targets by the names of their rows.
 	targets map[string]*target
 	// durationModels holds the duration model of each queue, by its name.
@@ -113,6 +115,8 @@
 		units:   map[sesamework.UnitID]*unit{},
 		targets: map[string]*target{},
 
+		maxUnits: defaultMaxUnits,
+
 		durationModels: map[string]*durationModel{},
 		ends:           map[sesamerows.Key]sesamerows.Version{},
 		unreadable:     map[string]bool{},
--- a/sesameintake/load.go
+++ b/sesameintake/load.go
@@ -29,7 +29,7 @@
 		Units: summary.Units,
 		Bound: summary.Bound,
 	}
-	verdict, retryAfter := sesamecontention.Admit(arrival(a, j, in.clock.Wall()), load)
+	verdict, retryAfter := sesamecontention.Admit(arrival(a, j), load)
 	if verdict == sesamecontention.Admitted || in.isKnownOrStored(ctx, j.ID) {
 		return nil
 	}
@@ -50,8 +50,8 @@
 	}
 }
 
-// arrival returns what the decision on a new job needs, by the time of day.
-func arrival(a Admission, j sesamework.Job, wall time.Time) sesamecontention.Arrival {
+// arrival returns what the decision on a new job needs.
+func arrival(a Admission, j sesamework.Job) sesamecontention.Arrival {
 	chain := j.LongestChain()
 	guaranteed := a.Policy.GuaranteedAccelerators(j.Team)
 	return sesamecontention.Arrival{
@@ -64,7 +64,7 @@
 		MayBeOwed: j.Terms.Priority == 0 && guaranteed > 0 && slices.ContainsFunc(j.Steps, func(s sesamework.Step) bool {
 			return s.UnitAccelerators() <= guaranteed
 		}),
-		Units: j.DueUnits(wall.UnixMilli()),
+		Units: j.HeldUnits(),
 	}
 }
 
--- a/sesamework/tasks.go
+++ b/sesamework/tasks.go
@@ -69,18 +69,15 @@
 	return longest
 }
 
-// DueUnits returns how many units of the valid job may be due together. now is the
-// time of day in Unix milliseconds.
-func (j Job) DueUnits(now int64) int {
-	units := 0
-	for _, s := range j.Steps {
-		if s.Gang {
-			units++
-		} else {
-			units += s.Count
-		}
-	}
-	return units * j.dueTogether(now)
+// MaxWaitingOccurrences is how many occurrences of a recurring job wait in a planner's
+// memory. Further ones that are due wait behind them.
+const MaxWaitingOccurrences = 64
+
+// HeldUnits returns how many units a planner holds in memory of the job while none of
+// it has started: one for the job, for each step, and for each step and its first unit
+// in the occurrences that wait.
+func (j Job) HeldUnits() int {
+	return 1 + len(j.Steps)*(1+2*min(j.Occurrences(), MaxWaitingOccurrences))
 }
 
 // dueTogether returns how many occurrences of the job may wait or run at once: those
