Accept jobs whatever the number of their tasks

Cause: bounded the tasks of a job and of its occurrences that may be due together.

Change: the bound is gone, with TooManyTasksError and its check. A step may have 65,536 tasks and a job 256 steps, as before.

It works since nothing that the planner holds follows the number of a job's tasks any more, but a bit for each that is done.

--- a/sesameintake/submit.go
+++ b/sesameintake/submit.go
@@ -32,20 +32,13 @@
 
 // Submit accepts the job under its ID, at most once: to submit the same body
 // again is an idempotent retry and succeeds. Errors are a
-// *sesamework.InvalidError, a *sesamework.TooManyTasksError, an
-// *OverloadedError, a *JobConflictError, those of Admit, and those of
-// Store.Commit; after all but an *sesamerows.UnknownError the job has not been
+// *sesamework.InvalidError, an *OverloadedError, a *JobConflictError, those of
+// Admit, and those of Store.Commit; after all but an *sesamerows.UnknownError the job has not been
 // accepted by this call and never will be.
 func (in *Intake) Submit(ctx context.Context, a Admission, j sesamework.Job, specification string) error {
 	if err := j.Validate(); err != nil {
 		return err
 	}
-	if _, known := in.states.get(j.ID); !known {
-		// A job that was accepted stays so when more of its occurrences are due.
-		if err := j.CheckTasks(in.clock.Wall().UnixMilli()); err != nil {
-			return err
-		}
-	}
 	if in.policies.isStoreLost() {
 		if _, known := in.states.get(j.ID); known {
 			in.recordAccepted(a, j, 0, true)
