Start tasks that were interrupted before too many others of their step

Found by reading and by the test; not played with separate processes.

Cause: an interrupted task waits from then on, so it came behind all of its step that had never started. Each interruption created another unit, with its run and its ends in the store, up to the number of the step's tasks.

Change: while 512 created units of a step wait, the planner creates none of it. It works since these are started first then, which they need not wait for by any other rule; the order of up to 512 is as before.

TestInterruptedTasksComeFirst, 6,000 tasks of which each lapses once: fails without the bound, all 6,000 are held at once.

--- a/sesamedispatch/compact_test.go
+++ b/sesamedispatch/compact_test.go
@@ -68,11 +68,14 @@
 // isDone is the outcome of runs that succeed.
 func isDone(*unit) sesamework.Outcome { return sesamework.EndDone }
 
-// step lets the planner decide once, ends all runs, and feeds the ends back.
+// step lets the planner decide, and once more while its runs are active, ends these, and
+// feeds the ends back.
 func (r *runner) step(outcome func(u *unit) sesamework.Outcome) {
 	r.t.Helper()
-	r.clock.Advance(time.Millisecond)
-	r.decide(1)
+	for range 2 {
+		r.clock.Advance(time.Millisecond)
+		r.decide(1)
+	}
 	v := r.term.view
 	r.most = max(r.most, len(v.units), len(v.ends)+len(v.obsolete.rows))
 	r.end(outcome)
@@ -308,3 +311,29 @@
 		})
 	}
 }
+
+// TestInterruptedTasksComeFirst guards against planners that run out of memory by tasks
+// that were started and have to be started again, as when a lease lapses or their room
+// is taken: they waited behind all of their step that never were.
+func TestInterruptedTasksComeFirst(t *testing.T) {
+	const tasks, held, running = 6000, 100, 64
+	f := newTermFixture(t, jobWithSteps("wide", tasks), targetRow(newTarget("a"), 0))
+	f.term.o.HeldEnds = held
+	r := newRunner(f)
+	for i := 0; r.published("wide") != sesamework.JobCompleted; i++ {
+		f.is.True(i < 4*tasks/running)
+		r.step(func(u *unit) sesamework.Outcome {
+			if u.run.Number == 1 {
+				return sesamework.EndLapsed
+			}
+			return sesamework.EndDone
+		})
+		f.write(targetRow(newTarget("a"), 0))
+	}
+	for task, starts := range r.starts {
+		if starts != 2 {
+			t.Errorf("%s was started %d times", task, starts)
+		}
+	}
+	f.is.True(r.most <= maxInterruptedUnits+2*held+2*maxChangeEntries+running)
+}
--- a/sesamedispatch/units.go
+++ b/sesamedispatch/units.go
@@ -183,15 +183,23 @@
 	return v.create(s, position), true
 }
 
+// maxInterruptedUnits is how many units of a step may wait that have been created, most
+// of which have run before, until these come before all that have waited longer and
+// are not created.
+const maxInterruptedUnits = 512
+
 // inOrder returns the ready units of the candidate, the longest waiting first, and
 // creates those that are not while room is found for them: once the step is blocked,
-// they would find none either.
+// they would find none either. While maxInterruptedUnits are created, it creates none.
 func (p *pass) inOrder(c candidate) iter.Seq[*unit] {
 	return func(yield func(*unit) bool) {
 		s := c.step
 		position := 0
 		// offer passes on the units before the end that are not created.
 		offer := func(end int) bool {
+			if len(c.units) >= maxInterruptedUnits {
+				return true
+			}
 			position = s.nextNotCreated(position)
 			for position < end && !p.blocked[c.units[0].spreadKey("")] {
 				if !yield(p.view.create(s, position)) {
