Bound what runs by the memory of planners and agents

Callers saw: after one job of 524,288 tasks of a thousandth of a core was accepted, no job started any more.

Cause: only a target's capacity bounded what one decision starts, what a planner holds as running and what an agent runs.

Change: a decision starts 1,024 units at the most, a target runs 8,192 tasks, and a planner's created units take three quarters of its bound on units. Above half of the last two, a job gets no more than what is left to others.

It works since each bound is on what takes the memory, and the share of a job keeps a place free for the next one, however many hold the most they may.

--- a/sesamedispatch/place.go
+++ b/sesamedispatch/place.go
@@ -55,9 +55,19 @@
 	// isActive), and activeByTarget holds them by the targets of such members.
 	active         []*unit
 	activeByTarget map[string][]*unit
-	// running holds the jobs of active units and of those that this pass starts, and
+	// running holds, by job, the weight of the active units and of those that this
+	// pass starts; held is the weight of all created units and maxCreated the most
+	// that it should be. jobTasks caches jobTasksOn; see hasMemoryFor.
+	running    map[*job]int
+	held       int
+	maxCreated int
+	jobTasks   map[jobOnTarget]int
+	// lacksSlots says that the unit for which targets are chosen was kept from some by
+	// freeSlots; others may take these.
+	lacksSlots bool
+	// present is the pass of which this one simulates the future; nil otherwise.
+	present *pass
 	// halfUsed caches isHalfUsed by service.
-	running  map[*job]bool
 	halfUsed map[string]bool
 	// targetsByService holds the targets that accept work, by service, and
 	// racksByService the same targets by rack.
@@ -127,11 +137,14 @@
 	p.speeds = v.newSpeedLevels(candidates)
 	for _, c := range candidates {
 		for u := range p.inOrder(c) {
-			if p.needsIsolation(u) {
+			switch {
+			case !p.hasMemoryFor(u):
+				p.blocked[u.spreadKey("")] = true
+			case p.needsIsolation(u):
 				p.placeSuspect(u)
-				continue
+			default:
+				p.placeUnit(u)
 			}
-			p.placeUnit(u)
 		}
 	}
 	for _, u := range moves {
@@ -152,7 +165,9 @@
 		urgentAccelerators: map[string]int64{},
 
 		activeByTarget:   map[string][]*unit{},
-		running:          map[*job]bool{},
+		running:          map[*job]int{},
+		maxCreated:       v.maxCreated(),
+		jobTasks:         map[jobOnTarget]int{},
 		halfUsed:         map[string]bool{},
 		targetsByService: map[string][]*target{},
 		victimsOf:        map[victimKey][]*unit{},
@@ -185,9 +200,10 @@
 // countUsage counts what the unit's active run uses, or what its claim
 // reserves.
 func (p *pass) countUsage(u *unit) {
+	p.held += weightOf(len(u.members))
 	if u.isActive() {
 		p.active = append(p.active, u)
-		p.running[u.job] = true
+		p.running[u.job] += weightOf(len(u.members))
 		if u.job.Terms.Priority == 0 {
 			p.urgentAccelerators[u.job.Team] += u.accelerators()
 		}
@@ -211,6 +227,13 @@
 func (p *pass) occupy(u *unit, target string) {
 	p.room[target] = p.room[target].Minus(u.step.Reservation())
 	p.addOccupant(u, target)
+	key := jobOnTarget{
+		job:    u.job,
+		target: target,
+	}
+	if _, known := p.jobTasks[key]; known {
+		p.jobTasks[key]++
+	}
 	if u.step.MaxPerTarget > 0 {
 		p.tasksOnTarget[u.spreadKey(target)]++
 	}
@@ -257,7 +280,8 @@
 
 // start orders a run of the unit on the targets, one for each task.
 func (p *pass) start(u *unit, targets []*target) {
-	p.running[u.job] = true
+	p.running[u.job] += weightOf(len(targets))
+	p.held += weightOf(len(targets))
 	for _, t := range targets {
 		p.occupy(u, t.name)
 	}
@@ -274,11 +298,12 @@
 // nil when the unit has to wait.
 func (p *pass) choose(u *unit) []*target {
 	if !p.isTooLarge(u) {
+		p.lacksSlots = false
 		usable, racks := p.eligibleTargets(u)
 		if chosen := p.chooseAmong(u, usable, racks); chosen != nil {
 			return chosen
 		}
-		if u.mayRunAnywhere() {
+		if u.mayRunAnywhere() && !p.lacksSlots {
 			p.tooLarge = append(p.tooLarge, u)
 		}
 	}
@@ -378,6 +403,10 @@
 	if u.step.MaxPerTarget > 0 {
 		n = min(n, u.step.MaxPerTarget-p.tasksOnTarget[u.spreadKey(t.name)])
 	}
+	if free := p.freeSlots(u, t); n > free {
+		n = free
+		p.lacksSlots = true
+	}
 	return max(0, n)
 }
 
--- a/sesamedispatch/reserve.go
+++ b/sesamedispatch/reserve.go
@@ -129,6 +129,7 @@
 func (p *pass) earliestFitAmong(u *unit, targets []*target) ([]string, time.Duration) {
 	future := &pass{
 		view:          p.view,
+		present:       p,
 		room:          map[string]sesamework.Resources{},
 		tasksOnTarget: p.tasksOnTarget,
 		occupants:     make(map[string]occupancy, len(targets)),
--- a/sesamedispatch/waits.go
+++ b/sesamedispatch/waits.go
@@ -21,7 +21,7 @@
 // of its service's capacity is in use. The platform asks that such a job has a task
 // running within 3 s if there is room for it.
 func (p *pass) mustNotIdle(u *unit) bool {
-	return !p.running[u.job] && !p.isHalfUsed(u.job.Terms.Service)
+	return p.running[u.job] == 0 && !p.isHalfUsed(u.job.Terms.Service)
 }
 
 // isHalfUsed reports whether runs use at least half of the service's accelerators, or
