Soak: a job whose tasks are released while others of it run

No soak had more ends than a planner holds, so that what releases them ran under no faults of real processes.

--- a/sesamesoak/soak_test.go
+++ b/sesamesoak/soak_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/platform/emulator"
+	"github.com/sesamestack/sesamestack/sesamerows"
 	"github.com/sesamestack/sesamestack/sesamework"
 )
 
@@ -37,6 +38,11 @@
 	// The number of jobs and of faults of one seed.
 	soakJobs   = 14
 	soakFaults = 7
+	// wideTasks is the number of tasks of the wide job.
+	wideTasks = 4000
+	// maxRunRows is how many rows of runs the store may hold once all jobs have ended.
+	// Those of the wide job and of the others are more.
+	maxRunRows = 3000
 	// zoneEvacuations is how often each zone is evacuated, and maxEvacuationSpan
 	// the longest time that it is evacuated or in use between. Some evacuations
 	// have to last longer than evacuationBound.
@@ -73,7 +79,8 @@
 	for i := range soakJobs {
 		at := time.Duration(r.IntN(int(faultPeriod)))
 		h := &submission{
-			path: []string{"/urgent/", "/batch/"}[r.IntN(2)] + fmt.Sprintf("%016x", i+1),
+			path:     []string{"/urgent/", "/batch/"}[r.IntN(2)] + fmt.Sprintf("%016x", i+1),
+			duration: taskDuration,
 			step: sesamework.Step{
 				Count:       1 + r.IntN(4),
 				Need:        sesamework.Resources{Accelerators: int64(1 << r.IntN(4))},
@@ -89,6 +96,10 @@
 			return nil
 		})
 	}
+	group.Go(func() error {
+		s.submit(newWideJob(), 0)
+		return nil
+	})
 	for range soakFaults {
 		at := time.Duration(r.IntN(int(faultPeriod)))
 		length := 200*time.Millisecond + time.Duration(r.IntN(int(5*time.Second)))
@@ -112,6 +123,20 @@
 	is.New(s.t).NoErr(group.Wait())
 }
 
+// newWideJob returns a job of so many short tasks that planners release those that are
+// done while others of the job run.
+func newWideJob() *submission {
+	return &submission{
+		path:     "/batch/" + strings.Repeat("f", 16),
+		duration: 5 * time.Millisecond,
+		step: sesamework.Step{
+			Count:    wideTasks,
+			Need:     sesamework.Resources{Cores: 1000},
+			Estimate: 5,
+		},
+	}
+}
+
 // injectFault applies one fault to a process and removes it again: kinds 0 to
 // 3 are faults of its proxy, 4 to 7 signals. It lasts for the given length
 // where the kind has a duration.
@@ -178,6 +203,18 @@
 	for _, broken := range s.fleet.Violations() {
 		s.t.Error(broken)
 	}
+	if rows := s.countRows(sesamework.RunTable("zone-0")) + s.countRows(sesamework.RunTable("zone-1")); rows > maxRunRows {
+		s.t.Errorf("the store holds %d rows of runs, expected at most %d", rows, maxRunRows)
+	}
+}
+
+// countRows returns how many rows a table of the store has.
+func (s *soak) countRows(table string) int {
+	parts, err := s.rows.Parts(s.t.Context(), table)
+	is.New(s.t).NoErr(err)
+	page, err := sesamerows.ReadParts(s.t.Context(), s.rows, table, parts)
+	is.New(s.t).NoErr(err)
+	return len(page.Rows)
 }
 
 // unfinished lists the accepted jobs that an entry does not report as
--- a/sesamesoak/world_test.go
+++ b/sesamesoak/world_test.go
@@ -94,8 +94,10 @@
 // submission is a submitted job and what the entries answered: accepted means
 // that one took it, rejected that all refused it, so that it must not run.
 type submission struct {
-	path     string
-	step     sesamework.Step
+	path string
+	step sesamework.Step
+	// duration is how long each task takes.
+	duration time.Duration
 	rejected bool
 	accepted bool
 }
@@ -315,7 +317,7 @@
 	}
 	return sesamestandin.FleetTask{
 		Step:          h.step,
-		Duration:      taskDuration,
+		Duration:      h.duration,
 		Specification: specText,
 	}, true
 }
