Count the steps of jobs against the bound on units by what they take

Callers would see: entries that turn jobs away for want of units while the planner has three times the memory that it needs. Each step counted as a unit, in the job and in its occurrence, though both take some 300 B, not 1 KiB.

Change: three steps count as one unit, in the planner and for a new job.

--- a/sesamedispatch/units.go
+++ b/sesamedispatch/units.go
@@ -268,13 +268,13 @@
 	return int(unitsMemoryShare * float64(memory<<20) / unitBytes)
 }
 
-// Units returns how many units the view holds in memory. A job counts as one, and so
-// does each of its steps, in the job and in each occurrence that is held: these take
-// about as much. Units that wait and are not created take none.
+// Units returns how many units the view holds in memory, with jobs and their steps
+// counted as sesamework.UnitsOfSteps does. Units that wait and are not created take
+// none.
 func (v *View) Units() int {
 	n := len(v.units)
 	for _, j := range v.jobs {
-		n += 1 + len(j.Steps)*(1+len(j.occurrences))
+		n += sesamework.UnitsOfSteps(len(j.Steps), len(j.occurrences))
 	}
 	return n
 }
--- a/sesamework/tasks.go
+++ b/sesamework/tasks.go
@@ -6,11 +6,22 @@
 // memory. Further ones that are due wait behind them.
 const MaxWaitingOccurrences = 64
 
+// stepsPerUnit is how many steps of a job, or of an open occurrence of it, take as much
+// of a planner's memory as a unit.
+const stepsPerUnit = 3
+
+// UnitsOfSteps returns how many units take as much memory as a job with that many steps
+// and open occurrences, without the units that are created of it.
+func UnitsOfSteps(steps, occurrences int) int {
+	return 1 + steps*(1+occurrences)/stepsPerUnit
+}
+
 // HeldUnits returns how many units a planner holds in memory of the job while none of
-// it has started: one for the job, for each step, and for each step and its first unit
-// in the occurrences that wait.
+// it has started: those of its steps, and the first unit of each in the occurrences that
+// wait.
 func (j Job) HeldUnits() int {
-	return 1 + len(j.Steps)*(1+2*min(j.Occurrences(), MaxWaitingOccurrences))
+	waiting := min(j.Occurrences(), MaxWaitingOccurrences)
+	return UnitsOfSteps(len(j.Steps), waiting) + len(j.Steps)*waiting
 }
 
 // LongestChain returns the declared duration of the longest chain of dependent steps.
