--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -15,23 +15,27 @@
 	// platform asks for 120 s, and a late retry of its submission must still
 	// find it.
 	endedJobRetention = 5 * time.Minute
-	// maxSweepRows bounds the rows that one sweep removes, so that starts don't
-	// wait for it.
+	// maxSweepRows bounds the rows of one job that one sweep removes, so that starts
+	// don't wait for it.
 	maxSweepRows = 40
+	// sweepInterval is how often rows are swept at the least: there may always be
+	// something to decide.
+	sweepInterval = 250 * time.Millisecond
 	// goneTargetRetention is how long the row of a target is kept after it is
 	// gone.
 	goneTargetRetention = 30 * time.Second
 )
 
-// sweep removes obsolete rows, or else rows of one expired job, or the row of one
-// expired target. Errors are those of commit.
+// sweep removes obsolete rows, or else rows of expired jobs, or the row of one expired
+// target. Errors are those of commit.
 func (r *term) sweep(ctx context.Context) error {
+	r.sweptAt = r.o.Clock.Steady()
 	if r.view.hasObsolete() {
 		_, err := r.removeObsolete(ctx)
 		return err
 	}
-	if j := r.view.expiredJob(); j != nil {
-		return r.sweepJob(ctx, j)
+	if jobs := r.view.expiredJobs(); len(jobs) > 0 {
+		return r.sweepJobs(ctx, jobs)
 	}
 	if t := r.view.expiredTarget(); t != nil {
 		return r.sweepTarget(ctx, t)
@@ -39,16 +43,20 @@
 	return nil
 }
 
-// expiredJob returns a job that ended longer than endedJobRetention ago and has
-// no active run, or nil.
-func (v *View) expiredJob() *job {
+// expiredJobs returns jobs that ended longer than endedJobRetention ago and have no
+// active run, at most as many as one transaction can remove.
+func (v *View) expiredJobs() []*job {
+	var expired []*job
 	for _, j := range v.jobs {
+		if len(expired) == maxChangeEntries/finalJobRows {
+			break
+		}
 		if j.published.Ended() && v.now.Steady-j.endedAt > endedJobRetention &&
 			!j.rejections.isInForce(v.now.Steady) && !j.isActive() {
-			return j
+			expired = append(expired, j)
 		}
 	}
-	return nil
+	return expired
 }
 
 // isActive reports whether a task of the job may still use its target: its
@@ -123,9 +131,19 @@
 	)
 }
 
-// sweepJob removes up to maxSweepRows rows of the job; later sweeps remove the
-// others.
-func (r *term) sweepJob(ctx context.Context, j *job) error {
+// sweepJobs removes rows of the jobs in one transaction; later sweeps remove those that
+// don't fit into it.
+func (r *term) sweepJobs(ctx context.Context, jobs []*job) error {
+	batch := &changeBatch{}
+	for _, j := range jobs {
+		batch.add(r.sweepChange(j))
+	}
+	_, err := r.commitParts(ctx, batch.transactions[0]...)
+	return err
+}
+
+// sweepChange returns the removal of up to maxSweepRows rows of the job.
+func (r *term) sweepChange(j *job) change {
 	keys := r.view.rowKeys(j)
 	last := len(keys) <= maxSweepRows
 	if !last {
@@ -134,7 +152,7 @@
 	changed := sesamerows.Change{
 		Removes: keys,
 	}
-	_, err := r.commitParts(ctx, change{
+	return change{
 		Change: changed,
 		onCommit: []func(){func() {
 			r.view.dropRows(j, keys, last)
@@ -148,8 +166,7 @@
 			j.rejections.add(r.o.Clock.Steady())
 			r.logRejected("sweep", j.ID, changed, err)
 		}},
-	})
-	return err
+	}
 }
 
 // dropRows removes from the view what the removed rows with these keys held. If
--- a/sesamedispatch/sweptjob_test.go
+++ b/sesamedispatch/sweptjob_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -88,3 +90,27 @@
 	f.is.Equal(f.term.view.jobs["job"].published, sesamework.JobCompleted)
 	f.is.True(!f.term.view.jobs["job"].isActive())
 }
+
+// TestSweepWhileBusy guards against jobs that stay in the store and in each planner's
+// memory for as long as there is something to decide, which may be always.
+func TestSweepWhileBusy(t *testing.T) {
+	const ended = 100
+	target := newTarget("a")
+	f := newTermFixture(t, targetRow(target, 0))
+	for i := range ended {
+		f.write(wideJob(f.is, fmt.Sprint("old-", i), 1, target)...)
+	}
+	f.write(jobWithSteps("wide", 10_000))
+	f.replacePlanner(f.memory)
+	r := newRunner(f)
+	f.clock.Advance(endedJobRetention)
+	for range 100 {
+		f.clock.Advance(100 * time.Millisecond)
+		f.write(targetRow(target, 0))
+		f.decide(1)
+		r.end(isDone)
+		f.followOnce()
+	}
+	f.is.Equal(len(r.starts), 99*64) // the first decision has no report to go by, each other one starts some
+	f.is.Equal(len(f.term.view.jobs), 1)
+}
--- a/sesamedispatch/term.go
+++ b/sesamedispatch/term.go
@@ -46,6 +46,8 @@
 	// planner starts nothing since it doesn't know the evacuated zones.
 	markers            *markers
 	evacuationsUnknown bool
+	// sweptAt is when rows were last swept, on the steady clock.
+	sweptAt time.Duration
 	// summary is that for the entries.
 	summary summaryState
 	// unitsReportedAt is when reportUnits last updated the metrics, on the steady
