Compaction: look for earlier ends once a decision, sort obsolete rows once

After a gang of 65,536 tasks, each of some 720 removals sorted all rows that were left; and each transaction of a compaction went through the ends of all units again, of those in their first run too, which have no earlier ends. By reading and division, not measured.

Gauges held_ends and obsolete_rows tell how a compaction keeps up.

--- a/sesamedispatch/compact.go
+++ b/sesamedispatch/compact.go
@@ -51,6 +51,9 @@
 // transactions the present decision took. Errors are those of commit.
 func (r *term) compact(ctx context.Context, written int) error {
 	v := r.view
+	if len(v.ends) > r.o.HeldEnds {
+		v.trimEnds()
+	}
 	for range minCompactions + compactionsPerWrite*written {
 		if v.obsolete.rejections.isInForce(r.o.Clock.Steady()) {
 			return nil
@@ -58,7 +61,6 @@
 		released, removed := false, false
 		var err error
 		if len(v.ends) > r.o.HeldEnds {
-			v.trimEnds()
 			released, err = r.release(ctx)
 		}
 		if err == nil && len(v.obsolete.rows) >= maxChangeEntries {
@@ -76,7 +78,7 @@
 // another one is needed after all, so only the known version may be removed.
 func (v *View) trimEnds() {
 	for _, u := range v.units {
-		if u.done {
+		if u.done || u.run.Number <= 1 {
 			continue
 		}
 		u.endKeys = slices.DeleteFunc(u.endKeys, func(key sesamerows.Key) bool {
--- a/sesamedispatch/obsolete.go
+++ b/sesamedispatch/obsolete.go
@@ -20,6 +20,9 @@
 	// rows holds, for those that may only be removed in a certain version, that
 	// version, and 0 for the others.
 	rows map[sesamerows.Key]sesamerows.Version
+	// order holds, by part and name, what rows held when it was last sorted and is not
+	// removed yet.
+	order []sesamerows.Key
 	// since is when the first of them was added, on the steady clock.
 	since time.Duration
 	// rejections of their removal keep it from being tried.
@@ -51,33 +54,47 @@
 		(n >= maxChangeEntries || v.now.Steady-v.obsolete.since >= maxObsoleteAge)
 }
 
-// removeObsolete removes obsolete rows, as many as fit into a transaction, those of
-// one part together. It returns whether it has removed any. Errors are those of
-// commit.
-func (r *term) removeObsolete(ctx context.Context) (bool, error) {
-	v := r.view
-	keys := slices.SortedFunc(maps.Keys(v.obsolete.rows), func(a, b sesamerows.Key) int {
-		return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Name, b.Name))
-	})
+// removal returns the removal of as many rows as fit into a transaction, and what is
+// left of order after them.
+func (o *obsolete) removal() (sesamerows.Change, []sesamerows.Key) {
+	if len(o.order) == 0 {
+		o.order = slices.SortedFunc(maps.Keys(o.rows), func(a, b sesamerows.Key) int {
+			return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Name, b.Name))
+		})
+	}
 	var c sesamerows.Change
-	for _, key := range keys {
+	for i, key := range o.order {
 		if len(c.Expects)+len(c.Removes) >= maxChangeEntries-1 {
-			break
+			return c, o.order[i:]
+		}
+		version, isObsolete := o.rows[key]
+		if !isObsolete {
+			continue
 		}
 		c.Removes = append(c.Removes, key)
-		if version := v.obsolete.rows[key]; version > 0 {
+		if version > 0 {
 			c.Expects = append(c.Expects, sesamerows.Expect{
 				Key:     key,
 				Version: version,
 			})
 		}
 	}
+	return c, nil
+}
+
+// removeObsolete removes obsolete rows, as many as fit into a transaction, those of
+// one part together. It returns whether it has removed any. Errors are those of
+// commit.
+func (r *term) removeObsolete(ctx context.Context) (bool, error) {
+	v := r.view
+	c, rest := v.obsolete.removal()
 	return r.commitParts(ctx, change{
 		Change: c,
 		onCommit: []func(){func() {
 			for _, key := range c.Removes {
 				delete(v.obsolete.rows, key)
 			}
+			v.obsolete.order = rest
 			v.obsolete.since = v.now.Steady
 			r.o.Log.Emit(eventSwept, sesamelog.Fields{
 				"rows": len(c.Removes),
--- a/sesamedispatch/units.go
+++ b/sesamedispatch/units.go
@@ -291,5 +291,7 @@
 	r.unitsReportedAt = now
 	r.o.Scope.Gauge("units").Update(float64(r.view.Units()))
 	r.o.Scope.Gauge("units_created").Update(float64(len(r.view.units)))
+	r.o.Scope.Gauge("held_ends").Update(float64(len(r.view.ends)))
+	r.o.Scope.Gauge("obsolete_rows").Update(float64(len(r.view.obsolete.rows)))
 	r.o.Scope.Gauge("max_units").Update(float64(r.view.maxUnits))
 }
