--- a/sesamedispatch/compact.go
+++ b/sesamedispatch/compact.go
@@ -187,9 +187,9 @@
 // job that has ended nothing is recorded, since its state says that nothing of it runs.
 func (r *term) releaseChange(f finished) (change, error) {
 	var c sesamerows.Change
-	set := f.set()
+	record := f.record()
 	if !f.job.published.Ended() {
-		value, err := json.Marshal(set)
+		value, err := json.Marshal(record)
 		if err != nil {
 			return change{}, err
 		}
@@ -203,7 +203,7 @@
 	return change{
 		Change: c,
 		onCommit: []func(){func() {
-			r.view.dropFinished(f, set, keys[len(c.Removes):])
+			r.view.dropFinished(f, record, keys[len(c.Removes):])
 			r.o.Scope.Counter("released_units").Inc(int64(len(f.units)))
 			r.o.Log.Emit(eventReleased, sesamelog.Fields{
 				"job":        f.job.ID,
@@ -211,7 +211,7 @@
 				"step":       f.steps[0].index,
 				"whole":      f.whole,
 				"units":      len(f.units),
-				"done":       set.Len(),
+				"done":       record.Len(),
 			})
 		}},
 		onReject: []func(error){func(err error) {
@@ -229,8 +229,8 @@
 	return f.steps[0].doneKey()
 }
 
-// set returns what that row is to hold.
-func (f finished) set() sesamework.IndexSet {
+// record returns what that row is to hold: what was released before, and the units.
+func (f finished) record() sesamework.IndexSet {
 	var indexes []int
 	if f.whole {
 		for _, s := range f.steps {
@@ -262,9 +262,9 @@
 	return keys
 }
 
-// dropFinished drops the units from the view. set is the record of them, and runs are
-// the rows of their runs that are still in the store, as all their ends are.
-func (v *View) dropFinished(f finished, set sesamework.IndexSet, runs []sesamerows.Key) {
+// dropFinished drops the units from the view. record is what was written of them, and
+// runs are the rows of their runs that are still in the store, as all their ends are.
+func (v *View) dropFinished(f finished, record sesamework.IndexSet, runs []sesamerows.Key) {
 	for _, key := range runs {
 		v.addObsolete(key, 0)
 	}
@@ -278,8 +278,8 @@
 		delete(v.units, u.id)
 	}
 	if f.whole {
-		f.job.setDoneOccurrences(set)
+		f.job.setDoneOccurrences(record)
 	} else {
-		v.setReleased(f.steps[0], set)
+		v.setReleased(f.steps[0], record)
 	}
 }
--- a/sesamedispatch/compact_test.go
+++ b/sesamedispatch/compact_test.go
@@ -264,7 +264,7 @@
 	for wall, due := range []int{0, 0, 0, 1, 2, 2, 2, 3, 4} {
 		t.Run(fmt.Sprint(wall, " s"), func(t *testing.T) {
 			f := newTermFixture(t)
-			f.is.Equal(j.mayOpen(int64(wall)*1000), due)
+			f.is.Equal(j.dueToOpen(int64(wall)*1000), due)
 		})
 	}
 }
@@ -284,9 +284,9 @@
 		doneOccurrences: sesamework.IndexSet{}.With(after...),
 		opened:          len(after) + 1,
 	}
-	f.is.Equal(j.mayOpen(0), 1)
+	f.is.Equal(j.dueToOpen(0), 1)
 	j.opened++
-	f.is.Equal(j.mayOpen(0), 0)
+	f.is.Equal(j.dueToOpen(0), 0)
 }
 
 // TestRowsOfUnreadableJobStay guards against the removal of what belongs to a job whose
--- a/sesamedispatch/decide.go
+++ b/sesamedispatch/decide.go
@@ -93,7 +93,7 @@
 		if !j.Recurs() || j.isOver() {
 			continue
 		}
-		for range j.mayOpen(v.now.Wall) {
+		for range j.dueToOpen(v.now.Wall) {
 			v.openNext(j)
 		}
 	}
--- a/sesamedispatch/limits_test.go
+++ b/sesamedispatch/limits_test.go
@@ -125,6 +125,6 @@
 // releaseAllDone releases the units that are done.
 func (v *View) releaseAllDone() {
 	for _, f := range v.finishedUnits(len(v.units)) {
-		v.dropFinished(f, f.set(), nil)
+		v.dropFinished(f, f.record(), nil)
 	}
 }
--- a/sesamedispatch/obsolete.go
+++ b/sesamedispatch/obsolete.go
@@ -46,9 +46,9 @@
 	}
 }
 
-// hasObsolete reports whether obsolete rows are to be removed when there is nothing
+// shouldRemoveObsolete reports whether obsolete rows are to be removed when there is nothing
 // else to do.
-func (v *View) hasObsolete() bool {
+func (v *View) shouldRemoveObsolete() bool {
 	n := len(v.obsolete.rows)
 	return n > 0 && !v.obsolete.rejections.isInForce(v.now.Steady) &&
 		(n >= maxChangeEntries || v.now.Steady-v.obsolete.since >= maxObsoleteAge)
--- a/sesamedispatch/occurrences.go
+++ b/sesamedispatch/occurrences.go
@@ -87,10 +87,10 @@
 	j.opened = number + 1
 }
 
-// mayOpen returns how many occurrences are due and not opened yet, without those that
+// dueToOpen returns how many occurrences are due and to be opened now, without those that
 // have to wait: for others that are open and wait, and until the record of those that
 // are done fits into a row. wall is the time of day in Unix milliseconds.
-func (j *job) mayOpen(wall int64) int {
+func (j *job) dueToOpen(wall int64) int {
 	end := min(j.Recurrences, j.doneOccurrences.NextAbsent(0)+sesamework.MaxIndexSpan)
 	due := 0
 	for next := j.nextOccurrence(); due < sesamework.MaxWaitingOccurrences && next < end && j.Due(next) <= wall; due++ {
--- a/sesamedispatch/sweep.go
+++ b/sesamedispatch/sweep.go
@@ -30,7 +30,7 @@
 // target. Errors are those of commit.
 func (r *term) sweep(ctx context.Context) error {
 	r.sweptAt = r.o.Clock.Steady()
-	if r.view.hasObsolete() {
+	if r.view.shouldRemoveObsolete() {
 		_, err := r.removeObsolete(ctx)
 		return err
 	}
--- a/sesamedispatch/units_test.go
+++ b/sesamedispatch/units_test.go
@@ -294,7 +294,7 @@
 func (v *View) releaseAll() {
 	for len(v.units) > 0 {
 		for _, f := range v.finishedUnits(maxChangeEntries) {
-			v.dropFinished(f, f.set(), nil)
+			v.dropFinished(f, f.record(), nil)
 		}
 	}
 	clear(v.obsolete.rows)
