Count the fields of heads against the bytes in flight

What callers saw: an entry is killed while many of them send heads within max-header-bytes that consist of very many short fields.

Cause: a field costs 110 bytes once parsed and up to 210 while the map grows, whatever its length (http.ReadRequest, 64 to 9,000 fields). The guard charged 2 bytes a byte, and nothing for the first 4 KiB, where 800 fields fit.

Change: the guard counts lines as they arrive and takes 256 bytes for each beyond 64, and after the head has been parsed what it could not count (names of trailers, heads that came in one segment with the request before). What follows a head is handed to net/http 64 lines at a time, because net/http parses the next head from its buffer without a read.

--- a/sesameguard/body.go
+++ b/sesameguard/body.go
@@ -52,8 +52,11 @@
 	if err := b.read(ctx, c, http.MaxBytesReader(w, r.Body, limit), r.ContentLength); err != nil {
 		return nil, bodyFailure(c, err, b.size)
 	}
-	if c != nil && !c.beginHandling() {
-		return nil, c.guard.noRoom(eventNoRoom)
+	if c != nil {
+		c.dropTrailers()
+		if !c.beginHandling() {
+			return nil, c.guard.noRoom(eventNoRoom)
+		}
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, &BodyError{
--- a/sesameguard/conn.go
+++ b/sesameguard/conn.go
@@ -4,26 +4,15 @@
 	"bytes"
 	"container/list"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 )
 
 const (
-	// freeBytes is what the head of a request, and again its body, may take
-	// before more is taken from the guard's bytes. Most requests stay below it,
-	// so that long ones never keep them out. It is a part of connectionBytes.
-	freeBytes = 4 << 10
-	// headCost is the memory for each further byte of a head: its lines are
-	// gathered and then copied into strings.
-	headCost = 2
-	// headSlack is how much more than the limit is read of a head. What a request
-	// with an allowed head may send beyond it is spaces between fields, and its
-	// body, of which net/http reads up to 4 KiB with the head.
-	headSlack = 8 << 10
 	// sendBuffer is the size of the kernel's buffer for answers, in bytes.
 	// Answers are short.
 	sendBuffer = 16 << 10
@@ -52,12 +41,21 @@
 	// interrupted says that it was closed, or that its room was given to another
 	// caller. Nothing more is read.
 	interrupted bool
-	// inHead says that the head of a request is being read or waited for, and
-	// headBytes how much of it has come.
-	inHead    bool
-	headBytes int
+	// inHead says that the head of a request is being read or waited for, and head
+	// what has come of it.
+	inHead bool
+	head   headScan
+	// heldFields is the part of held that the fields of the head take.
+	heldFields int64
 	// bodyRead says that the request was read to its end.
 	bodyRead bool
+
+	// rest is what has come and is not handed on yet. Only the goroutine that reads
+	// uses it.
+	rest []byte
+	// request is the one that is being handled, as net/http holds it. Only its
+	// handler uses it.
+	request *http.Request
 }
 
 // newConn returns a connection whose caller has sent nothing yet.
@@ -103,7 +101,7 @@
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.inHead = true
-	c.headBytes = 0
+	c.head = headScan{}
 	c.bodyRead = false
 	c.setDeadlineLocked(c.guard.options.Clock.Now().Add(within))
 }
@@ -143,12 +141,16 @@
 // Read reads what the caller sends. In the head of a request it enforces the
 // bounds of heads, and then answers the caller itself.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.receive(p)
 	if n > 0 {
-		if refusal := c.count(n); refusal != nil {
+		handed, refusal := c.count(p[:n])
+		if refusal != nil {
 			return 0, c.reject(refusal)
 		}
-		return n, err
+		if handed < n {
+			c.rest = append(bytes.Clone(p[handed:n]), c.rest...)
+		}
+		return handed, err
 	}
 	c.guard.mu.Lock()
 	displaced := c.inHead && c.counted && c.interrupted
@@ -159,44 +161,108 @@
 	return n, err
 }
 
-// count notes that n bytes have come, as a part of a head if one is being read.
-// The connection moves behind all others that wait. The error is a
-// *HeadTooLargeError or a *NoRoomError.
-func (c *conn) count(n int) error {
+// receive returns what was held back, or else reads from the network.
+func (c *conn) receive(p []byte) (int, error) {
+	if len(c.rest) == 0 {
+		return c.Conn.Read(p)
+	}
+	if c.isInterrupted() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n := copy(p, c.rest)
+	if c.rest = c.rest[n:]; len(c.rest) == 0 {
+		c.rest = nil
+	}
+	return n, nil
+}
+
+// count notes that p has come, as a part of a head if one is being read, and
+// returns how much of it can be handed on. The connection moves behind all others
+// that wait. The error is a *HeadTooLargeError or a *NoRoomError.
+func (c *conn) count(p []byte) (int, error) {
 	limits := c.guard.limits()
 	now := c.guard.options.Clock.Now()
 	c.guard.mu.Lock()
-	c.progress = now
-	if c.waits != nil {
-		c.guard.waiting.MoveToBack(c.waits)
-	}
-	if c.holds != nil {
-		c.guard.holding.MoveToBack(c.holds)
-	}
+	c.moveBackLocked(now)
 	if !c.inHead {
 		c.guard.mu.Unlock()
-		return nil
+		if len(p) > readAhead {
+			return len(p), nil
+		}
+		return limitLines(p), nil
 	}
-	before := c.headBytes
-	c.headBytes += n
-	size := c.headBytes
-	if before == 0 {
+	if c.head.bytes == 0 {
 		c.setDeadlineLocked(now.Add(limits.HeadTimeout))
 	}
+	lengthBefore, fieldsBefore := c.head.cost()
+	handed := c.head.add(p)
+	length, fields := c.head.cost()
+	size := c.head.bytes
 	c.guard.mu.Unlock()
 	if size > limits.HeadBytes+headSlack {
 		c.guard.record(eventHead)
-		return &HeadTooLargeError{
+		return 0, &HeadTooLargeError{
 			Size:  size,
 			Limit: limits.HeadBytes,
 		}
 	}
-	if more := size - max(before, freeBytes); more > 0 {
-		return c.guard.take(context.Background(), c, int64(more)*headCost)
+	if more := length - lengthBefore; more > 0 {
+		if err := c.guard.take(context.Background(), c, more); err != nil {
+			return 0, err
+		}
+	}
+	return handed, c.takeFields(context.Background(), fields-fieldsBefore)
+}
+
+// moveBackLocked notes that bytes have come now. The guard's mutex is held.
+func (c *conn) moveBackLocked(now time.Time) {
+	c.progress = now
+	if c.waits != nil {
+		c.guard.waiting.MoveToBack(c.waits)
+	}
+	if c.holds != nil {
+		c.guard.holding.MoveToBack(c.holds)
+	}
+}
+
+// takeFields takes n bytes, if that is more than 0, for fields of a head. The error
+// is a *NoRoomError.
+func (c *conn) takeFields(ctx context.Context, n int64) error {
+	if n <= 0 {
+		return nil
+	}
+	if err := c.guard.take(ctx, c, n); err != nil {
+		return err
 	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.heldFields += n
 	return nil
 }
 
+// beginRequest says that the head of a request has been parsed. It takes what its
+// fields need beyond what was counted: net/http may have had the head in its
+// buffer, and the names of trailers are one line. The error is a *NoRoomError.
+func (c *conn) beginRequest(r *http.Request) error {
+	c.request = r
+	c.guard.mu.Lock()
+	held := c.heldFields
+	c.guard.mu.Unlock()
+	return c.takeFields(r.Context(), fieldsCost(countFields(r))-held)
+}
+
+// dropFields leaves net/http's request only these fields, and returns what all of
+// them took.
+func (c *conn) dropFields(kept http.Header) {
+	if c.request != nil {
+		c.request.Header, c.request.Trailer = kept, nil
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.releaseLocked(c, c.heldFields)
+	c.heldFields = 0
+}
+
 // reject answers a caller whose head is not read further, reads the rest for a
 // short time and returns the error for net/http, which takes it as a failed
 // connection and answers nothing itself.
@@ -217,21 +283,16 @@
 // refuse writes the answer with the status of the error. It does not wait for a
 // caller that does not take it.
 func (c *conn) refuse(refusal error) {
-	body, err := json.Marshal(map[string]string{
-		"error": refusal.Error(),
-	})
-	if err != nil {
-		return
-	}
 	status := Status(refusal)
+	contentType, body := jsonRefusal(refusal)
 	var answer bytes.Buffer
-	fmt.Fprintf(&answer, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: %d\r\n",
-		status, http.StatusText(status), len(body))
+	fmt.Fprintf(&answer, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: %s\r\nContent-Length: %d\r\n",
+		status, http.StatusText(status), contentType, len(body))
 	if status == http.StatusServiceUnavailable {
 		fmt.Fprintf(&answer, "Retry-After: %d\r\n", retryAfter/time.Second)
 	}
 	fmt.Fprintf(&answer, "\r\n%s", body)
-	if c.SetWriteDeadline(c.guard.options.Clock.Now().Add(drainTime)) != nil {
+	if c.Conn.SetWriteDeadline(c.guard.options.Clock.Now().Add(drainTime)) != nil {
 		return
 	}
 	if _, err := c.Conn.Write(answer.Bytes()); err != nil {
@@ -284,6 +345,27 @@
 	}
 }
 
+// dropTrailers drops the fields that came after the body, of which there may be
+// many.
+func (c *conn) dropTrailers() {
+	if c.request != nil {
+		c.request.Trailer = nil
+	}
+}
+
+// listLocked adds the connection to the lists of those that wait. The guard's
+// mutex is held.
+func (c *conn) listLocked() {
+	if !c.counted || c.waits != nil {
+		return
+	}
+	c.waits = c.guard.waiting.PushBack(c)
+	if c.held > 0 {
+		c.holds = c.guard.holding.PushBack(c)
+	}
+	c.guard.signalLocked()
+}
+
 // interruptLocked ends the reading of the connection. What it holds is released
 // by the goroutine that reads. The guard's mutex is held.
 func (c *conn) interruptLocked() {
@@ -321,14 +403,12 @@
 // not read is read by net/http, for drainTime.
 func (c *conn) endHandling() {
 	c.guard.release(c)
+	c.request = nil
 	now := c.guard.options.Clock.Now()
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.progress = now
-	if c.counted && c.waits == nil {
-		c.waits = c.guard.waiting.PushBack(c)
-		c.guard.signalLocked()
-	}
+	c.listLocked()
 	if !c.bodyRead {
 		c.setDeadlineLocked(now.Add(drainTime))
 	}
--- a/sesameguard/guard.go
+++ b/sesameguard/guard.go
@@ -3,7 +3,9 @@
 import (
 	"container/list"
 	"context"
+	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -133,6 +135,15 @@
 	}
 }
 
+// jsonRefusal returns a JSON object with the text of the error.
+func jsonRefusal(refusal error) (contentType string, body []byte) {
+	// A map of strings can always be encoded.
+	body, _ = json.Marshal(map[string]string{
+		"error": refusal.Error(),
+	})
+	return "application/json", body
+}
+
 // limits returns the limits in force, with defaults for those that are not set.
 func (g *Guard) limits() Limits {
 	var l Limits
@@ -204,6 +215,11 @@
 // take adds n bytes to what the connection holds. Where there is no room, it is
 // taken from callers that have stalled. The error is a *NoRoomError.
 func (g *Guard) take(ctx context.Context, c *conn, n int64) error {
+	// Nothing can take more than there is.
+	n = min(n, g.options.Bytes)
+	if n <= 0 {
+		return nil
+	}
 	if !g.bytes.TryAcquire(n) {
 		if g.isOnlyHolder(c) {
 			return nil
@@ -270,14 +286,25 @@
 func (g *Guard) release(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.held == 0 {
+	g.releaseLocked(c, c.held)
+}
+
+// releaseLocked returns n of the bytes that the connection holds. The mutex is
+// held.
+func (g *Guard) releaseLocked(c *conn, n int64) {
+	n = min(n, c.held)
+	if n == 0 {
 		return
 	}
-	g.bytes.Release(c.held)
-	g.holders--
-	g.held -= c.held
-	c.held = 0
+	g.bytes.Release(n)
+	g.held -= n
+	c.held -= n
+	c.heldFields = min(c.heldFields, c.held)
 	g.scope.Gauge("guard_bytes").Update(float64(g.held))
+	if c.held > 0 {
+		return
+	}
+	g.holders--
 	if c.holds != nil {
 		g.holding.Remove(c.holds)
 		c.holds = nil
@@ -308,6 +335,10 @@
 			return
 		}
 		defer c.endHandling()
+		if err := c.beginRequest(r); err != nil {
+			g.writeRefusal(w, err)
+			return
+		}
 		if r.Body == http.NoBody && !c.beginHandling() {
 			// The connection is closed without an answer.
 			panic(http.ErrAbortHandler)
@@ -321,6 +352,19 @@
 	})
 }
 
+// writeRefusal answers a request that is not handled with the status of the error.
+func (g *Guard) writeRefusal(w http.ResponseWriter, refusal error) {
+	contentType, body := jsonRefusal(refusal)
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
+	w.WriteHeader(Status(refusal))
+	if _, err := w.Write(body); err != nil {
+		// The caller has disconnected.
+		return
+	}
+}
+
 // isFull reports whether all connections are in use.
 func (g *Guard) isFull() bool {
 	g.mu.Lock()
--- a/sesameguard/guard_test.go
+++ b/sesameguard/guard_test.go
@@ -128,6 +128,23 @@
 	return response
 }
 
+// statuses returns the statuses of the next answers.
+func (c caller) statuses(answers int) []int {
+	reader := bufio.NewReader(c.Conn)
+	var all []int
+	for range answers {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			c.t.Error(err)
+			break
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		all = append(all, response.StatusCode)
+	}
+	return all
+}
+
 // assertStatus fails the test unless the next answer has the status; 0 stands for
 // a connection that is closed without an answer.
 func (c caller) assertStatus(status int) {
