Free what a refused head took only once net/http has dropped it

What callers saw: a hosted process exceeds its memory while many of them send heads of short fields without an end to an address that the configuration's limit does not apply to (relay, reports, readiness, metrics: 64 KiB).

Cause: a head is refused inside the read of net/http, whose stack still holds the fields parsed so far. The guard released the bytes there and then read the rest of the request for up to 500 ms. Meanwhile others took the same bytes. In the same way, the fields of a request that was answered stayed until the rest of its body had come.

Change: refusing writes the answer and returns; the rest is read when net/http closes the connection, after its stack is gone and the bytes are released. When a handler returns, the fields of its request are dropped.

--- a/sesameguard/conn.go
+++ b/sesameguard/conn.go
@@ -49,6 +49,8 @@
 	heldFields int64
 	// bodyRead says that the request was read to its end.
 	bodyRead bool
+	// rejected says that the request was answered before it was read to its end.
+	rejected bool
 
 	// rest is what has come and is not handed on yet. Only the goroutine that reads
 	// uses it.
@@ -263,16 +265,14 @@
 	c.heldFields = 0
 }
 
-// reject answers a caller whose head is not read further, reads the rest for a
-// short time and returns the error for net/http, which takes it as a failed
-// connection and answers nothing itself.
+// reject answers a caller whose head is not read further, and returns the error for
+// net/http, which takes it as a failed connection, answers nothing itself, and
+// closes the connection. Only then is what it has parsed of the head free.
 func (c *conn) reject(refusal error) error {
-	c.guard.release(c)
 	c.refuse(refusal)
-	if c.CloseWrite() == nil && c.Conn.SetReadDeadline(c.guard.options.Clock.Now().Add(drainTime)) == nil {
-		// The error is the caller's end or the deadline.
-		_, _ = io.CopyN(io.Discard, c.Conn, drainBytes)
-	}
+	c.guard.mu.Lock()
+	c.rejected = true
+	c.guard.mu.Unlock()
 	return &net.OpError{
 		Op:  "read",
 		Net: "tcp",
@@ -309,9 +309,19 @@
 	return c.Conn.Write(p)
 }
 
-// Close closes the connection and frees what it takes.
+// Close closes the connection and frees what it takes. If the rest of its request
+// was not read, it first reads that for a short time, so that the caller gets the
+// answer.
 func (c *conn) Close() error {
 	c.guard.release(c)
+	c.guard.mu.Lock()
+	drain := c.rejected
+	c.rejected = false
+	c.guard.mu.Unlock()
+	if drain && c.CloseWrite() == nil && c.Conn.SetReadDeadline(c.guard.options.Clock.Now().Add(drainTime)) == nil {
+		// The error is the caller's end or the deadline.
+		_, _ = io.CopyN(io.Discard, c.Conn, drainBytes)
+	}
 	err := c.Conn.Close()
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
@@ -403,7 +413,11 @@
 // not read is read by net/http, for drainTime.
 func (c *conn) endHandling() {
 	c.guard.release(c)
-	c.request = nil
+	if c.request != nil {
+		// net/http holds it until what is left of its body has been read.
+		c.request.Header, c.request.Trailer = nil, nil
+		c.request = nil
+	}
 	now := c.guard.options.Clock.Now()
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
