Bound what callers take of entries and agents of an own deployment

What callers saw: 400 clients of `http` that send heads of short fields, without a token, take an entry to 67 to 163 MB and an agent to 152 to 509 MB; 800 that send nothing take all of its 512 descriptors, so that nothing else can be opened.

Cause: the public server and that of the agent were plain servers of net/http, without a bound on connections, on heads in flight, or on descriptors that callers may take.

Change: both have a guard, as the servers of hosted processes do. What it may give follows from two new settings, memory (default: that of the VM, 128 MiB for an agent) and descriptors (default: the limit of open files): half of the descriptors, and a quarter of the memory in connections of 64 KiB; an eighth of the memory for heads and bodies. Long polls take half of the connections at the most. Bodies are read by the guard. A handler may allow an answer more time than 5 s, which results need.

--- a/sesameagent/agent.go
+++ b/sesameagent/agent.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamestack/sesamestack/sesamegang"
+	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamering"
 	"github.com/sesamestack/sesamestack/sesamesettings"
@@ -70,6 +71,9 @@
 	Scope tally.Scope
 	// Metrics serves /metrics; without it, the path is not served.
 	Metrics http.Handler
+	// Shares is what other processes may take of this one; the zero value means what
+	// a process with the usual limits can give.
+	Shares sesameguard.OwnShares
 }
 
 // Agent is the process beside one target. It holds the target's lease from the
@@ -107,6 +111,9 @@
 
 // New returns an agent that does nothing before Run is called.
 func New(settings sesamesettings.Agent, deps Deps) *Agent {
+	if deps.Shares == (sesameguard.OwnShares{}) {
+		deps.Shares = sesameguard.DeriveOwn(defaultMemoryMiB, defaultDescriptors)
+	}
 	a := &Agent{
 		settings:    settings,
 		deps:        deps,
--- a/sesameagent/http.go
+++ b/sesameagent/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -10,6 +9,8 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestack/sesamestack/sesameguard"
 )
 
 // The histograms, each tagged with the team.
@@ -24,8 +25,13 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a request's headers.
-	headerTimeout = 5 * time.Second
+	// maxConnections is the most connections to the HTTP server, which a balancer and
+	// a collector of metrics use.
+	maxConnections = 64
+	// defaultMemoryMiB and defaultDescriptors are what a process is taken to have if
+	// nothing says what it may take.
+	defaultMemoryMiB   = 128
+	defaultDescriptors = 1024
 	// The bounds of the histograms' buckets begin at minBucket; each is
 	// bucketFactor times the one before it.
 	minBucket    = time.Millisecond
@@ -79,15 +85,19 @@
 	if a.settings.HTTP == "" {
 		return nil
 	}
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", a.settings.HTTP)
+	guard := sesameguard.New(sesameguard.Options{
+		Name:        "http",
+		Connections: min(maxConnections, a.deps.Shares.Callers),
+		Bytes:       a.deps.Shares.CallerBytes,
+		Clock:       a.deps.Clock,
+		Log:         a.deps.Log,
+		Scope:       a.deps.Scope,
+	})
+	listener, err := guard.Listen(ctx, a.settings.HTTP)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           a.handler(),
-		ReadHeaderTimeout: headerTimeout,
-	}
+	server := guard.NewServer(a.handler())
 	var group errgroup.Group
 	group.Go(func() error {
 		<-ctx.Done()
--- a/sesameapi/auth.go
+++ b/sesameapi/auth.go
@@ -15,7 +15,7 @@
 // request's Authorization header. It fails with Unauthenticated if the header has
 // no Bearer token or one that is too long.
 func tokenDigest(r *http.Request) (string, error) {
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	token, ok := strings.CutPrefix(r.Header.Get(authorizationHeader), "Bearer ")
 	if !ok || token == "" || len(token) > maxTokenLength {
 		return "", newProblem(Unauthenticated, "")
 	}
--- a/sesameapi/doc.go
+++ b/sesameapi/doc.go
@@ -30,7 +30,7 @@
 //		Contracts: watch,
 //		Operators: settings.Operators,
 //	}, backend)
-//	server := sesameapi.NewServer(settings.HTTP, handler)
+//	server := guard.NewServer(handler) // a sesameguard.Guard with ServerLimits and Refusal
 //
 //	client := sesameapi.NewClient(sesameapi.ClientOptions{
 //		Addresses: []string{"http://10.0.0.1:8080", "http://10.0.0.2:8080"},
--- a/sesameapi/handler.go
+++ b/sesameapi/handler.go
@@ -9,6 +9,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesamelog"
 )
 
@@ -125,6 +126,7 @@
 // callers connect to another entry.
 func (h *Handler) handlerFunc(e endpoint) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		sesameguard.KeepFields(r, authorizationHeader, keyHeader)
 		if h.draining() {
 			w.Header().Set("Connection", "close")
 		}
@@ -215,4 +217,7 @@
 	return nil
 }
 
-const jsonContentType = "application/json"
+const (
+	jsonContentType    = "application/json"
+	problemContentType = "application/problem+json"
+)
--- a/sesameapi/operators.go
+++ b/sesameapi/operators.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return value, err
 	}
-	value, err = decode[T](body)
+	value, err = decodeBody[T](r.Context(), body)
 	if err != nil {
 		return value, err
 	}
--- a/sesameapi/options.go
+++ b/sesameapi/options.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/sesamestack/sesamestack/sesamecontract"
+	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamemodel"
 	"github.com/sesamestack/sesamestack/sesamestore"
@@ -104,20 +105,16 @@
 	Timeout time.Duration
 }
 
-// The defaults of Options, and the timeouts and bounds of NewServer.
+// The defaults of Options, and the bounds of ServerLimits.
 const (
 	defaultMaxBody     = 64 << 10 // bytes
 	defaultMaxRequests = 256
-	defaultMaxWaiters  = 4096
+	DefaultMaxWaiters  = 4096
 	defaultMaxWait     = time.Minute
 	defaultTimeout     = 10 * time.Second
 
-	headerTimeout = 5 * time.Second
-	readTimeout   = 15 * time.Second
-	idleTimeout   = 75 * time.Second
-	// writeTimeout is longer than the longest long poll, so that its response
-	// can still be written.
-	writeTimeout   = defaultMaxWait + 30*time.Second
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 75 * time.Second
 	maxHeaderBytes = 16 << 10
 )
 
@@ -139,7 +136,7 @@
 		o.MaxRequests = defaultMaxRequests
 	}
 	if o.MaxWaiters == 0 {
-		o.MaxWaiters = defaultMaxWaiters
+		o.MaxWaiters = DefaultMaxWaiters
 	}
 	if o.MaxWait == 0 {
 		o.MaxWait = defaultMaxWait
@@ -150,17 +147,12 @@
 	return o
 }
 
-// NewServer returns a server for the handler that bounds the size of headers and
-// the time that a caller may take to send a request. The handler itself bounds
-// bodies, requests in progress and processing time.
-func NewServer(address string, h http.Handler) *http.Server {
-	return &http.Server{
-		Addr:              address,
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+// ServerLimits returns the limits of connections for the guard of the handler's
+// server. The handler itself bounds bodies, requests in progress and their time.
+func ServerLimits() sesameguard.Limits {
+	return sesameguard.Limits{
+		HeadBytes:   maxHeaderBytes,
+		HeadTimeout: headerTimeout,
+		IdleTimeout: idleTimeout,
 	}
 }
--- a/sesameapi/problem.go
+++ b/sesameapi/problem.go
@@ -28,6 +28,7 @@
 	MethodNotAllowed   ProblemType = problemPrefix + "method-not-allowed"
 	KeyConflict        ProblemType = problemPrefix + "key-conflict"
 	TooLarge           ProblemType = problemPrefix + "too-large"
+	HeadTooLarge       ProblemType = problemPrefix + "head-too-large"
 	NeverFits          ProblemType = problemPrefix + "never-fits"
 	RateLimited        ProblemType = problemPrefix + "rate-limited"
 	TooManyOpen        ProblemType = problemPrefix + "too-many-open"
@@ -139,6 +140,7 @@
 	MethodNotAllowed:   {status: http.StatusMethodNotAllowed, title: "The resource does not have this method"},
 	KeyConflict:        {status: http.StatusConflict, title: "The Idempotency-Key was used with another body"},
 	TooLarge:           {status: http.StatusRequestEntityTooLarge, title: "The request body is too large"},
+	HeadTooLarge:       {status: http.StatusRequestHeaderFieldsTooLarge, title: "The request headers are too large"},
 	NeverFits:          {status: http.StatusUnprocessableEntity, title: "The job can never run"},
 	RateLimited:        {status: http.StatusTooManyRequests, title: "The team submits faster than its contract allows", retryAfter: shortRetryAfter},
 	TooManyOpen:        {status: http.StatusTooManyRequests, title: "The team has as many open jobs as its contract allows", retryAfter: longRetryAfter},
@@ -217,7 +219,7 @@
 	if p.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
-	writeJSON(w, p.Status, "application/problem+json", p)
+	writeJSON(w, p.Status, problemContentType, p)
 }
 
 // writeJSON sends a response with the value as its JSON body. An error of the
--- a/sesameapi/server_test.go
+++ b/sesameapi/server_test.go
@@ -1,32 +1,56 @@
 package sesameapi
 
 import (
+	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/sesamestack/sesamestack/sesameguard"
+	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamemodel"
 )
 
-// TestServerBounds checks that the server refuses headers above its bound and
-// allows more time for a response than the longest poll takes.
+// TestServerBounds checks that a guarded server refuses headers above its bound,
+// and that the answer says that the request has created nothing.
 func TestServerBounds(t *testing.T) {
 	e := newTestEntry(t)
-	server := httptest.NewUnstartedServer(nil)
-	server.Config = NewServer("", e.handler)
-	server.Start()
-	t.Cleanup(server.Close)
-	r, err := http.NewRequestWithContext(e.testContext(), http.MethodGet, server.URL+"/v1/jobs", nil)
+	guard := sesameguard.New(sesameguard.Options{
+		Connections: 10,
+		Bytes:       1 << 20,
+		Limits:      ServerLimits,
+		Refusal:     Refusal,
+		Clock:       clockwork.NewRealClock(),
+		Log:         sesamelog.Discard(),
+		Scope:       tally.NoopScope,
+	})
+	listener, err := guard.Listen(e.testContext(), "127.0.0.1:0")
+	e.is.NoErr(err)
+	server := guard.NewServer(e.handler)
+	var group errgroup.Group
+	group.Go(func() error {
+		return server.Serve(listener)
+	})
+	t.Cleanup(func() {
+		e.is.NoErr(server.Close())
+		e.is.Equal(group.Wait(), http.ErrServerClosed)
+	})
+	r, err := http.NewRequestWithContext(e.testContext(), http.MethodGet, "http://"+listener.Addr().String()+"/v1/jobs", nil)
 	e.is.NoErr(err)
 	r.Header.Set("Authorization", "Bearer "+strings.Repeat("x", 2*maxHeaderBytes))
 	w, err := http.DefaultClient.Do(r)
 	e.is.NoErr(err)
+	var problem Problem
+	e.is.NoErr(json.NewDecoder(w.Body).Decode(&problem))
 	e.is.NoErr(w.Body.Close())
 	e.is.Equal(w.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
-	e.is.True(server.Config.ReadTimeout > 0 && server.Config.WriteTimeout > defaultMaxWait)
+	e.is.Equal(w.Header.Get("Content-Type"), "application/problem+json")
+	e.is.Equal(problem.Type, HeadTooLarge)
+	e.is.Equal(problem.Outcome, Unchanged)
 }
 
 func TestUnknownPaths(t *testing.T) {
--- a/sesameapi/submit.go
+++ b/sesameapi/submit.go
@@ -2,22 +2,25 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamemodel"
 	"github.com/sesamestack/sesamestack/sesamestore"
 	"github.com/sesamestack/sesamestack/sesametable"
 )
 
-// keyHeader is the header by which a repeated submission is recognized.
-const keyHeader = "Idempotency-Key"
+// keyHeader is the header by which a repeated submission is recognized, and
+// authorizationHeader the one with the access token.
+const (
+	keyHeader           = "Idempotency-Key"
+	authorizationHeader = "Authorization"
+)
 
 // submission is one request to create a job.
 type submission struct {
@@ -123,9 +126,8 @@
 	if err != nil {
 		return s, err
 	}
-	sum := sha256.Sum256(body)
-	s.digest = hex.EncodeToString(sum[:])
-	s.request, err = decode[JobRequest](body)
+	s.digest = hex.EncodeToString(body.Sum())
+	s.request, err = decodeBody[JobRequest](r.Context(), body)
 	if err != nil {
 		return s, err
 	}
@@ -133,18 +135,29 @@
 	return s, err
 }
 
-// readBody reads a body of at most limit bytes. It fails with TooLarge or
-// Malformed.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return body, nil
+// readBody reads a body of at most limit bytes. It fails with TooLarge, Malformed,
+// TimedOut or Overloaded.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) (*sesameguard.Body, error) {
+	body, err := sesameguard.ReadBody(r.Context(), w, r, limit)
+	if err != nil {
+		return nil, guardProblem(err)
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, newProblem(TooLarge, fmt.Sprintf("the body may have at most %d bytes", tooLarge.Limit))
+	return body, nil
+}
+
+// decodeBody decodes a body as decode does. It also fails with Overloaded, if too
+// many others are being decoded.
+func decodeBody[T any](ctx context.Context, body *sesameguard.Body) (T, error) {
+	var value T
+	err := body.DecodeWith(ctx, func(whole []byte) error {
+		var err error
+		value, err = decode[T](whole)
+		return err
+	})
+	if sesameguard.Status(err) != 0 {
+		return value, guardProblem(err)
 	}
-	return nil, newProblem(Malformed, "the body could not be read to its end").withCause(err)
+	return value, err
 }
 
 // validateSubmission returns the class that the request names in the contract, or
--- a/sesamecommand/agent.go
+++ b/sesamecommand/agent.go
@@ -62,6 +62,7 @@
 		Log:     log,
 		Scope:   scope,
 		Metrics: metrics,
+		Shares:  limitProcess(settings.MemoryMiB, settings.Descriptors),
 	})
 	err := agent.Run(c.Context())
 	return errors.CombineErrors(err, errors.CombineErrors(dialer.Close(), closer.Close()))
--- a/sesamecommand/entry.go
+++ b/sesamecommand/entry.go
@@ -53,6 +53,10 @@
 		Log:      log,
 	})
 	dialer := sesamewire.NewDialer(sesamewire.DialOptions{})
+	memory := settings.MemoryMiB
+	if memory == 0 {
+		memory = machineMemoryMiB()
+	}
 	entry, err := sesameentry.New(settings, sesameentry.Deps{
 		Table:   platform,
 		Objects: platform,
@@ -61,6 +65,7 @@
 		Log:     log,
 		Scope:   scope,
 		Metrics: metrics,
+		Shares:  limitProcess(memory, settings.Descriptors),
 	})
 	if err != nil {
 		return err
--- a/sesamecommand/hosted.go
+++ b/sesamecommand/hosted.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -15,7 +14,6 @@
 	"github.com/spf13/cobra"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"github.com/sesamestack/sesamestack/platform"
 	"github.com/sesamestack/sesamestack/sesameclock"
@@ -28,14 +26,6 @@
 const (
 	// logQueueLines is how many log lines may wait to be written.
 	logQueueLines = 4096
-	// heapLimitShare is the share of a process's memory that is set as Go's soft
-	// memory limit, near which it collects garbage more often; the rest is for
-	// stacks and sockets.
-	heapLimitShare = 0.7
-	// defaultDescriptors is how many descriptors a process is taken to have whose
-	// limit is not known, and maxDescriptors the most that it is taken to have.
-	defaultDescriptors = 1024
-	maxDescriptors     = 1 << 20
 	// metricsPath is the URL path that serves the metrics.
 	metricsPath = "/metrics"
 )
@@ -124,7 +114,7 @@
 // and writes the rest of the log.
 func newProcess(c *cobra.Command, s streams, id string, l sesamesettings.Log, memory int64) (*process, func() error) {
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(float64(memory<<20) * heapLimitShare))
+	limitMemory(memory)
 	logQueue := sesamelog.NewAsyncWriter(s.out, logQueueLines)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(c.Context()))
 	logging, endLog := context.WithCancel(context.WithoutCancel(c.Context()))
@@ -203,16 +193,6 @@
 	return newServer(h, p.guardOptions(name, connections, internalBytes, scope))
 }
 
-// openFiles returns the process's limit of descriptors (RLIMIT_NOFILE), or
-// defaultDescriptors if it has none that is known.
-func openFiles() int {
-	var limit unix.Rlimit
-	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
-		return defaultDescriptors
-	}
-	return int(min(limit.Cur, maxDescriptors))
-}
-
 // serve listens at the address and serves in the background until the server
 // is shut down or closed.
 func (p *process) serve(address string, server guardedServer) error {
--- a/sesameentry/entry.go
+++ b/sesameentry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/sesamestack/sesamestack/sesameapi"
 	"github.com/sesamestack/sesamestack/sesameattempt"
 	"github.com/sesamestack/sesamestack/sesamecontract"
+	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesamekeeper"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamemodel"
@@ -28,6 +29,10 @@
 )
 
 const (
+	// The sizes of the kernel's buffers of a caller's connection, in bytes: for
+	// requests, which are short, and for results.
+	receiveBuffer = 16 << 10
+	sendBuffer    = 128 << 10
 	// ringSize is the most hints that wait in each topic of the ring.
 	ringSize = 4096
 	// listenerCloseDelay is how long a stopping entry still accepts connections.
@@ -36,6 +41,13 @@
 	listenerCloseDelay = time.Second
 	// tickInterval is how often the planner runs without a hint of a change.
 	tickInterval = time.Second
+	// defaultMemoryMiB and defaultDescriptors are what a process is taken to have if
+	// nothing says what it may take.
+	defaultMemoryMiB   = 1024
+	defaultDescriptors = 1024
+	// maxWaiterShare is the part of callers' connections (1 divided by it) that may
+	// wait for jobs. The others remain for requests that are answered at once.
+	maxWaiterShare = 2
 	// cellScanInterval is how often an entry reads the region's cells to find
 	// those that it should keep, that is, grant leases for.
 	cellScanInterval = 5 * time.Second
@@ -54,6 +66,9 @@
 	Scope tally.Scope
 	// Metrics serves /metrics; nil leaves it out.
 	Metrics http.Handler
+	// Shares is what callers and other processes may take of this one; the zero
+	// value means what a process with the usual limits can give.
+	Shares sesameguard.OwnShares
 }
 
 // Entry is one process that serves callers, operators, agents and other
@@ -81,14 +96,18 @@
 	planning  *planning
 	forwarder *hintForwarder
 	// api serves HTTP for callers and operators, wire RPCs for agents and other
-	// entries.
-	api  *sesameapi.Handler
-	wire *sesamewire.Server
+	// entries. apiGuard bounds what callers take.
+	api      *sesameapi.Handler
+	wire     *sesamewire.Server
+	apiGuard *sesameguard.Guard
 }
 
 // New returns an entry that has not started. The only errors are those of
 // registering its RPC services.
 func New(settings sesamesettings.Entry, deps Deps) (*Entry, error) {
+	if deps.Shares == (sesameguard.OwnShares{}) {
+		deps.Shares = sesameguard.DeriveOwn(defaultMemoryMiB, defaultDescriptors)
+	}
 	e := &Entry{
 		settings: settings,
 		deps:     deps,
@@ -227,9 +246,22 @@
 		Metrics:        e.deps.Scope,
 		MetricsHandler: e.deps.Metrics,
 		MaxBody:        e.settings.MaxBodyBytes,
+		MaxWaiters:     min(sesameapi.DefaultMaxWaiters, e.deps.Shares.Callers/maxWaiterShare),
 	}, &backend{
 		entry: e,
 	})
+	e.apiGuard = sesameguard.New(sesameguard.Options{
+		Name:          "callers",
+		Connections:   e.deps.Shares.Callers,
+		Bytes:         e.deps.Shares.CallerBytes,
+		ReceiveBuffer: receiveBuffer,
+		SendBuffer:    sendBuffer,
+		Limits:        sesameapi.ServerLimits,
+		Refusal:       sesameapi.Refusal,
+		Clock:         e.deps.Clock,
+		Log:           e.deps.Log,
+		Scope:         e.deps.Scope,
+	})
 }
 
 // buildWire creates the RPC server for agents and other entries.
@@ -264,7 +296,7 @@
 	}
 	private, err := listen(ctx, e.settings.Wire)
 	if err != nil {
-		return err
+		return errors.CombineErrors(err, public.Close())
 	}
 	return e.Serve(ctx, public, private)
 }
@@ -286,13 +318,17 @@
 // and operators, private for agents and other entries. The error is that of the
 // first duty or server that failed.
 func (e *Entry) Serve(ctx context.Context, public, private net.Listener) error {
+	guarded, err := e.apiGuard.Wrap(public)
+	if err != nil {
+		return errors.CombineErrors(err, private.Close())
+	}
 	duties, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, duties := errgroup.WithContext(duties)
 	e.driver.Begin(duties, group)
-	server := sesameapi.NewServer(e.settings.HTTP, e.api)
+	server := e.apiGuard.NewServer(e.api)
 	group.Go(func() error {
-		return ignoreClosed(server.Serve(public))
+		return ignoreClosed(server.Serve(guarded))
 	})
 	group.Go(func() error {
 		return e.wire.Serve(duties, private)
@@ -314,7 +350,7 @@
 		cancel()
 		return nil
 	})
-	err := group.Wait()
+	err = group.Wait()
 	e.deps.Log.Emit(eventStopped, sesamelog.Fields{
 		"entry": e.settings.ID,
 	})
--- a/sesameguard/body.go
+++ b/sesameguard/body.go
@@ -145,9 +145,17 @@
 	return hash.Sum(nil)
 }
 
-// Decode decodes the body as JSON into v and drops the body. Only few bodies are
-// decoded at once; the error is a *NoRoomError if ctx ends while others are.
+// Decode decodes the body as JSON into v, as DecodeWith does.
 func (b *Body) Decode(ctx context.Context, v any) error {
+	return b.DecodeWith(ctx, func(whole []byte) error {
+		return json.Unmarshal(whole, v)
+	})
+}
+
+// DecodeWith passes the body to decode, whose error it returns, and drops the body.
+// Only few bodies are decoded at once; the error is a *NoRoomError if ctx ends
+// while others are.
+func (b *Body) DecodeWith(ctx context.Context, decode func([]byte) error) error {
 	if b.guard != nil {
 		if b.guard.decoders.Acquire(ctx, 1) != nil {
 			return b.guard.noRoom(eventNoRoom)
@@ -163,5 +171,5 @@
 		}
 	}
 	b.pages = nil
-	return json.Unmarshal(whole, v)
+	return decode(whole)
 }
--- a/sesameguard/conn.go
+++ b/sesameguard/conn.go
@@ -13,11 +13,8 @@
 )
 
 const (
-	// sendBuffer is the size of the kernel's buffer for answers, in bytes.
-	// Answers are short.
-	sendBuffer = 16 << 10
 	// writeTimeout closes the connection of a caller that does not take its
-	// answers.
+	// answers, unless their handler allows more time.
 	writeTimeout = 5 * time.Second
 	// drainTime is how long the rest of a refused request is read, and drainBytes
 	// how much of it, so that the caller gets the answer: closing a connection
@@ -51,6 +48,8 @@
 	bodyRead bool
 	// rejected says that the request was answered before it was read to its end.
 	rejected bool
+	// writeBy is the handler's deadline for its answer, zero for none.
+	writeBy time.Time
 
 	// rest is what has come and is not handed on yet. Only the goroutine that reads
 	// uses it.
@@ -105,6 +104,7 @@
 	c.inHead = true
 	c.head = headScan{}
 	c.bodyRead = false
+	c.writeBy = time.Time{}
 	c.setDeadlineLocked(c.guard.options.Clock.Now().Add(within))
 }
 
@@ -284,7 +284,7 @@
 // caller that does not take it.
 func (c *conn) refuse(refusal error) {
 	status := Status(refusal)
-	contentType, body := jsonRefusal(refusal)
+	contentType, body := c.guard.options.Refusal(refusal)
 	var answer bytes.Buffer
 	fmt.Fprintf(&answer, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: %s\r\nContent-Length: %d\r\n",
 		status, http.StatusText(status), contentType, len(body))
@@ -301,9 +301,24 @@
 	}
 }
 
-// Write writes an answer, for at most writeTimeout.
+// SetWriteDeadline is what handlers call to allow an answer more time than
+// writeTimeout.
+func (c *conn) SetWriteDeadline(at time.Time) error {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.writeBy = at
+	return nil
+}
+
+// Write writes an answer, for at most writeTimeout or until the handler's deadline.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(c.guard.options.Clock.Now().Add(writeTimeout)); err != nil {
+	deadline := c.guard.options.Clock.Now().Add(writeTimeout)
+	c.guard.mu.Lock()
+	if c.writeBy.After(deadline) {
+		deadline = c.writeBy
+	}
+	c.guard.mu.Unlock()
+	if err := c.Conn.SetWriteDeadline(deadline); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
--- a/sesameguard/guard.go
+++ b/sesameguard/guard.go
@@ -40,6 +40,7 @@
 	defaultHeadTimeout   = 5 * time.Second
 	defaultIdleTimeout   = time.Minute
 	defaultReceiveBuffer = 16 << 10
+	defaultSendBuffer    = 16 << 10
 	// maxHeadBytes is above each limit that a configuration can sensibly set.
 	maxHeadBytes = 64 << 20
 )
@@ -68,6 +69,9 @@
 	// and the process has not read, in bytes; 0 means the default. The kernel
 	// takes twice as much.
 	ReceiveBuffer int
+	// SendBuffer is the size of the kernel's buffer for answers, in bytes; 0 means
+	// the default, which is enough for short ones.
+	SendBuffer int
 	// KernelBuffers leaves the sizes of buffers to the kernel, for a server whose
 	// callers are known and send or receive much on one connection.
 	KernelBuffers bool
@@ -75,9 +79,12 @@
 	Decoders int
 	// Limits returns the limits in force; nil means the defaults.
 	Limits func() Limits
-	Clock  clockwork.Clock
-	Log    *sesamelog.Logger
-	Scope  tally.Scope
+	// Refusal returns the type and the content of the answer to a request that the
+	// guard refuses with an error; nil means a JSON object with the text as error.
+	Refusal func(error) (contentType string, body []byte)
+	Clock   clockwork.Clock
+	Log     *sesamelog.Logger
+	Scope   tally.Scope
 }
 
 // Guard bounds the connections and the bytes in flight of one HTTP server.
@@ -118,9 +125,15 @@
 	if o.ReceiveBuffer == 0 {
 		o.ReceiveBuffer = defaultReceiveBuffer
 	}
+	if o.SendBuffer == 0 {
+		o.SendBuffer = defaultSendBuffer
+	}
 	if o.Decoders == 0 {
 		o.Decoders = defaultDecoders
 	}
+	if o.Refusal == nil {
+		o.Refusal = jsonRefusal
+	}
 	return &Guard{
 		options: o,
 		scope: o.Scope.Tagged(map[string]string{
@@ -354,7 +367,7 @@
 
 // writeRefusal answers a request that is not handled with the status of the error.
 func (g *Guard) writeRefusal(w http.ResponseWriter, refusal error) {
-	contentType, body := jsonRefusal(refusal)
+	contentType, body := g.options.Refusal(refusal)
 	w.Header().Set("Connection", "close")
 	w.Header().Set("Content-Type", contentType)
 	w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
--- a/sesameguard/listener.go
+++ b/sesameguard/listener.go
@@ -27,6 +27,26 @@
 	if err != nil {
 		return nil, err
 	}
+	return g.wrapListener(inner)
+}
+
+// Wrap returns a listener that bounds the connections of another one, as Listen
+// does. It closes the other one if it fails.
+func (g *Guard) Wrap(inner net.Listener) (net.Listener, error) {
+	if socket, ok := inner.(syscall.Conn); ok && !g.options.KernelBuffers {
+		raw, err := socket.SyscallConn()
+		if err == nil {
+			err = g.setBuffers("", "", raw)
+		}
+		if err != nil {
+			return nil, errors.CombineErrors(err, inner.Close())
+		}
+	}
+	return g.wrapListener(inner)
+}
+
+// wrapListener is Wrap for a listener whose sockets have the right buffers.
+func (g *Guard) wrapListener(inner net.Listener) (net.Listener, error) {
 	if err := shortenBacklog(inner); err != nil {
 		return nil, errors.CombineErrors(err, inner.Close())
 	}
@@ -64,7 +84,7 @@
 	err := raw.Control(func(fd uintptr) {
 		failure = errors.CombineErrors(
 			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, g.options.ReceiveBuffer),
-			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, g.options.SendBuffer),
 		)
 	})
 	return errors.CombineErrors(err, failure)
--- a/sesamesettings/hosted.go
+++ b/sesamesettings/hosted.go
@@ -150,8 +150,8 @@
 
 // The allowed ranges of the settings of hosted processes.
 const (
-	minHostedMemoryMiB    = 32
-	maxHostedMemoryMiB    = 1 << 20
+	minProcessMemoryMiB   = 32
+	maxProcessMemoryMiB   = 1 << 20
 	minHostedCores        = 0.001
 	maxHostedCores        = 1 << 10
 	minHostedMaxLease     = 500 * time.Millisecond
@@ -179,7 +179,7 @@
 	d.checkOptionalAddress("inventory", e.Inventory)
 	d.checkOptionalAddress("relay", e.Relay)
 	d.checkOptionalAddress("metrics", e.Metrics)
-	checkRange(d, "memory", e.MemoryMiB, minHostedMemoryMiB, maxHostedMemoryMiB)
+	checkRange(d, "memory", e.MemoryMiB, minProcessMemoryMiB, maxProcessMemoryMiB)
 	d.checkGuard(e)
 	if e.Cores != nil {
 		checkRange(d, "cores", *e.Cores, minHostedCores, maxHostedCores)
@@ -195,14 +195,12 @@
 
 // checkGuard checks the bounds on what callers take, where they are set.
 func (d *document) checkGuard(e HostedEntry) {
-	if e.Descriptors != nil {
-		checkRange(d, "descriptors", *e.Descriptors, minDescriptors, maxDescriptors)
-	}
+	d.checkDescriptors(e.Descriptors)
 	if e.Guard.Connections != 0 {
 		checkRange(d, "guard.connections", e.Guard.Connections, minGuardConnections, maxDescriptors)
 	}
 	if e.Guard.Bytes != 0 {
-		checkRange(d, "guard.bytes", e.Guard.Bytes, minGuardBytes, maxHostedMemoryMiB<<20)
+		checkRange(d, "guard.bytes", e.Guard.Bytes, minGuardBytes, maxProcessMemoryMiB<<20)
 	}
 	if e.Guard.ReceiveBuffer != 0 {
 		checkRange(d, "guard.receive", e.Guard.ReceiveBuffer, minReceiveBuffer, maxReceiveBuffer)
@@ -220,7 +218,7 @@
 	d.checkRequiredName("service", a.Service)
 	d.checkDialAddress("store", a.Store)
 	d.checkOptionalAddress("metrics", a.Metrics)
-	checkRange(d, "memory", a.MemoryMiB, minHostedMemoryMiB, maxHostedMemoryMiB)
+	checkRange(d, "memory", a.MemoryMiB, minProcessMemoryMiB, maxProcessMemoryMiB)
 	checkRange(d, "lease", a.MaxLease, minHostedMaxLease, maxLease)
 	checkRange(d, "interval", a.TargetReportInterval, minHostedInterval, maxHostedInterval)
 	d.checkLog(a.Log)
--- a/sesamesettings/load.go
+++ b/sesamesettings/load.go
@@ -62,9 +62,21 @@
 	d.checkLog(e.Log)
 	checkRange(d, "policy.packing", e.Policy.PackingWeight, 0, 1)
 	checkRange(d, "maxbody", e.MaxBodyBytes, minBodyBytes, maxBodyBytes)
+	if e.MemoryMiB != 0 {
+		checkRange(d, "memory", e.MemoryMiB, minProcessMemoryMiB, maxProcessMemoryMiB)
+	}
+	d.checkDescriptors(e.Descriptors)
 	d.checkDrain(e.DrainTimeout, e.Leases.Grace)
 }
 
+// checkDescriptors checks the number of descriptors that a process may open, where
+// it is set.
+func (d *document) checkDescriptors(descriptors *int) {
+	if descriptors != nil {
+		checkRange(d, "descriptors", *descriptors, minDescriptors, maxDescriptors)
+	}
+}
+
 // checkOperators checks that there is at least one operator and that each
 // value is a token digest. It goes in the order of names, so that problems have
 // a stable order.
@@ -114,6 +126,8 @@
 	d.checkPlatform(a.Platform)
 	d.checkLeases(a.Leases)
 	d.checkLog(a.Log)
+	checkRange(d, "memory", a.MemoryMiB, minProcessMemoryMiB, maxProcessMemoryMiB)
+	d.checkDescriptors(a.Descriptors)
 	d.checkDrain(a.DrainTimeout, a.Leases.Grace)
 }
 
--- a/sesamesettings/options.go
+++ b/sesamesettings/options.go
@@ -88,6 +88,11 @@
 	Log       Log               `yaml:"log"`
 	// MaxBodyBytes is the largest accepted request body.
 	MaxBodyBytes int64 `yaml:"maxbody"`
+	// MemoryMiB is the memory that the process may use; 0 means that of its VM.
+	MemoryMiB int64 `yaml:"memory"`
+	// Descriptors is how many descriptors the process may open; nil means its limit
+	// of open files (RLIMIT_NOFILE).
+	Descriptors *int `yaml:"descriptors"`
 	// DrainTimeout is the longest time that a graceful stop may take.
 	DrainTimeout time.Duration `yaml:"drain"`
 }
@@ -115,6 +120,11 @@
 	Platform       Platform `yaml:"platform"`
 	Leases         Leases   `yaml:"leases"`
 	Log            Log      `yaml:"log"`
+	// MemoryMiB is the memory that the process may use.
+	MemoryMiB int64 `yaml:"memory"`
+	// Descriptors is how many descriptors the process may open; nil means its limit
+	// of open files (RLIMIT_NOFILE).
+	Descriptors *int `yaml:"descriptors"`
 	// DrainTimeout is the longest time that a graceful stop may take.
 	DrainTimeout time.Duration `yaml:"drain"`
 }
@@ -144,6 +154,7 @@
 	defaultEntryWrites    = 100
 	defaultAgentReads     = 40
 	defaultAgentWrites    = 20
+	defaultAgentMemoryMiB = 128
 	defaultHeartbeat      = time.Second
 	defaultLease          = 5 * time.Second
 	defaultMargin         = 500 * time.Millisecond
@@ -206,6 +217,7 @@
 		Platform:       defaultPlatform(defaultAgentReads, defaultAgentWrites),
 		Leases:         DefaultLeases(),
 		Log:            defaultLog(),
+		MemoryMiB:      defaultAgentMemoryMiB,
 		DrainTimeout:   defaultDrainTimeout,
 	}
 }
