Count a request as one in progress only once its body has come

What callers saw: while 400 others have sent submissions but for their last byte, each request to an entry of an own deployment is answered 503, for 10 s and longer if they come again.

Cause: an entry handles 256 requests at a time, and those whose bodies did not come counted. Short bodies need no room beside their connections, so the guard has no reason to interrupt them.

Change: while the body of a request is read, the request does not count. It is refused as before if there are too many once the body has arrived.

TestStalledBodies shows it with one request.

--- a/sesameapi/contracts.go
+++ b/sesameapi/contracts.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := readValidated[ChangeRequest](w, r)
+	request, err := readValidated[ChangeRequest](h, w, r)
 	if err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := readValidated[RollbackRequest](w, r)
+	request, err := readValidated[RollbackRequest](h, w, r)
 	if err != nil {
 		return err
 	}
--- a/sesameapi/handler.go
+++ b/sesameapi/handler.go
@@ -153,7 +153,7 @@
 	return func(w http.ResponseWriter, r *http.Request) error {
 		defer h.requests.Add(-1)
 		if h.requests.Add(1) > int64(h.options.MaxRequests) {
-			return newProblem(Overloaded, "too many requests are in progress")
+			return tooManyRequests()
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), h.options.Timeout)
 		defer cancel()
@@ -161,6 +161,11 @@
 	}
 }
 
+// tooManyRequests returns the problem for a request beyond Options.MaxRequests.
+func tooManyRequests() *ProblemError {
+	return newProblem(Overloaded, "too many requests are in progress")
+}
+
 // recordProblem counts and logs an error response.
 func (h *Handler) recordProblem(r *http.Request, problem *ProblemError) {
 	event := eventRequestRefused
--- a/sesameapi/operators.go
+++ b/sesameapi/operators.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := readValidated[ResolveRequest](w, r)
+	request, err := readValidated[ResolveRequest](h, w, r)
 	if err != nil {
 		return err
 	}
@@ -120,9 +120,9 @@
 
 // readValidated reads and decodes an operator's request body, and fails with an
 // Invalid problem that lists its invalid fields.
-func readValidated[T validator](w http.ResponseWriter, r *http.Request) (T, error) {
+func readValidated[T validator](h *Handler, w http.ResponseWriter, r *http.Request) (T, error) {
 	var value T
-	body, err := readBody(w, r, maxOperatorBody)
+	body, err := h.readBody(w, r, maxOperatorBody)
 	if err != nil {
 		return value, err
 	}
--- a/sesameapi/server_test.go
+++ b/sesameapi/server_test.go
@@ -1,8 +1,12 @@
 package sesameapi
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -53,6 +57,27 @@
 	e.is.Equal(problem.Outcome, Unchanged)
 }
 
+// TestStalledBodies guards against callers that keep others out because the rest
+// of their bodies does not come.
+func TestStalledBodies(t *testing.T) {
+	e := newTestEntry(t)
+	e.handler.options.MaxRequests = 1
+	server := httptest.NewServer(e.handler)
+	t.Cleanup(server.Close)
+	stalled, err := net.Dial("tcp", server.Listener.Addr().String())
+	e.is.NoErr(err)
+	defer stalled.Close()
+	_, err = fmt.Fprintf(stalled, "POST /v1/jobs HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n"+
+		"Idempotency-Key: stalled\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n", corkToken)
+	e.is.NoErr(err)
+	// The handler reads the body once it asks for it.
+	response, err := http.ReadResponse(bufio.NewReader(stalled), nil)
+	e.is.NoErr(err)
+	e.is.NoErr(response.Body.Close())
+	e.is.Equal(response.StatusCode, http.StatusContinue)
+	e.mustSubmit(corkToken, "ordinary", executorJob("pricing"))
+}
+
 func TestUnknownPaths(t *testing.T) {
 	e := newTestEntry(t)
 	e.requireProblem(e.call(http.MethodGet, "/v2/jobs", corkToken, nil), NotFound)
--- a/sesameapi/submit.go
+++ b/sesameapi/submit.go
@@ -122,7 +122,7 @@
 		})
 	}
 	s.id = sesamestore.JobIDFor(h.options.Region, contract.Team, key)
-	body, err := readBody(w, r, h.options.MaxBody)
+	body, err := h.readBody(w, r, h.options.MaxBody)
 	if err != nil {
 		return s, err
 	}
@@ -136,12 +136,18 @@
 }
 
 // readBody reads a body of at most limit bytes. It fails with TooLarge, Malformed,
-// TimedOut or Overloaded.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) (*sesameguard.Body, error) {
+// TimedOut or Overloaded. Meanwhile the request does not count as one in progress,
+// so that those whose bodies do not come keep no others out.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64) (*sesameguard.Body, error) {
+	h.requests.Add(-1)
 	body, err := sesameguard.ReadBody(r.Context(), w, r, limit)
+	inProgress := h.requests.Add(1)
 	if err != nil {
 		return nil, guardProblem(err)
 	}
+	if inProgress > int64(h.options.MaxRequests) {
+		return nil, tooManyRequests()
+	}
 	return body, nil
 }
 
--- a/sesamecommand/crowdown_test.go
+++ b/sesamecommand/crowdown_test.go
@@ -10,6 +10,9 @@
 // the rest is for its files and its own calls.
 const maxCrowdDescriptors = crowdDescriptors * 7 / 8
 
+// shortBody is the length of a body that needs no room beside its connection.
+const shortBody = 4000
+
 // ownEntry is an entry of an own deployment that crowds call.
 type ownEntry struct {
 	*cluster
@@ -19,6 +22,12 @@
 
 // startOwnEntry starts a platform and an entry with lowered limits.
 func startOwnEntry(t *testing.T) *ownEntry {
+	return startLimitedEntry(t, crowdMemoryMiB, crowdDescriptors)
+}
+
+// startLimitedEntry starts a platform and an entry with that memory and limit of
+// descriptors.
+func startLimitedEntry(t *testing.T, memoryMiB, descriptors int) *ownEntry {
 	c := newCluster(t)
 	c.startPlatform()
 	e := &ownEntry{
@@ -34,7 +43,7 @@
   ana: %s
 platform: {url: %q}
 memory: %d
-`, e.http, e.wire, digestOf(operatorToken), c.platform, crowdMemoryMiB), crowdDescriptors, "entry")
+`, e.http, e.wire, digestOf(operatorToken), c.platform, memoryMiB), descriptors, "entry")
 	c.entries = append(c.entries, "http://"+e.http)
 	return e
 }
@@ -60,6 +69,45 @@
 	})
 }
 
+// TestCrowdsOfSubmissions guards against an entry of an own deployment that exceeds
+// its memory, or refuses all others, because many callers send bodies that stop
+// just short of their end.
+func TestCrowdsOfSubmissions(t *testing.T) {
+	// The connections are more than the requests that it handles at a time.
+	const memoryMiB, descriptors = 2 * crowdMemoryMiB, 2 * crowdDescriptors
+	for name, size := range map[string]int{"long": smallCrowdBody, "short": shortBody} {
+		t.Run(name, func(t *testing.T) {
+			e := startLimitedEntry(t, memoryMiB, descriptors)
+			s := newCrowdServer(t, e.process, e.http, descriptors*7/8, e.contracts)
+			s.memoryMiB = memoryMiB
+			e.assertRun(t, 0, 0, operatorToken, "apply", "-f", e.writeFile("contract.yaml", crowdContract()))
+			s.assertSurvives(crowd{
+				clients: crowdSize,
+				head: func(client int) string {
+					return fmt.Sprintf("POST /v1/jobs HTTP/1.1\r\nHost: crowd\r\nAuthorization: Bearer %s\r\n"+
+						"Idempotency-Key: %d\r\nContent-Length: %d\r\n\r\n", crews, client, size)
+				},
+				body: paddedJob(size - 1),
+			})
+		})
+	}
+}
+
+// crowdContract is a contract of the callers that needs no target.
+func crowdContract() string {
+	return fmt.Sprintf(`team: crews
+weight: 1
+classes:
+  - name: estimate
+    urgency: normal
+limits:
+  open: 1000
+  rate: 1000
+  burst: 1000
+tokens: [%s]
+`, digestOf(crews))
+}
+
 // ownAgent is an agent of an own deployment that crowds call.
 type ownAgent struct {
 	*cluster
