Keep a process alive whose wire listener fails to accept a connection

What callers saw: an entry or agent of an own deployment exits with "accept4: too many open files" when 800 connections to `wire` send nothing, with a limit of 512 descriptors. Connections to the public `http` address did the same through `wire`, which shares the descriptors.

Cause: sesamewire.Server.Serve returns the error of Accept, and the process's group of goroutines ends with it. Nothing bounded the connections, and idle ones stay.

Change: `wire` has a guard too. Its connections are a quarter of the descriptors and an eighth of the memory at the most; the one that has waited longest without a call gives way to a new one, and a call that has been read is not cut off. The listeners of all guards outlive each error of Accept but that of being closed: they pause for 5 ms to 1 s, and say so (event 7405).

--- a/sesameagent/server.go
+++ b/sesameagent/server.go
@@ -25,8 +25,7 @@
 
 // listenWire returns the listener for the calls of entries and other agents.
 func (a *Agent) listenWire(ctx context.Context) (net.Listener, error) {
-	var config net.ListenConfig
-	return config.Listen(ctx, "tcp", a.settings.Wire)
+	return a.deps.Shares.NewWire(a.deps.Clock, a.deps.Log, a.deps.Scope).Listen(ctx, a.settings.Wire)
 }
 
 // serveWire serves the calls of entries and other agents until ctx ends.
--- a/sesamecommand/crowdown_test.go
+++ b/sesamecommand/crowdown_test.go
@@ -1,9 +1,12 @@
 package sesamecommand_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
+
+	"github.com/sesamestack/sesamestack/sesamewire"
 )
 
 // maxCrowdDescriptors is the most of crowdDescriptors that an own process may open:
@@ -13,6 +16,13 @@
 // shortBody is the length of a body that needs no room beside its connection.
 const shortBody = 4000
 
+// wireCrowds are those that call an address that serves the wire protocol.
+func wireCrowds() map[string]crowd {
+	return map[string]crowd{
+		"nothing sent": {clients: 2 * crowdSize, head: func(int) string { return "" }},
+	}
+}
+
 // ownEntry is an entry of an own deployment that crowds call.
 type ownEntry struct {
 	*cluster
@@ -58,8 +68,22 @@
 	return callAlone(request)
 }
 
+// why asks the entry on a connection of its own, as another entry does, and then
+// reads the contracts.
+func (e *ownEntry) why(id int) (int, error) {
+	ctx, cancel := context.WithTimeout(e.t.Context(), callTimeout)
+	defer cancel()
+	dialer := sesamewire.NewDialer(sesamewire.DialOptions{})
+	defer dialer.Close()
+	if _, err := dialer.Peer(e.wire).Why(ctx, &sesamewire.WhyRequest{}); err != nil {
+		return 0, err
+	}
+	return e.contracts(id)
+}
+
 // TestCrowdsAtEntry guards against an entry of an own deployment that ends, or
-// exceeds its memory or its descriptors, because of its callers.
+// exceeds its memory or its descriptors, because of its callers or of those that
+// connect to its address for agents and other entries.
 func TestCrowdsAtEntry(t *testing.T) {
 	t.Run("http", func(t *testing.T) {
 		assertDoor(t, httpCrowds(), func(t *testing.T) *crowdServer {
@@ -67,6 +91,17 @@
 			return newCrowdServer(t, e.process, e.http, maxCrowdDescriptors, e.contracts)
 		})
 	})
+	t.Run("wire", func(t *testing.T) {
+		assertDoor(t, wireCrowds(), func(t *testing.T) *crowdServer {
+			e := startOwnEntry(t)
+			return newCrowdServer(t, e.process, e.wire, maxCrowdDescriptors, e.why)
+		})
+	})
+	t.Run("callers and wire", func(t *testing.T) {
+		// Callers use up what there is, and then another entry connects.
+		e := startOwnEntry(t)
+		newCrowdServer(t, e.process, e.http, maxCrowdDescriptors, e.why).assertSurvives(httpCrowds()["nothing sent"])
+	})
 }
 
 // TestCrowdsOfSubmissions guards against an entry of an own deployment that exceeds
@@ -139,6 +174,22 @@
 	return a
 }
 
+// stopUnknown asks the agent on a connection of its own, as an entry does, to
+// stop an attempt that it has not prepared, and then whether it lives.
+func (a *ownAgent) stopUnknown(id int) (int, error) {
+	ctx, cancel := context.WithTimeout(a.t.Context(), callTimeout)
+	defer cancel()
+	dialer := sesamewire.NewDialer(sesamewire.DialOptions{})
+	defer dialer.Close()
+	attempt := &sesamewire.AttemptID{
+		Job: fmt.Sprintf("job-%d", id),
+	}
+	if _, err := dialer.Agent(a.wire).Stop(ctx, &sesamewire.StopRequest{Id: attempt}); err != nil {
+		return 0, err
+	}
+	return get(a.t, a.http, "/healthz")(id)
+}
+
 // TestCrowdsAtAgent does the same for an agent of an own deployment.
 func TestCrowdsAtAgent(t *testing.T) {
 	t.Run("http", func(t *testing.T) {
@@ -147,4 +198,10 @@
 			return newCrowdServer(t, a.process, a.http, maxCrowdDescriptors, get(t, a.http, "/healthz"))
 		})
 	})
+	t.Run("wire", func(t *testing.T) {
+		assertDoor(t, wireCrowds(), func(t *testing.T) *crowdServer {
+			a := startOwnAgent(t)
+			return newCrowdServer(t, a.process, a.wire, maxCrowdDescriptors, a.stopUnknown)
+		})
+	})
 }
--- a/sesameentry/entry.go
+++ b/sesameentry/entry.go
@@ -96,10 +96,11 @@
 	planning  *planning
 	forwarder *hintForwarder
 	// api serves HTTP for callers and operators, wire RPCs for agents and other
-	// entries. apiGuard bounds what callers take.
-	api      *sesameapi.Handler
-	wire     *sesamewire.Server
-	apiGuard *sesameguard.Guard
+	// entries. Their guards bound what these take.
+	api       *sesameapi.Handler
+	wire      *sesamewire.Server
+	apiGuard  *sesameguard.Guard
+	wireGuard *sesameguard.Guard
 }
 
 // New returns an entry that has not started. The only errors are those of
@@ -273,6 +274,7 @@
 		planning:  e.planning,
 		contracts: e.watch.Hint,
 	}
+	e.wireGuard = e.deps.Shares.NewWire(e.deps.Clock, e.deps.Log, e.deps.Scope)
 	e.wire = sesamewire.NewServer(e.settings.DrainTimeout)
 	if err := sesamewire.DRPCRegisterKeeper(e.wire.Mux(), w); err != nil {
 		return err
@@ -290,21 +292,20 @@
 // requests of callers, and ends its background duties. It returns nil after a
 // graceful stop, and a *ListenError when an address cannot be listened on.
 func (e *Entry) Run(ctx context.Context) error {
-	public, err := listen(ctx, e.settings.HTTP)
+	public, err := listen(ctx, e.apiGuard, e.settings.HTTP)
 	if err != nil {
 		return err
 	}
-	private, err := listen(ctx, e.settings.Wire)
+	private, err := listen(ctx, e.wireGuard, e.settings.Wire)
 	if err != nil {
 		return errors.CombineErrors(err, public.Close())
 	}
-	return e.Serve(ctx, public, private)
+	return e.serve(ctx, public, private)
 }
 
-// listen opens a TCP listener; its error is a *ListenError.
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", address)
+// listen opens a TCP listener of the guard; its error is a *ListenError.
+func listen(ctx context.Context, guard *sesameguard.Guard, address string) (net.Listener, error) {
+	l, err := guard.Listen(ctx, address)
 	if err != nil {
 		return nil, &ListenError{
 			Address: address,
@@ -318,17 +319,26 @@
 // and operators, private for agents and other entries. The error is that of the
 // first duty or server that failed.
 func (e *Entry) Serve(ctx context.Context, public, private net.Listener) error {
-	guarded, err := e.apiGuard.Wrap(public)
+	guardedPublic, err := e.apiGuard.Wrap(public)
 	if err != nil {
 		return errors.CombineErrors(err, private.Close())
 	}
+	guardedPrivate, err := e.wireGuard.Wrap(private)
+	if err != nil {
+		return errors.CombineErrors(err, guardedPublic.Close())
+	}
+	return e.serve(ctx, guardedPublic, guardedPrivate)
+}
+
+// serve is Serve with listeners of the guards.
+func (e *Entry) serve(ctx context.Context, public, private net.Listener) error {
 	duties, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, duties := errgroup.WithContext(duties)
 	e.driver.Begin(duties, group)
 	server := e.apiGuard.NewServer(e.api)
 	group.Go(func() error {
-		return ignoreClosed(server.Serve(guarded))
+		return ignoreClosed(server.Serve(public))
 	})
 	group.Go(func() error {
 		return e.wire.Serve(duties, private)
@@ -350,7 +360,7 @@
 		cancel()
 		return nil
 	})
-	err = group.Wait()
+	err := group.Wait()
 	e.deps.Log.Emit(eventStopped, sesamelog.Fields{
 		"entry": e.settings.ID,
 	})
--- a/sesameguard/body.go
+++ b/sesameguard/body.go
@@ -124,7 +124,7 @@
 		return c.guard.noRoom(eventNoRoom)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		if c != nil {
-			c.guard.record(eventStalled)
+			c.guard.record(eventStalled, nil)
 		}
 		return &StalledBodyError{
 			Received: size,
--- a/sesameguard/conn.go
+++ b/sesameguard/conn.go
@@ -61,13 +61,11 @@
 
 // newConn returns a connection whose caller has sent nothing yet.
 func newConn(g *Guard, inner net.Conn) *conn {
-	c := &conn{
+	return &conn{
 		Conn:     inner,
 		guard:    g,
 		progress: g.options.Clock.Now(),
 	}
-	c.expectHead(g.limits().IdleTimeout)
-	return c
 }
 
 // withConn adds the connection to the context of its requests.
@@ -202,7 +200,7 @@
 	size := c.head.bytes
 	c.guard.mu.Unlock()
 	if size > limits.HeadBytes+headSlack {
-		c.guard.record(eventHead)
+		c.guard.record(eventHead, nil)
 		return 0, &HeadTooLargeError{
 			Size:  size,
 			Limit: limits.HeadBytes,
--- a/sesameguard/events.go
+++ b/sesameguard/events.go
@@ -10,6 +10,7 @@
 	eventNoRoom  = sesamelog.Define(7402, sesamelog.Warn, "requests refused, others use the room for heads and bodies")
 	eventHead    = sesamelog.Define(7403, sesamelog.Warn, "requests refused, their heads exceed the limit")
 	eventStalled = sesamelog.Define(7404, sesamelog.Info, "requests refused, their bodies did not arrive in time")
+	eventAccept  = sesamelog.Define(7405, sesamelog.Warn, "connections can't be accepted, which is tried again")
 )
 
 // causes are the values of the label "cause" of the metric guard_refusals.
@@ -19,4 +20,5 @@
 	eventNoRoom:  "bytes",
 	eventHead:    "head",
 	eventStalled: "stalled",
+	eventAccept:  "accept",
 }
--- a/sesameguard/guard.go
+++ b/sesameguard/guard.go
@@ -75,6 +75,9 @@
 	// KernelBuffers leaves the sizes of buffers to the kernel, for a server whose
 	// callers are known and send or receive much on one connection.
 	KernelBuffers bool
+	// Stream says that the connections carry another protocol than HTTP, for which
+	// the listener returns a *Stream each.
+	Stream bool
 	// Decoders is how many bodies are decoded at once; 0 means the default.
 	Decoders int
 	// Limits returns the limits in force; nil means the defaults.
@@ -186,22 +189,22 @@
 
 // noRoom counts a refusal for lack of room and returns its error.
 func (g *Guard) noRoom(event sesamelog.Event) error {
-	g.record(event)
+	g.record(event, nil)
 	return &NoRoomError{
 		RetryAfter: retryAfter,
 	}
 }
 
 // record counts a case, and logs it with those before it at most once in
-// reportPause.
-func (g *Guard) record(event sesamelog.Event) {
+// reportPause. cause is the error behind it, or nil.
+func (g *Guard) record(event sesamelog.Event, cause error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.recordLocked(event)
+	g.recordLocked(event, cause)
 }
 
 // recordLocked is record while the mutex is held.
-func (g *Guard) recordLocked(event sesamelog.Event) {
+func (g *Guard) recordLocked(event sesamelog.Event, cause error) {
 	g.scope.Tagged(map[string]string{
 		"cause": causes[event],
 	}).Counter("guard_refusals").Inc(1)
@@ -215,12 +218,16 @@
 	if now.Sub(r.last) < reportPause {
 		return
 	}
-	g.options.Log.Emit(event, sesamelog.Fields{
+	fields := sesamelog.Fields{
 		"server": g.options.Name,
 		"cases":  r.cases,
 		"open":   g.open,
 		"bytes":  g.held,
-	})
+	}
+	if cause != nil {
+		fields["error"] = cause
+	}
+	g.options.Log.Emit(event, fields)
 	r.cases = 0
 	r.last = now
 }
--- a/sesameguard/listener.go
+++ b/sesameguard/listener.go
@@ -3,17 +3,29 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// The pause after an error of accepting a connection doubles from minAcceptPause
+	// to maxAcceptPause. Most errors pass when a connection or file is closed.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
 // listener accepts connections up to the guard's bound. When it is reached, the
 // connection that has waited longest for its caller is closed for the new one.
 type listener struct {
 	net.Listener
 	guard *Guard
+	// closed is closed with the listener.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // Listen listens at the address. The sockets have small buffers unless the options
@@ -53,6 +65,7 @@
 	return &listener{
 		Listener: inner,
 		guard:    g,
+		closed:   make(chan struct{}),
 	}, nil
 }
 
@@ -91,22 +104,73 @@
 }
 
 // Accept returns the next connection. One for which there is no room, because
-// the requests of all others are being handled, is answered 503 and closed.
+// the requests of all others are being handled, is answered 503 and closed. It
+// fails only when the listener is closed: other errors, as when there is no
+// descriptor left, pass.
 func (l *listener) Accept() (net.Conn, error) {
+	pause := minAcceptPause
 	for {
 		inner, err := l.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
+		if err != nil {
+			l.guard.record(eventAccept, err)
+			if !l.wait(pause) {
+				return nil, err
+			}
+			pause = min(2*pause, maxAcceptPause)
+			continue
+		}
+		pause = minAcceptPause
 		c := newConn(l.guard, inner)
 		if l.guard.admit(c) {
-			return c, nil
+			return l.guard.serving(c), nil
 		}
-		c.refuse(l.guard.noRoom(eventRefused))
-		if err := inner.Close(); err != nil {
-			continue
+		l.guard.turnAway(c)
+	}
+}
+
+// wait waits for the time, and returns false if the listener is closed before.
+func (l *listener) wait(pause time.Duration) bool {
+	select {
+	case <-l.closed:
+		return false
+	case <-l.guard.options.Clock.After(pause):
+		return true
+	}
+}
+
+// Close closes the listener. Connections stay open.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() {
+		close(l.closed)
+	})
+	return l.Listener.Close()
+}
+
+// serving returns an admitted connection as its server takes it.
+func (g *Guard) serving(c *conn) net.Conn {
+	if g.options.Stream {
+		return &Stream{
+			conn: c,
 		}
 	}
+	c.expectHead(g.limits().IdleTimeout)
+	return c
+}
+
+// turnAway closes a connection that was not admitted, which an HTTP client is told
+// by a 503.
+func (g *Guard) turnAway(c *conn) {
+	refusal := g.noRoom(eventRefused)
+	if !g.options.Stream {
+		c.refuse(refusal)
+	}
+	if c.Conn.Close() != nil {
+		// The caller has disconnected.
+		return
+	}
 }
 
 // admit counts a new connection. Where there are too many, it closes the one
@@ -122,7 +186,7 @@
 		}
 		victim, _ := front.Value.(*conn)
 		victim.forgetLocked()
-		g.recordLocked(eventClosed)
+		g.recordLocked(eventClosed, nil)
 		if victim.Conn.Close() != nil {
 			// Its server has closed it at the same moment.
 			victim.interrupted = true
--- a/sesameguard/own.go
+++ b/sesameguard/own.go
@@ -1,15 +1,33 @@
 package sesameguard
 
-// callerDescriptors is the part of the descriptors (1 divided by it) that callers
-// may take of a process of an own deployment. Its files, its connections to other
-// processes and its own calls take the rest.
-const callerDescriptors = 2
+import (
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamestack/sesamestack/sesamelog"
+)
+
+// The parts of the descriptors (1 divided by these) that callers and the processes
+// of the deployment may take of one of an own deployment. Its files and its own
+// calls take the rest.
+const (
+	callerDescriptors = 2
+	wireDescriptors   = 4
+	// wireShare is the part of the memory that connections of other processes may
+	// take.
+	wireShare = 8
+	// wireReceiveBuffer is the size of the kernel's buffer for what another process
+	// has sent, in bytes. Most messages fit into it, so that they need no round trip
+	// each.
+	wireReceiveBuffer = 64 << 10
+)
 
 // OwnShares says what each server of an entry or agent of an own deployment may
 // take of the process.
 type OwnShares struct {
-	// Callers is the most connections of callers.
-	Callers int
+	// Callers and Wire are the most connections of callers, and of other entries and
+	// agents.
+	Callers, Wire int
 	// CallerBytes bounds the heads and bodies in flight.
 	CallerBytes int64
 }
@@ -17,9 +35,26 @@
 // DeriveOwn divides the memory, in MiB, and the descriptors of a process among its
 // servers.
 func DeriveOwn(memoryMiB int64, descriptors int) OwnShares {
-	callers := min(int64(descriptors/callerDescriptors), (memoryMiB<<20)/connectionShare/connectionBytes)
+	connections := func(descriptorShare, memoryShare int) int {
+		most := (memoryMiB << 20) / int64(memoryShare) / connectionBytes
+		return max(minConnections, int(min(int64(descriptors/descriptorShare), most)))
+	}
 	return OwnShares{
-		Callers:     max(minConnections, int(callers)),
+		Callers:     connections(callerDescriptors, connectionShare),
+		Wire:        connections(wireDescriptors, wireShare),
 		CallerBytes: (memoryMiB << 20) / bytesShare,
 	}
 }
+
+// NewWire returns a guard for the connections of other entries and agents.
+func (s OwnShares) NewWire(clock clockwork.Clock, log *sesamelog.Logger, scope tally.Scope) *Guard {
+	return New(Options{
+		Name:          "wire",
+		Connections:   s.Wire,
+		ReceiveBuffer: wireReceiveBuffer,
+		Stream:        true,
+		Clock:         clock,
+		Log:           log,
+		Scope:         scope,
+	})
+}
--- a/sesamewire/dial_test.go
+++ b/sesamewire/dial_test.go
@@ -7,9 +7,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sesamestack/sesamestack/sesameguard"
+	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamewire"
 )
 
@@ -54,6 +58,13 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", address)
 	is.NoErr(err)
+	return serveListener(t, k, listener)
+}
+
+// serveListener serves k at the listener, with a drain timeout of 10 s.
+func serveListener(t *testing.T, k *blockingKeeper, listener net.Listener) *runningServer {
+	t.Helper()
+	is := is.New(t)
 	server := sesamewire.NewServer(10 * time.Second)
 	is.NoErr(sesamewire.DRPCRegisterKeeper(server.Mux(), k))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -141,3 +152,42 @@
 	is.True(reply.Recorded)
 	is.NoErr(r.group.Wait())
 }
+
+// TestCallsKeepConnections guards against a call that is cut off to make room for
+// a new connection, and against a new one that waits for ever beside an idle one.
+func TestCallsKeepConnections(t *testing.T) {
+	is := is.New(t)
+	guard := sesameguard.New(sesameguard.Options{
+		Name:        "test",
+		Connections: 1,
+		Bytes:       1 << 20,
+		Stream:      true,
+		Clock:       clockwork.NewRealClock(),
+		Log:         sesamelog.Discard(),
+		Scope:       tally.NoopScope,
+	})
+	listener, err := guard.Listen(t.Context(), "127.0.0.1:0")
+	is.NoErr(err)
+	k := newBlockingKeeper()
+	r := serveListener(t, k, listener)
+	defer r.stop()
+	newClient := func() sesamewire.DRPCKeeperClient {
+		dialer := sesamewire.NewDialer(sesamewire.DialOptions{
+			Timeout: 10 * time.Second,
+		})
+		t.Cleanup(func() { dialer.Close() })
+		return dialer.Keeper(r.address)
+	}
+	var call errgroup.Group
+	call.Go(func() error {
+		_, err := newClient().Finish(t.Context(), &sesamewire.FinishRequest{})
+		return err
+	})
+	<-k.entered
+	_, err = newClient().Heartbeat(t.Context(), &sesamewire.HeartbeatRequest{})
+	is.True(err != nil)
+	close(k.release)
+	is.NoErr(call.Wait())
+	assertHeartbeat(t, newClient())
+	assertHeartbeat(t, newClient())
+}
--- a/sesamewire/serve.go
+++ b/sesamewire/serve.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -49,13 +50,57 @@
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
 	s.calls.add(1)
 	defer s.calls.add(-1)
+	transport, _ := drpcctx.Transport(stream.Context())
+	if tracker, ok := transport.(callTracker); ok {
+		defer tracker.EndCall()
+		stream = &trackedStream{
+			Stream:  stream,
+			tracker: tracker,
+		}
+	}
 	return s.mux.HandleRPC(stream, rpc)
 }
 
+// callTracker is a connection that is told when a call on it has been read and
+// when it has ended, as those of a sesameguard.Guard are.
+type callTracker interface {
+	BeginCall() bool
+	EndCall()
+}
+
+// trackedStream is the stream of a call, whose only message begins it.
+type trackedStream struct {
+	drpc.Stream
+	tracker callTracker
+}
+
+// MsgRecv receives the client's message. It fails with a *ConnectionClosedError if
+// the connection was closed to make room for others.
+func (s *trackedStream) MsgRecv(message drpc.Message, encoding drpc.Encoding) error {
+	if err := s.Stream.MsgRecv(message, encoding); err != nil {
+		return err
+	}
+	if !s.tracker.BeginCall() {
+		return &ConnectionClosedError{}
+	}
+	return nil
+}
+
+// ConnectionClosedError says that a call is not handled because its connection was
+// closed to make room for others.
+type ConnectionClosedError struct{}
+
+// Error says so.
+func (e *ConnectionClosedError) Error() string {
+	return "the connection was closed to make room for others"
+}
+
 // Serve accepts connections until ctx ends. Then it closes the listener, lets
 // the calls in progress finish within drainTimeout, closes the connections and
 // returns nil. Until the connections are closed, clients may start further
-// calls on them. An error of the listener ends it earlier and is returned.
+// calls on them. An error of the listener ends it earlier and is returned; the
+// listener of a sesameguard.Guard for streams has none that passes, and bounds the
+// connections.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
