Bound what messages on the wire take

What callers saw: 100 connections to `wire` that each send a message but for its end take an entry or agent of an own deployment to over 500 MB with 3.6 MB each, in one frame or in small ones, and to 150 MB with 1 MB each.

Cause: drpc gathers a message in buffers that double as they grow, up to 4 MiB of content a connection, and keeps the buffer for the next message. Nothing bounded the sum.

Change: the guard counts the longest message that came on each connection, from one answer to the next, and takes 8 bytes for each of its bytes beyond 4 KiB, of a sixteenth of the memory. At the bound, connections without progress for 200 ms are closed; otherwise the new message's connection is. A message has at most 1 MiB; the longest ones, which describe a gang of 1,024 members, have a few hundred KB at the most (some hundred bytes a member, by the fields of the protocol).

An ordinary call is answered beside them.

--- a/sesamecommand/crowdown_test.go
+++ b/sesamecommand/crowdown_test.go
@@ -2,27 +2,69 @@
 
 import (
 	"context"
+	varint "encoding/binary"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/sesamestack/sesamestack/sesamewire"
 )
 
-// maxCrowdDescriptors is the most of crowdDescriptors that an own process may open:
-// the rest is for its files and its own calls.
-const maxCrowdDescriptors = crowdDescriptors * 7 / 8
-
-// shortBody is the length of a body that needs no room beside its connection.
-const shortBody = 4000
+const (
+	// maxCrowdDescriptors is the most of crowdDescriptors that an own process may
+	// open: the rest is for its files and its own calls.
+	maxCrowdDescriptors = crowdDescriptors * 7 / 8
+	// shortBody is the length of a body that needs no room beside its connection.
+	shortBody = 4000
+	// wireFrame is the length of a message that callers of a wire address send
+	// almost to its end, and wireFrames how many of them do.
+	wireFrame  = 3_600_000
+	wireFrames = 100
+	// legalFrame is the length of one that a server takes.
+	legalFrame = 1_000_000
+)
 
 // wireCrowds are those that call an address that serves the wire protocol.
 func wireCrowds() map[string]crowd {
 	return map[string]crowd{
 		"nothing sent": {clients: 2 * crowdSize, head: func(int) string { return "" }},
+		"messages without an end": {
+			clients: wireFrames,
+			head:    frameHead(wireFrame),
+			body:    []byte(strings.Repeat("x", wireFrame-1)),
+		},
+		"messages of legal size without an end": {
+			clients: wireFrames,
+			head:    frameHead(legalFrame),
+			body:    []byte(strings.Repeat("x", legalFrame-1)),
+		},
+		"small frames of a message without an end": {
+			clients: wireFrames,
+			head:    func(int) string { return "" },
+			body:    []byte(strings.Repeat(smallFrame(), wireFrame/len(smallFrame()))),
+		},
+	}
+}
+
+// frameInvoke is the first byte of a frame that holds a part of the name of a
+// call, and not its last one.
+const frameInvoke = 1 << 1
+
+// frameHead returns what precedes the data of a frame of that many bytes: what it
+// holds, the numbers of the call and of the message, and its length.
+func frameHead(size uint64) func(int) string {
+	return func(int) string {
+		return string(varint.AppendUvarint([]byte{frameInvoke, 1, 1}, size))
 	}
 }
 
+// smallFrame is a frame of 100 bytes of the same message.
+func smallFrame() string {
+	const size = 100
+	return string([]byte{frameInvoke, 1, 1, size}) + strings.Repeat("x", size)
+}
+
 // ownEntry is an entry of an own deployment that crowds call.
 type ownEntry struct {
 	*cluster
--- a/sesameguard/own.go
+++ b/sesameguard/own.go
@@ -14,8 +14,9 @@
 	callerDescriptors = 2
 	wireDescriptors   = 4
 	// wireShare is the part of the memory that connections of other processes may
-	// take.
-	wireShare = 8
+	// take, and wireBytesShare that for their messages.
+	wireShare      = 8
+	wireBytesShare = 16
 	// wireReceiveBuffer is the size of the kernel's buffer for what another process
 	// has sent, in bytes. Most messages fit into it, so that they need no round trip
 	// each.
@@ -28,8 +29,8 @@
 	// Callers and Wire are the most connections of callers, and of other entries and
 	// agents.
 	Callers, Wire int
-	// CallerBytes bounds the heads and bodies in flight.
-	CallerBytes int64
+	// CallerBytes and WireBytes bound the heads, bodies and messages in flight.
+	CallerBytes, WireBytes int64
 }
 
 // DeriveOwn divides the memory, in MiB, and the descriptors of a process among its
@@ -43,14 +44,17 @@
 		Callers:     connections(callerDescriptors, connectionShare),
 		Wire:        connections(wireDescriptors, wireShare),
 		CallerBytes: (memoryMiB << 20) / bytesShare,
+		WireBytes:   (memoryMiB << 20) / wireBytesShare,
 	}
 }
 
-// NewWire returns a guard for the connections of other entries and agents.
+// NewWire returns a guard for the connections of other entries and agents, whose
+// messages long-lived connections carry.
 func (s OwnShares) NewWire(clock clockwork.Clock, log *sesamelog.Logger, scope tally.Scope) *Guard {
 	return New(Options{
 		Name:          "wire",
 		Connections:   s.Wire,
+		Bytes:         s.WireBytes,
 		ReceiveBuffer: wireReceiveBuffer,
 		Stream:        true,
 		Clock:         clock,
--- a/sesameguard/stream_test.go
+++ b/sesameguard/stream_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
@@ -135,6 +136,30 @@
 
 // TestStreams checks the bounds of connections that carry messages.
 func TestStreams(t *testing.T) {
+	part := string(make([]byte, 40<<10))
+	t.Run("a long message alone", func(t *testing.T) {
+		address := serveStreams(t, 4, 1)
+		c := dial(t, address, part+part)
+		c.send("\n")
+		c.assertAnswered(true)
+	})
+	t.Run("a message that is not finished gives way", func(t *testing.T) {
+		address := serveStreams(t, 4, 400<<10)
+		first := dial(t, address, part)
+		time.Sleep(300 * time.Millisecond)
+		second := dial(t, address, part+"\n")
+		second.assertAnswered(true)
+		first.assertAnswered(false)
+	})
+	t.Run("short messages need no room", func(t *testing.T) {
+		address := serveStreams(t, 4, 290<<10)
+		dial(t, address, part)
+		c := dial(t, address, "")
+		for range 100 {
+			c.send("message\n")
+			c.assertAnswered(true)
+		}
+	})
 	t.Run("idle connections give way to new ones", func(t *testing.T) {
 		address := serveStreams(t, 2, 1<<20)
 		for range 8 {
--- a/sesamewire/serve.go
+++ b/sesamewire/serve.go
@@ -9,14 +9,20 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 )
 
 // closeDelay is how long connections stay open after the last call, so that its
 // reply and the client's message that closes the call are delivered first.
 const closeDelay = 100 * time.Millisecond
 
+// maxMessageBytes bounds a message from a client. The longest ones describe a gang
+// of 1,024 members, with some hundred bytes each.
+const maxMessageBytes = 1 << 20
+
 // Server serves the RPC services that are registered with its Mux, and drains
 // on shutdown.
 type Server struct {
@@ -99,8 +105,8 @@
 // the calls in progress finish within drainTimeout, closes the connections and
 // returns nil. Until the connections are closed, clients may start further
 // calls on them. An error of the listener ends it earlier and is returned; the
-// listener of a sesameguard.Guard for streams has none that passes, and bounds the
-// connections.
+// listener of a sesameguard.Guard for streams has none that passes, and bounds what
+// clients take.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -115,7 +121,13 @@
 		cancel()
 		return nil
 	})
-	server := drpcserver.New(s)
+	server := drpcserver.NewWithOptions(s, drpcserver.Options{
+		Manager: drpcmanager.Options{
+			Reader: drpcwire.ReaderOptions{
+				MaximumBufferSize: maxMessageBytes,
+			},
+		},
+	})
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
