Guard the servers of stand-ins and of the demonstration

What callers saw: 400 clients that send heads of short fields take a stand-in of the platform or of a target to 141 to 529 MB, and 800 that send nothing take all of its 512 descriptors.

Cause and change: these were the last plain servers of net/http; they have a guard now, with half of the descriptors and 16 MiB for heads. What their handlers read of bodies is not bounded in sum: they are for tests and trials, and have no setting for their memory.

Evidence: TestCrowdsAtStandins, bounds of 128 MiB and 448 descriptors: 525,708, 145,392, 528,636 and 141,016 KiB and 512 descriptors before; 53,353 KiB and 267 descriptors at the most now.

--- a/sesamecommand/crowdown_test.go
+++ b/sesamecommand/crowdown_test.go
@@ -247,3 +247,24 @@
 		})
 	})
 }
+
+// TestCrowdsAtStandins does the same for the stand-ins of the platform and of a
+// target.
+func TestCrowdsAtStandins(t *testing.T) {
+	// A stand-in has no setting for its memory.
+	const memoryMiB = 2 * crowdMemoryMiB
+	for kind, capacity := range map[string]string{"platform": "", "worker": "kind: worker\ncores: 8\nmemory: 1000\n"} {
+		t.Run(kind, func(t *testing.T) {
+			crowds := httpCrowds()
+			delete(crowds, "answers not read") // They serve no metrics.
+			assertDoor(t, crowds, func(t *testing.T) *crowdServer {
+				c := newCluster(t)
+				address := c.freeAddress()
+				p := c.startLimited("standin", "http: "+address+"\n"+capacity, crowdDescriptors, "standin", kind)
+				s := newCrowdServer(t, p, address, maxCrowdDescriptors, get(t, address, "/healthz"))
+				s.memoryMiB = memoryMiB
+				return s
+			})
+		})
+	}
+}
--- a/sesamecommand/serve.go
+++ b/sesamecommand/serve.go
@@ -3,21 +3,25 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamesettings"
 )
 
 const (
-	// headerTimeout is how long a caller may take to send its headers.
-	headerTimeout = 5 * time.Second
+	// standinDescriptorShare is the part of its descriptors (1 divided by it) that a
+	// stand-in's callers may take, and standinBytes the memory for their heads.
+	standinDescriptorShare = 2
+	standinBytes           = 16 << 20
 	// standinDrainTimeout is how long a stand-in waits for open requests when
 	// it stops.
 	standinDrainTimeout = 10 * time.Second
@@ -51,15 +55,21 @@
 // serveHTTP serves a stand-in's handler until ctx ends, then waits up to
 // standinDrainTimeout for open requests.
 func serveHTTP(ctx context.Context, address string, h http.Handler, log *sesamelog.Logger) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
+	guard := sesameguard.New(sesameguard.Options{
+		Name:        "standin",
+		Connections: openFiles() / standinDescriptorShare,
+		Bytes:       standinBytes,
+		Clock:       clockwork.NewRealClock(),
+		Log:         log,
+		Scope:       tally.NoopScope,
+
+		KernelBuffers: true,
+	})
+	listener, err := guard.Listen(ctx, address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           withHealth(h),
-		ReadHeaderTimeout: headerTimeout,
-	}
+	server := guard.NewServer(withHealth(h))
 	log.Emit(eventServing, sesamelog.Fields{
 		"http": address,
 	})
--- a/sesamedemo/system.go
+++ b/sesamedemo/system.go
@@ -18,6 +18,7 @@
 	"github.com/sesamestack/sesamestack/sesameapi"
 	"github.com/sesamestack/sesamestack/sesamecontract"
 	"github.com/sesamestack/sesamestack/sesameentry"
+	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesamelog"
 	"github.com/sesamestack/sesamestack/sesamemodel"
 	"github.com/sesamestack/sesamestack/sesamesettings"
@@ -46,9 +47,9 @@
 	// drainTimeout bounds the shutdown of an agent. Agents stop only after all
 	// jobs have ended, so that there is no work to wait for.
 	drainTimeout = 2 * time.Second
-	// headerTimeout bounds how long a client may take to send its request
-	// headers.
-	headerTimeout = 5 * time.Second
+	// targetConnections and targetBytes bound what callers of a target may take.
+	targetConnections = 64
+	targetBytes       = 1 << 20
 )
 
 // system holds the entries, agents and targets of the demonstration, which run
@@ -196,18 +197,23 @@
 
 // serveTarget serves a simulated target on a free port until it is closed.
 func (s *system) serveTarget(ctx context.Context, p targetSpec) (*http.Server, error) {
-	listener, err := listen(ctx)
+	guard := sesameguard.New(sesameguard.Options{
+		Name:        "target",
+		Connections: targetConnections,
+		Bytes:       targetBytes,
+		Clock:       s.clock,
+		Log:         s.log,
+		Scope:       tally.NoopScope,
+	})
+	listener, err := guard.Listen(ctx, loopback)
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{
-		Addr: listener.Addr().String(),
-		Handler: sesamestandin.NewTargetHandler(s.clock, sesametarget.Description{
-			Kind:     p.kind,
-			Capacity: p.capacity,
-		}),
-		ReadHeaderTimeout: headerTimeout,
-	}
+	server := guard.NewServer(sesamestandin.NewTargetHandler(s.clock, sesametarget.Description{
+		Kind:     p.kind,
+		Capacity: p.capacity,
+	}))
+	server.Addr = listener.Addr().String()
 	s.group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
