Bound the log lines that callers cause

An entry of an own deployment that logs refusals (log.level: debug) answers no more request that it logs, while its output is not read.

Cause: a refusal is logged with the path that the caller sent, and the queue of lines was bounded by their number, 4,096, and not by their length. The processes of an own deployment wrote lines themselves and waited for the reader.

--- a/sesamecommand/agent.go
+++ b/sesamecommand/agent.go
@@ -45,7 +45,7 @@
 // runAgent runs an agent with the settings until the command's context ends,
 // then closes its connections and metrics.
 func runAgent(c *cobra.Command, s streams, settings sesamesettings.Agent) error {
-	log := newLogger(s.err, settings.Log)
+	log, flush := startLog(s.err, settings.Log)
 	clock := clockwork.NewRealClock()
 	scope, metrics, closer := newMetrics()
 	dialer := sesamewire.NewDialer(sesamewire.DialOptions{})
@@ -65,7 +65,8 @@
 		Shares:  limitProcess(settings.MemoryMiB, settings.Descriptors),
 	})
 	err := agent.Run(c.Context())
-	return errors.CombineErrors(err, errors.CombineErrors(dialer.Close(), closer.Close()))
+	err = errors.CombineErrors(err, errors.CombineErrors(dialer.Close(), closer.Close()))
+	return errors.CombineErrors(err, flush())
 }
 
 // targetHTTP returns an HTTP client that opens at most that many connections
--- a/sesamecommand/crowdhosted_test.go
+++ b/sesamecommand/crowdhosted_test.go
@@ -59,7 +59,7 @@
 // address.
 func (e *crowdEntry) withDoor(address, path string) *crowdServer {
 	e.address = address
-	e.request = get(e.t, address, path)
+	e.request = get(e.crowdServer.t, address, path)
 	return e.crowdServer
 }
 
--- a/sesamecommand/crowds_test.go
+++ b/sesamecommand/crowds_test.go
@@ -103,6 +103,7 @@
 // crowdEntry is a hosted entry that crowds call.
 type crowdEntry struct {
 	*crowdServer
+	*cluster
 	// ready, relay and metrics are its addresses beside the one for callers.
 	ready, relay, metrics string
 }
@@ -118,6 +119,7 @@
 	c := newCluster(t)
 	address := c.freeAddress()
 	e := &crowdEntry{
+		cluster: c,
 		ready:   c.freeAddress(),
 		relay:   c.freeAddress(),
 		metrics: c.freeAddress(),
--- a/sesamecommand/entry.go
+++ b/sesamecommand/entry.go
@@ -43,7 +43,7 @@
 // runEntry runs an entry with the settings until the command's context ends,
 // then closes its connections and metrics.
 func runEntry(c *cobra.Command, s streams, settings sesamesettings.Entry) error {
-	log := newLogger(s.err, settings.Log)
+	log, flush := startLog(s.err, settings.Log)
 	clock := clockwork.NewRealClock()
 	scope, metrics, closer := newMetrics()
 	platform := sesametable.NewClient(sesametable.Options{
@@ -71,5 +71,6 @@
 		return err
 	}
 	err = entry.Run(c.Context())
-	return errors.CombineErrors(err, errors.CombineErrors(dialer.Close(), closer.Close()))
+	err = errors.CombineErrors(err, errors.CombineErrors(dialer.Close(), closer.Close()))
+	return errors.CombineErrors(err, flush())
 }
--- a/sesamecommand/hosted.go
+++ b/sesamecommand/hosted.go
@@ -23,12 +23,8 @@
 	"github.com/sesamestack/sesamestack/sesamesettings"
 )
 
-const (
-	// logQueueLines is how many log lines may wait to be written.
-	logQueueLines = 4096
-	// metricsPath is the URL path that serves the metrics.
-	metricsPath = "/metrics"
-)
+// metricsPath is the URL path that serves the metrics.
+const metricsPath = "/metrics"
 
 // newHosted returns the command whose subcommands run an entry or an agent on
 // a platform that provides the store, and check the operators' configuration.
@@ -115,16 +111,11 @@
 func newProcess(c *cobra.Command, s streams, id string, l sesamesettings.Log, memory int64) (*process, func() error) {
 	runtime.GOMAXPROCS(1)
 	limitMemory(memory)
-	logQueue := sesamelog.NewAsyncWriter(s.out, logQueueLines)
+	log, flush := startLog(s.out, l)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(c.Context()))
-	logging, endLog := context.WithCancel(context.WithoutCancel(c.Context()))
-	var writer errgroup.Group
-	writer.Go(func() error {
-		return logQueue.Run(logging)
-	})
 	group, ctx := errgroup.WithContext(ctx)
 	p := &process{
-		log: newLogger(logQueue, l).With(sesamelog.Fields{
+		log: log.With(sesamelog.Fields{
 			"process": id,
 		}),
 		group:  group,
@@ -147,8 +138,7 @@
 		p.log.Emit(eventStopped, sesamelog.Fields{
 			"error": err,
 		})
-		endLog()
-		return errors.CombineErrors(err, writer.Wait())
+		return errors.CombineErrors(err, flush())
 	}
 }
 
--- a/sesamecommand/serve.go
+++ b/sesamecommand/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,7 +13,6 @@
 
 	"github.com/sesamestack/sesamestack/sesameguard"
 	"github.com/sesamestack/sesamestack/sesamelog"
-	"github.com/sesamestack/sesamestack/sesamesettings"
 )
 
 const (
@@ -27,18 +25,6 @@
 	standinDrainTimeout = 10 * time.Second
 )
 
-// newLogger returns a logger with the level and format of the settings, which
-// are validated already.
-func newLogger(w io.Writer, l sesamesettings.Log) *sesamelog.Logger {
-	levels := map[string]sesamelog.Level{
-		"debug": sesamelog.Debug,
-		"info":  sesamelog.Info,
-		"warn":  sesamelog.Warn,
-		"error": sesamelog.Error,
-	}
-	return sesamelog.New(w, levels[l.Level], sesamelog.Format(l.Format))
-}
-
 // withHealth adds the health and readiness endpoints of a stand-in, which
 // always answer 200: a stand-in is ready as soon as it listens.
 func withHealth(h http.Handler) http.Handler {
--- a/sesamecommand/standin.go
+++ b/sesamecommand/standin.go
@@ -1,6 +1,7 @@
 package sesamecommand
 
 import (
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
 
@@ -61,9 +62,10 @@
 			if err != nil {
 				return err
 			}
-			log := newLogger(s.err, settings.Log)
+			log, flush := startLog(s.err, settings.Log)
 			store := sesamestandin.NewStore(clockwork.NewRealClock())
-			return serveHTTP(c.Context(), settings.HTTP, sesamestandin.NewPlatformHandler(store, log), log)
+			err = serveHTTP(c.Context(), settings.HTTP, sesamestandin.NewPlatformHandler(store, log), log)
+			return errors.CombineErrors(err, flush())
 		},
 	}
 	settingsFlag(c, &file)
@@ -99,9 +101,10 @@
 					Problem: "the settings are for kind " + settings.Kind,
 				}
 			}
-			log := newLogger(s.err, settings.Log)
+			log, flush := startLog(s.err, settings.Log)
 			target := sesamestandin.NewTargetHandler(clockwork.NewRealClock(), targetDescription(settings))
-			return serveHTTP(c.Context(), settings.HTTP, target, log)
+			err = serveHTTP(c.Context(), settings.HTTP, target, log)
+			return errors.CombineErrors(err, flush())
 		},
 	}
 	settingsFlag(c, &file)
--- a/sesamelog/log.go
+++ b/sesamelog/log.go
@@ -32,6 +32,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -149,8 +150,38 @@
 	}
 }
 
+// maxValueBytes is the most bytes of a field's text that are logged. Some are what
+// callers have sent, such as the path of a request.
+const maxValueBytes = 1 << 10
+
 // Emit writes one event with its fields, unless its level is below the logger's.
-// A value of type error under the key "error" is written as its message.
+// A value of type error is written as its message. Of long texts only the beginning
+// is written, with their length.
 func (l *Logger) Emit(e Event, f Fields) {
-	l.entry.WithFields(f).WithField("event", e.Number).Log(e.Level, e.Text)
+	if !l.entry.Logger.IsLevelEnabled(e.Level) {
+		return
+	}
+	fields := make(Fields, len(f)+1)
+	for name, value := range f {
+		fields[name] = shortened(value)
+	}
+	fields["event"] = e.Number
+	l.entry.WithFields(fields).Log(e.Level, e.Text)
+}
+
+// shortened returns the value, or the beginning of a long text.
+func shortened(value any) any {
+	var text string
+	switch v := value.(type) {
+	case string:
+		text = v
+	case error:
+		text = v.Error()
+	default:
+		return value
+	}
+	if len(text) <= maxValueBytes {
+		return value
+	}
+	return fmt.Sprintf("%s… (%d bytes)", strings.ToValidUTF8(text[:maxValueBytes], ""), len(text))
 }
