Run the tests of crowds apart from other tests

Cause: they measure what processes take, and ran beside all other packages' tests. There are more of them now, one for each address of each process.

Without the flag they are skipped; crowds and bounds are unchanged.

--- a/sesamecommand/crowdhosted_test.go
+++ b/sesamecommand/crowdhosted_test.go
@@ -66,6 +66,7 @@
 // TestCrowdsAtHostedEntry guards against a hosted entry that exceeds its memory
 // or its descriptors because of callers of its other addresses.
 func TestCrowdsAtHostedEntry(t *testing.T) {
+	requireCrowds(t)
 	t.Run("ready", func(t *testing.T) {
 		assertDoor(t, httpCrowds(), func(t *testing.T) *crowdServer {
 			e := startCrowdEntry(t)
@@ -103,6 +104,7 @@
 
 // TestCrowdsAtHostedAgent does the same for a hosted agent.
 func TestCrowdsAtHostedAgent(t *testing.T) {
+	requireCrowds(t)
 	t.Run("reports", func(t *testing.T) {
 		assertDoor(t, httpCrowds(), func(t *testing.T) *crowdServer {
 			p, reports, _ := startHostedCrowdAgent(t)
--- a/sesamecommand/crowdlogs_test.go
+++ b/sesamecommand/crowdlogs_test.go
@@ -80,6 +80,7 @@
 // TestCrowdsOfLogLines guards against a process that exceeds its memory, or stops
 // answering, because its callers cause log lines and nobody reads its output.
 func TestCrowdsOfLogLines(t *testing.T) {
+	requireCrowds(t)
 	assertLives := func(t *testing.T, s *crowdServer) {
 		t.Helper()
 		refuseMany(s.address)
--- a/sesamecommand/crowdown_test.go
+++ b/sesamecommand/crowdown_test.go
@@ -127,6 +127,7 @@
 // exceeds its memory or its descriptors, because of its callers or of those that
 // connect to its address for agents and other entries.
 func TestCrowdsAtEntry(t *testing.T) {
+	requireCrowds(t)
 	t.Run("http", func(t *testing.T) {
 		assertDoor(t, httpCrowds(), func(t *testing.T) *crowdServer {
 			e := startOwnEntry(t)
@@ -150,6 +151,7 @@
 // its memory, or refuses all others, because many callers send bodies that stop
 // just short of their end.
 func TestCrowdsOfSubmissions(t *testing.T) {
+	requireCrowds(t)
 	// The connections are more than the requests that it handles at a time.
 	const memoryMiB, descriptors = 2 * crowdMemoryMiB, 2 * crowdDescriptors
 	for name, size := range map[string]int{"long": smallCrowdBody, "short": shortBody} {
@@ -234,6 +236,7 @@
 
 // TestCrowdsAtAgent does the same for an agent of an own deployment.
 func TestCrowdsAtAgent(t *testing.T) {
+	requireCrowds(t)
 	t.Run("http", func(t *testing.T) {
 		assertDoor(t, httpCrowds(), func(t *testing.T) *crowdServer {
 			a := startOwnAgent(t)
@@ -251,6 +254,7 @@
 // TestCrowdsAtStandins does the same for the stand-ins of the platform and of a
 // target.
 func TestCrowdsAtStandins(t *testing.T) {
+	requireCrowds(t)
 	// A stand-in has no setting for its memory.
 	const memoryMiB = 2 * crowdMemoryMiB
 	for kind, capacity := range map[string]string{"platform": "", "worker": "kind: worker\ncores: 8\nmemory: 1000\n"} {
--- a/sesamecommand/crowds_test.go
+++ b/sesamecommand/crowds_test.go
@@ -162,6 +162,7 @@
 // TestCrowdsOfBodies guards against an entry that exceeds its memory because
 // many callers send long bodies at once and stop just short of their end.
 func TestCrowdsOfBodies(t *testing.T) {
+	requireCrowds(t)
 	declared := func(size int) func(int) string {
 		return func(client int) string {
 			return crowdHead(client) + fmt.Sprintf("Content-Length: %d\r\n\r\n", size)
@@ -189,6 +190,7 @@
 // the limit or never end, nothing at all, or requests without end whose answers
 // they do not read.
 func TestCrowdsOfHeads(t *testing.T) {
+	requireCrowds(t)
 	none := func(int) string { return "" }
 	field := "X-Field: " + strings.Repeat("x", 1000) + "\r\n"
 	for name, c := range map[string]crowd{
--- a/sesamecommand/crowdserver_test.go
+++ b/sesamecommand/crowdserver_test.go
@@ -1,6 +1,7 @@
 package sesamecommand_test
 
 import (
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,18 @@
 	"github.com/matryer/is"
 )
 
+// crowds says that the tests of crowds run. They measure processes, so they need the
+// machine for themselves, and run one at a time.
+var crowds = flag.Bool("crowds", false, "run the tests of crowds of clients, which need the machine for themselves")
+
+// requireCrowds skips a test of a crowd that would run beside other tests.
+func requireCrowds(t *testing.T) {
+	t.Helper()
+	if !*crowds {
+		t.Skip("runs apart from other tests, with -crowds")
+	}
+}
+
 const (
 	// crowdMemoryMiB is the memory setting of the process that a crowd calls. A
 	// platform kills a process that exceeds it.
