--- a/sesameagent/agent.go
+++ b/sesameagent/agent.go
@@ -71,8 +71,8 @@
 	Scope tally.Scope
 	// Metrics serves /metrics; without it, the path is not served.
 	Metrics http.Handler
-	// Shares is what other processes may take of this one; the zero value means what
-	// a process with the usual limits can give.
+	// Shares is what other processes may take of this one; the zero value means the
+	// default.
 	Shares sesameguard.OwnShares
 }
 
@@ -111,9 +111,7 @@
 
 // New returns an agent that does nothing before Run is called.
 func New(settings sesamesettings.Agent, deps Deps) *Agent {
-	if deps.Shares == (sesameguard.OwnShares{}) {
-		deps.Shares = sesameguard.DeriveOwn(defaultMemoryMiB, defaultDescriptors)
-	}
+	deps.Shares = deps.Shares.OrDefault()
 	a := &Agent{
 		settings:    settings,
 		deps:        deps,
--- a/sesameagent/http.go
+++ b/sesameagent/http.go
@@ -28,10 +28,6 @@
 	// maxConnections is the most connections to the HTTP server, which a balancer and
 	// a collector of metrics use.
 	maxConnections = 64
-	// defaultMemoryMiB and defaultDescriptors are what a process is taken to have if
-	// nothing says what it may take.
-	defaultMemoryMiB   = 128
-	defaultDescriptors = 1024
 	// The bounds of the histograms' buckets begin at minBucket; each is
 	// bucketFactor times the one before it.
 	minBucket    = time.Millisecond
--- a/sesameentry/entry.go
+++ b/sesameentry/entry.go
@@ -41,10 +41,6 @@
 	listenerCloseDelay = time.Second
 	// tickInterval is how often the planner runs without a hint of a change.
 	tickInterval = time.Second
-	// defaultMemoryMiB and defaultDescriptors are what a process is taken to have if
-	// nothing says what it may take.
-	defaultMemoryMiB   = 1024
-	defaultDescriptors = 1024
 	// maxWaiterShare is the part of callers' connections (1 divided by it) that may
 	// wait for jobs. The others remain for requests that are answered at once.
 	maxWaiterShare = 2
@@ -67,7 +63,7 @@
 	// Metrics serves /metrics; nil leaves it out.
 	Metrics http.Handler
 	// Shares is what callers and other processes may take of this one; the zero
-	// value means what a process with the usual limits can give.
+	// value means the default.
 	Shares sesameguard.OwnShares
 }
 
@@ -106,9 +102,7 @@
 // New returns an entry that has not started. The only errors are those of
 // registering its RPC services.
 func New(settings sesamesettings.Entry, deps Deps) (*Entry, error) {
-	if deps.Shares == (sesameguard.OwnShares{}) {
-		deps.Shares = sesameguard.DeriveOwn(defaultMemoryMiB, defaultDescriptors)
-	}
+	deps.Shares = deps.Shares.OrDefault()
 	e := &Entry{
 		settings: settings,
 		deps:     deps,
--- a/sesameguard/doc.go
+++ b/sesameguard/doc.go
@@ -1,7 +1,8 @@
-// Package sesameguard bounds what callers of an HTTP server can take of a
-// process: connections, the bytes of their heads and bodies, and the decoding of
-// these. It keeps a process within its memory and its descriptors whatever its
-// callers send.
+// Package sesameguard bounds what callers of a server can take of a process:
+// connections, the bytes of their heads, with what their fields need, of their
+// bodies and messages, and the decoding of bodies. It keeps a process within its
+// memory and its descriptors whatever its callers send. Its listeners go on after
+// errors of accepting connections.
 //
 // Bounds that are reached are freed by those callers that have gone longest
 // without progress, so that others are still served. A caller is refused with a
@@ -23,5 +24,7 @@
 //	// ...
 //	err = server.Serve(listener)
 //
-// A handler reads a body with ReadBody.
+// A handler drops the fields that it doesn't need with KeepFields and reads a body
+// with ReadBody. With Options.Stream, the listener serves another protocol than HTTP
+// and returns connections of type *Stream.
 package sesameguard
--- a/sesameguard/own.go
+++ b/sesameguard/own.go
@@ -7,10 +7,9 @@
 	"github.com/sesamestack/sesamestack/sesamelog"
 )
 
-// The parts of the descriptors (1 divided by these) that callers and the processes
-// of the deployment may take of one of an own deployment. Its files and its own
-// calls take the rest.
 const (
+	// The parts of a process's descriptors (1 divided by these) that callers and other
+	// entries and agents may take. Its files and its own calls take the rest.
 	callerDescriptors = 2
 	wireDescriptors   = 4
 	// wireShare is the part of the memory that connections of other processes may
@@ -21,6 +20,10 @@
 	// has sent, in bytes. Most messages fit into it, so that they need no round trip
 	// each.
 	wireReceiveBuffer = 64 << 10
+	// defaultOwnMiB and defaultOwnDescriptors are what a process is taken to have if
+	// nothing says what it may take.
+	defaultOwnMiB         = 1024
+	defaultOwnDescriptors = 1024
 )
 
 // OwnShares says what each server of an entry or agent of an own deployment may
@@ -48,6 +51,15 @@
 	}
 }
 
+// OrDefault returns the shares, or those of a process of defaultOwnMiB and
+// defaultOwnDescriptors if they are zero.
+func (s OwnShares) OrDefault() OwnShares {
+	if s == (OwnShares{}) {
+		return DeriveOwn(defaultOwnMiB, defaultOwnDescriptors)
+	}
+	return s
+}
+
 // NewWire returns a guard for the connections of other entries and agents, whose
 // messages long-lived connections carry.
 func (s OwnShares) NewWire(clock clockwork.Clock, log *sesamelog.Logger, scope tally.Scope) *Guard {
