Tests of the settings and shares of own processes

Ranges of memory and descriptors, and that the shares of an entry fit into both: at most three quarters of the descriptors and 9/16 of the memory, and 4,096 long polls beside as many connections with 2,200 MiB and 20,000 descriptors.

--- a/sesameguard/guard_test.go
+++ b/sesameguard/guard_test.go
@@ -395,3 +395,22 @@
 		})
 	}
 }
+
+// TestDeriveOwn guards against shares of an own process that exceed its memory or
+// its descriptors, and against ones that the limits of docs/API.md do not fit into.
+func TestDeriveOwn(t *testing.T) {
+	for _, c := range []struct {
+		memory      int64
+		descriptors int
+	}{{64, 512}, {128, 1024}, {284, 4100}, {2200, 20_000}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			is := is.New(t)
+			s := sesameguard.DeriveOwn(c.memory, c.descriptors)
+			is.True(s.Callers+s.Wire <= c.descriptors*3/4)
+			is.True(int64(s.Callers+s.Wire)<<16+s.CallerBytes+s.WireBytes <= c.memory<<20*9/16)
+		})
+	}
+	t.Run("4,096 long polls beside as many other connections", func(t *testing.T) {
+		is.New(t).True(sesameguard.DeriveOwn(2200, 20_000).Callers/2 >= 4096)
+	})
+}
--- a/sesamesettings/load_test.go
+++ b/sesamesettings/load_test.go
@@ -1,6 +1,7 @@
 package sesamesettings_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -127,6 +128,15 @@
 			`14: maxbody: is set twice, first on line 13`,
 		)
 	})
+	t.Run("bounds what the process may use", func(t *testing.T) {
+		file := writeFile(t, "entry.yaml", entryYAML+"memory: 16\ndescriptors: 10\n")
+		_, err := sesamesettings.LoadEntry(file)
+		line := strings.Count(entryYAML, "\n")
+		assertProblems(t, file, err,
+			fmt.Sprintf("%d: memory: is 16, expected 32 to 1048576", line+1),
+			fmt.Sprintf("%d: descriptors: is 10, expected 400 to 1048576", line+2),
+		)
+	})
 	t.Run("checks the relations between lease times", func(t *testing.T) {
 		file := writeFile(t, "entry.yaml", entryYAML+`leases:
   heartbeat: 1s
