--- a/sesamesoak/soak_test.go
+++ b/sesamesoak/soak_test.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// run submits jobs and injects faults at random times of faultPeriod, and
-// returns when all of them are over.
+// run submits jobs, injects faults and has crowds of clients call the entries, at
+// random times of faultPeriod, and returns when all of them are over.
 func (s *soak) run(r *rand.Rand) {
 	time.Sleep(time.Second)
 	var group errgroup.Group
@@ -120,6 +120,10 @@
 			return s.evacuateRepeatedly(zone, spans)
 		})
 	}
+	group.Go(func() error {
+		s.crowdEntries(r)
+		return nil
+	})
 	is.New(s.t).NoErr(group.Wait())
 }
 
