--- a/sesameapi/server_test.go
+++ b/sesameapi/server_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
@@ -78,6 +79,29 @@
 	e.mustSubmit(corkToken, "ordinary", executorJob("pricing"))
 }
 
+// TestBodyTimeout guards against a request that is in progress for longer than its
+// time because its body does not come.
+func TestBodyTimeout(t *testing.T) {
+	e := newTestEntry(t)
+	e.handler.options.Timeout = 100 * time.Millisecond
+	server := httptest.NewServer(e.handler)
+	t.Cleanup(server.Close)
+	stalled, err := net.Dial("tcp", server.Listener.Addr().String())
+	e.is.NoErr(err)
+	defer stalled.Close()
+	e.is.NoErr(stalled.SetDeadline(time.Now().Add(10 * time.Second)))
+	_, err = fmt.Fprintf(stalled, "POST /v1/jobs HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n"+
+		"Idempotency-Key: stalled\r\nContent-Length: 9\r\n\r\n{", corkToken)
+	e.is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(stalled), nil)
+	e.is.NoErr(err)
+	var problem Problem
+	e.is.NoErr(json.NewDecoder(response.Body).Decode(&problem))
+	e.is.NoErr(response.Body.Close())
+	e.is.Equal(problem.Type, TimedOut)
+	e.is.Equal(problem.Outcome, Unchanged)
+}
+
 func TestUnknownPaths(t *testing.T) {
 	e := newTestEntry(t)
 	e.requireProblem(e.call(http.MethodGet, "/v2/jobs", corkToken, nil), NotFound)
