--- /dev/null
+++ b/review/harness-3/cases.go
@@ -0,0 +1,431 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// The bounds of the site that the scripts use.
+const (
+	configApply = 2 * time.Second
+	cancelTime  = 3 * time.Second
+	stopTimeout = 900 * time.Millisecond
+	visibleTime = 3 * time.Second
+	finishTime  = 14 * time.Second
+	idleTime    = 3 * time.Second
+	// cutTime is less than the longest cut of the site file, 5.5 s.
+	cutTime = 4 * time.Second
+)
+
+// overlaps returns the pairs of runs of a task of the job that went on at the same
+// time on executors that were up.
+func (d *deployment) overlaps(id string) []string {
+	var found []string
+	runs := d.runsOf(id)
+	for i, a := range runs {
+		for _, b := range runs[i+1:] {
+			endOf := a.end
+			if endOf.IsZero() {
+				endOf = time.Now()
+			}
+			if a.task == b.task && b.began.Before(endOf) {
+				found = append(found, fmt.Sprintf("TWICE: %s ran at the same time as run %d on %s (born %d) and run %d on %s (born %d), for %v",
+					a.task, a.run, a.executor, a.born, b.run, b.executor, b.born, endOf.Sub(b.began).Round(time.Millisecond)))
+			}
+		}
+	}
+	return found
+}
+
+// awaitRun returns the first run of the job's first task.
+func (d *deployment) awaitRun(id string, within time.Duration) (taskRun, bool) {
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if runs := d.runsOf(id); len(runs) > 0 {
+			return runs[0], true
+		}
+	}
+	return taskRun{}, false
+}
+
+// idleFor watches a job and returns a break if it has nothing running for idleTime
+// on end before the deadline, though its turn has come and the executors are idle.
+func (d *deployment) idleFor(id string, until time.Time) []string {
+	var idleSince time.Time
+	for time.Now().Before(until) {
+		running, done := false, false
+		for _, r := range d.runsOf(id) {
+			running = running || r.end.IsZero()
+			done = done || r.endHow == "done"
+		}
+		switch {
+		case done:
+			return nil
+		case running:
+			idleSince = time.Time{}
+		case idleSince.IsZero():
+			idleSince = time.Now()
+		case time.Since(idleSince) > idleTime:
+			return []string{fmt.Sprintf("LOST: job %s has had nothing running for %v", id, time.Since(idleSince).Round(time.Millisecond))}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil
+}
+
+// twoSides are side machines of which the first is smaller, so that it suits small
+// work best.
+var twoSides = []side{
+	{"magdalena-a", resources{64000, 262144, 4}, []string{"a", "r1-1"}, false},
+	{"magdalena-b", resources{128000, 524288, 8}, []string{"a", "r1-2"}, false},
+}
+
+// lateLeave: an executor takes its leave, and is cut off as it does. It starts again
+// under its id. What it sent last arrives after the cut, behind the first heartbeat
+// of the new life.
+func lateLeave(d *deployment) ([]string, error) {
+	if err := d.startAll(2, twoSides, configuration(7, 8, batchRoute)); err != nil {
+		return nil, err
+	}
+	e := d.executors[0]
+	first := e.current()
+	if !first.drain(2 * time.Second) {
+		return nil, fmt.Errorf("the executor's leaving was not acknowledged")
+	}
+	time.Sleep(2500 * time.Millisecond)
+	if d.trouble {
+		e.reports.setCut(true)
+		e.app.setCut(true)
+		d.record("executor i-1 is cut off")
+		time.AfterFunc(cutTime, func() {
+			e.reports.setCut(false)
+			e.app.setCut(false)
+			d.record("executor i-1 is no longer cut off")
+		})
+	}
+	if err := first.farewell(); err != nil {
+		return nil, err
+	}
+	time.Sleep(60 * time.Millisecond)
+	e.end("planned")
+	time.Sleep(time.Second)
+	if err := e.start(); err != nil {
+		return nil, err
+	}
+	if !e.current().awaitAcknowledged(8 * time.Second) {
+		return nil, fmt.Errorf("no heartbeat of the new life was acknowledged")
+	}
+	d.record("the first heartbeat of the new life is acknowledged")
+	time.Sleep(200 * time.Millisecond)
+	id := jobID(1)
+	if !d.submit(batchRoute, id, job{"work 9000 ms, then done", []step{{Count: 1, CPU: 11000, Memory: 59000, GPU: 4, Estimate: 9000}}, 0, 0, 0}) {
+		return nil, fmt.Errorf("the job was not accepted")
+	}
+	run, ok := d.awaitRun(id, 3*time.Second)
+	if !ok || run.executor != "i-1" {
+		return nil, fmt.Errorf("the job did not start on i-1")
+	}
+	time.Sleep(8 * time.Second)
+	return d.overlaps(id), nil
+}
+
+// foreignLife: another writer sends a heartbeat with the id of an executor in which
+// fields are missing.
+func foreignLife(d *deployment) ([]string, error) {
+	if err := d.startAll(2, twoSides, configuration(7, 8, batchRoute)); err != nil {
+		return nil, err
+	}
+	id := jobID(1)
+	if !d.submit(batchRoute, id, job{"work 9000 ms, then done", []step{{Count: 1, CPU: 11000, Memory: 59000, GPU: 4, Estimate: 9000}}, 0, 0, 0}) {
+		return nil, fmt.Errorf("the job was not accepted")
+	}
+	if run, ok := d.awaitRun(id, 3*time.Second); !ok || run.executor != "i-1" {
+		return nil, fmt.Errorf("the job did not start on i-1")
+	}
+	time.Sleep(time.Second)
+	if d.trouble {
+		e := d.executors[0]
+		body := map[string]any{
+			"service": serviceName, "address": e.address, "state": "ready", "capacity": e.capacity, "sequence": 1,
+			"born": time.Now().UnixMilli(),
+		}
+		status, err := sendBeat(http.MethodPut, "http://"+e.reports.listener.Addr().String()+"/instances/i-1", body)
+		d.record("another writer sends PUT /instances/i-1 %v: %d %v", body, status, err)
+	}
+	time.Sleep(8 * time.Second)
+	return d.overlaps(id), nil
+}
+
+// incompleteHeartbeats: another writer sends heartbeats in which fields are missing.
+// They name no executor to use.
+func incompleteHeartbeats(d *deployment) ([]string, error) {
+	sides := []side{
+		{"magdalena-a", resources{128000, 524288, 8}, []string{"a", "r1-1"}, false},
+		{"magdalena-b", resources{128000, 524288, 8}, []string{"a", "r1-2"}, false},
+	}
+	if err := d.startAll(2, sides, configuration(7, 8, batchRoute)); err != nil {
+		return nil, err
+	}
+	// Nobody answers at this address.
+	silent, err := net.Listen("tcp", d.at(18, 8532))
+	if err != nil {
+		return nil, err
+	}
+	defer silent.Close()
+	if d.trouble {
+		stop := make(chan struct{})
+		defer close(stop)
+		go d.writeIncomplete(silent.Addr().String(), stop)
+		time.Sleep(time.Second)
+	}
+	id := jobID(1)
+	if !d.submit(batchRoute, id, job{"work 1000 ms, then done", []step{{Count: 1, CPU: 11000, Memory: 59000, GPU: 1, Estimate: 1000}}, 0, 0, 0}) {
+		return nil, fmt.Errorf("the job was not accepted")
+	}
+	d.record("the traffic ends")
+	time.Sleep(finishTime)
+	status, state := d.state(d.fronts[0], batchRoute, id)
+	d.record("the job is asked for: %d %s", status, state)
+	return d.idleFor(id, time.Now().Add(2*idleTime)), nil
+}
+
+// writeIncomplete sends such a heartbeat to each agent in turn, about as often as
+// an executor would, each with another id.
+func (d *deployment) writeIncomplete(address string, stop chan struct{}) {
+	for n := 1; ; n++ {
+		e := d.executors[n%len(d.executors)]
+		id := fmt.Sprintf("i-other%d", n)
+		body := map[string]any{
+			"service": serviceName, "address": address, "state": "ready", "sequence": 1,
+			"capacity": resources{11000, 59000, 1},
+		}
+		status, _ := sendBeat(http.MethodPut, "http://"+e.reports.listener.Addr().String()+"/instances/"+id, body)
+		d.record("another writer sends PUT /instances/%s %v: %d", id, body, status)
+		select {
+		case <-stop:
+			return
+		case <-time.After(heartbeatTime / 2):
+		}
+	}
+}
+
+// renamedRoute: a version of the configuration removes a route and adds one with
+// another name for the same host and path.
+func renamedRoute(d *deployment) ([]string, error) {
+	sides := twoSides[1:]
+	if err := d.startAll(2, sides, configuration(7, 8, batchRoute)); err != nil {
+		return nil, err
+	}
+	id := jobID(1)
+	steps := []step{{Count: 1, CPU: 11000, Memory: 59000, GPU: 1, Estimate: 9500}}
+	j := job{"work 10000 ms, then done", steps, 0, 0, 0}
+	two := map[string]any{
+		"specification": j.Specification,
+		"steps": []map[string]any{
+			{"count": 1, "cpu": 11000, "mem-request-mb": 59000, "gpu": 1, "estimated-ms": 9500},
+			{"count": 1, "cpu": 11000, "mem-request-mb": 59000, "gpu": 1, "estimated-ms": 9500, "after": []int{0}},
+		},
+	}
+	if status, _ := d.request(d.fronts[0], http.MethodPost, batchRoute.Prefix+id, two); status/100 != 2 {
+		return nil, fmt.Errorf("the job was not accepted")
+	}
+	accepted := time.Now()
+	if _, ok := d.awaitRun(id, 3*time.Second); !ok {
+		return nil, fmt.Errorf("the job did not start")
+	}
+	renamed := batchRoute
+	if d.trouble {
+		renamed.Name = "r-7hk2wq9"
+	}
+	d.putConfig(configuration(12, 8, renamed))
+	time.Sleep(max(configApply+time.Second, time.Until(accepted.Add(visibleTime+time.Second))))
+	var breaks []string
+	for _, front := range d.fronts {
+		if status, _ := d.state(front, renamed, id); status == http.StatusGone {
+			breaks = append(breaks, fmt.Sprintf("LOST: a GET for the accepted job that nobody has cancelled is answered 410 by %s", front))
+		}
+	}
+	status, _ := d.request(d.fronts[0], http.MethodDelete, renamed.Prefix+id, nil)
+	if status/100 != 2 && status != http.StatusGone {
+		return breaks, fmt.Errorf("the cancelling was not acknowledged")
+	}
+	acknowledged := time.Now()
+	time.Sleep(12 * time.Second)
+	for _, r := range d.runsOf(id) {
+		if after := r.began.Sub(acknowledged); after > cancelTime {
+			breaks = append(breaks, fmt.Sprintf("UNASKED: %s run %d began %v after the cancelling was acknowledged with %d", r.task, r.run, after.Round(time.Millisecond), status))
+		}
+		if r.end.IsZero() || r.end.Sub(acknowledged) > cancelTime+stopTimeout {
+			breaks = append(breaks, fmt.Sprintf("UNASKED: %s run %d ran on after the cancelling was acknowledged with %d", r.task, r.run, status))
+		}
+	}
+	return breaks, nil
+}
+
+// quarantine: 4 of 80 jobs can never be done. A job whose time comes later finds
+// idle executors, and waits.
+func quarantine(d *deployment) ([]string, error) {
+	sides := []side{
+		{"magdalena-a", resources{128000, 524288, 8}, []string{"a", "r1-1"}, false},
+		{"magdalena-b", resources{128000, 524288, 8}, []string{"a", "r1-2"}, false},
+	}
+	if err := d.startAll(2, sides, configuration(7, 8, batchRoute)); err != nil {
+		return nil, err
+	}
+	small := step{Count: 1, CPU: 11000, Memory: 59000, GPU: 1, Estimate: 100}
+	due := time.Now().Add(24 * time.Second)
+	timed := jobID(1)
+	if !d.submit(batchRoute, timed, job{"work 500 ms, then done", []step{small}, 1, due.UnixMilli(), 4500}) {
+		return nil, fmt.Errorf("the timed job was not accepted")
+	}
+	for n := range 75 {
+		if !d.submit(batchRoute, jobID(100+n), job{"work 100 ms, then done", []step{small}, 0, 0, 0}) {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
+	}
+	time.Sleep(time.Second)
+	for n, rack := range []string{"r1-1", "r1-1", "r1-2", "r1-2"} {
+		bound := small
+		bound.Selector = rack
+		how := "done"
+		if d.trouble {
+			how = "failed"
+		}
+		if !d.submit(batchRoute, jobID(200+n), job{"work 1000 ms, then " + how, []step{bound}, 0, 0, 0}) {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
+	}
+	d.record("the traffic ends")
+	time.Sleep(max(finishTime, time.Until(due)))
+	d.record("the timed job is due")
+	return d.idleFor(timed, time.Now().Add(2*idleTime)), nil
+}
+
+// isolation: an executor crashes just after it has begun a task of a job. The others
+// have room for the task many times over.
+func isolation(d *deployment) ([]string, error) {
+	var sides []side
+	for i, zone := range []string{"magdalena-a", "magdalena-b", "magdalena-c"} {
+		sides = append(sides, side{zone, resources{128000, 524288, 8}, []string{"a", fmt.Sprintf("r1-%d", i+1)}, true})
+	}
+	if err := d.startAll(2, sides, configuration(7, 8, batchRoute)); err != nil {
+		return nil, err
+	}
+	lasting := step{Count: 3, CPU: 11000, Memory: 59000, GPU: 1, Lasting: true, Apart: 1}
+	if !d.submit(batchRoute, jobID(1), job{"work 0 ms, then done", []step{lasting}, 0, 0, 0}) {
+		return nil, fmt.Errorf("the lasting job was not accepted")
+	}
+	id := jobID(2)
+	due := time.Now().Add(finishTime + 2*time.Second)
+	small := step{Count: 1, CPU: 11000, Memory: 59000, GPU: 1, Estimate: 3000}
+	if !d.submit(batchRoute, id, job{"work 3000 ms, then done", []step{small}, 1, due.UnixMilli(), 4500}) {
+		return nil, fmt.Errorf("the timed job was not accepted")
+	}
+	d.record("the traffic ends")
+	run, ok := d.awaitRun(id, time.Until(due)+3*time.Second)
+	if !ok {
+		return nil, fmt.Errorf("the timed job did not start")
+	}
+	time.Sleep(300 * time.Millisecond)
+	if d.trouble {
+		for _, e := range d.executors {
+			if e.id == run.executor {
+				e.end("crash")
+				time.AfterFunc(6*time.Second, func() { _ = e.start() })
+			}
+		}
+	}
+	return d.idleFor(id, time.Now().Add(8*time.Second)), nil
+}
+
+// hungOrders: an executor leaves the calls of its agent unanswered for a while. The
+// jobs that it is to begin don't count as waiting.
+func hungOrders(d *deployment) ([]string, error) {
+	if err := d.startAll(2, twoSides, configuration(7, 8, batchRoute)); err != nil {
+		return nil, err
+	}
+	if d.trouble {
+		d.executors[0].setHung(true)
+		time.AfterFunc(5500*time.Millisecond, func() { d.executors[0].setHung(false) })
+	}
+	var ids []string
+	for n := range 4 {
+		id := jobID(1 + n)
+		ids = append(ids, id)
+		if !d.submit(batchRoute, id, job{"work 1000 ms, then done", []step{{Count: 1, CPU: 11000, Memory: 59000, GPU: 1, Estimate: 1000}}, 0, 0, 0}) {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
+	}
+	accepted := time.Now()
+	time.Sleep(time.Until(accepted.Add(visibleTime + 2*time.Second + 20*time.Millisecond)))
+	var breaks []string
+	for _, front := range d.fronts {
+		waiting := 0
+		for _, id := range ids {
+			if len(d.runsOf(id)) == 0 {
+				waiting++
+			}
+		}
+		if shown := d.pending(front, batchRoute); shown >= 0 && 2*shown < waiting {
+			breaks = append(breaks, fmt.Sprintf("MIXED: %s gives %d as pending, though %d jobs accepted %v before have not begun",
+				front, shown, waiting, time.Since(accepted).Round(time.Millisecond)))
+		}
+	}
+	time.Sleep(4 * time.Second)
+	return breaks, nil
+}
+
+// The load of the compaction case: scheduled jobs with as many times as those of the
+// site's class yield-map.
+const (
+	scheduledTimes = 6
+	submitGap      = 45 * time.Millisecond
+	// trafficTime is how long jobs are handed in, from the script's beginning.
+	trafficTime = 105 * time.Second
+	// The bounds of the rule Fault: a tenth of the machines, two at least, three times.
+	minMachines = 2
+	minOwnEnds  = 3
+)
+
+// compaction: scheduled jobs are handed in, all of which are done soon. Nothing else
+// happens. TROUBLE=0 hands in the same tasks as jobs without times.
+func compaction(d *deployment) ([]string, error) {
+	sides := []side{
+		{"magdalena-a", resources{128000, 524288, 8}, []string{"a", "r1-1"}, true},
+		{"magdalena-b", resources{128000, 524288, 8}, []string{"a", "r1-2"}, true},
+		{"magdalena-c", resources{128000, 524288, 8}, []string{"a", "r1-3"}, true},
+	}
+	if err := d.startAll(3, sides, configuration(7, 8, batchRoute)); err != nil {
+		return nil, err
+	}
+	small := step{Count: 1, CPU: 1000, Memory: 1000, Estimate: 100}
+	for n := 0; time.Since(d.began) < trafficTime; n++ {
+		j := job{"work 100 ms, then done", []step{small}, scheduledTimes, time.Now().UnixMilli(), 3000}
+		if !d.trouble {
+			j.Steps[0].Count, j.Times, j.First, j.Interval = scheduledTimes, 0, 0, 0
+		}
+		if !d.submit(batchRoute, jobID(1000+n), j) {
+			d.record("job %s was not accepted", jobID(1000+n))
+		}
+		if ends := d.ownEnds(); len(ends) >= minMachines {
+			return []string{fmt.Sprintf("Fault: with no disruption there ended by themselves %v", ends)}, nil
+		}
+		time.Sleep(submitGap)
+	}
+	return nil, nil
+}
+
+// ownEnds returns the machines on which processes have ended by themselves minOwnEnds
+// times.
+func (d *deployment) ownEnds() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var found []string
+	for _, p := range d.processes {
+		if p.ownEnds >= minOwnEnds {
+			found = append(found, fmt.Sprintf("%s %d times", p.name, p.ownEnds))
+		}
+	}
+	return found
+}
