Release at least one unit or occurrence of each group

Cause: the planner filled a transaction with releases while an entry of it was left. A release of whole occurrences took only those that fitted, and with one entry left that was none; what runs on the commit read its first step.

Evidence: a trace of the plan on a scratch copy (TestReleaseOfScheduledJobs with 6 occurrences) shows a release without steps with 1 of 92 entries left after 13 others, while all 6 occurrences of its job are held. So they were not dropped between plan and commit, and there was only one transaction.

Change: a release is made for a group (what one row records as done) and takes its first unit or occurrence whatever room there is. It names its row by the group, so that nothing reads a first element. Entries are counted by rows, as the transaction does, not by units, and a transaction holds one release of a group at the most, whatever room is left.

--- a/sesamedispatch/compact.go
+++ b/sesamedispatch/compact.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"iter"
 	"slices"
 
 	"github.com/sesamestack/sesamestack/sesamelog"
@@ -22,13 +23,24 @@
 	compactionsPerWrite = 2
 )
 
-// finished holds units whose rows are not needed any more: all of one step, or, if whole is
-// set, all that are left of occurrences of a job that recurs.
+// releaseGroup is what one row records as done: units of a step or, if step is nil,
+// occurrences of a job that recurs.
+type releaseGroup struct {
+	job  *job
+	step *stepUnits
+}
+
+// finished holds units of a group whose rows are not needed any more, at least one: units
+// of the step, or all that are left of some occurrences.
 type finished struct {
-	job   *job
-	steps []*stepUnits
+	group releaseGroup
 	units []*unit
-	whole bool
+	// occurrences are those that are released as a whole, and stepRecords the rows that
+	// recorded what was done of them before.
+	occurrences []int
+	stepRecords []sesamerows.Key
+	// runRows is how many rows hold the units' runs.
+	runRows int
 }
 
 // isFinished reports whether the unit needs no rows of its own any more: no run of it
@@ -61,7 +73,7 @@
 		released, removed := false, false
 		var err error
 		if len(v.ends) > r.o.HeldEnds {
-			released, err = r.release(ctx)
+			released, err = r.release(ctx, maxChangeEntries)
 		}
 		if err == nil && len(v.obsolete.rows) >= maxChangeEntries {
 			removed, err = r.removeObsolete(ctx)
@@ -96,11 +108,11 @@
 }
 
 // release records finished units as done in the store, together with the removal of
-// their runs, and drops them from the view, as many as fit into a transaction. It
-// returns whether it has released any. Errors are those of commit.
-func (r *term) release(ctx context.Context) (bool, error) {
+// their runs, and drops them from the view, as finishedUnits returns them for that many
+// entries. It returns whether it has released any. Errors are those of commit.
+func (r *term) release(ctx context.Context, entries int) (bool, error) {
 	batch := &changeBatch{}
-	for _, f := range r.view.finishedUnits(maxChangeEntries) {
+	for _, f := range r.view.finishedUnits(entries) {
 		c, err := r.releaseChange(f)
 		if err != nil {
 			return false, err
@@ -118,68 +130,125 @@
 	return released, nil
 }
 
-// finishedUnits returns finished units whose release takes about that many entries of
-// a transaction.
+// releaseGroup returns the group in which finished units of the step are released: with
+// their occurrence, once all of that is finished.
+func (s *stepUnits) releaseGroup() releaseGroup {
+	g := releaseGroup{
+		job: s.job,
+	}
+	if !s.job.Recurs() || !areFinished(s.job.stepsOf(s.occurrence)) {
+		g.step = s
+	}
+	return g
+}
+
+// finishedUnits returns finished units whose release takes at most that many entries of
+// a transaction, but always some if there are any. Each result is of another group, since
+// a transaction writes a row once.
 func (v *View) finishedUnits(entries int) []finished {
 	var all []finished
 	seen := map[*stepUnits]bool{}
+	taken := map[releaseGroup]bool{}
 	for _, u := range v.units {
-		if entries <= 0 {
-			break
-		}
 		s := u.job.stepsOf(u.id.Occurrence)[u.id.Step]
 		if seen[s] || !u.isFinished() {
 			continue
 		}
-		f := finishedWith(u, s, entries)
-		for _, step := range f.steps {
-			seen[step] = true
+		seen[s] = true
+		group := s.releaseGroup()
+		if taken[group] {
+			continue
+		}
+		taken[group] = true
+		f := newFinished(group, entries)
+		if len(all) > 0 && f.entries() > entries {
+			break
 		}
-		entries -= f.entries()
 		all = append(all, f)
+		entries -= f.entries()
 	}
 	return all
 }
 
-// finishedWith returns the finished units that are released together with u, a unit of
-// the step s, in about that many entries.
-func finishedWith(u *unit, s *stepUnits, entries int) finished {
+// newFinished returns finished units of the group, which has some: in their order, as
+// many as are released in that many entries of a transaction, but at least the first
+// unit or occurrence.
+func newFinished(group releaseGroup, entries int) finished {
 	f := finished{
-		job:   u.job,
-		whole: u.job.Recurs() && areFinished(u.job.stepsOf(u.id.Occurrence)),
+		group: group,
 	}
-	if !f.whole {
-		f.steps = []*stepUnits{s}
-		f.add(s, entries)
-		return f
-	}
-	for _, steps := range u.job.occurrences {
-		if f.entries() < entries && areFinished(steps) {
-			f.steps = append(f.steps, steps...)
-			for _, step := range steps {
-				f.units = append(f.units, step.created...)
-			}
+	for part := range group.parts() {
+		if len(f.units) > 0 && f.entries()+part.rows() > entries {
+			break
 		}
+		f.add(part)
 	}
 	return f
 }
 
-// add adds finished units of the step until the release takes about that many entries.
-func (f *finished) add(s *stepUnits, entries int) {
-	for _, u := range s.created {
-		if entries <= 0 {
+// parts returns all of the group that can be released by itself, in order: each finished
+// unit of the step, or each finished occurrence of the job.
+func (g releaseGroup) parts() iter.Seq[finished] {
+	return func(yield func(finished) bool) {
+		if g.step == nil {
+			for _, steps := range g.job.occurrences {
+				if areFinished(steps) && !yield(g.occurrence(steps)) {
+					return
+				}
+			}
 			return
 		}
-		if u.isFinished() {
-			f.units = append(f.units, u)
-			entries -= len(u.rows)
+		for _, u := range g.step.created {
+			if u.isFinished() && !yield(g.unit(u)) {
+				return
+			}
+		}
+	}
+}
+
+// unit returns the release of that unit alone.
+func (g releaseGroup) unit(u *unit) finished {
+	return finished{
+		group:   g,
+		units:   []*unit{u},
+		runRows: len(u.rows),
+	}
+}
+
+// occurrence returns the release of that occurrence alone.
+func (g releaseGroup) occurrence(steps []*stepUnits) finished {
+	f := finished{
+		group: g,
+	}
+	for _, s := range steps {
+		f.occurrences = []int{s.occurrence}
+		if s.released.Len() > 0 {
+			f.stepRecords = append(f.stepRecords, s.doneKey())
+		}
+		for _, u := range s.created {
+			f.add(g.unit(u))
 		}
 	}
+	return f
 }
 
-// entries returns how many entries of a transaction the release takes at the least.
+// add adds the units of another release of the same group.
+func (f *finished) add(other finished) {
+	f.units = append(f.units, other.units...)
+	f.occurrences = append(f.occurrences, other.occurrences...)
+	f.stepRecords = append(f.stepRecords, other.stepRecords...)
+	f.runRows += other.runRows
+}
+
+// rows returns how many rows the release removes.
+func (f finished) rows() int {
+	return f.runRows + len(f.stepRecords)
+}
+
+// entries returns how many entries of a transaction the release takes: those rows and
+// the record.
 func (f finished) entries() int {
-	return 1 + len(f.units)
+	return f.rows() + 1
 }
 
 // releaseChange returns the write that records the finished units as done and removes
@@ -187,14 +256,14 @@
 // job that has ended nothing is recorded, since its state says that nothing of it runs.
 func (r *term) releaseChange(f finished) (change, error) {
 	var c sesamerows.Change
-	record := f.record()
-	if !f.job.published.Ended() {
+	j, record := f.group.job, f.record()
+	if !j.published.Ended() {
 		value, err := json.Marshal(record)
 		if err != nil {
 			return change{}, err
 		}
 		c.Writes = append(c.Writes, sesamerows.Write{
-			Key:   f.key(),
+			Key:   f.group.key(),
 			Value: value,
 		})
 	}
@@ -206,39 +275,35 @@
 			r.view.dropFinished(f, record, keys[len(c.Removes):])
 			r.o.Scope.Counter("released_units").Inc(int64(len(f.units)))
 			r.o.Log.Emit(eventReleased, sesamelog.Fields{
-				"job":        f.job.ID,
-				"occurrence": f.steps[0].occurrence,
-				"step":       f.steps[0].index,
-				"whole":      f.whole,
-				"units":      len(f.units),
-				"done":       record.Len(),
+				"job":         j.ID,
+				"record":      f.group.key().Name,
+				"occurrences": len(f.occurrences),
+				"units":       len(f.units),
+				"done":        record.Len(),
 			})
 		}},
 		onReject: []func(error){func(err error) {
 			r.view.obsolete.rejections.add(r.o.Clock.Steady())
-			r.logRejected("release", f.job.ID, c, err)
+			r.logRejected("release", j.ID, c, err)
 		}},
 	}, nil
 }
 
-// key returns the key of the row that records the units as done.
-func (f finished) key() sesamerows.Key {
-	if f.whole {
-		return sesamework.DoneOccurrencesKey(f.job.ID)
+// key returns the key of the row that records what is done of the group.
+func (g releaseGroup) key() sesamerows.Key {
+	if g.step == nil {
+		return sesamework.DoneOccurrencesKey(g.job.ID)
 	}
-	return f.steps[0].doneKey()
+	return g.step.doneKey()
 }
 
 // record returns what that row is to hold: what was released before, and the units.
 func (f finished) record() sesamework.IndexSet {
-	var indexes []int
-	if f.whole {
-		for _, s := range f.steps {
-			indexes = append(indexes, s.occurrence)
-		}
-		return f.job.doneOccurrences.With(indexes...)
+	s := f.group.step
+	if s == nil {
+		return f.group.job.doneOccurrences.With(f.occurrences...)
 	}
-	s := f.steps[0]
+	var indexes []int
 	for _, u := range f.units {
 		indexes = append(indexes, u.id.Index-s.firstIndex())
 	}
@@ -254,18 +319,13 @@
 			keys = append(keys, row.Key(u.id))
 		}
 	}
-	for _, s := range f.steps {
-		if f.whole && s.released.Len() > 0 {
-			keys = append(keys, s.doneKey())
-		}
-	}
-	return keys
+	return append(keys, f.stepRecords...)
 }
 
-// dropFinished drops the units from the view. record is what was written of them, and
-// runs are the rows of their runs that are still in the store, as all their ends are.
-func (v *View) dropFinished(f finished, record sesamework.IndexSet, runs []sesamerows.Key) {
-	for _, key := range runs {
+// dropFinished drops the units from the view. record is what their group's row holds now,
+// and left are the rowKeys of rows that are still in the store, as all their ends are.
+func (v *View) dropFinished(f finished, record sesamework.IndexSet, left []sesamerows.Key) {
+	for _, key := range left {
 		v.addObsolete(key, 0)
 	}
 	for _, u := range f.units {
@@ -277,9 +337,9 @@
 		}
 		delete(v.units, u.id)
 	}
-	if f.whole {
-		f.job.setDoneOccurrences(record)
+	if f.group.step == nil {
+		f.group.job.setDoneOccurrences(record)
 	} else {
-		v.setReleased(f.steps[0], record)
+		v.setReleased(f.group.step, record)
 	}
 }
--- a/sesamedispatch/compact_test.go
+++ b/sesamedispatch/compact_test.go
@@ -198,7 +198,7 @@
 			Index: sesamework.GangIndex,
 		}, "zone"),
 	})
-	_, err := f.term.release(t.Context())
+	_, err := f.term.release(t.Context(), maxChangeEntries)
 	f.is.NoErr(err)
 	f.write(run)
 	f.replacePlanner(f.memory)
