Keep a record of done tasks that can't be read

What callers would see: tasks that are done run again.

Cause: a planner that can't read a record starts nothing of its job, but released the runs that ended, and so wrote a record of these alone in its place.

Change: units that are done are not released while a record of their job can't be read. Of a job that has ended nothing is recorded.

--- a/sesamedispatch/compact.go
+++ b/sesamedispatch/compact.go
@@ -44,9 +44,10 @@
 }
 
 // isFinished reports whether the unit needs no rows of its own any more: no run of it
-// is active, and it is done or its job has ended for callers.
+// is active, and it is done or its job has ended for callers. A record of what is done
+// that can't be read is not to be replaced.
 func (u *unit) isFinished() bool {
-	return !u.isActive() && (u.done || u.job.published.Ended())
+	return !u.isActive() && (u.done && !u.job.unreadable || u.job.published.Ended())
 }
 
 // areFinished reports whether the steps of an occurrence are done and have no active
--- a/sesamedispatch/release_test.go
+++ b/sesamedispatch/release_test.go
@@ -243,3 +243,41 @@
 		})
 	}
 }
+
+// TestUnreadableRecordStays guards against a planner that replaces a record of done tasks
+// that it can't read by its own: the tasks in it would run again.
+func TestUnreadableRecordStays(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		job  sesamerows.Row
+		key  sesamerows.Key
+	}{
+		{
+			name: "of a step",
+			job:  jobWithSteps("job", 100),
+			key:  sesamework.DoneUnitsKey("job", 0, 0),
+		},
+		{
+			name: "of occurrences",
+			job:  recurringJob("job", 100, 1),
+			key:  sesamework.DoneOccurrencesKey("job"),
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const unreadable = `"unreadable"`
+			f := newTermFixture(t, c.job, targetRow(newTarget("a"), 0))
+			f.decide(1)
+			f.commit(sesamerows.Row{
+				Key:   c.key,
+				Value: []byte(unreadable),
+			})
+			f.replacePlanner(f.memory)
+			newRunner(f).end(isDone)
+			f.replacePlanner(f.memory)
+			f.term.o.HeldEnds = 1
+			f.decide(2)
+			f.is.Equal(string(f.changed(sesamerows.Row{Key: c.key}).Value), unreadable)
+			f.is.Equal(f.term.view.jobs["job"].published, sesamework.JobRunning)
+		})
+	}
+}
