End a term, not the process, by a panic in upkeep

Cause: removal of rows that nobody needs runs in the planning loop, where any panic ends the process. Callers can do without it for a while.

Change: sweeping and compaction are one function that recovers a panic. The view may be half updated then, so the term ends with a typed error, the next one reads all rows, and this process leaves upkeep out for a minute. Event 7142 and the counter upkeep_panics tell of it, with the functions in which it came.

TestPanicInUpkeep panics without the change.

--- a/sesamedispatch/events.go
+++ b/sesamedispatch/events.go
@@ -37,6 +37,7 @@
 	eventSummary        = sesamelog.Define(7135, sesamelog.Info, "summary for entries written or removed, new jobs are or are no longer turned away")
 	eventSpeeds         = sesamelog.Define(7140, sesamelog.Info, "kinds of targets by speed changed")
 	eventSpeedWait      = sesamelog.Define(7141, sesamelog.Debug, "unit waits for faster targets")
+	eventUpkeepPanicked = sesamelog.Define(7142, sesamelog.Error, "upkeep panicked, planning begins anew and leaves it out for a while")
 	eventHandedOver     = sesamelog.Define(7125, sesamelog.Info, "planning is handed over to a larger entry")
 	eventNoSuccessor    = sesamelog.Define(7126, sesamelog.Warn, "entry does not plan, it is not named as successor for a while")
 	eventWaiting        = sesamelog.Define(7112, sesamelog.Debug, "unit waits for room")
--- a/sesamedispatch/planner.go
+++ b/sesamedispatch/planner.go
@@ -117,6 +117,9 @@
 	// durationModels by queue outlast the terms of this process. Another
 	// process learns its own.
 	durationModels map[string]*durationModel
+	// upkeepResumesAt is when upkeep, which has panicked, may be done again, on the
+	// steady clock.
+	upkeepResumesAt time.Duration
 	// speeds outlasts the terms in the same way; nil without Options.Speeds.
 	speeds *sesamespeed.Model
 }
--- a/sesamedispatch/write.go
+++ b/sesamedispatch/write.go
@@ -22,19 +22,15 @@
 	maxChangeBytes = sesamerows.MaxTransactionBytes * 9 / 10
 )
 
-// decideAndWrite takes a decision and writes it. When there is nothing to decide, and
-// each sweepInterval, it sweeps rows that have expired. In any case it compacts what has ended, and renews the
-// leader's row, since transactions that conflict don't. Errors are those of commit and
-// of encoding the rows.
+// decideAndWrite takes a decision and writes it. Then it does the upkeep of the store, and
+// renews the leader's row, since transactions that conflict don't. Errors are those of
+// upkeep and of encoding the rows.
 func (r *term) decideAndWrite(ctx context.Context) error {
 	d := r.view.Decide(r.now())
 	r.countSpeeds(d)
 	written, err := r.write(ctx, d)
-	if err == nil && (d.IsEmpty() || r.o.Clock.Steady()-r.sweptAt >= sweepInterval) {
-		err = r.sweep(ctx)
-	}
 	if err == nil {
-		err = r.compact(ctx, written)
+		err = r.upkeep(ctx, d.IsEmpty(), written)
 	}
 	if err != nil {
 		return err
