Soak: scheduled jobs, and processes that end by themselves

Change: a process that exits, and was not sent SIGTERM, fails the seed. 40 jobs of 6 occurrences run beside the others; the draws of a seed stay the same. The wide job and its record are as before; its ID is the greatest number now.

--- a/sesamesoak/soak_test.go
+++ b/sesamesoak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os/exec"
@@ -38,6 +39,10 @@
 	// The number of jobs and of faults of one seed.
 	soakJobs   = 14
 	soakFaults = 7
+	// scheduledJobs run scheduledTimes each, so that planners release occurrences of
+	// theirs together with tasks of the wide job.
+	scheduledJobs  = 40
+	scheduledTimes = 6
 	// wideTasks is the number of tasks of the wide job.
 	wideTasks = 4000
 	// maxRunRows is how many rows of runs the store may hold once all jobs have ended.
@@ -97,9 +102,22 @@
 		})
 	}
 	group.Go(func() error {
-		s.submit(newWideJob(), 0)
+		// Planners release those of its tasks that are done while others of it run.
+		s.submit(newShortJob(math.MaxInt64, wideTasks), 0)
 		return nil
 	})
+	for i := range scheduledJobs {
+		h := newShortJob(int64(soakJobs+i+1), 1)
+		h.schedule = emulator.Schedule{
+			Times:    scheduledTimes,
+			FirstDue: time.Now().UnixMilli(),
+			Interval: 1,
+		}
+		group.Go(func() error {
+			s.submit(h, i)
+			return nil
+		})
+	}
 	for range soakFaults {
 		at := time.Duration(r.IntN(int(faultPeriod)))
 		length := 200*time.Millisecond + time.Duration(r.IntN(int(5*time.Second)))
@@ -127,14 +145,13 @@
 	is.New(s.t).NoErr(group.Wait())
 }
 
-// newWideJob returns a job of so many short tasks that planners release those that are
-// done while others of the job run.
-func newWideJob() *submission {
+// newShortJob returns the job with that number, of so many short tasks.
+func newShortJob(number int64, tasks int) *submission {
 	return &submission{
-		path:     "/batch/" + strings.Repeat("f", 16),
+		path:     fmt.Sprintf("/batch/%016x", number),
 		duration: 5 * time.Millisecond,
 		step: sesamework.Step{
-			Count:    wideTasks,
+			Count:    tasks,
 			Need:     sesamework.Resources{Cores: 1000},
 			Estimate: 5,
 		},
@@ -175,7 +192,7 @@
 	rejected := true
 	for try := range 6 {
 		entry := s.processes[(first+try)%soakEntries]
-		status, _ := s.call(caller.Submit(s.t.Context(), "http://"+entry.callerAddress+h.path, specText, h.step))
+		status, _ := s.call(caller.SubmitScheduled(s.t.Context(), "http://"+entry.callerAddress+h.path, specText, h.schedule, h.step))
 		rejected = rejected && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
 		if status == http.StatusOK {
 			s.mu.Lock()
--- a/sesamesoak/world_test.go
+++ b/sesamesoak/world_test.go
@@ -94,8 +94,9 @@
 // submission is a submitted job and what the entries answered: accepted means
 // that one took it, rejected that all refused it, so that it must not run.
 type submission struct {
-	path string
-	step sesamework.Step
+	path     string
+	step     sesamework.Step
+	schedule emulator.Schedule
 	// duration is how long each task takes.
 	duration time.Duration
 	rejected bool
@@ -112,7 +113,10 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
-	output  bytes.Buffer
+	// terminated says that the command was sent SIGTERM. It then fails if it has to cut
+	// off clients.
+	terminated bool
+	output     bytes.Buffer
 }
 
 // freeAddress returns an address for a process to listen on.
@@ -261,11 +265,18 @@
 		return
 	}
 	p.command = command
+	p.terminated = false
 	p.mu.Unlock()
-	if err := command.Wait(); err != nil && ctx.Err() == nil {
-		// A signal of the test ended the process.
-		time.Sleep(50 * time.Millisecond)
+	err := command.Wait()
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	p.mu.Lock()
+	if command.ProcessState.Exited() && !p.terminated {
+		p.s.t.Errorf("%s has ended without a signal: %v", p.file, err)
 	}
+	p.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
 }
 
 // Write appends to the process's log.
@@ -280,6 +291,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command != nil && p.command.Process != nil {
+		p.terminated = p.terminated || sig == syscall.SIGTERM
 		if err := p.command.Process.Signal(sig); err != nil && !strings.Contains(err.Error(), "finished") {
 			p.s.t.Log(err)
 		}
