Stop looking for finished units once the transaction is full

Cause: since the search went on over all created units after a wide step had filled the transaction, in each of six or more compactions of a decision. Found by reading.

Change: it ends when no entry is left, as before. The error of a panic in upkeep tells the value only; the functions are in its event.

--- a/sesamedispatch/compact.go
+++ b/sesamedispatch/compact.go
@@ -151,6 +151,9 @@
 	seen := map[*stepUnits]bool{}
 	taken := map[releaseGroup]bool{}
 	for _, u := range v.units {
+		if len(all) > 0 && entries <= 0 {
+			break
+		}
 		s := u.job.stepsOf(u.id.Occurrence)[u.id.Step]
 		if seen[s] || !u.isFinished() {
 			continue
--- a/sesamedispatch/upkeep.go
+++ b/sesamedispatch/upkeep.go
@@ -22,9 +22,9 @@
 	Frames []string
 }
 
-// Error tells the value and the innermost function.
+// Error tells the value.
 func (e *UpkeepError) Error() string {
-	return fmt.Sprintf("upkeep panicked: %v in %s", e.Value, strings.Join(e.Frames[:min(len(e.Frames), 1)], ""))
+	return fmt.Sprintf("upkeep panicked: %v", e.Value)
 }
 
 // upkeep removes rows that nobody needs: it sweeps if the decision before it was empty,
