--- a/sesamedispatch/release_test.go
+++ b/sesamedispatch/release_test.go
@@ -84,12 +84,13 @@
 	CancelAt int
 }
 
-// mix is a number of jobs for a planner that holds few ends. Others take over from it.
+// mix is a number of jobs for a planner that holds few ends.
 type mix struct {
 	Jobs     []mixedJob
 	HeldEnds int
 	// Entries is the room in a transaction for one more release in each step.
-	Entries   int
+	Entries int
+	// TakeOvers holds the steps at which another planner takes over.
 	TakeOvers map[int]bool
 }
 
@@ -111,6 +112,7 @@
 	case 2:
 		j.Counts[0] = rapid.IntRange(maxChangeEntries/2, 2*maxChangeEntries).Draw(t, "wide")
 	case 3:
+		// It runs once, and its rows fit into a transaction.
 	default:
 		j.Times = rapid.IntRange(1, 9).Draw(t, "times")
 	}
--- a/sesamedispatch/upkeep.go
+++ b/sesamedispatch/upkeep.go
@@ -67,13 +67,17 @@
 	return err
 }
 
-// maxPanicFrames bounds the functions in an UpkeepError.
-const maxPanicFrames = 8
+const (
+	// maxPanicFrames bounds the functions in an UpkeepError.
+	maxPanicFrames = 8
+	// maxStackDepth bounds the callers that are looked at for them.
+	maxStackDepth = 64
+)
 
 // panicFrames returns the functions, with their lines, that were running when the panic
 // began that is being recovered, the innermost first.
 func panicFrames() []string {
-	pcs := make([]uintptr, 64)
+	pcs := make([]uintptr, maxStackDepth)
 	frames := runtime.CallersFrames(pcs[:runtime.Callers(1, pcs)])
 	var found []string
 	panicked := false
